--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -74,16 +74,16 @@
         {"storeReadsPerSecond", static_cast<double>(fleet->platform().table.readCount() - readsBefore) / seconds}};
 }
 
-std::vector<platform::ListedWorker> listedWorkers(int n)
+std::vector<ports::ListedWorker> listedWorkers(int n)
 {
-    std::vector<platform::ListedWorker> listed;
+    std::vector<ports::ListedWorker> listed;
     for (int i = 0; i < n; ++i) {
         listed.push_back({WorkerId("worker-" + std::to_string(i)),
                           FailureDomain("d"),
                           "rack-" + std::to_string(i / 8),
                           WorkerCapacity,
                           {"127.0.0.1", 1},
-                          platform::HostState::Live});
+                          ports::HostState::Live});
     }
     return listed;
 }
@@ -92,7 +92,7 @@
 {
     for (int i = 0; i < n; ++i) {
         partition.noteReport(WorkerId("worker-" + std::to_string(i)),
-                             platform::WorkerReport{WorkerId("worker-" + std::to_string(i)), 1, {1}, {}}, now, now);
+                             ports::WorkerReport{WorkerId("worker-" + std::to_string(i)), 1, {1}, {}}, now, now);
     }
 }
 
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-platform::Fault SwitchedFaults::next(std::string_view name, std::uint64_t, TimePoint)
+ports::Fault SwitchedFaults::next(std::string_view name, std::uint64_t, TimePoint)
 {
     if (name.starts_with("worker")) {
         return {1ms, false, false};
@@ -457,20 +457,20 @@
 
 void Fleet::Private::list()
 {
-    platform::HostListing listing;
+    ports::HostListing listing;
     for (const auto &node : nodes) {
         const RegionName region(world.scenario().regions[static_cast<std::size_t>(node->region)].name);
         listing.entryHosts.push_back(
-            {node->id, {"127.0.0.1", static_cast<std::uint16_t>(node->index + 1)}, region, platform::HostState::Live});
+            {node->id, {"127.0.0.1", static_cast<std::uint16_t>(node->index + 1)}, region, ports::HostState::Live});
     }
     for (const auto &it : world.targets()) {
         const auto &region = world.scenario().regions[static_cast<std::size_t>(it.region)].name;
-        platform::ListedTarget target;
+        ports::ListedTarget target;
         target.id = it.id;
         target.pool = it.pool;
         target.region = RegionName(region);
         target.domain = FailureDomain(region);
-        target.state = it.isLeaving ? platform::HostState::Leaving : platform::HostState::Live;
+        target.state = it.isLeaving ? ports::HostState::Leaving : ports::HostState::Live;
         listing.targets.push_back(std::move(target));
     }
     platform.hosts.set(std::move(listing));
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -12,7 +12,7 @@
 namespace monsoonspool::bench {
 
 // Faults of the emulated platform that a scenario can switch.
-class SwitchedFaults : public platform::FaultPlan
+class SwitchedFaults : public ports::FaultPlan
 {
 public:
     bool isDown = false;
@@ -22,7 +22,7 @@
     explicit SwitchedFaults(std::uint64_t seed) : m_generator(seed)
     {
     }
-    platform::Fault next(std::string_view name, std::uint64_t n, TimePoint now) override;
+    ports::Fault next(std::string_view name, std::uint64_t n, TimePoint now) override;
 
 private:
     boost::random::mt19937_64 m_generator;
--- a/bench/loadclient.h
+++ b/bench/loadclient.h
@@ -2,7 +2,7 @@
 
 #include "common/error.h"
 #include "metrics/latencyhistogram.h"
-#include "platform/hostlist.h"
+#include "ports/hostlist.h"
 
 #include <cstdint>
 #include <string>
@@ -11,7 +11,7 @@
 
 struct LoadOptions
 {
-    platform::Address address;
+    ports::Address address;
     std::string host; // Host field
     int connections = 64;
     Duration length = 5s;
--- a/bench/localsystem.cpp
+++ b/bench/localsystem.cpp
@@ -20,7 +20,7 @@
 constexpr std::chrono::milliseconds PollInterval{50};
 constexpr int MaxPolls = 400;
 
-Result<Json> callJson(const platform::Address &address, const http::ApiCall &call)
+Result<Json> callJson(const ports::Address &address, const http::ApiCall &call)
 {
     BOOST_LEAF_AUTO(answer, http::callAndWait(address, call));
     return codec::parseLargeJson(answer.body);
@@ -75,14 +75,14 @@
                              "--service-ms", std::to_string(m_options.serviceMs)}));
     m_platform = std::make_unique<ChildProcess>(std::move(process));
     BOOST_LEAF_AUTO(json, codec::parseJson(m_platform->readLine()));
-    m_platformAddress = json.at("platform").get<platform::Address>();
-    m_targets = json.at("targets").get<std::vector<platform::Address>>();
+    m_platformAddress = json.at("platform").get<ports::Address>();
+    m_targets = json.at("targets").get<std::vector<ports::Address>>();
     return {};
 }
 
 Result<LocalDaemon> LocalSystem::startDaemon(const std::string &name, const std::string &region)
 {
-    const platform::Address any{"127.0.0.1", 0};
+    const ports::Address any{"127.0.0.1", 0};
     Json settings{{"name", name},
                   {"region", region},
                   {"failureDomain", region + "-a"},
@@ -101,16 +101,16 @@
         process,
         ChildProcess::start({m_options.programs + "/monsoonspoold", "--settings", path.string(), "--print-addresses"}));
     BOOST_LEAF_AUTO(json, codec::parseJson(process.readLine()));
-    return LocalDaemon{std::move(process), name, json.at("guests").get<platform::Address>(),
-                       json.at("operators").get<platform::Address>(), json.at("peers").get<platform::Address>()};
+    return LocalDaemon{std::move(process), name, json.at("guests").get<ports::Address>(),
+                       json.at("operators").get<ports::Address>(), json.at("peers").get<ports::Address>()};
 }
 
 Result<void> LocalSystem::publishHosts(const std::vector<std::size_t> &leavingTargets)
 {
-    platform::HostListing listing;
+    ports::HostListing listing;
     for (std::size_t n = 0; n < m_daemons.size(); ++n) {
         listing.entryHosts.push_back({EntryHostId(m_daemons[n].name), m_daemons[n].peers,
-                                      RegionName(m_daemonRegions[n]), platform::HostState::Live});
+                                      RegionName(m_daemonRegions[n]), ports::HostState::Live});
     }
     for (const auto &text : m_options.documents) {
         const auto pool = codec::decodeDocument(text).document.pool;
@@ -118,7 +118,7 @@
             const bool isLeaving = std::ranges::find(leavingTargets, n) != leavingTargets.end();
             listing.targets.push_back({TargetId("target-" + std::to_string(n + 1)), pool, m_targets[n],
                                        RegionName(m_targetRegions[n]), FailureDomain(m_targetRegions[n] + "-a"),
-                                       isLeaving ? platform::HostState::Leaving : platform::HostState::Live});
+                                       isLeaving ? ports::HostState::Leaving : ports::HostState::Live});
         }
     }
     for (int n = 0; n < m_options.workers; ++n) {
@@ -127,7 +127,7 @@
                                    "rack-" + std::to_string(n / 8),
                                    {30'000, 125 * 1024, 0},
                                    {"127.0.0.1", 1},
-                                   platform::HostState::Live});
+                                   ports::HostState::Live});
     }
     http::ApiCall call{"PUT", "/hosts", codec::writeJson(listing), {}, std::chrono::milliseconds(5000)};
     BOOST_LEAF_CHECK(callJson(m_platformAddress, call));
--- a/bench/localsystem.h
+++ b/bench/localsystem.h
@@ -3,7 +3,7 @@
 #include "bench/childprocess.h"
 #include "codec/json.h"
 #include "common/error.h"
-#include "platform/hostlist.h"
+#include "ports/hostlist.h"
 
 #include <filesystem>
 #include <memory>
@@ -17,9 +17,9 @@
 {
     ChildProcess process;
     std::string name;
-    platform::Address guests;
-    platform::Address operators;
-    platform::Address peers;
+    ports::Address guests;
+    ports::Address operators;
+    ports::Address peers;
 };
 
 struct LocalRegion
@@ -53,11 +53,11 @@
     {
         return m_daemons;
     }
-    const std::vector<platform::Address> &targets() const
+    const std::vector<ports::Address> &targets() const
     {
         return m_targets;
     }
-    const platform::Address &platformAddress() const
+    const ports::Address &platformAddress() const
     {
         return m_platformAddress;
     }
@@ -84,8 +84,8 @@
     std::filesystem::path m_folder;
     std::vector<std::string> m_targetRegions;
     std::unique_ptr<ChildProcess> m_platform;
-    platform::Address m_platformAddress;
-    std::vector<platform::Address> m_targets;
+    ports::Address m_platformAddress;
+    std::vector<ports::Address> m_targets;
     std::vector<LocalDaemon> m_daemons;
     std::vector<std::string> m_daemonRegions;
 };
--- a/bench/nodeplatform.h
+++ b/bench/nodeplatform.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "platform/hostlist.h"
-#include "platform/objectstore.h"
-#include "platform/scheduler.h"
-#include "platform/tableservice.h"
-#include "platform/workeragent.h"
+#include "ports/hostlist.h"
+#include "ports/objectstore.h"
+#include "ports/scheduler.h"
+#include "ports/tableservice.h"
+#include "ports/workeragent.h"
 
 #include <functional>
 #include <utility>
@@ -13,19 +13,19 @@
 
 // The platform as one node reaches it: over the network, which may be cut, and
 // from a process that may be paused or dead when the reply comes.
-class NodePlatform : public platform::TableService,
-                     public platform::ObjectStore,
-                     public platform::HostList,
-                     public platform::WorkerAgent
+class NodePlatform : public ports::TableService,
+                     public ports::ObjectStore,
+                     public ports::HostList,
+                     public ports::WorkerAgent
 {
 public:
     struct Shared
     {
-        platform::Scheduler &scheduler;
-        platform::TableService &table;
-        platform::ObjectStore &objects;
-        platform::HostList &hosts;
-        platform::WorkerAgent &workers;
+        ports::Scheduler &scheduler;
+        ports::TableService &table;
+        ports::ObjectStore &objects;
+        ports::HostList &hosts;
+        ports::WorkerAgent &workers;
     };
     // Runs a function on the node, when it can run.
     using Runner = std::function<void(std::function<void()>)>;
@@ -39,7 +39,7 @@
         m_isCut = isCut;
     }
 
-    void read(std::string_view key, platform::Handler<std::optional<platform::Row>> handler) override
+    void read(std::string_view key, ports::Handler<std::optional<ports::Row>> handler) override
     {
         if (!isReachable(handler, ErrorKind::StoreUnavailable)) {
             return;
@@ -47,70 +47,70 @@
         m_shared.table.read(key, back(std::move(handler)));
     }
     void scan(std::string_view first, std::string_view last, int limit,
-              platform::Handler<std::vector<platform::Row>> handler) override
+              ports::Handler<std::vector<ports::Row>> handler) override
     {
         if (!isReachable(handler, ErrorKind::StoreUnavailable)) {
             return;
         }
         m_shared.table.scan(first, last, limit, back(std::move(handler)));
     }
-    void commit(std::span<const platform::RowWrite> writes, platform::Handler<std::uint64_t> handler) override
+    void commit(std::span<const ports::RowWrite> writes, ports::Handler<std::uint64_t> handler) override
     {
         if (!isReachable(handler, ErrorKind::StoreReplyLost)) {
             return;
         }
         m_shared.table.commit(writes, back(std::move(handler)));
     }
-    void put(std::string_view name, std::string_view value, platform::Handler<platform::Done> handler) override
+    void put(std::string_view name, std::string_view value, ports::Handler<ports::Done> handler) override
     {
         if (!isReachable(handler, ErrorKind::StoreReplyLost)) {
             return;
         }
         m_shared.objects.put(name, value, back(std::move(handler)));
     }
-    void get(std::string_view name, platform::Handler<std::optional<std::string>> handler) override
+    void get(std::string_view name, ports::Handler<std::optional<std::string>> handler) override
     {
         if (!isReachable(handler, ErrorKind::StoreUnavailable)) {
             return;
         }
         m_shared.objects.get(name, back(std::move(handler)));
     }
-    void remove(std::string_view name, platform::Handler<platform::Done> handler) override
+    void remove(std::string_view name, ports::Handler<ports::Done> handler) override
     {
         if (!isReachable(handler, ErrorKind::StoreReplyLost)) {
             return;
         }
         m_shared.objects.remove(name, back(std::move(handler)));
     }
-    void list(platform::Handler<platform::HostListing> handler) override
+    void list(ports::Handler<ports::HostListing> handler) override
     {
         if (!isReachable(handler, ErrorKind::StoreUnavailable)) {
             return;
         }
         m_shared.hosts.list(back(std::move(handler)));
     }
-    void start(const WorkerId &worker, const platform::StartOrder &order,
-               platform::Handler<platform::Done> handler) override
+    void start(const WorkerId &worker, const ports::StartOrder &order,
+               ports::Handler<ports::Done> handler) override
     {
         m_shared.workers.start(worker, order, back(std::move(handler)));
     }
-    void renew(const WorkerId &worker, Epoch epoch, Duration lease, std::span<const platform::AttemptId> acknowledged,
-               platform::Handler<platform::WorkerReport> handler) override
+    void renew(const WorkerId &worker, Epoch epoch, Duration lease, std::span<const ports::AttemptId> acknowledged,
+               ports::Handler<ports::WorkerReport> handler) override
     {
         m_shared.workers.renew(worker, epoch, lease, acknowledged, back(std::move(handler)));
     }
-    void stop(const WorkerId &worker, Epoch epoch, const platform::AttemptId &attempt,
-              platform::Handler<platform::Done> handler) override
+    void stop(const WorkerId &worker, Epoch epoch, const ports::AttemptId &attempt,
+              ports::Handler<ports::Done> handler) override
     {
         m_shared.workers.stop(worker, epoch, attempt, back(std::move(handler)));
     }
-    void checkpoint(const WorkerId &worker, Epoch epoch, const platform::AttemptId &attempt,
-                    platform::Handler<platform::Done> handler) override
+    void checkpoint(const WorkerId &worker, Epoch epoch, const ports::AttemptId &attempt,
+                    ports::Handler<ports::Done> handler) override
     {
         m_shared.workers.checkpoint(worker, epoch, attempt, back(std::move(handler)));
     }
-    void throttle(const WorkerId &worker, Epoch epoch, const platform::AttemptId &attempt, double part,
-                  platform::Handler<platform::Done> handler) override
+    void throttle(const WorkerId &worker, Epoch epoch, const ports::AttemptId &attempt, double part,
+                  ports::Handler<ports::Done> handler) override
     {
         m_shared.workers.throttle(worker, epoch, attempt, part, back(std::move(handler)));
     }
@@ -119,16 +119,16 @@
     static constexpr Duration CutTimeout = 1s;
 
     template <typename T>
-    platform::Handler<T> back(platform::Handler<T> handler)
+    ports::Handler<T> back(ports::Handler<T> handler)
     {
-        return [runner = m_runner, handler = std::move(handler)](const platform::AsyncResult<T> &result) {
+        return [runner = m_runner, handler = std::move(handler)](const ports::AsyncResult<T> &result) {
             runner([handler, result] { handler(result); });
         };
     }
 
     // Behind a cut a call has no effect, but its caller cannot know that.
     template <typename T>
-    bool isReachable(platform::Handler<T> &handler, ErrorKind kind)
+    bool isReachable(ports::Handler<T> &handler, ErrorKind kind)
     {
         if (!m_isCut) {
             return true;
--- a/bench/world.h
+++ b/bench/world.h
@@ -3,7 +3,7 @@
 #include "bench/history.h"
 #include "bench/scenario.h"
 #include "metrics/latencyhistogram.h"
-#include "platform/virtualscheduler.h"
+#include "ports/virtualscheduler.h"
 #include "routing/targethealth.h"
 
 #include <boost/random/mersenne_twister.hpp>
@@ -85,7 +85,7 @@
     {
         return m_scenario;
     }
-    platform::VirtualScheduler &scheduler()
+    ports::VirtualScheduler &scheduler()
     {
         return m_scheduler;
     }
@@ -176,7 +176,7 @@
     void record(HistoryEvent event);
 
     Scenario m_scenario;
-    platform::VirtualScheduler m_scheduler;
+    ports::VirtualScheduler m_scheduler;
     boost::random::mt19937_64 m_generator;
     boost::random::mt19937_64 m_arrivalGenerator;
     std::vector<documents::ServiceDocument> m_documents;
--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -23,7 +23,7 @@
     return {errorKindFromName(json.value("error", std::string())), json.value("detail", std::string())};
 }
 
-Client::Client(platform::Address address, std::string key) : m_address(std::move(address)), m_key(std::move(key))
+Client::Client(ports::Address address, std::string key) : m_address(std::move(address)), m_key(std::move(key))
 {
 }
 
--- a/src/cli/client.h
+++ b/src/cli/client.h
@@ -2,7 +2,7 @@
 
 #include "codec/json.h"
 #include "common/error.h"
-#include "platform/hostlist.h"
+#include "ports/hostlist.h"
 
 #include <string>
 #include <string_view>
@@ -25,14 +25,14 @@
 class Client
 {
 public:
-    Client(platform::Address address, std::string key);
+    Client(ports::Address address, std::string key);
 
     // Fails with DaemonUnreachable, StoreReplyLost if the call may have had its
     // effect, or MalformedMessage.
     Result<Reply> call(std::string_view method, std::string_view target, std::string_view body = {}) const;
 
 private:
-    platform::Address m_address;
+    ports::Address m_address;
     std::string m_key;
 };
 
--- /dev/null
+++ b/src/codec/cborjobs.cpp
@@ -0,0 +1,229 @@
+#include "codec/cborjobs.h"
+
+#include "codec/json.h"
+
+namespace monsoonspool::codec {
+
+namespace {
+
+// Decodes with `f`; what the library throws for a wrong type or a missing key
+// becomes MalformedMessage.
+template <typename F>
+auto decodeWith(std::string_view value, F f) -> Result<decltype(f(Json()))>
+{
+    BOOST_LEAF_AUTO(json, parseLargeCbor(value));
+    try {
+        return f(json);
+    } catch (const Json::exception &e) {
+        return fail(ErrorKind::MalformedMessage, e.what());
+    }
+}
+
+// Leaves out what has its default, since rows are read and priced by the byte.
+template <typename T>
+void put(Json &json, std::string_view key, const T &value, const T &usual)
+{
+    if (value != usual) {
+        json[std::string(key)] = value;
+    }
+}
+
+Json encodeResources(const Resources &needs)
+{
+    return Json::array({needs.milliCores, needs.memoryMiB, needs.accelerators});
+}
+
+Resources decodeResources(const Json &json)
+{
+    return {json.at(0).get<std::int64_t>(), json.at(1).get<std::int64_t>(), json.at(2).get<std::int64_t>()};
+}
+
+Json encodeStep(const jobs::StepSpec &step)
+{
+    const jobs::StepSpec usual;
+    Json json = {{"needs", encodeResources(step.needs)}, {"estimate", step.estimate.count()}};
+    put(json, "count", step.count, usual.count);
+    put(json, "after", step.after, usual.after);
+    put(json, "checkpoints", step.hasCheckpoints, false);
+    put(json, "gang", step.isGang, false);
+    put(json, "colocated", step.isColocated, false);
+    put(json, "speculate", step.maySpeculate, false);
+    put(json, "lasting", step.isLasting, false);
+    put(json, "leftover", step.usesLeftover, false);
+    put(json, "label", step.requiredLabel, usual.requiredLabel);
+    put(json, "rack", step.dataRack, usual.dataRack);
+    put(json, "image", step.image, usual.image);
+    put(json, "perWorker", step.maxPerWorker, usual.maxPerWorker);
+    put(json, "unavailable", step.maxUnavailable, usual.maxUnavailable);
+    if (step.tailTarget) {
+        json["tail"] = step.tailTarget->count();
+    }
+    return json;
+}
+
+jobs::StepSpec decodeStep(const Json &json)
+{
+    jobs::StepSpec step;
+    step.needs = decodeResources(json.at("needs"));
+    step.estimate = Duration(json.at("estimate").get<Duration::rep>());
+    step.count = json.value("count", step.count);
+    step.after = json.value("after", step.after);
+    step.hasCheckpoints = json.value("checkpoints", false);
+    step.isGang = json.value("gang", false);
+    step.isColocated = json.value("colocated", false);
+    step.maySpeculate = json.value("speculate", false);
+    step.isLasting = json.value("lasting", false);
+    step.usesLeftover = json.value("leftover", false);
+    step.requiredLabel = json.value("label", step.requiredLabel);
+    step.dataRack = json.value("rack", step.dataRack);
+    step.image = json.value("image", step.image);
+    step.maxPerWorker = json.value("perWorker", step.maxPerWorker);
+    step.maxUnavailable = json.value("unavailable", step.maxUnavailable);
+    if (json.contains("tail")) {
+        step.tailTarget = Duration(json.at("tail").get<Duration::rep>());
+    }
+    return step;
+}
+
+Json encodePolicy(const jobs::QueuePolicy &policy)
+{
+    Json json = {{"queue", policy.queue},
+                 {"service", policy.service.text()},
+                 {"priority", policy.priority},
+                 {"attempts", policy.maxAttempts},
+                 {"stretch", policy.stretch},
+                 {"latency", policy.targetLatency.count()}};
+    if (policy.advice) {
+        json["advice"] = Json::array(
+            {policy.advice->decision.count(), policy.advice->perWorker.count(), policy.advice->validity.count()});
+    }
+    return json;
+}
+
+jobs::QueuePolicy decodePolicy(const Json &json)
+{
+    jobs::QueuePolicy policy;
+    policy.queue = json.at("queue").get<std::string>();
+    policy.service = ServiceName(json.at("service").get<std::string>());
+    policy.priority = json.at("priority").get<int>();
+    policy.maxAttempts = json.at("attempts").get<int>();
+    policy.stretch = json.at("stretch").get<double>();
+    policy.targetLatency = Duration(json.at("latency").get<Duration::rep>());
+    if (json.contains("advice")) {
+        const auto &advice = json.at("advice");
+        policy.advice = jobs::AdviceTerms{Duration(advice.at(0).get<Duration::rep>()),
+                                          Duration(advice.at(1).get<Duration::rep>()),
+                                          Duration(advice.at(2).get<Duration::rep>())};
+    }
+    return policy;
+}
+
+} // namespace
+
+std::string CborJobs::encode(const execution::AcceptedJob &job) const
+{
+    Json json = {{"policy", encodePolicy(job.policy)},
+                 {"payload", job.spec.payload},
+                 {"acceptedAt", job.acceptedAt.time_since_epoch().count()}};
+    for (const auto &it : job.spec.steps) {
+        json["steps"].push_back(encodeStep(it));
+    }
+    if (job.spec.isTimed()) {
+        json["times"] = Json::array({job.spec.occurrences, job.spec.firstDue.time_since_epoch().count(),
+                                     job.spec.interval.count()});
+    }
+    return writeCbor(json);
+}
+
+Result<execution::AcceptedJob> CborJobs::decodeJob(std::string_view value) const
+{
+    return decodeWith(value, [](const Json &json) {
+        execution::AcceptedJob job;
+        job.policy = decodePolicy(json.at("policy"));
+        job.spec.payload = json.at("payload").get<std::string>();
+        job.acceptedAt = jobs::WallTime(std::chrono::milliseconds(json.at("acceptedAt").get<std::int64_t>()));
+        for (const auto &it : json.at("steps")) {
+            job.spec.steps.push_back(decodeStep(it));
+        }
+        if (json.contains("times")) {
+            const auto &times = json.at("times");
+            job.spec.occurrences = times.at(0).get<int>();
+            job.spec.firstDue = jobs::WallTime(std::chrono::milliseconds(times.at(1).get<std::int64_t>()));
+            job.spec.interval = std::chrono::milliseconds(times.at(2).get<std::int64_t>());
+        }
+        return job;
+    });
+}
+
+std::string CborJobs::encode(const jobs::JobProgress &progress) const
+{
+    Json json = {{"state", static_cast<int>(progress.state)}};
+    if (!progress.occurrences.empty()) {
+        json["tasks"] = progress.occurrences;
+    }
+    return writeCbor(json);
+}
+
+Result<jobs::JobProgress> CborJobs::decodeProgress(std::string_view value) const
+{
+    return decodeWith(value, [](const Json &json) {
+        jobs::JobProgress progress;
+        progress.state = static_cast<jobs::JobState>(json.at("state").get<int>());
+        progress.occurrences = json.value("tasks", progress.occurrences);
+        return progress;
+    });
+}
+
+std::string CborJobs::encode(const membership::LeaderRow &row) const
+{
+    return writeCbor({{"host", row.host.text()},
+                      {"incarnation", row.incarnation},
+                      {"fence", row.fence.value},
+                      {"beat", row.beat},
+                      {"waiting", row.waiting}});
+}
+
+Result<membership::LeaderRow> CborJobs::decodeLeader(std::string_view value) const
+{
+    return decodeWith(value, [](const Json &json) {
+        membership::LeaderRow row;
+        row.host = EntryHostId(json.at("host").get<std::string>());
+        row.incarnation = json.at("incarnation").get<std::uint64_t>();
+        row.fence = {json.at("fence").get<std::uint64_t>()};
+        row.beat = json.at("beat").get<std::uint64_t>();
+        row.waiting = json.at("waiting").get<std::map<std::string, int>>();
+        return row;
+    });
+}
+
+std::string CborJobs::encode(std::span<const ports::WorkerEntry> roster) const
+{
+    Json json = Json::array();
+    for (const auto &it : roster) {
+        json.push_back(Json::array({it.id.text(), it.service.text(), it.address.ip, it.address.port, it.domain.text(),
+                                    it.kind, it.rack, encodeResources(it.capacity), it.bornMs}));
+    }
+    return writeCbor(json);
+}
+
+Result<std::vector<ports::WorkerEntry>> CborJobs::decodeRoster(std::string_view value) const
+{
+    return decodeWith(value, [](const Json &json) {
+        std::vector<ports::WorkerEntry> roster;
+        for (const auto &it : json) {
+            ports::WorkerEntry entry;
+            entry.id = WorkerId(it.at(0).get<std::string>());
+            entry.service = ServiceName(it.at(1).get<std::string>());
+            entry.address = {it.at(2).get<std::string>(), it.at(3).get<std::uint16_t>()};
+            entry.domain = FailureDomain(it.at(4).get<std::string>());
+            entry.kind = it.at(5).get<std::string>();
+            entry.rack = it.at(6).get<std::string>();
+            entry.capacity = decodeResources(it.at(7));
+            entry.bornMs = it.at(8).get<std::int64_t>();
+            roster.push_back(std::move(entry));
+        }
+        return roster;
+    });
+}
+
+} // namespace monsoonspool::codec
--- /dev/null
+++ b/src/codec/cborjobs.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "execution/rowcodec.h"
+
+namespace monsoonspool::codec {
+
+// Rows of job execution as CBOR.
+class CborJobs : public execution::RowCodec
+{
+public:
+    std::string encode(const execution::AcceptedJob &job) const override;
+    Result<execution::AcceptedJob> decodeJob(std::string_view value) const override;
+    std::string encode(const jobs::JobProgress &progress) const override;
+    Result<jobs::JobProgress> decodeProgress(std::string_view value) const override;
+    std::string encode(const membership::LeaderRow &row) const override;
+    Result<membership::LeaderRow> decodeLeader(std::string_view value) const override;
+    std::string encode(std::span<const ports::WorkerEntry> roster) const override;
+    Result<std::vector<ports::WorkerEntry>> decodeRoster(std::string_view value) const override;
+};
+
+} // namespace monsoonspool::codec
--- a/src/codec/cborplacement.cpp
+++ b/src/codec/cborplacement.cpp
@@ -45,7 +45,7 @@
     return Json::array({it.job});
 }
 
-platform::AttemptId attemptAt(const Json &json)
+ports::AttemptId attemptAt(const Json &json)
 {
     return {json.at(0).get<JobId>(), json.at(1).get<std::uint32_t>()};
 }
--- a/src/codec/platformjson.cpp
+++ b/src/codec/platformjson.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-using platform::AttemptState;
+using ports::AttemptState;
 
 constexpr std::array<std::pair<AttemptState, std::string_view>, 6> StateNames{{
     {AttemptState::Running, "running"},
@@ -69,21 +69,21 @@
     }
 }
 
-Json rowToJson(const platform::Row &row)
+Json rowToJson(const ports::Row &row)
 {
     return {{"key", row.key}, {"value", toBase64(row.value)}, {"version", row.version}};
 }
 
-Result<platform::Row> rowFromJson(const Json &json)
+Result<ports::Row> rowFromJson(const Json &json)
 {
     BOOST_LEAF_AUTO(text, decode([&] { return json.at("value").get<std::string>(); }));
     BOOST_LEAF_AUTO(value, fromBase64(text));
     return decode([&] {
-        return platform::Row{json.at("key").get<std::string>(), value, json.at("version").get<std::uint64_t>()};
+        return ports::Row{json.at("key").get<std::string>(), value, json.at("version").get<std::uint64_t>()};
     });
 }
 
-Json writesToJson(std::span<const platform::RowWrite> writes)
+Json writesToJson(std::span<const ports::RowWrite> writes)
 {
     Json rows = Json::array();
     for (const auto &it : writes) {
@@ -95,14 +95,14 @@
     return rows;
 }
 
-Result<std::vector<platform::RowWrite>> writesFromJson(const Json &json)
+Result<std::vector<ports::RowWrite>> writesFromJson(const Json &json)
 {
-    std::vector<platform::RowWrite> writes;
+    std::vector<ports::RowWrite> writes;
     for (const auto &it : json) {
         BOOST_LEAF_AUTO(text, decode([&] { return it.at("value").get<std::string>(); }));
         BOOST_LEAF_AUTO(value, fromBase64(text));
         BOOST_LEAF_AUTO(write, decode([&] {
-                            return platform::RowWrite{it.at("key").get<std::string>(),
+                            return ports::RowWrite{it.at("key").get<std::string>(),
                                                       it.at("expected").get<std::uint64_t>(), value,
                                                       it.at("remove").get<bool>()};
                         }));
@@ -111,17 +111,17 @@
     return writes;
 }
 
-Json attemptToJson(const platform::AttemptId &attempt)
+Json attemptToJson(const ports::AttemptId &attempt)
 {
     return {{"job", attempt.job}, {"attempt", attempt.attempt}};
 }
 
-platform::AttemptId attemptFromJson(const Json &json)
+ports::AttemptId attemptFromJson(const Json &json)
 {
     return {json.at("job").get<JobId>(), json.at("attempt").get<std::uint32_t>()};
 }
 
-Json startOrderToJson(const platform::StartOrder &order)
+Json startOrderToJson(const ports::StartOrder &order)
 {
     return {{"epoch", order.epoch},
             {"workerIncarnation", order.workerIncarnation},
@@ -132,10 +132,10 @@
             {"leaseMs", toMilliseconds(order.lease)}};
 }
 
-Result<platform::StartOrder> startOrderFromJson(const Json &json)
+Result<ports::StartOrder> startOrderFromJson(const Json &json)
 {
     return decode([&] {
-        return platform::StartOrder{json.at("epoch").get<Epoch>(),
+        return ports::StartOrder{json.at("epoch").get<Epoch>(),
                                     json.at("workerIncarnation").get<std::uint64_t>(),
                                     attemptFromJson(json.at("attempt")),
                                     json.at("resources").get<Resources>(),
@@ -145,12 +145,12 @@
     });
 }
 
-std::string_view attemptStateName(platform::AttemptState state)
+std::string_view attemptStateName(ports::AttemptState state)
 {
     return StateNames[static_cast<std::size_t>(state)].second;
 }
 
-Json reportToJson(const platform::WorkerReport &report)
+Json reportToJson(const ports::WorkerReport &report)
 {
     Json attempts = Json::array();
     for (const auto &it : report.attempts) {
@@ -167,10 +167,10 @@
             {"attempts", std::move(attempts)}};
 }
 
-Result<platform::WorkerReport> reportFromJson(const Json &json)
+Result<ports::WorkerReport> reportFromJson(const Json &json)
 {
     return decode([&] {
-        platform::WorkerReport report;
+        ports::WorkerReport report;
         json.at("worker").get_to(report.worker);
         json.at("incarnation").get_to(report.incarnation);
         json.at("highestEpoch").get_to(report.highestEpoch);
--- a/src/codec/platformjson.h
+++ b/src/codec/platformjson.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "codec/json.h"
-#include "platform/tableservice.h"
-#include "platform/workeragent.h"
+#include "ports/tableservice.h"
+#include "ports/workeragent.h"
 
 #include <string>
 #include <string_view>
@@ -16,19 +16,19 @@
 std::string toBase64(std::string_view bytes);
 Result<std::string> fromBase64(std::string_view text);
 
-Json rowToJson(const platform::Row &row);
-Result<platform::Row> rowFromJson(const Json &json);
-Json writesToJson(std::span<const platform::RowWrite> writes);
-Result<std::vector<platform::RowWrite>> writesFromJson(const Json &json);
+Json rowToJson(const ports::Row &row);
+Result<ports::Row> rowFromJson(const Json &json);
+Json writesToJson(std::span<const ports::RowWrite> writes);
+Result<std::vector<ports::RowWrite>> writesFromJson(const Json &json);
 
-Json startOrderToJson(const platform::StartOrder &order);
-Result<platform::StartOrder> startOrderFromJson(const Json &json);
-Json reportToJson(const platform::WorkerReport &report);
-Result<platform::WorkerReport> reportFromJson(const Json &json);
-Json attemptToJson(const platform::AttemptId &attempt);
-platform::AttemptId attemptFromJson(const Json &json); // throws Json::exception
+Json startOrderToJson(const ports::StartOrder &order);
+Result<ports::StartOrder> startOrderFromJson(const Json &json);
+Json reportToJson(const ports::WorkerReport &report);
+Result<ports::WorkerReport> reportFromJson(const Json &json);
+Json attemptToJson(const ports::AttemptId &attempt);
+ports::AttemptId attemptFromJson(const Json &json); // throws Json::exception
 
 // Returns the name of a state and the state of a name; unknown names read as Failed.
-std::string_view attemptStateName(platform::AttemptState state);
+std::string_view attemptStateName(ports::AttemptState state);
 
 } // namespace monsoonspool::codec
--- a/src/codec/statejson.cpp
+++ b/src/codec/statejson.cpp
@@ -108,7 +108,7 @@
     const auto &listing = loop.listing();
     int leaving = 0;
     for (const auto &it : listing.targets) {
-        leaving += it.state == platform::HostState::Leaving ? 1 : 0;
+        leaving += it.state == ports::HostState::Leaving ? 1 : 0;
     }
     return {{"entryHosts", listing.entryHosts.size()},
             {"targets", listing.targets.size()},
--- a/src/codec/typejson.cpp
+++ b/src/codec/typejson.cpp
@@ -11,14 +11,14 @@
     return d.count();
 }
 
-std::string_view stateName(platform::HostState state)
+std::string_view stateName(ports::HostState state)
 {
-    return state == platform::HostState::Live ? "live" : "leaving";
+    return state == ports::HostState::Live ? "live" : "leaving";
 }
 
-platform::HostState stateFrom(const json &value)
+ports::HostState stateFrom(const json &value)
 {
-    return value.get<std::string>() == "live" ? platform::HostState::Live : platform::HostState::Leaving;
+    return value.get<std::string>() == "live" ? ports::HostState::Live : ports::HostState::Leaving;
 }
 
 } // namespace
@@ -180,7 +180,7 @@
 
 } // namespace membership
 
-namespace platform {
+namespace ports {
 
 void to_json(json &value, const Address &address)
 {
@@ -239,7 +239,7 @@
     }
 }
 
-} // namespace platform
+} // namespace ports
 
 namespace placement {
 
--- a/src/codec/typejson.h
+++ b/src/codec/typejson.h
@@ -5,7 +5,7 @@
 #include "grants/slotmessages.h"
 #include "membership/heartbeat.h"
 #include "placement/job.h"
-#include "platform/hostlist.h"
+#include "ports/hostlist.h"
 
 // JSON forms of the types that several encodings share. Reading throws
 // Json::exception where a key is missing or has another type; decode() turns
@@ -48,12 +48,12 @@
 void from_json(const nlohmann::json &json, Heartbeat &heartbeat);
 } // namespace membership
 
-namespace platform {
+namespace ports {
 void to_json(nlohmann::json &json, const Address &address);
 void from_json(const nlohmann::json &json, Address &address);
 void to_json(nlohmann::json &json, const HostListing &listing);
 void from_json(const nlohmann::json &json, HostListing &listing);
-} // namespace platform
+} // namespace ports
 
 namespace placement {
 void to_json(nlohmann::json &json, const JobSpec &spec);
--- a/src/common/error.cpp
+++ b/src/common/error.cpp
@@ -58,6 +58,8 @@
                 "the table service may have applied the change"},
     ErrorAnswer{StoreConflict, "store-conflict", 409, NotRun, true, ExitConflict,
                 "another writer changed the row first"},
+    ErrorAnswer{StoreHistoryDropped, "store-history-dropped", 503, NotRun, true, ExitUnavailable,
+                "the store no longer has the changes asked for; read the table whole"},
     ErrorAnswer{InvalidDocument, "invalid-document", 422, NotRun, false, ExitUsage,
                 "the document breaks its rules; nothing was applied"},
     ErrorAnswer{DocumentConflict, "document-conflict", 409, NotRun, false, ExitConflict,
--- a/src/common/error.h
+++ b/src/common/error.h
@@ -42,6 +42,7 @@
     StoreUnavailable,
     StoreReplyLost,
     StoreConflict,
+    StoreHistoryDropped,
     InvalidDocument,
     DocumentConflict,
     DocumentImpossible,
--- a/src/common/time.h
+++ b/src/common/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 // Time as the decisions see it: a monotonic point handed in by the caller.
 // No decision reads a clock, so that each runs alike in real and in virtual
@@ -23,6 +24,16 @@
     return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
 }
 
+// Returns the monotonic time of this machine, which goes on while the machine is
+// suspended. For what other machines hold true until a time, such as leases.
+inline TimePoint suspendAwareNow()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec)
+                                                          + std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 // Returns `d` in whole milliseconds, rounded down.
 inline long long toMilliseconds(Duration d)
 {
--- a/src/control/controlloop.cpp
+++ b/src/control/controlloop.cpp
@@ -33,7 +33,7 @@
     GrantDesk grantDesk;
     records::RecordKeeper recordKeeper;
     PlacementDesk placementDesk;
-    platform::HostListing listing;
+    ports::HostListing listing;
     std::map<FailureDomain, RegionName> domainRegions;
     ControlCounts counts;
 
@@ -66,7 +66,7 @@
     RegionName regionOf(const PartitionName &partition) const;
     void setPartitions();
     void readHostList();
-    void onHostList(const platform::HostListing &newListing);
+    void onHostList(const ports::HostListing &newListing);
     void publish();
     void heartbeat();
     bool isFeedReader() const;
@@ -174,7 +174,7 @@
 {
     isListing = true;
     nextHostList = now + HostListInterval;
-    ports.hostList.list([this, alive = isAlive](const platform::AsyncResult<platform::HostListing> &result) {
+    ports.hostList.list([this, alive = isAlive](const ports::AsyncResult<ports::HostListing> &result) {
         if (!*alive) {
             return;
         }
@@ -187,7 +187,7 @@
     });
 }
 
-void ControlLoop::Private::onHostList(const platform::HostListing &newListing)
+void ControlLoop::Private::onHostList(const ports::HostListing &newListing)
 {
     const bool hasNewTargets = !hasListing || newListing.targets != listing.targets;
     const bool hasNewWorkers = !hasListing || newListing.workers != listing.workers;
@@ -406,7 +406,7 @@
 void ControlLoop::Private::on(const ConfirmTargetsEvent &event)
 {
     ports.hostList.list(
-        [this, alive = isAlive, lane = event.lane](const platform::AsyncResult<platform::HostListing> &result) {
+        [this, alive = isAlive, lane = event.lane](const ports::AsyncResult<ports::HostListing> &result) {
             if (!*alive) {
                 return;
             }
@@ -478,7 +478,7 @@
     });
 }
 
-const platform::HostListing &ControlLoop::listing() const
+const ports::HostListing &ControlLoop::listing() const
 {
     return d->listing;
 }
--- a/src/control/controlloop.h
+++ b/src/control/controlloop.h
@@ -8,8 +8,8 @@
 #include "control/rowcodec.h"
 #include "membership/entryhosts.h"
 #include "membership/ownership.h"
-#include "platform/hostlist.h"
-#include "platform/tableservice.h"
+#include "ports/hostlist.h"
+#include "ports/tableservice.h"
 #include "records/recordkeeper.h"
 
 #include <cstdint>
@@ -24,7 +24,7 @@
 {
     EntryHostId host;
     std::uint64_t incarnation = 0;
-    platform::Address peerAddress;
+    ports::Address peerAddress;
     RegionName region;
     int maxEntryHosts = 9;
     int laneCount = 1;
@@ -39,10 +39,10 @@
 // What the control thread acts through.
 struct ControlPorts
 {
-    platform::TableService &table;
-    platform::ObjectStore &objects;
-    platform::HostList &hostList;
-    platform::WorkerAgent &workers;
+    ports::TableService &table;
+    ports::ObjectStore &objects;
+    ports::HostList &hostList;
+    ports::WorkerAgent &workers;
     const RowCodec &rowCodec;
     const PlacementCodec &placementCodec;
     const records::RecordCodec &recordCodec;
@@ -91,7 +91,7 @@
     void describeLanes(std::function<void(std::vector<std::string>)> f);
 
     // Returns how the host with the listing sees the world; for the dump.
-    const platform::HostListing &listing() const;
+    const ports::HostListing &listing() const;
     const ControlCounts &counts() const;
     std::vector<membership::EntryHostState> hosts(TimePoint now) const;
     std::vector<EntryHostId> members(TimePoint now) const;
--- a/src/control/documentkeeper.cpp
+++ b/src/control/documentkeeper.cpp
@@ -54,7 +54,7 @@
         documents::ServiceDocument document;
         std::uint64_t applyId = 0;
         int tries = 0;
-        platform::Row head; // of the feed, as read
+        ports::Row head; // of the feed, as read
         std::uint64_t rowVersion = 0; // of the document's row, as read
         DocumentRow current;
     };
@@ -62,7 +62,7 @@
 
     DocumentKeeperOptions options;
     documents::DocumentSet &documents;
-    platform::TableService &table;
+    ports::TableService &table;
     const RowCodec &codec;
     boost::random::mt19937_64 generator;
     std::uint64_t position = 0;
@@ -74,16 +74,16 @@
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 
     Private(DocumentKeeperOptions keeperOptions, documents::DocumentSet &documentSet,
-            platform::TableService &tableService, const RowCodec &rowCodec, std::uint64_t seed)
+            ports::TableService &tableService, const RowCodec &rowCodec, std::uint64_t seed)
         : options(keeperOptions), documents(documentSet), table(tableService), codec(rowCodec), generator(seed)
     {
     }
 
     // Wraps a handler so that it does nothing once the keeper is gone.
     template <typename T, typename F>
-    platform::Handler<T> guarded(F f)
+    ports::Handler<T> guarded(F f)
     {
-        return [alive = isAlive, f = std::move(f)](const platform::AsyncResult<T> &result) {
+        return [alive = isAlive, f = std::move(f)](const ports::AsyncResult<T> &result) {
             if (*alive) {
                 f(result);
             }
@@ -93,9 +93,9 @@
     void putInForce(const DocumentChange &change);
     bool follow(const DocumentChange &change);
     void readFeed();
-    void onFeed(const std::vector<platform::Row> &rows);
+    void onFeed(const std::vector<ports::Row> &rows);
     void readAll();
-    void onAll(std::uint64_t headPosition, const std::vector<platform::Row> &rows);
+    void onAll(std::uint64_t headPosition, const std::vector<ports::Row> &rows);
 
     void startTry(const ApplyPointer &apply);
     void readDocumentRow(const ApplyPointer &apply);
@@ -108,7 +108,7 @@
 };
 
 DocumentKeeper::DocumentKeeper(DocumentKeeperOptions options, documents::DocumentSet &documents,
-                               platform::TableService &table, const RowCodec &codec, std::uint64_t applySeed)
+                               ports::TableService &table, const RowCodec &codec, std::uint64_t applySeed)
     : d(std::make_unique<Private>(options, documents, table, codec, applySeed))
 {
 }
@@ -200,7 +200,7 @@
     // further change lies before it.
     table.scan(
         feedKey(position + 1), "feed0", FeedBatch,
-        guarded<std::vector<platform::Row>>([this](const platform::AsyncResult<std::vector<platform::Row>> &result) {
+        guarded<std::vector<ports::Row>>([this](const ports::AsyncResult<std::vector<ports::Row>> &result) {
             isReading = false;
             if (result.isOk()) {
                 onFeed(result.value());
@@ -208,7 +208,7 @@
         }));
 }
 
-void DocumentKeeper::Private::onFeed(const std::vector<platform::Row> &rows)
+void DocumentKeeper::Private::onFeed(const std::vector<ports::Row> &rows)
 {
     for (const auto &row : rows) {
         if (row.key == HeadKey) {
@@ -243,15 +243,15 @@
     // the feed from the head on brings nothing that is not newer still.
     table.read(
         HeadKey,
-        guarded<std::optional<platform::Row>>([this](const platform::AsyncResult<std::optional<platform::Row>> &head) {
+        guarded<std::optional<ports::Row>>([this](const ports::AsyncResult<std::optional<ports::Row>> &head) {
             if (!head.isOk()) {
                 isReading = false;
                 return;
             }
             const std::uint64_t headPosition = head.value() ? parseNumber(head.value()->value) : 0;
             table.scan("document/", "document0", MaxDocuments,
-                       guarded<std::vector<platform::Row>>(
-                           [this, headPosition](const platform::AsyncResult<std::vector<platform::Row>> &rows) {
+                       guarded<std::vector<ports::Row>>(
+                           [this, headPosition](const ports::AsyncResult<std::vector<ports::Row>> &rows) {
                                isReading = false;
                                if (rows.isOk()) {
                                    onAll(headPosition, rows.value());
@@ -260,7 +260,7 @@
         }));
 }
 
-void DocumentKeeper::Private::onAll(std::uint64_t headPosition, const std::vector<platform::Row> &rows)
+void DocumentKeeper::Private::onAll(std::uint64_t headPosition, const std::vector<ports::Row> &rows)
 {
     for (const auto &row : rows) {
         handleFailure(
@@ -305,13 +305,13 @@
         return;
     }
     table.read(HeadKey,
-               guarded<std::optional<platform::Row>>(
-                   [this, apply](const platform::AsyncResult<std::optional<platform::Row>> &head) {
+               guarded<std::optional<ports::Row>>(
+                   [this, apply](const ports::AsyncResult<std::optional<ports::Row>> &head) {
                        if (!head.isOk()) {
                            refuse(apply, {ErrorKind::StoreUnavailable, head.failure().detail});
                            return;
                        }
-                       apply->head = head.value().value_or(platform::Row{std::string(HeadKey), "0", 0});
+                       apply->head = head.value().value_or(ports::Row{std::string(HeadKey), "0", 0});
                        readDocumentRow(apply);
                    }));
 }
@@ -319,8 +319,8 @@
 void DocumentKeeper::Private::readDocumentRow(const ApplyPointer &apply)
 {
     table.read(documentKey(apply->request.service),
-               guarded<std::optional<platform::Row>>(
-                   [this, apply](const platform::AsyncResult<std::optional<platform::Row>> &row) {
+               guarded<std::optional<ports::Row>>(
+                   [this, apply](const ports::AsyncResult<std::optional<ports::Row>> &row) {
                        if (!row.isOk()) {
                            refuse(apply, {ErrorKind::StoreUnavailable, row.failure().detail});
                            return;
@@ -352,8 +352,8 @@
     // rests on, or else the check against them would prove nothing.
     if (position != parseNumber(apply->head.value)) {
         table.scan(feedKey(position + 1), "feed0", FeedBatch,
-                   guarded<std::vector<platform::Row>>(
-                       [this, apply](const platform::AsyncResult<std::vector<platform::Row>> &rows) {
+                   guarded<std::vector<ports::Row>>(
+                       [this, apply](const ports::AsyncResult<std::vector<ports::Row>> &rows) {
                            if (!rows.isOk()) {
                                refuse(apply, {ErrorKind::StoreUnavailable, rows.failure().detail});
                                return;
@@ -378,16 +378,16 @@
     const std::uint64_t revision = apply->current.revision + 1;
     const std::uint64_t next = parseNumber(apply->head.value) + 1;
     const auto row = codec.encode(DocumentRow{revision, request.text, request.author, apply->applyId});
-    std::vector<platform::RowWrite> writes{
+    std::vector<ports::RowWrite> writes{
         {documentKey(request.service), apply->rowVersion, row, false},
         {historyKey(request.service, revision), 0, row, false},
         {std::string(HeadKey), apply->head.version, std::to_string(next), false},
         {feedKey(next), 0, codec.encode(DocumentChange{next, request.service, revision, request.text}), false},
     };
     if (next > options.feedLength) {
-        writes.push_back({feedKey(next - options.feedLength), platform::AnyVersion, {}, true});
+        writes.push_back({feedKey(next - options.feedLength), ports::AnyVersion, {}, true});
     }
-    table.commit(writes, guarded<std::uint64_t>([this, apply](const platform::AsyncResult<std::uint64_t> &result) {
+    table.commit(writes, guarded<std::uint64_t>([this, apply](const ports::AsyncResult<std::uint64_t> &result) {
                      if (result.isOk()) {
                          succeed(apply);
                      } else {
@@ -420,8 +420,8 @@
         return;
     }
     table.read(historyKey(apply->request.service, apply->current.revision + 1),
-               guarded<std::optional<platform::Row>>(
-                   [this, apply](const platform::AsyncResult<std::optional<platform::Row>> &row) {
+               guarded<std::optional<ports::Row>>(
+                   [this, apply](const ports::AsyncResult<std::optional<ports::Row>> &row) {
                        if (!row.isOk()) {
                            readBack(apply);
                            return;
@@ -457,12 +457,12 @@
     apply->handler(ApplyRefusal{std::move(failure), std::move(faults), apply->current.revision, apply->current.text});
 }
 
-void DocumentKeeper::history(const ServiceName &service, platform::Handler<std::vector<DocumentRow>> handler)
+void DocumentKeeper::history(const ServiceName &service, ports::Handler<std::vector<DocumentRow>> handler)
 {
     const std::string first = "document-history/" + service.text() + "/";
     const std::string last = "document-history/" + service.text() + "0";
     d->table.scan(first, last, MaxHistory,
-                  [this, alive = d->isAlive, handler](const platform::AsyncResult<std::vector<platform::Row>> &rows) {
+                  [this, alive = d->isAlive, handler](const ports::AsyncResult<std::vector<ports::Row>> &rows) {
                       if (!*alive) {
                           return;
                       }
--- a/src/control/documentkeeper.h
+++ b/src/control/documentkeeper.h
@@ -5,7 +5,7 @@
 #include "control/peermessages.h"
 #include "control/rowcodec.h"
 #include "documents/documentset.h"
-#include "platform/tableservice.h"
+#include "ports/tableservice.h"
 
 #include <cstdint>
 #include <functional>
@@ -64,7 +64,7 @@
 class DocumentKeeper
 {
 public:
-    DocumentKeeper(DocumentKeeperOptions options, documents::DocumentSet &documents, platform::TableService &table,
+    DocumentKeeper(DocumentKeeperOptions options, documents::DocumentSet &documents, ports::TableService &table,
                    const RowCodec &codec, std::uint64_t applySeed);
     ~DocumentKeeper();
     DocumentKeeper(const DocumentKeeper &) = delete;
@@ -74,7 +74,7 @@
     void apply(ApplyRequest request, TimePoint now, ApplyHandler handler);
 
     // Reads the history of a service, oldest first.
-    void history(const ServiceName &service, platform::Handler<std::vector<DocumentRow>> handler);
+    void history(const ServiceName &service, ports::Handler<std::vector<DocumentRow>> handler);
 
     // Reads the feed if it is time to.
     void tick(bool isRegionReader, TimePoint now);
--- a/src/control/grantdesk.cpp
+++ b/src/control/grantdesk.cpp
@@ -81,7 +81,7 @@
 
     GrantDeskOptions options;
     membership::Ownership &ownership;
-    platform::TableService &table;
+    ports::TableService &table;
     const RowCodec &codec;
     PeerLink &peers;
     LaneLink &lanes;
@@ -105,20 +105,20 @@
         return ledgerPartition(ledger, options.shardsPerRegion);
     }
     void load(const PartitionName &name, Owned &partition);
-    void onLoaded(Owned &partition, const std::vector<platform::Row> &rows);
+    void onLoaded(Owned &partition, const std::vector<ports::Row> &rows);
     grants::SlotLedger *ledgerFor(Owned &partition, const grants::LedgerKey &key);
     void answer(Owned &partition, const grants::SlotRequest &request);
     using Admissions = std::map<grants::LedgerKey, std::vector<grants::HolderId>>;
     void writeHolders(const PartitionName &name, Owned &partition);
     void onHoldersWritten(const PartitionName &name, Owned &partition, const Admissions &admitted,
-                          const platform::AsyncResult<std::uint64_t> &result);
+                          const ports::AsyncResult<std::uint64_t> &result);
     void readFence(const PartitionName &name, Owned &partition);
     void sendOffer(const grants::SlotOffer &offer);
     void recall(const grants::LedgerKey &key, const grants::HolderId &holder);
     Owned *find(const PartitionName &name, Epoch epoch);
 };
 
-GrantDesk::GrantDesk(GrantDeskOptions options, membership::Ownership &ownership, platform::TableService &table,
+GrantDesk::GrantDesk(GrantDeskOptions options, membership::Ownership &ownership, ports::TableService &table,
                      const RowCodec &codec, PeerLink &peers, LaneLink &lanes)
     : d(new Private{std::move(options),
                     ownership,
@@ -172,7 +172,7 @@
     partition.isLoading = true;
     table.scan(first, last, MaxHolderRows,
                [this, alive = isAlive, name,
-                epoch = partition.epoch](const platform::AsyncResult<std::vector<platform::Row>> &rows) {
+                epoch = partition.epoch](const ports::AsyncResult<std::vector<ports::Row>> &rows) {
                    auto *it = *alive ? find(name, epoch) : nullptr;
                    if (!it) {
                        return;
@@ -186,7 +186,7 @@
                });
 }
 
-void GrantDesk::Private::onLoaded(Owned &partition, const std::vector<platform::Row> &rows)
+void GrantDesk::Private::onLoaded(Owned &partition, const std::vector<ports::Row> &rows)
 {
     for (const auto &row : rows) {
         handleFailure(
@@ -227,7 +227,7 @@
 }
 
 void GrantDesk::setWorld(std::span<const documents::ServiceDocument> documents,
-                         std::span<const platform::ListedTarget> targets, TimePoint now)
+                         std::span<const ports::ListedTarget> targets, TimePoint now)
 {
     d->now = now;
     d->pools.clear();
@@ -244,7 +244,7 @@
         const auto pool = d->pools.find(it.pool);
         if (pool != d->pools.end()) {
             d->targets[{it.pool, it.region}].push_back(
-                {it.id, pool->second.slots, pool->second.connections, it.state == platform::HostState::Leaving});
+                {it.id, pool->second.slots, pool->second.connections, it.state == ports::HostState::Leaving});
         }
     }
     for (auto &[name, partition] : d->owned) {
@@ -376,17 +376,17 @@
     if (partition.isWriting || now < partition.retryAt) {
         return;
     }
-    std::vector<platform::RowWrite> writes{
+    std::vector<ports::RowWrite> writes{
         {fenceKey(name), partition.fenceVersion, fenceValue(partition.epoch), false}};
     Admissions admitted;
     for (auto &[key, ledger] : partition.ledgers) {
         for (const auto &holder : ledger.holdersToAdmit()) {
-            writes.push_back({holderKey(name, key, holder), platform::AnyVersion, codec.encode(key, holder), false});
+            writes.push_back({holderKey(name, key, holder), ports::AnyVersion, codec.encode(key, holder), false});
             admitted[key].push_back(holder);
         }
     }
     for (const auto &key : partition.lapsed) {
-        writes.push_back({key, platform::AnyVersion, {}, true});
+        writes.push_back({key, ports::AnyVersion, {}, true});
     }
     if (writes.size() == 1) {
         return;
@@ -394,7 +394,7 @@
     partition.isWriting = true;
     table.commit(writes,
                  [this, alive = isAlive, name, epoch = partition.epoch,
-                  admitted = std::move(admitted)](const platform::AsyncResult<std::uint64_t> &result) {
+                  admitted = std::move(admitted)](const ports::AsyncResult<std::uint64_t> &result) {
                      if (auto *it = *alive ? find(name, epoch) : nullptr) {
                          onHoldersWritten(name, *it, admitted, result);
                      }
@@ -402,7 +402,7 @@
 }
 
 void GrantDesk::Private::onHoldersWritten(const PartitionName &name, Owned &partition, const Admissions &admitted,
-                                          const platform::AsyncResult<std::uint64_t> &result)
+                                          const ports::AsyncResult<std::uint64_t> &result)
 {
     if (!result.isOk()) {
         readFence(name, partition);
@@ -429,7 +429,7 @@
     partition.retryAt = now + RetryInterval;
     table.read(fenceKey(name),
                [this, alive = isAlive, name,
-                epoch = partition.epoch](const platform::AsyncResult<std::optional<platform::Row>> &result) {
+                epoch = partition.epoch](const ports::AsyncResult<std::optional<ports::Row>> &result) {
                    auto *it = *alive ? find(name, epoch) : nullptr;
                    if (!it) {
                        return;
--- a/src/control/grantdesk.h
+++ b/src/control/grantdesk.h
@@ -7,8 +7,8 @@
 #include "grants/slotledger.h"
 #include "membership/entryhosts.h"
 #include "membership/ownership.h"
-#include "platform/hostlist.h"
-#include "platform/tableservice.h"
+#include "ports/hostlist.h"
+#include "ports/tableservice.h"
 
 #include <memory>
 #include <span>
@@ -46,7 +46,7 @@
 class GrantDesk
 {
 public:
-    GrantDesk(GrantDeskOptions options, membership::Ownership &ownership, platform::TableService &table,
+    GrantDesk(GrantDeskOptions options, membership::Ownership &ownership, ports::TableService &table,
               const RowCodec &codec, PeerLink &peers, LaneLink &lanes);
     ~GrantDesk();
     GrantDesk(const GrantDesk &) = delete;
@@ -57,7 +57,7 @@
 
     // Takes in the documents and the targets.
     void setWorld(std::span<const documents::ServiceDocument> documents,
-                  std::span<const platform::ListedTarget> targets, TimePoint now);
+                  std::span<const ports::ListedTarget> targets, TimePoint now);
 
     // Takes in a request from a lane of this host, or from a peer.
     void handleRequest(const grants::SlotRequest &request, TimePoint now);
--- a/src/control/ownershipkeeper.cpp
+++ b/src/control/ownershipkeeper.cpp
@@ -33,7 +33,7 @@
 {
     membership::Ownership &ownership;
     membership::EntryHosts &hosts;
-    platform::TableService &table;
+    ports::TableService &table;
     const RowCodec &codec;
     Eligible eligible;
     std::vector<PartitionName> partitions;
@@ -44,7 +44,7 @@
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 
     void read();
-    void onRows(const platform::AsyncResult<std::vector<platform::Row>> &result);
+    void onRows(const ports::AsyncResult<std::vector<ports::Row>> &result);
     void claim();
     void renew();
     void write(std::vector<membership::OwnershipWrite> writes, bool isClaim, std::function<void()> done);
@@ -52,7 +52,7 @@
 };
 
 OwnershipKeeper::OwnershipKeeper(membership::Ownership &ownership, membership::EntryHosts &hosts,
-                                 platform::TableService &table, const RowCodec &codec, Eligible eligible)
+                                 ports::TableService &table, const RowCodec &codec, Eligible eligible)
     : d(new Private{
         ownership, hosts, table, codec, std::move(eligible), {}, {}, {}, false, true, std::make_shared<bool>(true)})
 {
@@ -106,7 +106,7 @@
     isReading = true;
     nextRead = now + ReadInterval;
     table.scan(OwnershipFirst, OwnershipLast, MaxRows,
-               [this, alive = isAlive](const platform::AsyncResult<std::vector<platform::Row>> &result) {
+               [this, alive = isAlive](const ports::AsyncResult<std::vector<ports::Row>> &result) {
                    if (*alive) {
                        isReading = false;
                        onRows(result);
@@ -114,13 +114,13 @@
                });
 }
 
-void OwnershipKeeper::Private::onRows(const platform::AsyncResult<std::vector<platform::Row>> &result)
+void OwnershipKeeper::Private::onRows(const ports::AsyncResult<std::vector<ports::Row>> &result)
 {
     noteStore(result.isOk());
     if (!result.isOk()) {
         return;
     }
-    std::map<std::string_view, const platform::Row *> byKey;
+    std::map<std::string_view, const ports::Row *> byKey;
     for (const auto &row : result.value()) {
         byKey[row.key] = &row;
     }
@@ -170,17 +170,17 @@
 void OwnershipKeeper::Private::write(std::vector<membership::OwnershipWrite> writes, bool isClaim,
                                      std::function<void()> done)
 {
-    std::vector<platform::RowWrite> rows;
+    std::vector<ports::RowWrite> rows;
     for (const auto &it : writes) {
         const auto value = codec.encode(it.row);
         rows.push_back({ownershipKey(it.partition), it.expectedVersion, value, false});
         if (isClaim) {
-            rows.push_back({fenceKey(it.partition), platform::AnyVersion, fenceValue(it.row.epoch), false});
+            rows.push_back({fenceKey(it.partition), ports::AnyVersion, fenceValue(it.row.epoch), false});
         }
     }
     table.commit(rows,
                  [this, alive = isAlive, writes = std::move(writes), sentAt = now,
-                  done = std::move(done)](const platform::AsyncResult<std::uint64_t> &result) {
+                  done = std::move(done)](const ports::AsyncResult<std::uint64_t> &result) {
                      if (!*alive) {
                          return;
                      }
--- a/src/control/ownershipkeeper.h
+++ b/src/control/ownershipkeeper.h
@@ -4,7 +4,7 @@
 #include "control/rowcodec.h"
 #include "membership/entryhosts.h"
 #include "membership/ownership.h"
-#include "platform/tableservice.h"
+#include "ports/tableservice.h"
 
 #include <functional>
 #include <memory>
@@ -27,7 +27,7 @@
     using Eligible
         = std::function<std::vector<EntryHostId>(const PartitionName &, std::span<const EntryHostId> members)>;
 
-    OwnershipKeeper(membership::Ownership &ownership, membership::EntryHosts &hosts, platform::TableService &table,
+    OwnershipKeeper(membership::Ownership &ownership, membership::EntryHosts &hosts, ports::TableService &table,
                     const RowCodec &codec, Eligible eligible);
     ~OwnershipKeeper();
     OwnershipKeeper(const OwnershipKeeper &) = delete;
--- a/src/control/placementdesk.cpp
+++ b/src/control/placementdesk.cpp
@@ -83,7 +83,7 @@
     PlacementPorts ports;
     PeerLink &peers;
     std::map<FailureDomain, std::unique_ptr<Owned>> owned;
-    std::map<FailureDomain, std::vector<platform::ListedWorker>> workers;
+    std::map<FailureDomain, std::vector<ports::ListedWorker>> workers;
     std::unordered_map<TeamName, std::int64_t> quotas;
     std::unordered_map<std::uint64_t, Waiting> waiting;
     std::uint64_t nextCall = 1;
@@ -146,7 +146,7 @@
     it.log.setCommittedHandler([this, &it](std::span<const placement::LogEntry> entries) { onCommitted(it, entries); });
 }
 
-void PlacementDesk::setWorkers(std::span<const platform::ListedWorker> workers)
+void PlacementDesk::setWorkers(std::span<const ports::ListedWorker> workers)
 {
     d->workers.clear();
     for (const auto &it : workers) {
@@ -244,12 +244,12 @@
 
 void PlacementDesk::Private::give(Owned &it, const placement::WorkerOrder &order)
 {
-    const auto ignore = [](const platform::AsyncResult<platform::Done> &) {};
+    const auto ignore = [](const ports::AsyncResult<ports::Done> &) {};
     auto &agent = ports.workers;
     if (const auto *start = std::get_if<placement::StartAttempt>(&order)) {
         agent.start(
             start->worker, start->order,
-            [this, &it, alive = it.isAlive, given = *start](const platform::AsyncResult<platform::Done> &result) {
+            [this, &it, alive = it.isAlive, given = *start](const ports::AsyncResult<ports::Done> &result) {
                 if (*alive) {
                     it.partition->noteStartReply(given, result, now);
                 }
@@ -263,7 +263,7 @@
     } else if (const auto *renew = std::get_if<placement::RenewWorker>(&order)) {
         agent.renew(renew->worker, it.epoch, renew->lease, renew->acknowledged,
                     [this, &it, alive = it.isAlive, worker = renew->worker,
-                     sentAt = now](const platform::AsyncResult<platform::WorkerReport> &result) {
+                     sentAt = now](const ports::AsyncResult<ports::WorkerReport> &result) {
                         if (*alive) {
                             it.partition->noteReport(worker, result, sentAt, now);
                         }
--- a/src/control/placementdesk.h
+++ b/src/control/placementdesk.h
@@ -7,10 +7,10 @@
 #include "control/ports.h"
 #include "membership/ownership.h"
 #include "placement/partition.h"
-#include "platform/hostlist.h"
-#include "platform/objectstore.h"
-#include "platform/tableservice.h"
-#include "platform/workeragent.h"
+#include "ports/hostlist.h"
+#include "ports/objectstore.h"
+#include "ports/tableservice.h"
+#include "ports/workeragent.h"
 
 #include <functional>
 #include <memory>
@@ -31,9 +31,9 @@
 
 struct PlacementPorts
 {
-    platform::TableService &table;
-    platform::ObjectStore &objects;
-    platform::WorkerAgent &workers;
+    ports::TableService &table;
+    ports::ObjectStore &objects;
+    ports::WorkerAgent &workers;
     const PlacementCodec &codec;
 };
 
@@ -62,7 +62,7 @@
     void noteOwnership(const membership::OwnershipEvent &event, TimePoint now);
 
     // Takes in the workers, and the quotas of the teams.
-    void setWorkers(std::span<const platform::ListedWorker> workers);
+    void setWorkers(std::span<const ports::ListedWorker> workers);
     void setQuotas(const std::unordered_map<TeamName, std::int64_t> &milliCores);
 
     // Submits a job, in the partition that its key belongs to. The reply comes
--- a/src/control/placementlogkeeper.cpp
+++ b/src/control/placementlogkeeper.cpp
@@ -50,7 +50,7 @@
 
 struct PlacementLogKeeper::Private
 {
-    Private(Options keeperOptions, platform::TableService &tableService, platform::ObjectStore &objectStore,
+    Private(Options keeperOptions, ports::TableService &tableService, ports::ObjectStore &objectStore,
             const PlacementCodec &placementCodec)
         : options(std::move(keeperOptions)), table(tableService), objects(objectStore), codec(placementCodec),
           fenceVersion(options.fenceVersion)
@@ -58,15 +58,15 @@
     }
 
     template <typename T, typename F>
-    platform::Handler<T> guarded(F f)
+    ports::Handler<T> guarded(F f)
     {
-        return [alive = isAlive, f = std::move(f)](const platform::AsyncResult<T> &result) {
+        return [alive = isAlive, f = std::move(f)](const ports::AsyncResult<T> &result) {
             if (*alive) {
                 f(result);
             }
         };
     }
-    platform::RowWrite fenceWrite() const
+    ports::RowWrite fenceWrite() const
     {
         return {fenceKey(options.partition), fenceVersion, fenceValue(options.epoch), false};
     }
@@ -74,12 +74,12 @@
     void readCheckpoint();
     void readObject();
     void readLog();
-    void onLog(const std::vector<platform::Row> &rows);
+    void onLog(const std::vector<ports::Row> &rows);
     void retryLoad();
 
     void commitDue();
     void write();
-    void onWritten(const platform::AsyncResult<std::uint64_t> &result);
+    void onWritten(const ports::AsyncResult<std::uint64_t> &result);
     void finishBatch(std::uint64_t newFenceVersion);
     void readBack();
     void readFence(bool wasBatchWritten);
@@ -89,8 +89,8 @@
     void removeCovered();
 
     Options options;
-    platform::TableService &table;
-    platform::ObjectStore &objects;
+    ports::TableService &table;
+    ports::ObjectStore &objects;
     const PlacementCodec &codec;
     std::uint64_t fenceVersion;
     TimePoint now;
@@ -117,7 +117,7 @@
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
 
-PlacementLogKeeper::PlacementLogKeeper(Options options, platform::TableService &table, platform::ObjectStore &objects,
+PlacementLogKeeper::PlacementLogKeeper(Options options, ports::TableService &table, ports::ObjectStore &objects,
                                        const PlacementCodec &codec)
     : d(std::make_unique<Private>(std::move(options), table, objects, codec))
 {
@@ -167,7 +167,7 @@
     loaded = {};
     table.read(
         checkpointKey(options.partition),
-        guarded<std::optional<platform::Row>>([this](const platform::AsyncResult<std::optional<platform::Row>> &row) {
+        guarded<std::optional<ports::Row>>([this](const ports::AsyncResult<std::optional<ports::Row>> &row) {
             if (!row.isOk()) {
                 retryLoad();
                 return;
@@ -191,7 +191,7 @@
 {
     objects.get(
         checkpointObject,
-        guarded<std::optional<std::string>>([this](const platform::AsyncResult<std::optional<std::string>> &value) {
+        guarded<std::optional<std::string>>([this](const ports::AsyncResult<std::optional<std::string>> &value) {
             if (!value.isOk() || !value.value()) {
                 retryLoad();
                 return;
@@ -214,7 +214,7 @@
 {
     table.scan(
         logKey(options.partition, sequence + 1), logKey(options.partition, 999'999'999'999), MaxScan,
-        guarded<std::vector<platform::Row>>([this](const platform::AsyncResult<std::vector<platform::Row>> &rows) {
+        guarded<std::vector<ports::Row>>([this](const ports::AsyncResult<std::vector<ports::Row>> &rows) {
             if (rows.isOk()) {
                 onLog(rows.value());
             } else {
@@ -223,7 +223,7 @@
         }));
 }
 
-void PlacementLogKeeper::Private::onLog(const std::vector<platform::Row> &rows)
+void PlacementLogKeeper::Private::onLog(const std::vector<ports::Row> &rows)
 {
     for (const auto &row : rows) {
         const bool isRead = handleFailure(
@@ -288,14 +288,14 @@
     isWriting = true;
     nextWrite = now + options.window;
     ++counts.commits;
-    const std::vector<platform::RowWrite> writes{
+    const std::vector<ports::RowWrite> writes{
         fenceWrite(), {logKey(options.partition, batch.sequence), 0, codec.encode(batch), false}};
-    table.commit(writes, guarded<std::uint64_t>([this](const platform::AsyncResult<std::uint64_t> &result) {
+    table.commit(writes, guarded<std::uint64_t>([this](const ports::AsyncResult<std::uint64_t> &result) {
                      onWritten(result);
                  }));
 }
 
-void PlacementLogKeeper::Private::onWritten(const platform::AsyncResult<std::uint64_t> &result)
+void PlacementLogKeeper::Private::onWritten(const ports::AsyncResult<std::uint64_t> &result)
 {
     if (result.isOk()) {
         finishBatch(result.value());
@@ -325,7 +325,7 @@
     ++counts.readBacks;
     table.read(
         logKey(options.partition, batch.sequence),
-        guarded<std::optional<platform::Row>>([this](const platform::AsyncResult<std::optional<platform::Row>> &row) {
+        guarded<std::optional<ports::Row>>([this](const ports::AsyncResult<std::optional<ports::Row>> &row) {
             if (!row.isOk()) {
                 mustReadBack = true;
                 nextWrite = now + RetryInterval;
@@ -351,8 +351,8 @@
 void PlacementLogKeeper::Private::readFence(bool wasBatchWritten)
 {
     table.read(fenceKey(options.partition),
-               guarded<std::optional<platform::Row>>(
-                   [this, wasBatchWritten](const platform::AsyncResult<std::optional<platform::Row>> &row) {
+               guarded<std::optional<ports::Row>>(
+                   [this, wasBatchWritten](const ports::AsyncResult<std::optional<ports::Row>> &row) {
                        if (!row.isOk()) {
                            mustReadBack = true;
                            nextWrite = now + RetryInterval;
@@ -384,7 +384,7 @@
     const auto state = jobs();
     objects.put(
         name, codec.encode(state),
-        guarded<platform::Done>([this, name, upTo = sequence](const platform::AsyncResult<platform::Done> &result) {
+        guarded<ports::Done>([this, name, upTo = sequence](const ports::AsyncResult<ports::Done> &result) {
             if (result.isOk()) {
                 moveCheckpoint(upTo, name);
             } else {
@@ -395,10 +395,10 @@
 
 void PlacementLogKeeper::Private::moveCheckpoint(std::uint64_t upTo, const std::string &object)
 {
-    const std::vector<platform::RowWrite> writes{
-        fenceWrite(), {checkpointKey(options.partition), platform::AnyVersion, checkpointValue(upTo, object), false}};
+    const std::vector<ports::RowWrite> writes{
+        fenceWrite(), {checkpointKey(options.partition), ports::AnyVersion, checkpointValue(upTo, object), false}};
     table.commit(writes,
-                 guarded<std::uint64_t>([this, upTo, object](const platform::AsyncResult<std::uint64_t> &result) {
+                 guarded<std::uint64_t>([this, upTo, object](const ports::AsyncResult<std::uint64_t> &result) {
                      isCheckpointing = false;
                      if (!result.isOk()) {
                          // Settled by the next write, which finds the fence moved.
@@ -409,7 +409,7 @@
                      covered = upTo;
                      ++counts.checkpoints;
                      if (!former.empty()) {
-                         objects.remove(former, [](const platform::AsyncResult<platform::Done> &) {});
+                         objects.remove(former, [](const ports::AsyncResult<ports::Done> &) {});
                      }
                      removeCovered();
                  }));
@@ -417,16 +417,16 @@
 
 void PlacementLogKeeper::Private::removeCovered()
 {
-    std::vector<platform::RowWrite> writes;
+    std::vector<ports::RowWrite> writes;
     for (; removed < covered; ++removed) {
-        writes.push_back({logKey(options.partition, removed + 1), platform::AnyVersion, {}, true});
+        writes.push_back({logKey(options.partition, removed + 1), ports::AnyVersion, {}, true});
         if (writes.size() == RemovalsPerCommit) {
-            table.commit(writes, [](const platform::AsyncResult<std::uint64_t> &) {});
+            table.commit(writes, [](const ports::AsyncResult<std::uint64_t> &) {});
             writes.clear();
         }
     }
     if (!writes.empty()) {
-        table.commit(writes, [](const platform::AsyncResult<std::uint64_t> &) {});
+        table.commit(writes, [](const ports::AsyncResult<std::uint64_t> &) {});
     }
 }
 
--- a/src/control/placementlogkeeper.h
+++ b/src/control/placementlogkeeper.h
@@ -2,8 +2,8 @@
 
 #include "common/time.h"
 #include "control/placementcodec.h"
-#include "platform/objectstore.h"
-#include "platform/tableservice.h"
+#include "ports/objectstore.h"
+#include "ports/tableservice.h"
 
 #include <cstdint>
 #include <functional>
@@ -55,7 +55,7 @@
     };
     using CommittedHandler = std::function<void(std::span<const placement::LogEntry>)>;
 
-    PlacementLogKeeper(Options options, platform::TableService &table, platform::ObjectStore &objects,
+    PlacementLogKeeper(Options options, ports::TableService &table, ports::ObjectStore &objects,
                        const PlacementCodec &codec);
     ~PlacementLogKeeper();
     PlacementLogKeeper(const PlacementLogKeeper &) = delete;
--- a/src/control/trafficsnapshot.cpp
+++ b/src/control/trafficsnapshot.cpp
@@ -15,10 +15,10 @@
     plan.timeLimit = std::max(plan.timeLimit, document.timeLimit);
 }
 
-void addTarget(TrafficSnapshot &snapshot, const platform::ListedTarget &target)
+void addTarget(TrafficSnapshot &snapshot, const ports::ListedTarget &target)
 {
     snapshot.addresses[target.id] = target.address;
-    if (target.state == platform::HostState::Live) {
+    if (target.state == ports::HostState::Live) {
         snapshot.accepting[target.pool].push_back(target.id);
     }
     const auto plan = snapshot.pools.find(target.pool);
@@ -34,7 +34,7 @@
 } // namespace
 
 std::shared_ptr<const TrafficSnapshot> makeSnapshot(std::uint64_t generation, const documents::DocumentSet &documents,
-                                                    const platform::HostListing &listing)
+                                                    const ports::HostListing &listing)
 {
     auto snapshot = std::make_shared<TrafficSnapshot>();
     snapshot->generation = generation;
--- a/src/control/trafficsnapshot.h
+++ b/src/control/trafficsnapshot.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "documents/documentset.h"
-#include "platform/hostlist.h"
+#include "ports/hostlist.h"
 #include "routing/dispatcher.h"
 
 #include <cstdint>
@@ -22,11 +22,11 @@
     std::unordered_map<std::string, std::shared_ptr<const documents::DocumentRevision>> byService;
     std::map<PoolName, routing::PoolPlan> pools;
     std::map<PoolName, std::vector<TargetId>> accepting; // targets that accept new requests
-    std::unordered_map<TargetId, platform::Address> addresses;
+    std::unordered_map<TargetId, ports::Address> addresses;
 };
 
 // Returns the snapshot of `documents` and `listing`.
 std::shared_ptr<const TrafficSnapshot> makeSnapshot(std::uint64_t generation, const documents::DocumentSet &documents,
-                                                    const platform::HostListing &listing);
+                                                    const ports::HostListing &listing);
 
 } // namespace monsoonspool::control
--- a/src/daemon/asioscheduler.h
+++ b/src/daemon/asioscheduler.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "platform/scheduler.h"
+#include "ports/scheduler.h"
 
 #include <boost/asio/io_context.hpp>
 
 namespace monsoonspool::daemon {
 
 // Runs functions later on the thread of an io_context, in real time.
-class AsioScheduler : public platform::Scheduler
+class AsioScheduler : public ports::Scheduler
 {
 public:
     explicit AsioScheduler(boost::asio::io_context &io);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -14,7 +14,7 @@
 #include "logging/log.h"
 #include "operators/operatorsapi.h"
 #include "peer/peernode.h"
-#include "platform/http/httpplatform.h"
+#include "ports/http/httpplatform.h"
 #include "traffic/lane.h"
 #include "traffic/mailbox.h"
 
@@ -95,7 +95,7 @@
     codec::CborRecords recordCodec;
     codec::CborPlacement placementCodec;
     std::unique_ptr<emulator::StandaloneWorld> world;
-    std::unique_ptr<platform::http::HttpPlatform> remotePlatform;
+    std::unique_ptr<ports::http::HttpPlatform> remotePlatform;
     peer::PeerNode peerNode;
     std::vector<std::unique_ptr<traffic::Lane>> lanes;
     std::unique_ptr<control::ControlLoop> loop;
@@ -168,10 +168,10 @@
     controlOptions.startWindow = settings.startWindow;
     controlOptions.recordWindow = settings.recordWindow;
     controlOptions.seed = incarnation;
-    auto &table = world ? static_cast<platform::TableService &>(world->platform().table) : remotePlatform->table();
-    auto &objects = world ? static_cast<platform::ObjectStore &>(world->platform().objects) : remotePlatform->objects();
-    auto &hosts = world ? static_cast<platform::HostList &>(world->platform().hosts) : remotePlatform->hosts();
-    auto &workers = world ? static_cast<platform::WorkerAgent &>(world->platform().workers) : remotePlatform->workers();
+    auto &table = world ? static_cast<ports::TableService &>(world->platform().table) : remotePlatform->table();
+    auto &objects = world ? static_cast<ports::ObjectStore &>(world->platform().objects) : remotePlatform->objects();
+    auto &hosts = world ? static_cast<ports::HostList &>(world->platform().hosts) : remotePlatform->hosts();
+    auto &workers = world ? static_cast<ports::WorkerAgent &>(world->platform().workers) : remotePlatform->workers();
     loop = std::make_unique<control::ControlLoop>(
         controlOptions,
         control::ControlPorts{table, objects, hosts, workers, rowCodec, placementCodec, recordCodec, *this, *this});
@@ -210,7 +210,7 @@
     if (options.isStandalone) {
         world = std::make_unique<emulator::StandaloneWorld>(scheduler);
     } else {
-        remotePlatform = std::make_unique<platform::http::HttpPlatform>(io, *settings.platformAddress);
+        remotePlatform = std::make_unique<ports::http::HttpPlatform>(io, *settings.platformAddress);
     }
     makeLoop();
     BOOST_LEAF_CHECK(loadKeys());
--- a/src/daemon/guestlistener.cpp
+++ b/src/daemon/guestlistener.cpp
@@ -67,14 +67,14 @@
     stop();
 }
 
-Result<void> GuestListener::listen(const platform::Address &address)
+Result<void> GuestListener::listen(const ports::Address &address)
 {
     BOOST_LEAF_CHECK(http::openAcceptor(d->acceptor, address));
     d->accept();
     return {};
 }
 
-platform::Address GuestListener::address() const
+ports::Address GuestListener::address() const
 {
     const auto endpoint = d->acceptor.local_endpoint();
     return {endpoint.address().to_string(), endpoint.port()};
--- a/src/daemon/guestlistener.h
+++ b/src/daemon/guestlistener.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "common/error.h"
-#include "platform/hostlist.h"
+#include "ports/hostlist.h"
 #include "traffic/lane.h"
 
 #include <boost/asio/io_context.hpp>
@@ -23,8 +23,8 @@
     GuestListener &operator=(const GuestListener &) = delete;
 
     // Fails with AddressInUse.
-    Result<void> listen(const platform::Address &address);
-    platform::Address address() const;
+    Result<void> listen(const ports::Address &address);
+    ports::Address address() const;
     void stop();
 
 private:
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -2,7 +2,7 @@
 
 #include "common/error.h"
 #include "common/identifiers.h"
-#include "platform/hostlist.h"
+#include "ports/hostlist.h"
 #include "traffic/laneoptions.h"
 
 #include <optional>
@@ -18,10 +18,10 @@
     EntryHostId name;
     RegionName region;
     FailureDomain domain;
-    platform::Address guestAddress;
-    platform::Address operatorAddress;
-    platform::Address peerAddress;
-    std::optional<platform::Address> platformAddress; // none in standalone mode
+    ports::Address guestAddress;
+    ports::Address operatorAddress;
+    ports::Address peerAddress;
+    std::optional<ports::Address> platformAddress; // none in standalone mode
     int trafficThreads = 1;
     int maxEntryHosts = 9;
     Duration startWindow = 660s;
--- a/src/daemon/settingsjson.cpp
+++ b/src/daemon/settingsjson.cpp
@@ -95,11 +95,11 @@
     settings.name = json["name"].get<EntryHostId>();
     settings.region = json["region"].get<RegionName>();
     settings.domain = json["failureDomain"].get<FailureDomain>();
-    settings.guestAddress = json["guestAddress"].get<platform::Address>();
-    settings.operatorAddress = json["operatorAddress"].get<platform::Address>();
-    settings.peerAddress = json["peerAddress"].get<platform::Address>();
+    settings.guestAddress = json["guestAddress"].get<ports::Address>();
+    settings.operatorAddress = json["operatorAddress"].get<ports::Address>();
+    settings.peerAddress = json["peerAddress"].get<ports::Address>();
     if (json.contains("platformAddress")) {
-        settings.platformAddress = json["platformAddress"].get<platform::Address>();
+        settings.platformAddress = json["platformAddress"].get<ports::Address>();
     }
     settings.trafficThreads = json.value("trafficThreads", settings.trafficThreads);
     settings.maxEntryHosts = json.value("maxEntryHosts", settings.maxEntryHosts);
--- a/src/emulator/emulatedplatform.h
+++ b/src/emulator/emulatedplatform.h
@@ -1,28 +1,28 @@
 #pragma once
 
-#include "platform/faultplan.h"
-#include "platform/memory/memoryhosts.h"
-#include "platform/memory/memoryobjects.h"
-#include "platform/memory/memorytable.h"
-#include "platform/memory/memoryworkers.h"
-#include "platform/scheduler.h"
+#include "ports/faultplan.h"
+#include "ports/memory/memoryhosts.h"
+#include "ports/memory/memoryobjects.h"
+#include "ports/memory/memorytable.h"
+#include "ports/memory/memoryworkers.h"
+#include "ports/scheduler.h"
 
 namespace monsoonspool::emulator {
 
 // All services of the platform in one process, in memory.
 struct EmulatedPlatform
 {
-    EmulatedPlatform(platform::Scheduler &scheduler, platform::FaultPlan &faults, Duration listLag = Duration{0})
+    EmulatedPlatform(ports::Scheduler &scheduler, ports::FaultPlan &faults, Duration listLag = Duration{0})
         : table(scheduler, faults), objects(scheduler, faults), hosts(scheduler, faults, listLag),
           workers(scheduler, faults, commands)
     {
     }
 
-    platform::memory::SimpleCommands commands;
-    platform::memory::MemoryTable table;
-    platform::memory::MemoryObjects objects;
-    platform::memory::MemoryHosts hosts;
-    platform::memory::MemoryWorkers workers;
+    ports::memory::SimpleCommands commands;
+    ports::memory::MemoryTable table;
+    ports::memory::MemoryObjects objects;
+    ports::memory::MemoryHosts hosts;
+    ports::memory::MemoryWorkers workers;
 };
 
 } // namespace monsoonspool::emulator
--- a/src/emulator/main/main.cpp
+++ b/src/emulator/main/main.cpp
@@ -27,7 +27,7 @@
 {
     boost::asio::io_context io{1};
     daemon::AsioScheduler scheduler(io);
-    platform::NoFaults faults;
+    ports::NoFaults faults;
     emulator::EmulatedPlatform platform(scheduler, faults);
     emulator::PlatformApi api(platform);
     http::ApiServer server(io, api);
--- a/src/emulator/platformapi.cpp
+++ b/src/emulator/platformapi.cpp
@@ -9,7 +9,7 @@
 namespace monsoonspool::emulator {
 
 using codec::Json;
-using platform::AsyncResult;
+using ports::AsyncResult;
 
 namespace {
 
@@ -23,14 +23,14 @@
 
 // Answers with what `toJson` makes of the result.
 template <typename T, typename F>
-platform::Handler<T> answerBy(http::ApiReply reply, F toJson)
+ports::Handler<T> answerBy(http::ApiReply reply, F toJson)
 {
     return [reply = std::move(reply), toJson](const AsyncResult<T> &result) {
         reply(result.isOk() ? jsonResponse(toJson(result.value())) : operators::failureResponse(result.failure()));
     };
 }
 
-Json doneJson(const platform::Done &)
+Json doneJson(const ports::Done &)
 {
     return Json::object();
 }
@@ -83,7 +83,7 @@
 {
     if (request.path == "/table/row") {
         platform.table.read(request.queryValue("key"),
-                            answerBy<std::optional<platform::Row>>(reply, [](const auto &row) {
+                            answerBy<std::optional<ports::Row>>(reply, [](const auto &row) {
                                 return Json{{"row", row ? codec::rowToJson(*row) : Json()}};
                             }));
         return;
@@ -92,7 +92,7 @@
     const auto text = request.queryValue("limit");
     std::from_chars(text.data(), text.data() + text.size(), limit);
     platform.table.scan(request.queryValue("first"), request.queryValue("last"), std::clamp(limit, 0, MaxScan),
-                        answerBy<std::vector<platform::Row>>(reply, [](const auto &rows) {
+                        answerBy<std::vector<ports::Row>>(reply, [](const auto &rows) {
                             Json json = Json::array();
                             for (const auto &it : rows) {
                                 json.push_back(codec::rowToJson(it));
@@ -118,9 +118,9 @@
         BOOST_LEAF_AUTO(json, codec::parseJson(request.body));
         BOOST_LEAF_AUTO(text, codec::decode([&] { return json.at("value").get<std::string>(); }));
         BOOST_LEAF_AUTO(value, codec::fromBase64(text));
-        platform.objects.put(name, value, answerBy<platform::Done>(reply, doneJson));
+        platform.objects.put(name, value, answerBy<ports::Done>(reply, doneJson));
     } else if (request.method == "DELETE") {
-        platform.objects.remove(name, answerBy<platform::Done>(reply, doneJson));
+        platform.objects.remove(name, answerBy<ports::Done>(reply, doneJson));
     } else {
         platform.objects.get(name, answerBy<std::optional<std::string>>(reply, [](const auto &value) {
                                  return Json{{"value", value ? Json(codec::toBase64(*value)) : Json()}};
@@ -132,11 +132,11 @@
 Result<void> PlatformApi::Private::hosts(const http::ApiRequest &request, const http::ApiReply &reply)
 {
     if (request.method != "PUT") {
-        platform.hosts.list(answerBy<platform::HostListing>(reply, [](const auto &listing) { return Json(listing); }));
+        platform.hosts.list(answerBy<ports::HostListing>(reply, [](const auto &listing) { return Json(listing); }));
         return {};
     }
     BOOST_LEAF_AUTO(json, codec::parseJson(request.body));
-    BOOST_LEAF_AUTO(listing, codec::decode([&] { return json.get<platform::HostListing>(); }));
+    BOOST_LEAF_AUTO(listing, codec::decode([&] { return json.get<ports::HostListing>(); }));
     for (const auto &it : listing.workers) {
         platform.workers.add(it.id, it.capacity);
     }
@@ -154,29 +154,29 @@
     BOOST_LEAF_AUTO(json, codec::parseJson(request.body));
     if (verb == "start") {
         BOOST_LEAF_AUTO(order, codec::startOrderFromJson(json));
-        platform.workers.start(worker, order, answerBy<platform::Done>(reply, doneJson));
+        platform.workers.start(worker, order, answerBy<ports::Done>(reply, doneJson));
         return {};
     }
     BOOST_LEAF_AUTO(epoch, codec::decode([&] { return json.at("epoch").get<Epoch>(); }));
     if (verb == "renew") {
-        std::vector<platform::AttemptId> acknowledged;
+        std::vector<ports::AttemptId> acknowledged;
         for (const auto &it : json.value("acknowledged", Json::array())) {
             BOOST_LEAF_AUTO(attempt, codec::decode([&] { return codec::attemptFromJson(it); }));
             acknowledged.push_back(attempt);
         }
         const Duration lease(std::chrono::milliseconds(json.value("leaseMs", 0)));
         platform.workers.renew(worker, epoch, lease, acknowledged,
-                               answerBy<platform::WorkerReport>(reply, codec::reportToJson));
+                               answerBy<ports::WorkerReport>(reply, codec::reportToJson));
         return {};
     }
     BOOST_LEAF_AUTO(attempt, codec::decode([&] { return codec::attemptFromJson(json.at("attempt")); }));
     if (verb == "stop") {
-        platform.workers.stop(worker, epoch, attempt, answerBy<platform::Done>(reply, doneJson));
+        platform.workers.stop(worker, epoch, attempt, answerBy<ports::Done>(reply, doneJson));
     } else if (verb == "checkpoint") {
-        platform.workers.checkpoint(worker, epoch, attempt, answerBy<platform::Done>(reply, doneJson));
+        platform.workers.checkpoint(worker, epoch, attempt, answerBy<ports::Done>(reply, doneJson));
     } else if (verb == "throttle") {
         platform.workers.throttle(worker, epoch, attempt, json.value("part", 1.0),
-                                  answerBy<platform::Done>(reply, doneJson));
+                                  answerBy<ports::Done>(reply, doneJson));
     } else {
         return fail(ErrorKind::UnknownResource, request.path);
     }
--- a/src/emulator/sampletarget.cpp
+++ b/src/emulator/sampletarget.cpp
@@ -30,12 +30,12 @@
 
 SampleTarget::~SampleTarget() = default;
 
-Result<void> SampleTarget::listen(const platform::Address &address)
+Result<void> SampleTarget::listen(const ports::Address &address)
 {
     return m_server.listen(address);
 }
 
-platform::Address SampleTarget::address() const
+ports::Address SampleTarget::address() const
 {
     return m_server.address();
 }
--- a/src/emulator/sampletarget.h
+++ b/src/emulator/sampletarget.h
@@ -26,8 +26,8 @@
     SampleTarget(boost::asio::io_context &io, std::string name, Duration defaultService);
     ~SampleTarget() override;
 
-    Result<void> listen(const platform::Address &address);
-    platform::Address address() const;
+    Result<void> listen(const ports::Address &address);
+    ports::Address address() const;
     void stop();
 
     void handle(const http::ApiRequest &request, http::ApiReply reply) override;
--- a/src/emulator/standaloneworld.cpp
+++ b/src/emulator/standaloneworld.cpp
@@ -49,18 +49,18 @@
 
 struct StandaloneWorld::Private
 {
-    explicit Private(platform::Scheduler &scheduler) : platform(scheduler, faults)
+    explicit Private(ports::Scheduler &scheduler) : platform(scheduler, faults)
     {
     }
 
-    platform::NoFaults faults;
+    ports::NoFaults faults;
     EmulatedPlatform platform;
     boost::asio::io_context targetIo{1};
     std::vector<std::unique_ptr<SampleTarget>> targets;
     std::thread thread;
 };
 
-StandaloneWorld::StandaloneWorld(platform::Scheduler &scheduler) : d(std::make_unique<Private>(scheduler))
+StandaloneWorld::StandaloneWorld(ports::Scheduler &scheduler) : d(std::make_unique<Private>(scheduler))
 {
 }
 
@@ -84,15 +84,15 @@
 
 Result<void> StandaloneWorld::start(const daemon::Settings &settings)
 {
-    platform::HostListing listing;
-    listing.entryHosts.push_back({settings.name, settings.peerAddress, settings.region, platform::HostState::Live});
+    ports::HostListing listing;
+    listing.entryHosts.push_back({settings.name, settings.peerAddress, settings.region, ports::HostState::Live});
     for (const auto &[service, text] : documents()) {
         for (int n = 0; n < TargetsPerService; ++n) {
             const auto name = std::string(service) + "-" + std::to_string(n + 1);
             auto target = std::make_unique<SampleTarget>(d->targetIo, name, ServiceTime);
             BOOST_LEAF_CHECK(target->listen({"127.0.0.1", 0}));
             listing.targets.push_back({TargetId(name), PoolName(service), target->address(), settings.region,
-                                       settings.domain, platform::HostState::Live});
+                                       settings.domain, ports::HostState::Live});
             d->targets.push_back(std::move(target));
         }
     }
@@ -100,7 +100,7 @@
         const WorkerId id("worker-" + std::to_string(n + 1));
         d->platform.workers.add(id, WorkerCapacity);
         listing.workers.push_back(
-            {id, settings.domain, "rack-1", WorkerCapacity, {"127.0.0.1", 0}, platform::HostState::Live});
+            {id, settings.domain, "rack-1", WorkerCapacity, {"127.0.0.1", 0}, ports::HostState::Live});
     }
     d->platform.hosts.set(std::move(listing));
     d->thread = std::thread([this] {
--- a/src/emulator/standaloneworld.h
+++ b/src/emulator/standaloneworld.h
@@ -17,7 +17,7 @@
 class StandaloneWorld
 {
 public:
-    explicit StandaloneWorld(platform::Scheduler &scheduler);
+    explicit StandaloneWorld(ports::Scheduler &scheduler);
     ~StandaloneWorld();
     StandaloneWorld(const StandaloneWorld &) = delete;
     StandaloneWorld &operator=(const StandaloneWorld &) = delete;
--- /dev/null
+++ b/src/execution/executionloop.cpp
@@ -0,0 +1,336 @@
+#include "execution/executionloop.h"
+
+#include "execution/rowlayout.h"
+#include "execution/tablefollower.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsoonspool::execution {
+
+namespace {
+
+constexpr Duration TickInterval = 100ms;
+// How long the store may hold a question for changes. A change is in force on this
+// host at once; the bound is on how late a silent connection is noticed.
+constexpr Duration FollowWait = 1s;
+// A host without the store for this long sends its clients elsewhere.
+constexpr Duration ReadySilence = 2500ms;
+
+// How much later than the best host this one claims the leadership: for each
+// halving of its processor share, and for each millisecond to the store.
+constexpr double HandicapForHalving = 120; // ms
+constexpr double HandicapForMillisecond = 12; // ms
+// Hosts that are alike claim one after another.
+constexpr std::size_t JitterSteps = 16;
+constexpr Duration JitterStep = 12ms;
+
+} // namespace
+
+struct ExecutionLoop::Private : std::enable_shared_from_this<ExecutionLoop::Private>
+{
+    Private(ExecutionPorts executionPorts, ExecutionOptions o)
+        : ports(std::move(executionPorts)), options(std::move(o)),
+          desk(ports.store, ports.scheduler, ports.codec, ports.log),
+          leadership(options.self, options.incarnation, ports.scheduler.now())
+    {
+    }
+
+    void start()
+    {
+        const auto row = ports.registry.configurationRow();
+        configurationFollower.emplace(
+            ports.store, ports.scheduler, ports.log, row.table, std::vector<std::string>{row.part}, FollowWait,
+            TableFollower::Hooks{[this](auto rows) { onConfigurationRows(rows); },
+                                 [this](auto rows) { onConfigurationRows(rows); },
+                                 [this](Duration roundTrip) { onContact(roundTrip); }});
+        leaderFollower.emplace(ports.store, ports.scheduler, ports.log, std::string(LeaderTable),
+                               std::vector<std::string>{std::string()}, FollowWait,
+                               TableFollower::Hooks{[this](auto rows) { onLeaderSnapshot(rows); },
+                                                    [this](auto rows) { onLeaderRows(rows); },
+                                                    [this](Duration roundTrip) { onContact(roundTrip); }});
+        tick();
+    }
+
+    void onContact(Duration roundTrip)
+    {
+        const auto now = ports.scheduler.now();
+        contactAt = now;
+        leadership.noteContact(now);
+        if (roundTrip > Duration(0)) {
+            storeRoundTrip = storeRoundTrip == Duration(0) ? roundTrip : std::min(storeRoundTrip, roundTrip);
+        }
+    }
+
+    void onConfigurationRows(std::span<const ports::StoredRow> rows)
+    {
+        const auto name = ports.registry.configurationRow();
+        for (const auto &row : rows) {
+            if (row.name.key != name.key || row.isRemoved) {
+                continue;
+            }
+            handleFailure(
+                [&]() -> Result<void> {
+                    BOOST_LEAF_AUTO(decoded, ports.registry.decodeConfiguration(row.value));
+                    takeConfiguration(std::move(decoded));
+                    return {};
+                },
+                [&](const Failure &failure) {
+                    ports.log.record("configuration-unreadable", {{"detail", failure.detail}});
+                });
+        }
+    }
+
+    void takeConfiguration(ports::Configuration decoded)
+    {
+        if (configuration && decoded.version <= configuration->version) {
+            return; // never backwards
+        }
+        ports.log.record("configuration-in-force", {{"version", decoded.version}, {"routes", decoded.routes.size()}});
+        configuration = std::make_shared<const ports::Configuration>(std::move(decoded));
+        if (tenure) {
+            tenure->setQueues(queues());
+        }
+        onConfiguration(configuration);
+    }
+
+    std::vector<jobs::QueuePolicy> queues() const
+    {
+        std::vector<jobs::QueuePolicy> queues;
+        if (configuration) {
+            for (const auto &it : configuration->routes) {
+                queues.push_back(it.policy);
+            }
+        }
+        return queues;
+    }
+
+    void onLeaderSnapshot(std::span<const ports::StoredRow> rows)
+    {
+        const bool hasRow
+            = std::ranges::any_of(rows, [](const ports::StoredRow &it) { return it.name.key == LeaderKey; });
+        if (!hasRow) {
+            leadership.noteRow(std::nullopt, 0, ports.scheduler.now());
+        }
+        onLeaderRows(rows);
+    }
+
+    void onLeaderRows(std::span<const ports::StoredRow> rows)
+    {
+        for (const auto &row : rows) {
+            if (row.isRemoved) {
+                continue;
+            }
+            if (row.name.key == RosterKey) {
+                if (row.version > rosterVersion) {
+                    roster = row.value;
+                    rosterVersion = row.version;
+                }
+                continue;
+            }
+            handleFailure(
+                [&]() -> Result<void> {
+                    BOOST_LEAF_AUTO(decoded, ports.codec.decodeLeader(row.value));
+                    leadership.noteRow(decoded, row.version, ports.scheduler.now());
+                    return {};
+                },
+                [&](const Failure &failure) {
+                    ports.log.record("row-unreadable", {{"key", row.name.key}, {"detail", failure.detail}});
+                });
+        }
+        followLeadership();
+    }
+
+    void tick()
+    {
+        ports.scheduler.runAfter(TickInterval, [self = shared_from_this()] {
+            if (!self->isClosed) {
+                self->followLeadership();
+                self->tick();
+            }
+        });
+    }
+
+    Duration handicap() const
+    {
+        const double halvings = std::max(0.0, -std::log2(std::max(options.processorShare, 0.01)));
+        const double distance = std::chrono::duration<double, std::milli>(storeRoundTrip).count();
+        const auto jitter = JitterStep * static_cast<int>(std::hash<std::string_view>{}(options.self.view()) % JitterSteps);
+        return std::chrono::milliseconds(
+                   static_cast<std::int64_t>(halvings * HandicapForHalving + distance * HandicapForMillisecond))
+            + jitter;
+    }
+
+    // Makes the tenure what the leadership says, and writes what is due.
+    void followLeadership()
+    {
+        const auto now = ports.scheduler.now();
+        if (tenure && (!leadership.isLeader() || leadership.fence() != tenureFence)) {
+            ports.log.record("leadership-lost", {{"fence", tenureFence.value}});
+            tenure.reset();
+        }
+        if (leadership.isLeader() && !tenure) {
+            beginTenure();
+        }
+        if (isStopping || !configuration) {
+            return; // a host that knows no configuration could place nothing
+        }
+        if (auto write = leadership.dueWrite(handicap(), now)) {
+            if (tenure && tenure->isLoaded()) {
+                write->row.waiting = tenure->waitingCounts();
+            }
+            writeLeader(*write);
+        }
+    }
+
+    void writeLeader(const membership::Leadership::Write &write)
+    {
+        ports::Commit commit;
+        commit.conditions.push_back({leaderRow(), write.expectedVersion});
+        if (write.isClaim) {
+            // What the former leader may have started must be known to the claimant.
+            commit.conditions.push_back({rosterRow(), rosterVersion});
+        }
+        commit.writes.push_back({leaderRow(), ports.codec.encode(write.row)});
+        const auto sentAt = ports.scheduler.now();
+        ports.store.commit(std::move(commit), [self = shared_from_this(), write,
+                                               sentAt](const ports::AsyncResult<ports::CommitResult> &result) {
+            if (self->isClosed) {
+                return;
+            }
+            const auto now = self->ports.scheduler.now();
+            if (result.isOk()) {
+                self->onContact(Duration(0));
+            }
+            if (result.isOk() && result.value().isApplied) {
+                self->leadership.noteWritten(write, result.value().version, sentAt, now);
+            } else {
+                self->leadership.noteFailed(now);
+                if (result.isOk()) {
+                    self->onLeaderRows(result.value().current);
+                }
+            }
+            self->followLeadership();
+        });
+    }
+
+    void beginTenure()
+    {
+        tenureFence = leadership.fence();
+        TenureStart start{tenureFence, leadership.claimVersion(), {}, rosterVersion, queues()};
+        if (!roster.empty()) {
+            start.roster = handleFailure([&] { return ports.codec.decodeRoster(roster); },
+                                         [&](const Failure &failure) {
+                                             ports.log.record("row-unreadable",
+                                                              {{"key", RosterKey}, {"detail", failure.detail}});
+                                             return std::vector<ports::WorkerEntry>();
+                                         });
+        }
+        ports.log.record("leadership-won", {{"fence", tenureFence.value},
+                                            {"claimVersion", start.claimVersion},
+                                            {"roster", start.roster.size()}});
+        tenure.emplace(ports, std::move(start),
+                       Tenure::Hooks{[this] { onFenced(); },
+                                     [this] { return leadership.mayDecide(ports.scheduler.now()); }});
+    }
+
+    // Called from inside the tenure, which must outlive the call.
+    void onFenced()
+    {
+        ports.log.record("leadership-fenced", {{"fence", tenureFence.value}});
+        leadership.stepDown(ports.scheduler.now());
+        ports.scheduler.runAfter(Duration(0), [self = shared_from_this()] {
+            if (!self->isClosed) {
+                self->followLeadership();
+            }
+        });
+    }
+
+    ExecutionPorts ports;
+    ExecutionOptions options;
+    JobDesk desk;
+    membership::Leadership leadership;
+    std::function<void(ConfigurationPointer)> onConfiguration;
+    ConfigurationPointer configuration;
+    std::optional<TableFollower> configurationFollower;
+    std::optional<TableFollower> leaderFollower;
+    std::optional<Tenure> tenure;
+    Epoch tenureFence;
+    std::string roster;
+    std::uint64_t rosterVersion = 0;
+    TimePoint contactAt;
+    Duration storeRoundTrip{0};
+    bool isStopping = false;
+    bool isClosed = false;
+};
+
+ExecutionLoop::ExecutionLoop(ExecutionPorts ports, ExecutionOptions options,
+                             std::function<void(ConfigurationPointer)> onConfiguration)
+    : d(std::make_shared<Private>(std::move(ports), std::move(options)))
+{
+    d->onConfiguration = std::move(onConfiguration);
+}
+
+ExecutionLoop::~ExecutionLoop()
+{
+    d->isClosed = true;
+    d->configurationFollower.reset();
+    d->leaderFollower.reset();
+    d->tenure.reset();
+}
+
+void ExecutionLoop::start()
+{
+    d->start();
+}
+
+void ExecutionLoop::stop(std::function<void()> done)
+{
+    d->isStopping = true;
+    const auto write = d->leadership.release();
+    d->tenure.reset();
+    if (!write) {
+        done();
+        return;
+    }
+    ports::Commit commit;
+    commit.conditions.push_back({leaderRow(), write->expectedVersion});
+    commit.writes.push_back({leaderRow(), d->ports.codec.encode(write->row)});
+    d->ports.store.commit(std::move(commit),
+                          [done = std::move(done)](const ports::AsyncResult<ports::CommitResult> &) { done(); });
+}
+
+JobDesk &ExecutionLoop::jobDesk()
+{
+    return d->desk;
+}
+
+int ExecutionLoop::waitingJobs(std::string_view queue) const
+{
+    const auto counts = d->tenure && d->tenure->isLoaded() ? d->tenure->waitingCounts()
+        : d->leadership.row()                               ? d->leadership.row()->waiting
+                                                            : std::map<std::string, int>();
+    const auto it = counts.find(std::string(queue));
+    return it == counts.end() ? 0 : it->second;
+}
+
+bool ExecutionLoop::isReady() const
+{
+    return d->configuration && !d->isStopping && d->ports.scheduler.now() - d->contactAt < ReadySilence;
+}
+
+ExecutionSummary ExecutionLoop::summary() const
+{
+    ExecutionSummary summary;
+    summary.isLeader = d->leadership.isLeader();
+    summary.isLoaded = d->tenure && d->tenure->isLoaded();
+    summary.fence = d->tenureFence.value;
+    summary.configurationVersion = d->configuration ? d->configuration->version : -1;
+    summary.storeSilence = d->ports.scheduler.now() - d->contactAt;
+    if (d->tenure) {
+        summary.fleet = d->tenure->counts();
+    }
+    return summary;
+}
+
+} // namespace monsoonspool::execution
--- /dev/null
+++ b/src/execution/fleetlistings.cpp
@@ -0,0 +1,370 @@
+// What workers tell: listings, answers to orders, and silence.
+#include "execution/fleetstate.h"
+#include "jobs/names.h"
+
+#include <algorithm>
+
+namespace monsoonspool::execution {
+
+namespace {
+
+// How long a worker may wait for an end before it answers a renewal. Renewals also
+// bring measurements, which matter where serving tasks have neighbours.
+constexpr Duration QuietWait = 1500ms;
+constexpr Duration ServingWait = 600ms;
+constexpr int FullPace = 100;
+// Differs from every pace, so that the next plan orders one.
+constexpr int UnknownPace = -1;
+
+} // namespace
+
+ports::LeaseOrder Fleet::leaseOrder(const WorkerId &id, TimePoint now)
+{
+    auto *worker = d->findWorker(id);
+    ports::LeaseOrder order;
+    order.fence = d->fence;
+    if (worker == nullptr) {
+        return order;
+    }
+    order.acknowledgedEnd = worker->acknowledgedEnd();
+    order.deadline = worker->nextDeadline(now);
+    if (worker->isConfirmed() && !worker->isSilent()) {
+        const bool isServing = std::ranges::any_of(worker->runs(), &workers::Run::isLasting)
+            && std::ranges::any_of(worker->runs(), &workers::Run::usesLeftover);
+        order.wait = isServing ? ServingWait : QuietWait;
+    }
+    return order;
+}
+
+void Fleet::noteListing(const WorkerId &id, const ports::WorkerListing &listing, TimePoint sentAt, TimePoint now)
+{
+    auto *worker = d->findWorker(id);
+    if (worker == nullptr) {
+        return;
+    }
+    if (listing.bornMs != 0 && worker->entry().bornMs != 0 && listing.bornMs != worker->entry().bornMs) {
+        if (listing.bornMs < worker->entry().bornMs) {
+            return; // an answer of the run before
+        }
+        d->restart(*worker, listing.bornMs, now);
+    }
+    worker->noteContact(listing.clock, sentAt, now);
+    d->takeEnds(*worker, listing, now);
+    d->takeRunning(*worker, listing, sentAt, now);
+    d->settleUnlisted(*worker, listing, sentAt, now);
+    d->unheard.erase(id);
+    if (!worker->isListed() && worker->runCount() == 0) {
+        d->eraseWorker(id);
+    }
+}
+
+void Fleet::noteSilence(const WorkerId &id, TimePoint now)
+{
+    auto *worker = d->findWorker(id);
+    if (worker != nullptr && !worker->isSilent()) {
+        d->log.record("worker-silent", {{"worker", id.view()}, {"runs", worker->runCount()}});
+        worker->noteSilence(now);
+    }
+}
+
+void Fleet::Private::takeEnds(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint now)
+{
+    for (const auto &it : listing.ended) {
+        if (it.number <= worker.takenEnd()) {
+            continue;
+        }
+        worker.setTakenEnd(it.number);
+        log.record("run-ended", {{"task", jobs::taskName(it.task)},
+                                 {"run", it.run},
+                                 {"worker", worker.entry().id.view()},
+                                 {"how", jobs::runEndName(it.how)}});
+        const auto *run = worker.find(it.task);
+        if (run != nullptr && run->number == it.run) {
+            if (it.how == jobs::RunEnd::Done) {
+                learnFromDone(worker, *run, now);
+            } else if (it.how == jobs::RunEnd::Failed) {
+                worker.noteFailure(now);
+            }
+            endRun(worker, it.task, it.how, it.checkpoint, now);
+        } else {
+            applyEnd(it.task, it.run, it.how, it.checkpoint, now);
+        }
+    }
+}
+
+void Fleet::Private::learnFromDone(workers::Worker &worker, const workers::Run &run, TimePoint now)
+{
+    worker.noteDone(now);
+    const auto *job = findJob(run.task.job);
+    const bool wasOrderedHere = run.startDeadline != 0;
+    const bool isPlain = run.pace == FullPace && !run.usesLeftover && wasOrderedHere;
+    if (job != nullptr && isPlain && job->job.contains(run.task)) {
+        estimator.learn(job->job.queue(), job->job.stepSpec(run.task.step), now - run.answeredAt);
+    }
+}
+
+void Fleet::Private::endRun(workers::Worker &worker, const jobs::TaskId &task, jobs::RunEnd how,
+                            std::string_view checkpoint, TimePoint now)
+{
+    const auto number = worker.find(task)->number;
+    worker.remove(task);
+    auto *job = findJob(task.job);
+    if (job != nullptr) {
+        --job->runs;
+    }
+    switch (how) {
+    case jobs::RunEnd::Done:
+        ++counts.done;
+        break;
+    case jobs::RunEnd::Failed:
+        ++counts.failed;
+        break;
+    case jobs::RunEnd::Lapsed:
+        ++counts.lapsed;
+        break;
+    default:
+        ++counts.stopped;
+        break;
+    }
+    applyEnd(task, number, how, checkpoint, now);
+}
+
+void Fleet::Private::applyEnd(const jobs::TaskId &task, jobs::RunNumber run, jobs::RunEnd how,
+                              std::string_view checkpoint, TimePoint now)
+{
+    auto *job = findJob(task.job);
+    if (job == nullptr || !job->job.contains(task)) {
+        return;
+    }
+    const bool wasOpen = job->job.isOpen();
+    if (job->job.noteEnded(task, run, how, checkpoint, policyOf(*job).maxAttempts, now)) {
+        changedJobs.insert(task.job);
+    }
+    if (wasOpen && !job->job.isOpen()) {
+        job->stoppedAt = now;
+        log.record("job-over", {{"job", jobs::jobName(task.job)},
+                                {"state", jobs::jobStateName(job->job.state())},
+                                {"ageMs", toMilliseconds(now - job->job.acceptedAt())}});
+    }
+    dropIfOver(task.job);
+}
+
+void Fleet::Private::takeRunning(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint sentAt,
+                                 TimePoint now)
+{
+    for (const auto &it : listing.running) {
+        auto *run = worker.find(it.task);
+        if (run == nullptr || run->number != it.run) {
+            if (run == nullptr) {
+                adopt(worker, it, now);
+            }
+            continue;
+        }
+        if (run->state == workers::RunState::Ordered || run->state == workers::RunState::Unsettled) {
+            run->state = workers::RunState::Running;
+            run->answeredAt = std::min(now, std::max(run->orderedAt, sentAt));
+            run->progressedAt = now;
+        }
+        if (it.percent > run->percent) {
+            run->progressedAt = now;
+        }
+        run->percent = it.percent;
+        run->level = it.level;
+        auto *job = findJob(it.task.job);
+        if (!it.checkpoint.empty() && job != nullptr) {
+            job->job.noteCheckpoint(it.task, it.checkpoint);
+        }
+    }
+}
+
+// A run that this leader did not order: it was started under a former leader, or
+// by an order that was given up. It is kept if its task needs it.
+void Fleet::Private::adopt(workers::Worker &worker, const ports::ListedRun &listed, TimePoint now)
+{
+    auto *job = findJob(listed.task.job);
+    workers::Run run;
+    run.task = listed.task;
+    run.number = listed.run;
+    run.state = workers::RunState::Running;
+    run.orderedAt = now;
+    run.answeredAt = now;
+    run.progressedAt = now;
+    run.percent = listed.percent;
+    run.level = listed.level;
+    const bool isKnown = job != nullptr && job->job.contains(listed.task);
+    bool isWanted = isKnown && job->job.isOpen();
+    if (isKnown) {
+        const auto &spec = job->job.stepSpec(listed.task.step);
+        run.needs = spec.needs;
+        run.usesLeftover = spec.usesLeftover;
+        run.isLasting = spec.isLasting;
+        const bool isOpenOccurrence
+            = listed.task.occurrence < static_cast<int>(job->job.occurrences().size());
+        if (isOpenOccurrence) {
+            const auto &task = job->job.task(listed.task);
+            isWanted = isWanted && !task.isDone && (task.activeRuns == 0 || spec.maySpeculate || spec.isGang);
+        }
+        job->job.noteStarted(listed.task, listed.run);
+        if (!listed.checkpoint.empty()) {
+            job->job.noteCheckpoint(listed.task, listed.checkpoint);
+        }
+        ++job->runs;
+    }
+    log.record(isWanted ? "run-adopted" : "run-unwanted",
+               {{"task", jobs::taskName(listed.task)}, {"run", listed.run}, {"worker", worker.entry().id.view()}});
+    if (!isWanted) {
+        run.state = workers::RunState::Stopping;
+    }
+    worker.add(run);
+}
+
+// Runs that the worker does not list, though it answered after they were ordered.
+void Fleet::Private::settleUnlisted(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint sentAt,
+                                    TimePoint now)
+{
+    std::vector<jobs::TaskId> gone;
+    for (auto &run : worker.runs()) {
+        const bool isListed = std::ranges::any_of(
+            listing.running, [&](const ports::ListedRun &it) { return it.task == run.task && it.run == run.number; });
+        if (isListed) {
+            continue;
+        }
+        switch (run.state) {
+        case workers::RunState::Ordered:
+            break;
+        case workers::RunState::Unsettled:
+            if (sentAt > run.unsettledAt) {
+                if (listing.clock > run.startDeadline + workers::LeaseMargin) {
+                    gone.push_back(run.task);
+                } else {
+                    requestStop(run);
+                }
+            }
+            break;
+        case workers::RunState::Running:
+            if (sentAt > run.answeredAt) {
+                gone.push_back(run.task);
+            }
+            break;
+        case workers::RunState::Stopping: {
+            const bool cannotStart = (run.isStopConfirmed && sentAt > run.stopConfirmedAt)
+                || (run.answeredAt != TimePoint() && sentAt > run.answeredAt)
+                || (run.startDeadline != 0 && listing.clock > run.startDeadline + workers::LeaseMargin);
+            if (cannotStart) {
+                gone.push_back(run.task);
+            }
+            break;
+        }
+        }
+    }
+    for (const auto &it : gone) {
+        log.record("run-gone", {{"task", jobs::taskName(it)}, {"worker", worker.entry().id.view()}});
+        endRun(worker, it, jobs::RunEnd::Stopped, {}, now);
+    }
+}
+
+void Fleet::Private::requestStop(workers::Run &run)
+{
+    run.state = workers::RunState::Stopping;
+    run.isStopSent = false;
+}
+
+void Fleet::Private::lapseAll(workers::Worker &worker, TimePoint now, std::string_view reason)
+{
+    std::vector<jobs::TaskId> tasks;
+    for (const auto &it : worker.runs()) {
+        tasks.push_back(it.task);
+    }
+    if (!tasks.empty()) {
+        log.record("worker-lost",
+                   {{"worker", worker.entry().id.view()}, {"runs", tasks.size()}, {"reason", reason}});
+    }
+    for (const auto &it : tasks) {
+        endRun(worker, it, jobs::RunEnd::Lapsed, {}, now);
+    }
+}
+
+void Fleet::Private::restart(workers::Worker &worker, std::int64_t bornMs, TimePoint now)
+{
+    lapseAll(worker, now, "restarted");
+    worker.restart(bornMs);
+    unheard.erase(worker.entry().id);
+}
+
+void Fleet::noteStart(const StartTask &order, ports::RunAnswer answer, TimePoint now)
+{
+    auto *worker = d->findWorker(order.worker);
+    auto *run = worker == nullptr ? nullptr : worker->find(order.task);
+    if (run == nullptr || run->number != order.run) {
+        return;
+    }
+    if (answer == ports::RunAnswer::Accepted) {
+        if (run->state == workers::RunState::Ordered || run->state == workers::RunState::Unsettled) {
+            run->state = workers::RunState::Running;
+        }
+        run->answeredAt = now;
+        run->progressedAt = now;
+        return;
+    }
+    d->log.record("start-refused", {{"task", jobs::taskName(order.task)},
+                                    {"run", order.run},
+                                    {"worker", order.worker.view()},
+                                    {"answer", static_cast<int>(answer)}});
+    if (answer != ports::RunAnswer::Superseded && answer != ports::RunAnswer::TooLate) {
+        worker->noteUnhealthy(now);
+    }
+    d->endRun(*worker, order.task, jobs::RunEnd::Stopped, {}, now);
+}
+
+void Fleet::noteStartFailed(const StartTask &order, bool maybeStarted, TimePoint now)
+{
+    auto *worker = d->findWorker(order.worker);
+    auto *run = worker == nullptr ? nullptr : worker->find(order.task);
+    if (run == nullptr || run->number != order.run) {
+        return;
+    }
+    d->log.record("start-unanswered", {{"task", jobs::taskName(order.task)},
+                                       {"run", order.run},
+                                       {"worker", order.worker.view()},
+                                       {"maybeStarted", maybeStarted ? 1 : 0}});
+    if (!maybeStarted) {
+        worker->noteUnhealthy(now);
+        d->endRun(*worker, order.task, jobs::RunEnd::Stopped, {}, now);
+        return;
+    }
+    ++d->counts.unsettled;
+    run->unsettledAt = now;
+    if (run->state == workers::RunState::Ordered) {
+        run->state = workers::RunState::Unsettled;
+    }
+}
+
+void Fleet::noteStopped(const StopTask &order, TimePoint now)
+{
+    auto *worker = d->findWorker(order.worker);
+    auto *run = worker == nullptr ? nullptr : worker->find(order.task);
+    if (run != nullptr && run->number == order.run) {
+        run->isStopConfirmed = true;
+        run->stopConfirmedAt = now;
+    }
+}
+
+void Fleet::noteStopFailed(const StopTask &order, TimePoint)
+{
+    auto *worker = d->findWorker(order.worker);
+    auto *run = worker == nullptr ? nullptr : worker->find(order.task);
+    if (run != nullptr && run->number == order.run) {
+        run->isStopSent = false;
+    }
+}
+
+void Fleet::notePaceFailed(const PaceTask &order)
+{
+    auto *worker = d->findWorker(order.worker);
+    auto *run = worker == nullptr ? nullptr : worker->find(order.task);
+    if (run != nullptr && run->number == order.run && run->pace == order.percent) {
+        run->pace = UnknownPace;
+    }
+}
+
+} // namespace monsoonspool::execution
--- /dev/null
+++ b/src/execution/fleetplan.cpp
@@ -0,0 +1,351 @@
+// What the fleet decides to start, stop and pace.
+#include "execution/fleetstate.h"
+#include "jobs/names.h"
+
+#include <algorithm>
+
+namespace monsoonspool::execution {
+
+namespace {
+
+// A job done by this multiple of its objective is late but still of use; the
+// platform's accounting says so.
+constexpr int LateFactor = 3;
+// Expected run times are worked out anew after this time.
+constexpr Duration ExpectedValidity = 2s;
+// A stop that got no confirmation is sent again after this time.
+constexpr Duration StopRepeat = 1s;
+// A checkpointed task is moved off a leaving worker unless it ends well before.
+constexpr Duration DrainMargin = 500ms;
+// Runs of one leader are numbered from here on, above those of all before it.
+constexpr jobs::RunNumber RunsPerTenure = 1000;
+
+double seconds(Duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+} // namespace
+
+Orders Fleet::plan(TimePoint now, jobs::WallTime wall)
+{
+    Orders orders;
+    d->noteLapses(now);
+    for (auto *it : d->workers) {
+        d->evacuate(*it, now);
+        d->stopUnwanted(*it, now, orders);
+        d->regulate(*it, now, orders);
+    }
+    d->failedDemands.clear();
+    for (const auto &it : d->waitingSteps(now, wall)) {
+        if (it.job->job.stepSpec(it.step).isGang) {
+            d->placeGang(it, now, orders);
+        } else {
+            d->placeStep(it, now, orders);
+        }
+    }
+    d->counts.starts += orders.starts.size();
+    return orders;
+}
+
+void Fleet::Private::noteLapses(TimePoint now)
+{
+    if (!unheard.empty() && now >= formerLeasesEnd) {
+        log.record("former-leases-over", {{"unheard", unheard.size()}});
+        unheard.clear();
+    }
+    std::vector<WorkerId> gone;
+    for (auto *it : workers) {
+        if (it->isSilent() && it->hasLapsed(now)) {
+            lapseAll(*it, now, "lease lapsed");
+        }
+        if (!it->isListed() && it->runCount() == 0 && !unheard.contains(it->entry().id)) {
+            gone.push_back(it->entry().id);
+        }
+    }
+    for (const auto &it : gone) {
+        eraseWorker(it);
+    }
+}
+
+void Fleet::Private::evacuate(workers::Worker &worker, TimePoint)
+{
+    if (!worker.entry().isDraining) {
+        return;
+    }
+    for (auto &run : worker.runs()) {
+        const auto *job = findJob(run.task.job);
+        if (run.state != workers::RunState::Running || job == nullptr || job->expected.empty()) {
+            continue;
+        }
+        const auto &spec = job->job.stepSpec(run.task.step);
+        const auto left = job->expected[static_cast<std::size_t>(run.task.step)] * (100 - run.percent) / 100;
+        const bool isLost = left + DrainMargin > worker.entry().remaining;
+        if (spec.isLasting || (spec.hasCheckpoints && isLost)) {
+            requestStop(run);
+        }
+    }
+}
+
+void Fleet::Private::stopUnwanted(workers::Worker &worker, TimePoint now, Orders &orders)
+{
+    if (worker.isSilent() || !worker.isConfirmed()) {
+        return;
+    }
+    for (auto &run : worker.runs()) {
+        const auto *job = findJob(run.task.job);
+        const bool isWanted = job != nullptr && job->job.isOpen() && !job->job.task(run.task).isDone;
+        if (!isWanted && run.state != workers::RunState::Stopping && run.state != workers::RunState::Ordered) {
+            requestStop(run);
+        }
+        if (run.state != workers::RunState::Stopping) {
+            continue;
+        }
+        const bool isDue = !run.isStopSent || now - run.stopSentAt > StopRepeat;
+        if (isDue) {
+            run.isStopSent = true;
+            run.stopSentAt = now;
+            orders.stops.push_back({worker.entry().id, run.task, run.number});
+        }
+    }
+}
+
+void Fleet::Private::regulate(workers::Worker &worker, TimePoint now, Orders &orders)
+{
+    if (worker.isSilent() || !worker.isConfirmed()) {
+        return;
+    }
+    double worst = 0;
+    bool hasLeftover = false;
+    for (const auto &run : worker.runs()) {
+        const auto *job = findJob(run.task.job);
+        hasLeftover = hasLeftover || run.usesLeftover;
+        if (!run.isLasting || job == nullptr || run.state != workers::RunState::Running) {
+            continue;
+        }
+        const auto &target = job->job.stepSpec(run.task.step).tailTarget;
+        if (target && target->count() > 0) {
+            const auto ratio = static_cast<double>(run.level) / static_cast<double>(toMilliseconds(*target));
+            worst = std::max(worst, std::max(ratio, 0.01));
+        }
+    }
+    if (!hasLeftover) {
+        return;
+    }
+    const int pace = worker.paceRegulator().update(worst, now);
+    for (auto &run : worker.runs()) {
+        if (run.usesLeftover && run.state == workers::RunState::Running && run.pace != pace) {
+            run.pace = pace;
+            orders.paces.push_back({worker.entry().id, run.task, run.number, pace});
+        }
+    }
+}
+
+void Fleet::Private::refreshExpected(TrackedJob &job, TimePoint now) const
+{
+    if (!job.expected.empty() && now - job.expectedAt < ExpectedValidity) {
+        return;
+    }
+    const auto &steps = job.job.spec().steps;
+    job.expectedAt = now;
+    job.expected.resize(steps.size());
+    job.wholeChain = Duration(0);
+    std::vector<Duration> chains(steps.size());
+    for (std::size_t n = 0; n < steps.size(); ++n) {
+        job.expected[n] = estimator.expected(job.job.queue(), steps[n]);
+        for (const int before : steps[n].after) {
+            chains[n] = std::max(chains[n], chains[static_cast<std::size_t>(before)]);
+        }
+        chains[n] += job.expected[n];
+        job.wholeChain = std::max(job.wholeChain, chains[n]);
+    }
+}
+
+scheduling::JobOutlook Fleet::Private::outlook(const TrackedJob &job, int occurrence, TimePoint now,
+                                               jobs::WallTime wall) const
+{
+    const auto &policy = policyOf(job);
+    const auto &spec = job.job.spec();
+    scheduling::JobOutlook outlook;
+    outlook.priority = policy.priority;
+    outlook.isLasting = spec.isLasting();
+    outlook.hasStarted = job.job.state() == jobs::JobState::Running;
+    outlook.acceptedAt = job.job.acceptedAt();
+    if (spec.isTimed()) {
+        outlook.acceptedAt
+            = now + std::chrono::duration_cast<Duration>(spec.firstDue + spec.interval * occurrence - wall);
+    }
+    const Duration objective = policy.targetLatency
+        + Duration(static_cast<Duration::rep>(policy.stretch * static_cast<double>(job.wholeChain.count())));
+    outlook.objectiveAt = outlook.acceptedAt + objective;
+    outlook.lateAt = outlook.acceptedAt + objective * LateFactor;
+    std::vector<Duration> chains(spec.steps.size());
+    for (std::size_t n = 0; n < spec.steps.size(); ++n) {
+        const auto &step = job.job.step(occurrence, static_cast<int>(n));
+        for (const int before : spec.steps[n].after) {
+            chains[n] = std::max(chains[n], chains[static_cast<std::size_t>(before)]);
+        }
+        if (!step.isDone()) {
+            chains[n] += job.expected[n];
+            const auto open = static_cast<double>(spec.steps[n].count - step.doneCount);
+            outlook.work += open * seconds(job.expected[n])
+                * static_cast<double>(std::max<std::int64_t>(spec.steps[n].needs.milliCores, 1)) / 1000;
+        }
+        outlook.remaining = std::max(outlook.remaining, chains[n]);
+    }
+    return outlook;
+}
+
+// Tasks that a former leader may have started somewhere wait until every worker of
+// its roster has said what it runs.
+bool Fleet::Private::isBlocked(const TrackedJob &job, TimePoint now) const
+{
+    return !unheard.empty() && job.version <= claimVersion && now < formerLeasesEnd;
+}
+
+std::vector<Fleet::Private::WaitingStep> Fleet::Private::waitingSteps(TimePoint now, jobs::WallTime wall)
+{
+    std::vector<WaitingStep> waiting;
+    for (auto &[key, job] : jobsByKey) {
+        if (!job->job.isOpen() || isBlocked(*job, now)) {
+            continue;
+        }
+        if (job->job.spec().isTimed()) {
+            job->job.openDue(wall);
+        }
+        for (int k = 0; k < static_cast<int>(job->job.occurrences().size()); ++k) {
+            if (job->job.occurrences()[static_cast<std::size_t>(k)].openSteps == 0) {
+                continue;
+            }
+            scheduling::Rank rank;
+            bool isRanked = false;
+            for (int s = 0; s < static_cast<int>(job->job.spec().steps.size()); ++s) {
+                if (!job->job.step(k, s).hasWaiting() || !job->job.isReady(k, s)) {
+                    continue;
+                }
+                if (!isRanked) {
+                    refreshExpected(*job, now);
+                    rank = waitingOrder->rank(outlook(*job, k, now, wall), now);
+                    isRanked = true;
+                }
+                waiting.push_back({job.get(), k, s, rank});
+            }
+        }
+    }
+    std::ranges::sort(waiting, [](const WaitingStep &a, const WaitingStep &b) {
+        return std::tuple(a.rank, a.job->job.key(), a.occurrence, a.step)
+            < std::tuple(b.rank, b.job->job.key(), b.occurrence, b.step);
+    });
+    return waiting;
+}
+
+workers::Worker *Fleet::Private::findRoom(const TrackedJob &job, const jobs::TaskId &task,
+                                          std::string_view preferredRack, TimePoint now)
+{
+    const auto &spec = job.job.stepSpec(task.step);
+    scheduling::TaskDemand demand{task, &spec, policyOf(job).service.view(), preferredRack, {}};
+    const bool isHopeless = std::ranges::any_of(failedDemands, [&](const FailedDemand &it) {
+        return it.service == demand.service && it.usesLeftover == spec.usesLeftover && spec.needs.holds(it.needs);
+    });
+    if (isHopeless) {
+        return nullptr;
+    }
+    auto *worker = workerChooser->choose(demand, workers, now);
+    const bool isPlain = spec.requiredLabel.empty() && spec.maxPerWorker == 0;
+    if (worker == nullptr && isPlain) {
+        failedDemands.push_back({demand.service, spec.usesLeftover, spec.needs});
+    }
+    return worker;
+}
+
+jobs::RunNumber Fleet::Private::nextRun(const jobs::Task &task) const
+{
+    return std::max(task.lastRun, (fence.value - 1) * RunsPerTenure) + 1;
+}
+
+void Fleet::Private::orderStart(TrackedJob &job, const jobs::TaskId &task, workers::Worker &worker,
+                                jobs::RunNumber number, TimePoint now, Orders &orders)
+{
+    const auto &spec = job.job.stepSpec(task.step);
+    workers::Run run;
+    run.task = task;
+    run.number = number;
+    run.needs = spec.needs;
+    run.usesLeftover = spec.usesLeftover;
+    run.isLasting = spec.isLasting;
+    run.orderedAt = now;
+    run.progressedAt = now;
+    run.startDeadline = worker.startDeadline(now);
+    worker.add(run);
+    ++job.runs;
+    const auto checkpoint = job.job.task(task).checkpoint;
+    job.job.noteStarted(task, number);
+    log.record("start", {{"task", jobs::taskName(task)},
+                         {"run", number},
+                         {"worker", worker.entry().id.view()},
+                         {"waitedMs", toMilliseconds(now - job.job.acceptedAt())},
+                         {"freeCores", worker.freeRoom().milliCores}});
+    orders.starts.push_back({worker.entry().id, task, number, checkpoint, {}, run.startDeadline});
+}
+
+void Fleet::Private::placeStep(const WaitingStep &waiting, TimePoint now, Orders &orders)
+{
+    auto &job = *waiting.job;
+    const auto count = job.job.stepSpec(waiting.step).count;
+    for (int n = 0; n < count; ++n) {
+        const jobs::TaskId id{job.job.key(), waiting.occurrence, waiting.step, n};
+        const auto &task = job.job.task(id);
+        if (!task.isWaiting() || now < task.retryAt) {
+            continue;
+        }
+        auto *worker = findRoom(job, id, {}, now);
+        if (worker == nullptr) {
+            return;
+        }
+        orderStart(job, id, *worker, nextRun(task), now, orders);
+    }
+}
+
+// The members of a gang start together or not at all, so that none waits for
+// others without working.
+void Fleet::Private::placeGang(const WaitingStep &waiting, TimePoint now, Orders &orders)
+{
+    auto &job = *waiting.job;
+    const auto &spec = job.job.stepSpec(waiting.step);
+    const auto &step = job.job.step(waiting.occurrence, waiting.step);
+    jobs::RunNumber number = 0;
+    for (const auto &it : step.tasks) {
+        if (!it.isWaiting() || now < it.retryAt) {
+            return;
+        }
+        number = std::max(number, nextRun(it));
+    }
+    std::vector<workers::Worker *> chosen;
+    std::string_view rack;
+    for (int n = 0; n < spec.count; ++n) {
+        const jobs::TaskId id{job.job.key(), waiting.occurrence, waiting.step, n};
+        auto *worker = findRoom(job, id, spec.isColocated ? rack : std::string_view(), now);
+        if (worker == nullptr) {
+            break;
+        }
+        rack = worker->entry().rack;
+        workers::Run placeholder;
+        placeholder.task = id;
+        placeholder.needs = spec.needs;
+        placeholder.usesLeftover = spec.usesLeftover;
+        worker->add(placeholder);
+        chosen.push_back(worker);
+    }
+    for (std::size_t n = 0; n < chosen.size(); ++n) {
+        chosen[n]->remove({job.job.key(), waiting.occurrence, waiting.step, static_cast<int>(n)});
+    }
+    if (static_cast<int>(chosen.size()) < spec.count) {
+        return;
+    }
+    for (int n = 0; n < spec.count; ++n) {
+        orderStart(job, {job.job.key(), waiting.occurrence, waiting.step, n}, *chosen[static_cast<std::size_t>(n)],
+                   number, now, orders);
+    }
+}
+
+} // namespace monsoonspool::execution
--- /dev/null
+++ b/src/execution/jobdesk.cpp
@@ -0,0 +1,213 @@
+#include "execution/jobdesk.h"
+
+#include "execution/rowlayout.h"
+#include "jobs/names.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace monsoonspool::execution {
+
+namespace {
+
+// Between tries of a call that the store refused or did not answer.
+constexpr Duration FirstRetry = 40ms;
+constexpr Duration MaxRetry = 320ms;
+// A host that the store refuses for so long tells the client to ask another host.
+constexpr Duration RefusedPatience = 700ms;
+
+struct StoredProgress
+{
+    std::uint64_t version = 0;
+    jobs::JobProgress progress;
+};
+
+} // namespace
+
+struct JobDesk::Private : std::enable_shared_from_this<JobDesk::Private>
+{
+    Private(ports::ChangeStore &changeStore, ports::Scheduler &s, const RowCodec &rowCodec, DecisionLog &decisionLog)
+        : store(changeStore), scheduler(s), codec(rowCodec), log(decisionLog)
+    {
+    }
+
+    // One submission and its tries.
+    struct Submission
+    {
+        jobs::JobKey key;
+        ports::Commit commit;
+        TimePoint startedAt;
+        TimePoint deadline;
+        Duration pause = FirstRetry;
+        bool maybeStored = false;
+        std::function<void(JobAnswer)> reply;
+    };
+    using SubmissionPointer = std::shared_ptr<Submission>;
+
+    void trySubmit(const SubmissionPointer &submission)
+    {
+        store.commit(submission->commit,
+                     [self = shared_from_this(), submission](const ports::AsyncResult<ports::CommitResult> &result) {
+                         self->onSubmitted(submission, result);
+                     });
+    }
+
+    void onSubmitted(const SubmissionPointer &submission, const ports::AsyncResult<ports::CommitResult> &result)
+    {
+        if (result.isOk()) {
+            // A refusal means that the rows are there: an earlier try, or the client's
+            // earlier call at this or another host.
+            finish(*submission, JobAnswer::Accepted, result.value().isApplied ? "stored" : "already stored");
+            return;
+        }
+        const bool isLost = result.failure().kind == ErrorKind::StoreReplyLost;
+        submission->maybeStored = submission->maybeStored || isLost;
+        const auto now = scheduler.now();
+        const bool isTired = !submission->maybeStored && now - submission->startedAt > RefusedPatience;
+        if (isTired || now + submission->pause >= submission->deadline) {
+            finish(*submission, submission->maybeStored ? JobAnswer::Unknown : JobAnswer::NotAccepted,
+                   answerFor(result.failure().kind).name);
+            return;
+        }
+        scheduler.runAfter(submission->pause, [self = shared_from_this(), submission] { self->trySubmit(submission); });
+        submission->pause = std::min(submission->pause * 2, MaxRetry);
+    }
+
+    void finish(const Submission &submission, JobAnswer answer, std::string_view why)
+    {
+        constexpr std::string_view names[] = {"accepted", "not accepted", "unknown"};
+        log.record("job-submitted", {{"job", jobs::jobName(submission.key)},
+                                     {"answer", names[static_cast<std::size_t>(answer)]},
+                                     {"why", why},
+                                     {"tookMs", toMilliseconds(scheduler.now() - submission.startedAt)}});
+        submission.reply(answer);
+    }
+
+    using ProgressHandler = ports::Handler<std::optional<StoredProgress>>;
+
+    void readProgress(jobs::JobKey key, TimePoint deadline, Duration pause, const ProgressHandler &handler)
+    {
+        const auto row = progressRow(key);
+        store.scan(row.table, row.part, row.key, row.key + '\0',
+                   [self = shared_from_this(), key, deadline, pause,
+                    handler](const ports::AsyncResult<ports::RowPage> &result) {
+                       if (result.isOk()) {
+                           handler(self->decode(result.value()));
+                           return;
+                       }
+                       if (self->scheduler.now() + pause >= deadline) {
+                           handler(result.failure());
+                           return;
+                       }
+                       self->scheduler.runAfter(pause, [self, key, deadline, pause, handler] {
+                           self->readProgress(key, deadline, std::min(pause * 2, MaxRetry), handler);
+                       });
+                   });
+    }
+
+    ports::AsyncResult<std::optional<StoredProgress>> decode(const ports::RowPage &page)
+    {
+        if (page.rows.empty()) {
+            return std::optional<StoredProgress>();
+        }
+        return handleFailure(
+            [&]() -> Result<ports::AsyncResult<std::optional<StoredProgress>>> {
+                BOOST_LEAF_AUTO(progress, codec.decodeProgress(page.rows.front().value));
+                return ports::AsyncResult<std::optional<StoredProgress>>(
+                    StoredProgress{page.rows.front().version, std::move(progress)});
+            },
+            [&](const Failure &failure) {
+                log.record("row-unreadable", {{"key", page.rows.front().name.key}, {"detail", failure.detail}});
+                return ports::AsyncResult<std::optional<StoredProgress>>(failure);
+            });
+    }
+
+    void tryCancel(jobs::JobKey key, TimePoint deadline, const ports::Handler<JobStatus> &reply)
+    {
+        readProgress(key, deadline, FirstRetry,
+                     [self = shared_from_this(), key, deadline,
+                      reply](const ports::AsyncResult<std::optional<StoredProgress>> &result) {
+                         if (!result.isOk()) {
+                             reply(result.failure());
+                         } else if (!result.value()) {
+                             reply(JobStatus{});
+                         } else if (jobs::isFinal(result.value()->progress.state)) {
+                             reply(JobStatus{true, result.value()->progress.state});
+                         } else {
+                             self->writeCancel(key, *result.value(), deadline, reply);
+                         }
+                     });
+    }
+
+    void writeCancel(jobs::JobKey key, StoredProgress stored, TimePoint deadline,
+                     const ports::Handler<JobStatus> &reply)
+    {
+        stored.progress.state = jobs::JobState::Cancelled;
+        ports::Commit commit;
+        commit.conditions.push_back({progressRow(key), stored.version});
+        commit.writes.push_back({progressRow(key), codec.encode(stored.progress)});
+        commit.writes.push_back({cancelRow(key), {}});
+        store.commit(std::move(commit), [self = shared_from_this(), key, deadline,
+                                         reply](const ports::AsyncResult<ports::CommitResult> &result) {
+            if (result.isOk() && result.value().isApplied) {
+                self->log.record("job-cancelled", {{"job", jobs::jobName(key)}});
+                reply(JobStatus{true, jobs::JobState::Cancelled});
+                return;
+            }
+            // The leader wrote meanwhile, or the outcome is not known: look again.
+            if (self->scheduler.now() + FirstRetry >= deadline) {
+                reply(result.isOk() ? Failure{ErrorKind::StoreConflict, jobs::jobName(key)} : result.failure());
+                return;
+            }
+            self->scheduler.runAfter(result.isOk() ? Duration(0) : FirstRetry, [self, key, deadline, reply] {
+                self->tryCancel(key, deadline, reply);
+            });
+        });
+    }
+
+    ports::ChangeStore &store;
+    ports::Scheduler &scheduler;
+    const RowCodec &codec;
+    DecisionLog &log;
+};
+
+JobDesk::JobDesk(ports::ChangeStore &store, ports::Scheduler &scheduler, const RowCodec &codec, DecisionLog &log)
+    : d(std::make_shared<Private>(store, scheduler, codec, log))
+{
+}
+
+JobDesk::~JobDesk() = default;
+
+void JobDesk::submit(AcceptedJob job, TimePoint deadline, std::function<void(JobAnswer)> reply)
+{
+    auto submission = std::make_shared<Private::Submission>();
+    submission->key = job.key;
+    submission->commit.conditions.push_back({progressRow(job.key), 0});
+    submission->commit.writes.push_back({jobRow(job.key), d->codec.encode(job)});
+    submission->commit.writes.push_back({progressRow(job.key), d->codec.encode(jobs::JobProgress())});
+    submission->startedAt = d->scheduler.now();
+    submission->deadline = deadline;
+    submission->reply = std::move(reply);
+    d->trySubmit(submission);
+}
+
+void JobDesk::status(jobs::JobKey key, TimePoint deadline, ports::Handler<JobStatus> reply)
+{
+    d->readProgress(key, deadline, FirstRetry,
+                    [reply = std::move(reply)](const ports::AsyncResult<std::optional<StoredProgress>> &result) {
+                        if (!result.isOk()) {
+                            reply(result.failure());
+                        } else if (!result.value()) {
+                            reply(JobStatus{});
+                        } else {
+                            reply(JobStatus{true, result.value()->progress.state});
+                        }
+                    });
+}
+
+void JobDesk::cancel(jobs::JobKey key, TimePoint deadline, ports::Handler<JobStatus> reply)
+{
+    d->tryCancel(key, deadline, reply);
+}
+
+} // namespace monsoonspool::execution
--- /dev/null
+++ b/src/execution/orders.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "common/identifiers.h"
+#include "jobs/taskid.h"
+#include "ports/workerlink.h"
+
+#include <string>
+#include <vector>
+
+namespace monsoonspool::execution {
+
+// What the scheduler decided and somebody has to carry out.
+
+struct StartTask
+{
+    WorkerId worker;
+    jobs::TaskId task;
+    jobs::RunNumber run = 0;
+    std::string checkpoint;
+    std::string ticket;
+    ports::WorkerMillis deadline = 0;
+};
+
+struct StopTask
+{
+    WorkerId worker;
+    jobs::TaskId task;
+    jobs::RunNumber run = 0;
+};
+
+struct PaceTask
+{
+    WorkerId worker;
+    jobs::TaskId task;
+    jobs::RunNumber run = 0;
+    int percent = 100;
+};
+
+struct Orders
+{
+    std::vector<StartTask> starts;
+    std::vector<StopTask> stops;
+    std::vector<PaceTask> paces;
+};
+
+} // namespace monsoonspool::execution
--- /dev/null
+++ b/src/execution/rowlayout.cpp
@@ -0,0 +1,76 @@
+#include "execution/rowlayout.h"
+
+#include "jobs/names.h"
+
+#include <charconv>
+
+namespace monsoonspool::execution {
+
+namespace {
+
+constexpr int PartCount = 4;
+constexpr int PartShift = 62; // the highest bits of the key
+constexpr std::size_t KeyDigits = 16;
+constexpr int HexBase = 16;
+
+} // namespace
+
+std::string partOf(jobs::JobKey job)
+{
+    return std::to_string(job.value >> PartShift);
+}
+
+std::vector<std::string> jobParts()
+{
+    std::vector<std::string> parts;
+    for (int n = 0; n < PartCount; ++n) {
+        parts.push_back(std::to_string(n));
+    }
+    return parts;
+}
+
+ports::RowName jobRow(jobs::JobKey job)
+{
+    return {std::string(JobsTable), partOf(job), jobs::jobName(job)};
+}
+
+ports::RowName cancelRow(jobs::JobKey job)
+{
+    return {std::string(JobsTable), partOf(job), jobs::jobName(job) + CancelSuffix};
+}
+
+ports::RowName progressRow(jobs::JobKey job)
+{
+    return {std::string(ProgressTable), partOf(job), jobs::jobName(job)};
+}
+
+ports::RowName leaderRow()
+{
+    return {std::string(LeaderTable), {}, std::string(LeaderKey)};
+}
+
+ports::RowName rosterRow()
+{
+    return {std::string(LeaderTable), {}, std::string(RosterKey)};
+}
+
+std::optional<jobs::JobKey> jobOfKey(std::string_view key)
+{
+    if (key.size() < KeyDigits) {
+        return std::nullopt;
+    }
+    jobs::JobKey job;
+    const auto *end = key.data() + KeyDigits;
+    const auto [stop, ec] = std::from_chars(key.data(), end, job.value, HexBase);
+    if (ec != std::errc() || stop != end) {
+        return std::nullopt;
+    }
+    return job;
+}
+
+bool isCancelKey(std::string_view key)
+{
+    return key.size() == KeyDigits + 1 && key.back() == CancelSuffix;
+}
+
+} // namespace monsoonspool::execution
--- /dev/null
+++ b/src/execution/rowlayout.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "jobs/taskid.h"
+#include "ports/changestore.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+// Where this part of the product keeps what must last.
+//
+//   table     part   key         written                       read
+//   jobs      0..3   ID          once, when a job is accepted  by the leader, as it changes
+//   jobs      0..3   ID + "x"    when a job is cancelled       by the leader, as it changes
+//   progress  0..3   ID          by the leader, as tasks end;  by any host that is asked
+//                                by any host that cancels
+//   leader    ""     "leader"    at a claim, then each beat    by all hosts, as it changes
+//   leader    ""     "workers"   before a new worker is used   by a new leader
+namespace monsoonspool::execution {
+
+inline constexpr std::string_view JobsTable = "jobs";
+inline constexpr std::string_view ProgressTable = "progress";
+inline constexpr std::string_view LeaderTable = "leader";
+inline constexpr std::string_view LeaderKey = "leader";
+inline constexpr std::string_view RosterKey = "workers";
+inline constexpr char CancelSuffix = 'x';
+
+// Returns the part for rows of `job`. One part takes a few hundred commits a
+// second; four carry several times today's peak.
+std::string partOf(jobs::JobKey job);
+// Returns all parts.
+std::vector<std::string> jobParts();
+
+ports::RowName jobRow(jobs::JobKey job);
+ports::RowName cancelRow(jobs::JobKey job);
+ports::RowName progressRow(jobs::JobKey job);
+ports::RowName leaderRow();
+ports::RowName rosterRow();
+
+// Returns the job that a row's key names, or nothing for a foreign key.
+std::optional<jobs::JobKey> jobOfKey(std::string_view key);
+// Returns whether the key is that of a cancellation.
+bool isCancelKey(std::string_view key);
+
+} // namespace monsoonspool::execution
--- /dev/null
+++ b/src/execution/workerkeeper.cpp
@@ -0,0 +1,191 @@
+#include "execution/workerkeeper.h"
+
+#include <set>
+
+namespace monsoonspool::execution {
+
+namespace {
+
+// After a listing with ends, so that the ends of one moment share the next call.
+constexpr Duration EndsPause = 30ms;
+// After a listing without ends: the worker waited for one already.
+constexpr Duration QuietPause = 0ms;
+// After a call that failed.
+constexpr Duration SilencePause = 300ms;
+// While leases may not be renewed.
+constexpr Duration IdlePause = 500ms;
+
+} // namespace
+
+struct WorkerKeeper::Private : std::enable_shared_from_this<WorkerKeeper::Private>
+{
+    Private(ports::WorkerLink &workerLink, ports::Scheduler &s, Fleet &f, Hooks h)
+        : link(workerLink), scheduler(s), fleet(f), hooks(std::move(h))
+    {
+    }
+
+    void renewAfter(const WorkerId &id, Duration delay)
+    {
+        if (delay == Duration(0)) {
+            renew(id);
+            return;
+        }
+        scheduler.runAfter(delay, [self = shared_from_this(), id] {
+            if (!self->isClosed) {
+                self->renew(id);
+            }
+        });
+    }
+
+    void renew(const WorkerId &id)
+    {
+        const auto *entry = fleet.entryOf(id);
+        if (entry == nullptr) {
+            kept.erase(id);
+            link.forget(id);
+            return;
+        }
+        if (!hooks.mayDecide()) {
+            renewAfter(id, IdlePause);
+            return;
+        }
+        const auto sentAt = scheduler.now();
+        link.renew(*entry, fleet.leaseOrder(id, sentAt),
+                   [self = shared_from_this(), id, sentAt](const ports::AsyncResult<ports::WorkerListing> &result) {
+                       if (!self->isClosed) {
+                           self->onListing(id, sentAt, result);
+                       }
+                   });
+    }
+
+    void onListing(const WorkerId &id, TimePoint sentAt, const ports::AsyncResult<ports::WorkerListing> &result)
+    {
+        if (!result.isOk()) {
+            if (result.failure().kind == ErrorKind::StaleEpoch) {
+                hooks.onFenced();
+                return;
+            }
+            fleet.noteSilence(id, scheduler.now());
+            hooks.onChange();
+            renewAfter(id, SilencePause);
+            return;
+        }
+        fleet.noteListing(id, result.value(), sentAt, scheduler.now());
+        hooks.onChange();
+        if (!isClosed) {
+            renewAfter(id, result.value().ended.empty() ? QuietPause : EndsPause);
+        }
+    }
+
+    void start(const StartTask &order)
+    {
+        const auto *entry = fleet.entryOf(order.worker);
+        const auto *job = fleet.find(order.task.job);
+        if (entry == nullptr || job == nullptr) {
+            return;
+        }
+        const ports::RunOrder run{fleet.fence(),    order.task,   order.run,     job->spec().payload,
+                                  order.checkpoint, order.ticket, order.deadline};
+        link.start(*entry, run, [self = shared_from_this(), order](const ports::AsyncResult<ports::RunAnswer> &result) {
+            if (!self->isClosed) {
+                self->onStart(order, result);
+            }
+        });
+    }
+
+    void onStart(const StartTask &order, const ports::AsyncResult<ports::RunAnswer> &result)
+    {
+        const auto now = scheduler.now();
+        if (result.isOk()) {
+            fleet.noteStart(order, result.value(), now);
+            if (result.value() != ports::RunAnswer::Accepted) {
+                hooks.onChange();
+            }
+            return;
+        }
+        const auto kind = result.failure().kind;
+        if (kind == ErrorKind::StaleEpoch) {
+            hooks.onFenced();
+            return;
+        }
+        const bool maybeStarted = kind != ErrorKind::DaemonUnreachable && kind != ErrorKind::Superseded;
+        fleet.noteStartFailed(order, maybeStarted, now);
+        hooks.onChange();
+    }
+
+    void stop(const StopTask &order)
+    {
+        const auto *entry = fleet.entryOf(order.worker);
+        if (entry == nullptr) {
+            return;
+        }
+        link.stop(*entry, fleet.fence(), order.task, order.run,
+                  [self = shared_from_this(), order](const ports::AsyncResult<ports::Done> &result) {
+                      if (self->isClosed) {
+                          return;
+                      }
+                      if (result.isOk()) {
+                          self->fleet.noteStopped(order, self->scheduler.now());
+                      } else if (result.failure().kind == ErrorKind::StaleEpoch) {
+                          self->hooks.onFenced();
+                      } else {
+                          self->fleet.noteStopFailed(order, self->scheduler.now());
+                      }
+                  });
+    }
+
+    void pace(const PaceTask &order)
+    {
+        const auto *entry = fleet.entryOf(order.worker);
+        if (entry == nullptr) {
+            return;
+        }
+        link.pace(*entry, fleet.fence(), order.task, order.run, order.percent,
+                  [self = shared_from_this(), order](const ports::AsyncResult<ports::Done> &result) {
+                      if (!self->isClosed && !result.isOk()) {
+                          self->fleet.notePaceFailed(order);
+                      }
+                  });
+    }
+
+    ports::WorkerLink &link;
+    ports::Scheduler &scheduler;
+    Fleet &fleet;
+    Hooks hooks;
+    std::set<WorkerId> kept;
+    bool isClosed = false;
+};
+
+WorkerKeeper::WorkerKeeper(ports::WorkerLink &link, ports::Scheduler &scheduler, Fleet &fleet, Hooks hooks)
+    : d(std::make_shared<Private>(link, scheduler, fleet, std::move(hooks)))
+{
+}
+
+WorkerKeeper::~WorkerKeeper()
+{
+    d->isClosed = true;
+}
+
+void WorkerKeeper::syncWorkers()
+{
+    for (const auto &it : d->fleet.workerIds()) {
+        if (d->kept.insert(it).second) {
+            d->renew(it);
+        }
+    }
+}
+
+void WorkerKeeper::carryOut(const Orders &orders)
+{
+    for (const auto &it : orders.stops) {
+        d->stop(it);
+    }
+    for (const auto &it : orders.starts) {
+        d->start(it);
+    }
+    for (const auto &it : orders.paces) {
+        d->pace(it);
+    }
+}
+
+} // namespace monsoonspool::execution
--- a/src/http/apiclient.cpp
+++ b/src/http/apiclient.cpp
@@ -25,7 +25,7 @@
 struct PendingCall
 {
     ApiCall call;
-    platform::Handler<ApiAnswer> handler;
+    ports::Handler<ApiAnswer> handler;
 };
 
 } // namespace
@@ -47,12 +47,12 @@
         beast::flat_buffer buffer;
         bhttp::request<bhttp::string_body> request;
         std::optional<bhttp::response_parser<bhttp::string_body>> parser;
-        platform::Handler<ApiAnswer> handler;
+        ports::Handler<ApiAnswer> handler;
         std::chrono::steady_clock::time_point lastUsed;
     };
     using ConnectionPointer = std::shared_ptr<Connection>;
 
-    Private(asio::io_context &context, platform::Address target, int connections)
+    Private(asio::io_context &context, ports::Address target, int connections)
         : io(context), address(std::move(target)), maxConnections(connections)
     {
     }
@@ -62,10 +62,10 @@
     void connect(const ConnectionPointer &connection, std::chrono::milliseconds timeout);
     void write(const ConnectionPointer &connection);
     void onRead(const ConnectionPointer &connection, beast::error_code ec);
-    void finish(const ConnectionPointer &connection, const platform::AsyncResult<ApiAnswer> &result, bool isReusable);
+    void finish(const ConnectionPointer &connection, const ports::AsyncResult<ApiAnswer> &result, bool isReusable);
 
     asio::io_context &io;
-    platform::Address address;
+    ports::Address address;
     int maxConnections;
     int openConnections = 0;
     bool isClosed = false;
@@ -73,7 +73,7 @@
     std::vector<ConnectionPointer> idle;
 };
 
-ApiClient::ApiClient(asio::io_context &io, platform::Address address, int maxConnections)
+ApiClient::ApiClient(asio::io_context &io, ports::Address address, int maxConnections)
     : d(std::make_shared<Private>(io, std::move(address), maxConnections))
 {
 }
@@ -85,7 +85,7 @@
     d->pending.clear();
 }
 
-void ApiClient::call(ApiCall call, platform::Handler<ApiAnswer> handler)
+void ApiClient::call(ApiCall call, ports::Handler<ApiAnswer> handler)
 {
     d->pending.push_back({std::move(call), std::move(handler)});
     d->startNext();
@@ -204,7 +204,7 @@
     finish(connection, answer, isReusable);
 }
 
-void ApiClient::Private::finish(const ConnectionPointer &connection, const platform::AsyncResult<ApiAnswer> &result,
+void ApiClient::Private::finish(const ConnectionPointer &connection, const ports::AsyncResult<ApiAnswer> &result,
                                 bool isReusable)
 {
     const auto handler = std::move(connection->handler);
@@ -222,12 +222,12 @@
     startNext();
 }
 
-Result<ApiAnswer> callAndWait(const platform::Address &address, const ApiCall &call)
+Result<ApiAnswer> callAndWait(const ports::Address &address, const ApiCall &call)
 {
     asio::io_context io;
     ApiClient client(io, address, 1);
-    std::optional<platform::AsyncResult<ApiAnswer>> result;
-    client.call(call, [&](const platform::AsyncResult<ApiAnswer> &it) { result = it; });
+    std::optional<ports::AsyncResult<ApiAnswer>> result;
+    client.call(call, [&](const ports::AsyncResult<ApiAnswer> &it) { result = it; });
     io.run();
     if (!result) {
         return fail(ErrorKind::Internal, "the call ended without a result");
--- a/src/http/apiclient.h
+++ b/src/http/apiclient.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "common/error.h"
-#include "platform/asyncresult.h"
-#include "platform/hostlist.h"
+#include "ports/asyncresult.h"
+#include "ports/hostlist.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -43,12 +43,12 @@
 class ApiClient
 {
 public:
-    ApiClient(boost::asio::io_context &io, platform::Address address, int maxConnections = 16);
+    ApiClient(boost::asio::io_context &io, ports::Address address, int maxConnections = 16);
     ~ApiClient();
     ApiClient(const ApiClient &) = delete;
     ApiClient &operator=(const ApiClient &) = delete;
 
-    void call(ApiCall call, platform::Handler<ApiAnswer> handler);
+    void call(ApiCall call, ports::Handler<ApiAnswer> handler);
 
 private:
     struct Private;
@@ -56,6 +56,6 @@
 };
 
 // Makes one call and waits for its answer; for the command-line tool.
-Result<ApiAnswer> callAndWait(const platform::Address &address, const ApiCall &call);
+Result<ApiAnswer> callAndWait(const ports::Address &address, const ApiCall &call);
 
 } // namespace monsoonspool::http
--- a/src/http/apiserver.cpp
+++ b/src/http/apiserver.cpp
@@ -25,8 +25,8 @@
 class ApiConnection : public std::enable_shared_from_this<ApiConnection>
 {
 public:
-    ApiConnection(tcp::socket socket, ApiHandler &handler, ApiLimits limits)
-        : m_stream(std::move(socket)), m_handler(handler), m_limits(limits)
+    ApiConnection(tcp::socket socket, ApiHandler &handler, ApiLimits limits, std::shared_ptr<const bool> isDraining)
+        : m_stream(std::move(socket)), m_handler(handler), m_limits(limits), m_isDraining(std::move(isDraining))
     {
     }
 
@@ -80,7 +80,7 @@
         const bool keepAlive = message.keep_alive();
         m_stream.expires_never();
         m_handler.handle(request, [self = shared_from_this(), keepAlive](ApiResponse response) {
-            self->respond(std::move(response), keepAlive);
+            self->respond(std::move(response), keepAlive && !*self->m_isDraining);
         });
     }
 
@@ -123,6 +123,7 @@
     beast::tcp_stream m_stream;
     ApiHandler &m_handler;
     ApiLimits m_limits;
+    std::shared_ptr<const bool> m_isDraining;
     beast::flat_buffer m_buffer;
     std::optional<bhttp::request_parser<bhttp::string_body>> m_parser;
     bhttp::response<bhttp::string_body> m_response;
@@ -180,7 +181,7 @@
             }
             beast::error_code ignored;
             socket.set_option(tcp::no_delay(true), ignored);
-            std::make_shared<ApiConnection>(std::move(socket), self->handler, self->limits)->read();
+            std::make_shared<ApiConnection>(std::move(socket), self->handler, self->limits, self->isDraining)->read();
             self->accept();
         });
     }
@@ -199,6 +200,7 @@
     asio::io_context &io;
     ApiHandler &handler;
     ApiLimits limits;
+    std::shared_ptr<bool> isDraining = std::make_shared<bool>(false);
     tcp::acceptor acceptor;
     asio::steady_timer retryTimer;
 };
@@ -213,19 +215,24 @@
     stop();
 }
 
-Result<void> ApiServer::listen(const platform::Address &address)
+Result<void> ApiServer::listen(const ports::Address &address)
 {
     BOOST_LEAF_CHECK(openAcceptor(d->acceptor, address));
     d->accept();
     return {};
 }
 
-platform::Address ApiServer::address() const
+ports::Address ApiServer::address() const
 {
     const auto endpoint = d->acceptor.local_endpoint();
     return {endpoint.address().to_string(), endpoint.port()};
 }
 
+void ApiServer::drain()
+{
+    *d->isDraining = true;
+}
+
 void ApiServer::stop()
 {
     beast::error_code ignored;
--- a/src/http/apiserver.h
+++ b/src/http/apiserver.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "common/error.h"
-#include "platform/hostlist.h"
+#include "ports/hostlist.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -69,10 +69,13 @@
 
     // Starts to listen; port 0 takes any free one.
     // Fails with AddressInUse if the address cannot be taken.
-    Result<void> listen(const platform::Address &address);
+    Result<void> listen(const ports::Address &address);
 
     // Returns the address that is listened on.
-    platform::Address address() const;
+    ports::Address address() const;
+
+    // Closes each connection with its next answer, so that callers go elsewhere.
+    void drain();
 
     // Accepts no more connections.
     void stop();
--- a/src/http/listen.cpp
+++ b/src/http/listen.cpp
@@ -6,7 +6,7 @@
 
 namespace asio = boost::asio;
 
-Result<asio::ip::tcp::endpoint> endpointOf(const platform::Address &address)
+Result<asio::ip::tcp::endpoint> endpointOf(const ports::Address &address)
 {
     boost::system::error_code ec;
     const auto ip = asio::ip::make_address(address.ip, ec);
@@ -16,7 +16,7 @@
     return asio::ip::tcp::endpoint(ip, address.port);
 }
 
-Result<void> openAcceptor(asio::ip::tcp::acceptor &acceptor, const platform::Address &address)
+Result<void> openAcceptor(asio::ip::tcp::acceptor &acceptor, const ports::Address &address)
 {
     BOOST_LEAF_AUTO(endpoint, endpointOf(address));
     boost::system::error_code ec;
@@ -37,15 +37,15 @@
     return {};
 }
 
-std::string addressText(const platform::Address &address)
+std::string addressText(const ports::Address &address)
 {
     return address.ip + ":" + std::to_string(address.port);
 }
 
-Result<platform::Address> parseAddress(std::string_view text)
+Result<ports::Address> parseAddress(std::string_view text)
 {
     const auto colon = text.rfind(':');
-    platform::Address address;
+    ports::Address address;
     if (colon != std::string_view::npos) {
         address.ip = text.substr(0, colon);
         const auto port = text.substr(colon + 1);
--- /dev/null
+++ b/src/jobs/job.cpp
@@ -0,0 +1,257 @@
+#include "jobs/job.h"
+
+#include <algorithm>
+
+namespace monsoonspool::jobs {
+
+namespace {
+
+constexpr char DoneMark = 'D';
+constexpr int MaxFailureDigit = 9;
+
+// A task that failed waits for a moment, so that a worker that fails everything
+// does not burn all attempts at once.
+constexpr Duration RetryPause = 20ms;
+
+} // namespace
+
+std::string_view jobStateName(JobState state)
+{
+    switch (state) {
+    case JobState::Queued:
+        return "queued";
+    case JobState::Running:
+        return "running";
+    case JobState::Completed:
+        return "completed";
+    case JobState::Failed:
+        return "failed";
+    case JobState::Cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+Job::Job(JobKey key, JobSpec spec, std::string queue, TimePoint acceptedAt)
+    : m_key(key), m_spec(std::move(spec)), m_queue(std::move(queue)), m_acceptedAt(acceptedAt)
+{
+    if (!m_spec.isTimed()) {
+        openOccurrence();
+    }
+}
+
+void Job::openOccurrence()
+{
+    auto &occurrence = m_occurrences.emplace_back();
+    for (const auto &it : m_spec.steps) {
+        occurrence.steps.emplace_back().tasks.resize(static_cast<std::size_t>(it.count));
+    }
+    occurrence.openSteps = static_cast<int>(m_spec.steps.size());
+}
+
+void Job::openDue(WallTime now)
+{
+    while (isOpen() && static_cast<int>(m_occurrences.size()) < m_spec.occurrenceCount()
+           && m_spec.firstDue + m_spec.interval * static_cast<std::int64_t>(m_occurrences.size()) <= now) {
+        openOccurrence();
+    }
+}
+
+bool Job::contains(const TaskId &id) const
+{
+    if (id.occurrence < 0 || id.occurrence >= m_spec.occurrenceCount() || id.step < 0
+        || id.step >= static_cast<int>(m_spec.steps.size())) {
+        return false;
+    }
+    return id.index >= 0 && id.index < stepSpec(id.step).count;
+}
+
+const Step &Job::step(int occurrence, int step) const
+{
+    return m_occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)];
+}
+
+Step &Job::mutableStep(int occurrence, int step)
+{
+    // A worker may tell of an occurrence that is not due by this host's clock yet.
+    while (static_cast<int>(m_occurrences.size()) <= occurrence) {
+        openOccurrence();
+    }
+    return m_occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)];
+}
+
+const Task &Job::task(const TaskId &id) const
+{
+    return step(id.occurrence, id.step).tasks[static_cast<std::size_t>(id.index)];
+}
+
+Task &Job::mutableTask(const TaskId &id)
+{
+    return mutableStep(id.occurrence, id.step).tasks[static_cast<std::size_t>(id.index)];
+}
+
+bool Job::isReady(int occurrence, int step) const
+{
+    const auto &all = m_occurrences[static_cast<std::size_t>(occurrence)].steps;
+    return std::ranges::all_of(stepSpec(step).after,
+                               [&](int it) { return all[static_cast<std::size_t>(it)].isDone(); });
+}
+
+void Job::noteStarted(const TaskId &id, RunNumber run)
+{
+    auto &step = mutableStep(id.occurrence, id.step);
+    auto &task = step.tasks[static_cast<std::size_t>(id.index)];
+    if (task.activeRuns++ == 0 && !task.isDone) {
+        ++step.activeCount;
+    }
+    task.lastRun = std::max(task.lastRun, run);
+    if (m_state == JobState::Queued) {
+        m_state = JobState::Running;
+    }
+}
+
+void Job::markDone(int occurrence, int step, Task &task)
+{
+    auto &owner = mutableStep(occurrence, step);
+    if (task.isDone) {
+        return;
+    }
+    task.isDone = true;
+    ++owner.doneCount;
+    if (task.activeRuns > 0) {
+        --owner.activeCount;
+    }
+    if (!owner.isDone()) {
+        return;
+    }
+    --m_occurrences[static_cast<std::size_t>(occurrence)].openSteps;
+    const bool isWhole = static_cast<int>(m_occurrences.size()) == m_spec.occurrenceCount()
+        && std::ranges::all_of(m_occurrences, [](const Occurrence &it) { return it.openSteps == 0; });
+    if (isWhole && isOpen()) {
+        m_state = JobState::Completed;
+    }
+}
+
+bool Job::markFailed(const TaskId &id, RunNumber run, int maxAttempts)
+{
+    const auto &spec = stepSpec(id.step);
+    auto &step = mutableStep(id.occurrence, id.step);
+    if (spec.isLasting) {
+        return false;
+    }
+    if (spec.isGang) {
+        if (step.lastFailedRun == run) {
+            return false;
+        }
+        step.lastFailedRun = run;
+        for (auto &it : step.tasks) {
+            ++it.failures;
+        }
+    } else {
+        ++mutableTask(id).failures;
+    }
+    if (mutableTask(id).failures >= maxAttempts && isOpen()) {
+        m_state = JobState::Failed;
+    }
+    return true;
+}
+
+bool Job::noteEnded(const TaskId &id, RunNumber run, RunEnd how, std::string_view checkpoint, int maxAttempts,
+                    TimePoint now)
+{
+    auto &step = mutableStep(id.occurrence, id.step);
+    auto &task = step.tasks[static_cast<std::size_t>(id.index)];
+    if (task.activeRuns > 0 && --task.activeRuns == 0 && !task.isDone) {
+        --step.activeCount;
+    }
+    if (task.isDone) {
+        return false;
+    }
+    if (!checkpoint.empty()) {
+        noteCheckpoint(id, checkpoint);
+    }
+    switch (how) {
+    case RunEnd::Done:
+        if (stepSpec(id.step).isLasting) {
+            return false;
+        }
+        if (stepSpec(id.step).isGang) {
+            for (auto &it : step.tasks) {
+                markDone(id.occurrence, id.step, it);
+            }
+        } else {
+            markDone(id.occurrence, id.step, task);
+        }
+        return true;
+    case RunEnd::Failed:
+        task.retryAt = now + RetryPause;
+        return markFailed(id, run, maxAttempts);
+    case RunEnd::Stopped:
+    case RunEnd::Lapsed:
+    case RunEnd::Broken:
+    case RunEnd::Alone:
+        break;
+    }
+    return false;
+}
+
+void Job::noteCheckpoint(const TaskId &id, std::string_view checkpoint)
+{
+    if (!stepSpec(id.step).isGang) {
+        mutableTask(id).checkpoint = checkpoint;
+        return;
+    }
+    // All members of a gang resume from one point.
+    for (auto &it : mutableStep(id.occurrence, id.step).tasks) {
+        it.checkpoint = checkpoint;
+    }
+}
+
+void Job::cancel()
+{
+    if (isOpen()) {
+        m_state = JobState::Cancelled;
+    }
+}
+
+JobProgress Job::progress() const
+{
+    JobProgress progress;
+    progress.state = m_state;
+    for (const auto &occurrence : m_occurrences) {
+        auto &steps = progress.occurrences.emplace_back();
+        for (const auto &step : occurrence.steps) {
+            auto &marks = steps.emplace_back();
+            for (const auto &task : step.tasks) {
+                marks += task.isDone ? DoneMark
+                                     : static_cast<char>('0' + std::min<int>(task.failures, MaxFailureDigit));
+            }
+        }
+    }
+    return progress;
+}
+
+void Job::restore(const JobProgress &progress)
+{
+    const auto occurrences = std::min(progress.occurrences.size(), static_cast<std::size_t>(m_spec.occurrenceCount()));
+    for (std::size_t k = 0; k < occurrences; ++k) {
+        const auto &steps = progress.occurrences[k];
+        for (std::size_t s = 0; s < std::min(steps.size(), m_spec.steps.size()); ++s) {
+            auto &step = mutableStep(static_cast<int>(k), static_cast<int>(s));
+            for (std::size_t n = 0; n < std::min(steps[s].size(), step.tasks.size()); ++n) {
+                auto &task = step.tasks[n];
+                if (steps[s][n] == DoneMark) {
+                    markDone(static_cast<int>(k), static_cast<int>(s), task);
+                } else {
+                    task.failures = std::max(task.failures, static_cast<std::uint8_t>(steps[s][n] - '0'));
+                }
+            }
+        }
+    }
+    const bool isFurther = isFinal(progress.state) || m_state == JobState::Queued;
+    if (isFurther && m_state != JobState::Completed) {
+        m_state = progress.state;
+    }
+}
+
+} // namespace monsoonspool::jobs
--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -105,4 +105,9 @@
     }
 }
 
+void logDecision(std::string_view event, std::initializer_list<Field> fields)
+{
+    log(Level::Info, event, fields);
+}
+
 } // namespace monsoonspool::logging
--- a/src/logging/log.h
+++ b/src/logging/log.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "common/decisionlog.h"
 #include "common/error.h"
 
-#include <concepts>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -22,20 +22,7 @@
     Json,
 };
 
-// One key of an event with its value as text.
-struct Field
-{
-    Field(std::string_view fieldKey, std::string_view fieldValue) : key(fieldKey), value(fieldValue)
-    {
-    }
-    template <std::integral T>
-    Field(std::string_view fieldKey, T number) : key(fieldKey), value(std::to_string(number))
-    {
-    }
-
-    std::string_view key;
-    std::string value;
-};
+using Field = DecisionField;
 
 // Sets up the logs of the process, which go to standard error.
 // Fails with InvalidSettings for an unknown level or format.
@@ -44,6 +31,10 @@
 // Writes one line for `event` with `fields`. Thread-safe.
 void log(Level level, std::string_view event, std::initializer_list<Field> fields = {});
 
+// Writes one line for a decision, if the event has not used up its budget of lines
+// for this second; what is left out is counted and told of. Thread-safe.
+void logDecision(std::string_view event, std::initializer_list<Field> fields);
+
 // Returns the line without its time and level, for tests.
 std::string formatEvent(Format format, std::string_view event, std::initializer_list<Field> fields);
 
--- a/src/membership/entryhosts.cpp
+++ b/src/membership/entryhosts.cpp
@@ -8,7 +8,7 @@
 {
 }
 
-void EntryHosts::setListed(std::span<const platform::ListedEntryHost> listed, TimePoint now)
+void EntryHosts::setListed(std::span<const ports::ListedEntryHost> listed, TimePoint now)
 {
     for (auto &[id, host] : m_others) {
         host.isListed = false;
@@ -21,7 +21,7 @@
         const bool isNew = host.id.isEmpty();
         host.id = it.id;
         host.isListed = true;
-        host.isListedLeaving = it.state == platform::HostState::Leaving;
+        host.isListedLeaving = it.state == ports::HostState::Leaving;
         if (isNew || !isHeard(host, now)) {
             host.peerAddress = it.peerAddress;
             host.region = it.region;
--- a/src/membership/entryhosts.h
+++ b/src/membership/entryhosts.h
@@ -3,7 +3,7 @@
 #include "common/identifiers.h"
 #include "common/time.h"
 #include "membership/heartbeat.h"
-#include "platform/hostlist.h"
+#include "ports/hostlist.h"
 
 #include <map>
 #include <optional>
@@ -16,7 +16,7 @@
 struct EntryHostState
 {
     EntryHostId id;
-    platform::Address peerAddress;
+    ports::Address peerAddress;
     RegionName region;
     std::uint64_t incarnation = 0;
     bool isListed = false;
@@ -42,7 +42,7 @@
     explicit EntryHosts(EntryHostState self);
 
     // Takes over the platform's list.
-    void setListed(std::span<const platform::ListedEntryHost> listed, TimePoint now);
+    void setListed(std::span<const ports::ListedEntryHost> listed, TimePoint now);
 
     // Takes in a heartbeat. Returns whether the host has a new incarnation.
     bool noteHeartbeat(const Heartbeat &heartbeat, TimePoint now);
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -2,7 +2,7 @@
 
 #include "common/identifiers.h"
 #include "common/time.h"
-#include "platform/hostlist.h"
+#include "ports/hostlist.h"
 
 #include <cstdint>
 #include <vector>
@@ -26,7 +26,7 @@
 {
     EntryHostId host;
     std::uint64_t incarnation = 0; // higher for a later run
-    platform::Address peerAddress;
+    ports::Address peerAddress;
     RegionName region;
     bool isLeaving = false;
     bool isStoreReachable = true;
--- /dev/null
+++ b/src/membership/leadership.cpp
@@ -0,0 +1,132 @@
+#include "membership/leadership.h"
+
+#include <algorithm>
+
+namespace monsoonspool::membership {
+
+namespace {
+
+// After a refused or unanswered write, before the next one.
+constexpr Duration RetryPause = 250ms;
+
+} // namespace
+
+Leadership::Leadership(EntryHostId self, std::uint64_t incarnation, TimePoint now)
+    : m_self(std::move(self)), m_incarnation(incarnation), m_startedAt(now), m_contactSince(now)
+{
+}
+
+void Leadership::noteRow(const std::optional<LeaderRow> &row, std::uint64_t version, TimePoint now)
+{
+    if (m_isRead && version <= m_version) {
+        return;
+    }
+    m_isRead = true;
+    m_row = row;
+    m_version = version;
+    m_changedAt = now;
+    const bool isOwn = row && row->host == m_self && row->incarnation == m_incarnation;
+    if (m_isLeader && !isOwn) {
+        stepDown(now);
+    }
+    if (isOwn && !m_isLeader && !m_isWriting) {
+        // A claim of this process took effect though its answer was lost.
+        m_isLeader = true;
+        m_fence = row->fence;
+        m_claimVersion = version;
+        m_renewedAt = now;
+    }
+}
+
+void Leadership::noteContact(TimePoint now)
+{
+    if (now - m_contactAt > ContactGap) {
+        m_contactSince = now;
+    }
+    m_contactAt = now;
+}
+
+std::optional<Leadership::Write> Leadership::dueWrite(Duration handicap, TimePoint now)
+{
+    if (!m_isRead || m_isWriting || now < m_retryAt) {
+        return std::nullopt;
+    }
+    if (m_isLeader) {
+        if (now - m_renewedAt < RenewInterval) {
+            return std::nullopt;
+        }
+        Write write{m_version, *m_row, false};
+        ++write.row.beat;
+        m_isWriting = true;
+        return write;
+    }
+    const bool isFree = !m_row || m_row->host.isEmpty();
+    const bool isOwnFormer = m_row && m_row->host == m_self;
+    if (isFree) {
+        if (now < std::max(m_startedAt, m_changedAt) + handicap) {
+            return std::nullopt;
+        }
+    } else if (!isOwnFormer) {
+        const auto since = std::max(m_changedAt, m_contactSince);
+        const bool isInContact = now - m_contactAt <= ContactGap;
+        if (!isInContact || now < since + LeaderStaleAfter + handicap) {
+            return std::nullopt;
+        }
+    }
+    Write write;
+    write.expectedVersion = m_row ? m_version : 0;
+    write.isClaim = true;
+    write.row.host = m_self;
+    write.row.incarnation = m_incarnation;
+    write.row.fence = {m_row ? m_row->fence.value + 1 : 1};
+    write.row.waiting = m_row ? m_row->waiting : std::map<std::string, int>();
+    m_isWriting = true;
+    return write;
+}
+
+std::optional<Leadership::Write> Leadership::release()
+{
+    if (!m_isLeader || !m_row) {
+        return std::nullopt;
+    }
+    Write write{m_version, *m_row, false};
+    write.row.host = EntryHostId();
+    m_isLeader = false;
+    return write;
+}
+
+void Leadership::stepDown(TimePoint now)
+{
+    m_isLeader = false;
+    m_retryAt = now + RetryPause;
+}
+
+void Leadership::noteWritten(const Write &write, std::uint64_t version, TimePoint sentAt, TimePoint now)
+{
+    m_isWriting = false;
+    if (version < m_version) {
+        return; // a newer row came in meanwhile
+    }
+    m_row = write.row;
+    m_version = version;
+    m_changedAt = now;
+    m_renewedAt = sentAt;
+    if (write.isClaim) {
+        m_isLeader = true;
+        m_fence = write.row.fence;
+        m_claimVersion = version;
+    }
+}
+
+void Leadership::noteFailed(TimePoint now)
+{
+    m_isWriting = false;
+    m_retryAt = now + RetryPause;
+}
+
+bool Leadership::mayDecide(TimePoint now) const
+{
+    return m_isLeader && now - m_renewedAt < DecideWithoutStore;
+}
+
+} // namespace monsoonspool::membership
--- a/src/operators/operatorsapi.cpp
+++ b/src/operators/operatorsapi.cpp
@@ -249,7 +249,7 @@
 void OperatorsApi::Private::history(std::string_view name, const http::ApiReply &reply)
 {
     ports.loop.documentKeeper().history(
-        ServiceName(name), [reply](const platform::AsyncResult<std::vector<control::DocumentRow>> &rows) {
+        ServiceName(name), [reply](const ports::AsyncResult<std::vector<control::DocumentRow>> &rows) {
             if (!rows.isOk()) {
                 reply(failureResponse(rows.failure()));
                 return;
--- a/src/placement/jobtable.h
+++ b/src/placement/jobtable.h
@@ -17,7 +17,7 @@
 // The present attempt of a job.
 struct Attempt
 {
-    platform::AttemptId id;
+    ports::AttemptId id;
     WorkerId worker;
     std::uint64_t workerIncarnation = 0;
     Resources allotted;
--- a/src/placement/partition.cpp
+++ b/src/placement/partition.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 using How = AttemptEnded::How;
-using platform::AttemptState;
+using ports::AttemptState;
 
 // Workers that are scored for one job.
 constexpr int MaxCandidates = 48;
@@ -105,7 +105,7 @@
     }
 }
 
-void Partition::setWorkers(std::span<const platform::ListedWorker> workers)
+void Partition::setWorkers(std::span<const ports::ListedWorker> workers)
 {
     m_workers.setListed(workers);
     if (m_workers.size() > 0) {
@@ -579,7 +579,7 @@
     }
 }
 
-void Partition::noteStartReply(const StartAttempt &order, const platform::AsyncResult<platform::Done> &result,
+void Partition::noteStartReply(const StartAttempt &order, const ports::AsyncResult<ports::Done> &result,
                                TimePoint now)
 {
     const auto &id = order.order.attempt.job;
@@ -607,7 +607,7 @@
     }
 }
 
-void Partition::noteReport(const WorkerId &id, const platform::AsyncResult<platform::WorkerReport> &result,
+void Partition::noteReport(const WorkerId &id, const ports::AsyncResult<ports::WorkerReport> &result,
                            TimePoint sentAt, TimePoint now)
 {
     const auto n = m_workers.indexOf(id);
@@ -616,16 +616,16 @@
     if (!result.isOk()) {
         return;
     }
-    std::erase_if(state.acknowledge, [&](const platform::AttemptId &attempt) {
+    std::erase_if(state.acknowledge, [&](const ports::AttemptId &attempt) {
         return std::ranges::none_of(result.value().attempts, [&](const auto &it) { return it.attempt == attempt; });
     });
     takeReport(n, result.value(), sentAt, now);
 }
 
-void Partition::takeReport(WorkerIndex n, const platform::WorkerReport &report, TimePoint sentAt, TimePoint now)
+void Partition::takeReport(WorkerIndex n, const ports::WorkerReport &report, TimePoint sentAt, TimePoint now)
 {
     m_workers.noteContact(n, report.incarnation, now);
-    std::unordered_map<JobId, const platform::AttemptReport *> reported;
+    std::unordered_map<JobId, const ports::AttemptReport *> reported;
     for (const auto &it : report.attempts) {
         reported[it.attempt.job] = &it;
     }
@@ -662,7 +662,7 @@
     }
 }
 
-void Partition::takeAttemptReport(const JobId &id, const platform::AttemptReport &report, TimePoint now)
+void Partition::takeAttemptReport(const JobId &id, const ports::AttemptReport &report, TimePoint now)
 {
     const auto &job = *m_jobs.find(id);
     auto &live = m_live.at(id);
@@ -695,7 +695,7 @@
     }
 }
 
-void Partition::learn(const Job &job, const platform::AttemptReport &report)
+void Partition::learn(const Job &job, const ports::AttemptReport &report)
 {
     const auto kind = kindOf(job.spec);
     if (report.state == AttemptState::Succeeded) {
@@ -706,7 +706,7 @@
     }
 }
 
-void Partition::watchSlowdown(const Job &job, const platform::AttemptReport &report)
+void Partition::watchSlowdown(const Job &job, const ports::AttemptReport &report)
 {
     if (job.spec.urgency != Urgency::Urgent || report.slowdown <= 0) {
         return;
--- a/src/placement/partition.h
+++ b/src/placement/partition.h
@@ -8,8 +8,8 @@
 #include "placement/sizeestimator.h"
 #include "placement/suspicion.h"
 #include "placement/workerpool.h"
-#include "platform/hostlist.h"
-#include "platform/workeragent.h"
+#include "ports/hostlist.h"
+#include "ports/workeragent.h"
 
 #include <cstdint>
 #include <deque>
@@ -56,29 +56,29 @@
 struct StartAttempt
 {
     WorkerId worker;
-    platform::StartOrder order;
+    ports::StartOrder order;
 };
 struct StopAttempt
 {
     WorkerId worker;
-    platform::AttemptId attempt;
+    ports::AttemptId attempt;
 };
 struct CheckpointAttempt
 {
     WorkerId worker;
-    platform::AttemptId attempt;
+    ports::AttemptId attempt;
 };
 struct ThrottleAttempt
 {
     WorkerId worker;
-    platform::AttemptId attempt;
+    ports::AttemptId attempt;
     double part = 1; // of its processors
 };
 struct RenewWorker
 {
     WorkerId worker;
     Duration lease{0}; // 0 for a worker that has been silent, so that its leases lapse
-    std::vector<platform::AttemptId> acknowledged;
+    std::vector<ports::AttemptId> acknowledged;
 };
 using WorkerOrder = std::variant<StartAttempt, StopAttempt, CheckpointAttempt, ThrottleAttempt, RenewWorker>;
 
@@ -124,7 +124,7 @@
     // Takes over the state that former owners have left. Call once, before all else.
     void restore(std::span<const Job> jobs, std::span<const LogEntry> entries, TimePoint now);
 
-    void setWorkers(std::span<const platform::ListedWorker> workers);
+    void setWorkers(std::span<const ports::ListedWorker> workers);
     void setQuotas(const std::unordered_map<TeamName, std::int64_t> &milliCores);
 
     // Submits a job; submitting a key of a team again returns the same job.
@@ -154,8 +154,8 @@
     std::vector<WorkerOrder> dueOrders(TimePoint now);
 
     // Takes in how orders went. `sentAt` is when the order was sent.
-    void noteStartReply(const StartAttempt &order, const platform::AsyncResult<platform::Done> &result, TimePoint now);
-    void noteReport(const WorkerId &worker, const platform::AsyncResult<platform::WorkerReport> &result,
+    void noteStartReply(const StartAttempt &order, const ports::AsyncResult<ports::Done> &result, TimePoint now);
+    void noteReport(const WorkerId &worker, const ports::AsyncResult<ports::WorkerReport> &result,
                     TimePoint sentAt, TimePoint now);
 
     // Returns the durable state, for a checkpoint.
@@ -200,7 +200,7 @@
     {
         TimePoint renewedAt;
         bool isRenewing = false;
-        std::vector<platform::AttemptId> acknowledge;
+        std::vector<ports::AttemptId> acknowledge;
         std::set<JobId> jobs; // with attempts that may be running there
     };
     struct Team
@@ -218,10 +218,10 @@
     void beginLive(const Job &job, Phase phase, TimePoint now);
     void endAttempt(const JobId &id, AttemptEnded::How how, std::string result, std::string checkpoint, TimePoint now);
     void judge(const Job &before, AttemptEnded::How how, TimePoint now);
-    void takeReport(WorkerIndex n, const platform::WorkerReport &report, TimePoint sentAt, TimePoint now);
-    void takeAttemptReport(const JobId &id, const platform::AttemptReport &report, TimePoint now);
-    void learn(const Job &job, const platform::AttemptReport &report);
-    void watchSlowdown(const Job &job, const platform::AttemptReport &report);
+    void takeReport(WorkerIndex n, const ports::WorkerReport &report, TimePoint sentAt, TimePoint now);
+    void takeAttemptReport(const JobId &id, const ports::AttemptReport &report, TimePoint now);
+    void learn(const Job &job, const ports::AttemptReport &report);
+    void watchSlowdown(const Job &job, const ports::AttemptReport &report);
     void easePressure(const Job &job, Live &live);
     const Job *worstNeighbour(const Job &job, WorkerIndex n) const;
     void lapseWorkers(TimePoint now);
@@ -259,7 +259,7 @@
     std::vector<JobId> m_ready; // attempts to be ordered
     std::set<JobId> m_ending; // attempts to be stopped or checkpointed
     std::vector<WorkerOrder> m_extraOrders; // throttles, and stops of what nobody knows
-    std::map<platform::AttemptId, WorkerId> m_endedOn; // ends that are not committed yet
+    std::map<ports::AttemptId, WorkerId> m_endedOn; // ends that are not committed yet
     std::deque<JobId> m_finished; // final jobs, the oldest first
     std::unordered_map<JobId, std::deque<TimePoint>> m_evictionTimes;
     std::unordered_map<JobId, TimePoint> m_unplacedSince;
--- a/src/placement/placementlog.h
+++ b/src/placement/placementlog.h
@@ -3,7 +3,7 @@
 #include "common/identifiers.h"
 #include "common/resources.h"
 #include "placement/job.h"
-#include "platform/workeragent.h"
+#include "ports/workeragent.h"
 
 #include <cstdint>
 #include <string>
@@ -26,7 +26,7 @@
 // An attempt may be started from now on.
 struct AttemptPlanned
 {
-    platform::AttemptId attempt;
+    ports::AttemptId attempt;
     WorkerId worker;
     std::uint64_t workerIncarnation = 0;
     Resources allotted;
@@ -42,7 +42,7 @@
         Lost, // with its worker or its lease
         NeverStarted,
     };
-    platform::AttemptId attempt;
+    ports::AttemptId attempt;
     How how = How::Lost;
     std::string result;
     std::string checkpoint;
--- a/src/placement/workerpool.cpp
+++ b/src/placement/workerpool.cpp
@@ -42,7 +42,7 @@
     m_byFreeCores.insert({m_workers[n].free().milliCores, n});
 }
 
-void WorkerPool::setListed(std::span<const platform::ListedWorker> workers)
+void WorkerPool::setListed(std::span<const ports::ListedWorker> workers)
 {
     for (auto &it : m_workers) {
         it.isListed = false;
@@ -54,7 +54,7 @@
         worker.rack = it.rack;
         worker.capacity = it.capacity;
         worker.isListed = true;
-        worker.isLeaving = it.state == platform::HostState::Leaving;
+        worker.isLeaving = it.state == ports::HostState::Leaving;
         index(n);
     }
 }
--- a/src/placement/workerpool.h
+++ b/src/placement/workerpool.h
@@ -3,7 +3,7 @@
 #include "common/identifiers.h"
 #include "common/resources.h"
 #include "common/time.h"
-#include "platform/hostlist.h"
+#include "ports/hostlist.h"
 
 #include <cstdint>
 #include <map>
@@ -51,7 +51,7 @@
 public:
     // Takes over the platform's list. A worker that is not listed any more gets
     // no new work, and is forgotten once nothing may be running on it.
-    void setListed(std::span<const platform::ListedWorker> workers);
+    void setListed(std::span<const ports::ListedWorker> workers);
 
     // Returns the worker's index, adding it if it is not known.
     WorkerIndex indexOf(const WorkerId &id);
--- a/src/platform/asyncresult.h
+++ b/src/ports/asyncresult.h
@@ -6,7 +6,7 @@
 #include <utility>
 #include <variant>
 
-namespace monsoonspool::platform {
+namespace monsoonspool::ports {
 
 // The result of a call whose reply comes later: a value or a failure.
 template <typename T>
@@ -47,4 +47,4 @@
 {
 };
 
-} // namespace monsoonspool::platform
+} // namespace monsoonspool::ports
--- a/src/platform/faultplan.h
+++ b/src/ports/faultplan.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string_view>
 
-namespace monsoonspool::platform {
+namespace monsoonspool::ports {
 
 // What befalls one call of a fake.
 struct Fault
@@ -41,4 +41,4 @@
     Duration m_delay;
 };
 
-} // namespace monsoonspool::platform
+} // namespace monsoonspool::ports
--- a/src/platform/hostlist.h
+++ b/src/ports/hostlist.h
@@ -2,13 +2,13 @@
 
 #include "common/identifiers.h"
 #include "common/resources.h"
-#include "platform/asyncresult.h"
+#include "ports/asyncresult.h"
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
-namespace monsoonspool::platform {
+namespace monsoonspool::ports {
 
 // The address of a process: an IP number and a port.
 struct Address
@@ -74,4 +74,4 @@
     virtual void list(Handler<HostListing> handler) = 0;
 };
 
-} // namespace monsoonspool::platform
+} // namespace monsoonspool::ports
--- a/src/platform/http/httpplatform.cpp
+++ b/src/ports/http/httpplatform.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/httpplatform.h"
+#include "ports/http/httpplatform.h"
 
 #include "codec/platformjson.h"
 #include "codec/typejson.h"
@@ -8,7 +8,7 @@
 #include <optional>
 #include <utility>
 
-namespace monsoonspool::platform::http {
+namespace monsoonspool::ports::http {
 
 using codec::Json;
 using monsoonspool::http::ApiAnswer;
@@ -308,4 +308,4 @@
     return d->workers;
 }
 
-} // namespace monsoonspool::platform::http
+} // namespace monsoonspool::ports::http
--- a/src/platform/http/httpplatform.h
+++ b/src/ports/http/httpplatform.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include "platform/hostlist.h"
-#include "platform/objectstore.h"
-#include "platform/tableservice.h"
-#include "platform/workeragent.h"
+#include "ports/hostlist.h"
+#include "ports/objectstore.h"
+#include "ports/tableservice.h"
+#include "ports/workeragent.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <memory>
 
-namespace monsoonspool::platform::http {
+namespace monsoonspool::ports::http {
 
 // The platform's services by HTTP and JSON, all at one address.
 // Lives on one io_context, which one thread runs.
@@ -31,4 +31,4 @@
     std::unique_ptr<Private> d;
 };
 
-} // namespace monsoonspool::platform::http
+} // namespace monsoonspool::ports::http
--- a/src/platform/memory/faultycall.h
+++ b/src/ports/memory/faultycall.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "platform/asyncresult.h"
-#include "platform/faultplan.h"
-#include "platform/scheduler.h"
+#include "ports/asyncresult.h"
+#include "ports/faultplan.h"
+#include "ports/scheduler.h"
 
 #include <utility>
 
-namespace monsoonspool::platform::memory {
+namespace monsoonspool::ports::memory {
 
 // Runs `effect` and hands its result to `handler` after the fault's delay.
 // A refused call has no effect and fails with StoreUnavailable; a call whose
@@ -29,4 +29,4 @@
                        });
 }
 
-} // namespace monsoonspool::platform::memory
+} // namespace monsoonspool::ports::memory
--- a/src/platform/memory/memoryhosts.cpp
+++ b/src/ports/memory/memoryhosts.cpp
@@ -1,8 +1,8 @@
-#include "platform/memory/memoryhosts.h"
+#include "ports/memory/memoryhosts.h"
 
-#include "platform/memory/faultycall.h"
+#include "ports/memory/faultycall.h"
 
-namespace monsoonspool::platform::memory {
+namespace monsoonspool::ports::memory {
 
 MemoryHosts::MemoryHosts(Scheduler &scheduler, FaultPlan &faults, Duration lag)
     : m_scheduler(scheduler), m_faults(faults), m_lag(lag)
@@ -27,4 +27,4 @@
     m_scheduler.runAfter(m_lag, [this, listing = std::move(listing)] { m_shown = listing; });
 }
 
-} // namespace monsoonspool::platform::memory
+} // namespace monsoonspool::ports::memory
--- a/src/platform/memory/memoryhosts.h
+++ b/src/ports/memory/memoryhosts.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "platform/faultplan.h"
-#include "platform/hostlist.h"
-#include "platform/scheduler.h"
+#include "ports/faultplan.h"
+#include "ports/hostlist.h"
+#include "ports/scheduler.h"
 
-namespace monsoonspool::platform::memory {
+namespace monsoonspool::ports::memory {
 
 // The host list in memory. A change shows after a lag.
 class MemoryHosts : public HostList
@@ -32,4 +32,4 @@
     std::uint64_t m_callCount = 0;
 };
 
-} // namespace monsoonspool::platform::memory
+} // namespace monsoonspool::ports::memory
--- a/src/platform/memory/memoryobjects.cpp
+++ b/src/ports/memory/memoryobjects.cpp
@@ -1,8 +1,8 @@
-#include "platform/memory/memoryobjects.h"
+#include "ports/memory/memoryobjects.h"
 
-#include "platform/memory/faultycall.h"
+#include "ports/memory/faultycall.h"
 
-namespace monsoonspool::platform::memory {
+namespace monsoonspool::ports::memory {
 
 MemoryObjects::MemoryObjects(Scheduler &scheduler, FaultPlan &faults) : m_scheduler(scheduler), m_faults(faults)
 {
@@ -46,4 +46,4 @@
         std::move(handler));
 }
 
-} // namespace monsoonspool::platform::memory
+} // namespace monsoonspool::ports::memory
--- a/src/platform/memory/memoryobjects.h
+++ b/src/ports/memory/memoryobjects.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "platform/faultplan.h"
-#include "platform/objectstore.h"
-#include "platform/scheduler.h"
+#include "ports/faultplan.h"
+#include "ports/objectstore.h"
+#include "ports/scheduler.h"
 
 #include <map>
 
-namespace monsoonspool::platform::memory {
+namespace monsoonspool::ports::memory {
 
 // The object store in memory, with the faults that its plan decides.
 class MemoryObjects : public ObjectStore
@@ -27,4 +27,4 @@
     std::uint64_t m_callCount = 0;
 };
 
-} // namespace monsoonspool::platform::memory
+} // namespace monsoonspool::ports::memory
--- a/src/platform/memory/memorytable.cpp
+++ b/src/ports/memory/memorytable.cpp
@@ -1,8 +1,8 @@
-#include "platform/memory/memorytable.h"
+#include "ports/memory/memorytable.h"
 
-#include "platform/memory/faultycall.h"
+#include "ports/memory/faultycall.h"
 
-namespace monsoonspool::platform::memory {
+namespace monsoonspool::ports::memory {
 
 MemoryTable::MemoryTable(Scheduler &scheduler, FaultPlan &faults) : m_scheduler(scheduler), m_faults(faults)
 {
@@ -71,4 +71,4 @@
     return m_version;
 }
 
-} // namespace monsoonspool::platform::memory
+} // namespace monsoonspool::ports::memory
