--- a/src/platform/memory/memorytable.h
+++ b/src/ports/memory/memorytable.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "platform/faultplan.h"
-#include "platform/scheduler.h"
-#include "platform/tableservice.h"
+#include "ports/faultplan.h"
+#include "ports/scheduler.h"
+#include "ports/tableservice.h"
 
 #include <map>
 
-namespace monsoonspool::platform::memory {
+namespace monsoonspool::ports::memory {
 
 // The table service in memory, with the faults that its plan decides.
 class MemoryTable : public TableService
@@ -44,4 +44,4 @@
     std::uint64_t m_readCount = 0;
 };
 
-} // namespace monsoonspool::platform::memory
+} // namespace monsoonspool::ports::memory
--- a/src/platform/memory/memoryworkers.cpp
+++ b/src/ports/memory/memoryworkers.cpp
@@ -1,8 +1,8 @@
-#include "platform/memory/memoryworkers.h"
+#include "ports/memory/memoryworkers.h"
 
 #include <charconv>
 
-namespace monsoonspool::platform::memory {
+namespace monsoonspool::ports::memory {
 
 namespace {
 
@@ -258,4 +258,4 @@
         std::move(handler));
 }
 
-} // namespace monsoonspool::platform::memory
+} // namespace monsoonspool::ports::memory
--- a/src/platform/memory/memoryworkers.h
+++ b/src/ports/memory/memoryworkers.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include "platform/faultplan.h"
-#include "platform/scheduler.h"
-#include "platform/workeragent.h"
+#include "ports/faultplan.h"
+#include "ports/scheduler.h"
+#include "ports/workeragent.h"
 
 #include <map>
 #include <set>
 #include <string>
 #include <vector>
 
-namespace monsoonspool::platform::memory {
+namespace monsoonspool::ports::memory {
 
 // How a fake worker runs a command.
 class CommandModel
@@ -118,4 +118,4 @@
     std::uint64_t m_callCount = 0;
 };
 
-} // namespace monsoonspool::platform::memory
+} // namespace monsoonspool::ports::memory
--- a/src/platform/objectstore.h
+++ b/src/ports/objectstore.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "platform/asyncresult.h"
+#include "ports/asyncresult.h"
 
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace monsoonspool::platform {
+namespace monsoonspool::ports {
 
 // The platform's object store: whole values by name. Putting the same value
 // again is harmless, so that a put whose reply was lost is simply repeated.
@@ -27,4 +27,4 @@
     virtual void remove(std::string_view name, Handler<Done> handler) = 0;
 };
 
-} // namespace monsoonspool::platform
+} // namespace monsoonspool::ports
--- /dev/null
+++ b/src/ports/registry.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "common/error.h"
+#include "jobs/queuepolicy.h"
+#include "ports/changestore.h"
+#include "ports/workerlink.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace monsoonspool::ports {
+
+// Which calls reach a queue.
+struct QueueRoute
+{
+    std::string host; // of the URL
+    std::string pathPrefix;
+    Duration timeout{0}; // for one call
+    jobs::QueuePolicy policy;
+};
+
+// The operator's configuration, whole. Versions rise in uneven steps.
+struct Configuration
+{
+    std::int64_t version = 0;
+    std::vector<QueueRoute> routes;
+};
+
+// Where the platform keeps the configuration and the list of workers, and how to
+// read them. Decoding fails with InvalidDocument or MalformedMessage.
+class Registry
+{
+public:
+    virtual ~Registry() = default;
+
+    virtual RowName configurationRow() const = 0;
+    virtual std::string workersTable() const = 0;
+    virtual Result<Configuration> decodeConfiguration(std::string_view value) const = 0;
+    virtual Result<WorkerEntry> decodeWorker(std::string_view key, std::string_view value) const = 0;
+};
+
+} // namespace monsoonspool::ports
--- a/src/platform/scheduler.h
+++ b/src/ports/scheduler.h
@@ -4,7 +4,7 @@
 
 #include <functional>
 
-namespace monsoonspool::platform {
+namespace monsoonspool::ports {
 
 // Runs functions later, on the caller's own thread.
 class Scheduler
@@ -15,4 +15,4 @@
     virtual void runAfter(Duration delay, std::function<void()> f) = 0;
 };
 
-} // namespace monsoonspool::platform
+} // namespace monsoonspool::ports
--- a/src/platform/tableservice.h
+++ b/src/ports/tableservice.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/asyncresult.h"
+#include "ports/asyncresult.h"
 
 #include <cstdint>
 #include <optional>
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace monsoonspool::platform {
+namespace monsoonspool::ports {
 
 // A row with the version that its last write gave it. Versions of one table
 // grow with every commit and are never used again.
@@ -59,4 +59,4 @@
     virtual void commit(std::span<const RowWrite> writes, Handler<std::uint64_t> handler) = 0;
 };
 
-} // namespace monsoonspool::platform
+} // namespace monsoonspool::ports
--- a/src/platform/virtualscheduler.cpp
+++ b/src/ports/virtualscheduler.cpp
@@ -1,8 +1,8 @@
-#include "platform/virtualscheduler.h"
+#include "ports/virtualscheduler.h"
 
 #include <algorithm>
 
-namespace monsoonspool::platform {
+namespace monsoonspool::ports {
 
 VirtualScheduler::VirtualScheduler(TimePoint start) : m_now(start)
 {
@@ -42,4 +42,4 @@
     runUntil(m_now + d);
 }
 
-} // namespace monsoonspool::platform
+} // namespace monsoonspool::ports
--- a/src/platform/virtualscheduler.h
+++ b/src/ports/virtualscheduler.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "platform/scheduler.h"
+#include "ports/scheduler.h"
 
 #include <cstdint>
 #include <map>
 #include <utility>
 
-namespace monsoonspool::platform {
+namespace monsoonspool::ports {
 
 // Virtual time for tests and experiments: nothing sleeps, and equal inputs give
 // equal runs. Functions due at one time run in the order of their scheduling.
@@ -31,4 +31,4 @@
     std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> m_due;
 };
 
-} // namespace monsoonspool::platform
+} // namespace monsoonspool::ports
--- a/src/platform/workeragent.h
+++ b/src/ports/workeragent.h
@@ -3,7 +3,7 @@
 #include "common/identifiers.h"
 #include "common/resources.h"
 #include "common/time.h"
-#include "platform/asyncresult.h"
+#include "ports/asyncresult.h"
 
 #include <compare>
 #include <cstdint>
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace monsoonspool::platform {
+namespace monsoonspool::ports {
 
 // One run of a task. A later run of the same task has a higher attempt number.
 struct AttemptId
@@ -98,4 +98,4 @@
         = 0;
 };
 
-} // namespace monsoonspool::platform
+} // namespace monsoonspool::ports
--- a/src/records/recordkeeper.cpp
+++ b/src/records/recordkeeper.cpp
@@ -48,7 +48,7 @@
     using Token = std::uint64_t;
 
     RecordKeeperOptions options;
-    platform::TableService &table;
+    ports::TableService &table;
     const RecordCodec &codec;
     std::map<Token, Entry> entries;
     std::map<Token, Joiner> joiners;
@@ -60,7 +60,7 @@
     RecordSummary counts;
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 
-    Private(RecordKeeperOptions keeperOptions, platform::TableService &tableService, const RecordCodec &recordCodec)
+    Private(RecordKeeperOptions keeperOptions, ports::TableService &tableService, const RecordCodec &recordCodec)
         : options(std::move(keeperOptions)), table(tableService), codec(recordCodec)
     {
     }
@@ -71,22 +71,22 @@
     }
 
     void commitDue();
-    void onCommitted(std::span<const Token> tokens, const platform::AsyncResult<std::uint64_t> &result);
+    void onCommitted(std::span<const Token> tokens, const ports::AsyncResult<std::uint64_t> &result);
     void onWritten(Token token, std::uint64_t version);
     void readBack(Token token);
-    void onReadBack(Token token, const platform::AsyncResult<std::optional<platform::Row>> &result);
+    void onReadBack(Token token, const ports::AsyncResult<std::optional<ports::Row>> &result);
     void meetOther(Token token, const RequestRecord &record, std::uint64_t version);
     void requeue(Token token);
     void decide(Token token, const Decision &decision);
     void giveUpLate();
     void join(Entry &&entry);
     void pollJoiners();
-    void onPolled(Token token, const platform::AsyncResult<std::optional<platform::Row>> &result);
+    void onPolled(Token token, const ports::AsyncResult<std::optional<ports::Row>> &result);
     void finishJoiner(Token token, const Decision &decision);
-    std::optional<RequestRecord> decodeRow(const platform::Row &row) const;
+    std::optional<RequestRecord> decodeRow(const ports::Row &row) const;
 };
 
-RecordKeeper::RecordKeeper(RecordKeeperOptions options, platform::TableService &table, const RecordCodec &codec)
+RecordKeeper::RecordKeeper(RecordKeeperOptions options, ports::TableService &table, const RecordCodec &codec)
     : d(std::make_unique<Private>(std::move(options), table, codec))
 {
 }
@@ -171,7 +171,7 @@
         return;
     }
     std::vector<Token> tokens;
-    std::vector<platform::RowWrite> writes;
+    std::vector<ports::RowWrite> writes;
     std::map<std::string, Token> rowsTaken;
     std::deque<Token> later;
     while (!queue.empty() && static_cast<int>(writes.size()) < options.maxRowsPerCommit) {
@@ -200,7 +200,7 @@
     counts.rows += writes.size();
     table.commit(
         writes,
-        [this, alive = isAlive, tokens = std::move(tokens)](const platform::AsyncResult<std::uint64_t> &result) {
+        [this, alive = isAlive, tokens = std::move(tokens)](const ports::AsyncResult<std::uint64_t> &result) {
             if (*alive) {
                 onCommitted(tokens, result);
             }
@@ -208,7 +208,7 @@
 }
 
 void RecordKeeper::Private::onCommitted(std::span<const Token> tokens,
-                                        const platform::AsyncResult<std::uint64_t> &result)
+                                        const ports::AsyncResult<std::uint64_t> &result)
 {
     isCommitting = false;
     if (result.isOk()) {
@@ -309,20 +309,20 @@
     }
     ++counts.readBacks;
     table.read(rowKey(it->second.request),
-               [this, alive = isAlive, token](const platform::AsyncResult<std::optional<platform::Row>> &result) {
+               [this, alive = isAlive, token](const ports::AsyncResult<std::optional<ports::Row>> &result) {
                    if (*alive) {
                        onReadBack(token, result);
                    }
                });
 }
 
-std::optional<RequestRecord> RecordKeeper::Private::decodeRow(const platform::Row &row) const
+std::optional<RequestRecord> RecordKeeper::Private::decodeRow(const ports::Row &row) const
 {
     return handleFailure([&]() -> Result<std::optional<RequestRecord>> { return codec.decode(row.value); },
                          [](const Failure &) { return std::optional<RequestRecord>(); });
 }
 
-void RecordKeeper::Private::onReadBack(Token token, const platform::AsyncResult<std::optional<platform::Row>> &result)
+void RecordKeeper::Private::onReadBack(Token token, const ports::AsyncResult<std::optional<ports::Row>> &result)
 {
     const auto it = entries.find(token);
     if (it == entries.end()) {
@@ -412,7 +412,7 @@
             joiner.interval = std::min(MaxPoll, joiner.interval * 2);
             table.read(
                 rowKey(joiner.request),
-                [this, alive = isAlive, id = token](const platform::AsyncResult<std::optional<platform::Row>> &result) {
+                [this, alive = isAlive, id = token](const ports::AsyncResult<std::optional<ports::Row>> &result) {
                     if (*alive) {
                         onPolled(id, result);
                     }
@@ -425,7 +425,7 @@
     }
 }
 
-void RecordKeeper::Private::onPolled(Token token, const platform::AsyncResult<std::optional<platform::Row>> &result)
+void RecordKeeper::Private::onPolled(Token token, const ports::AsyncResult<std::optional<ports::Row>> &result)
 {
     const auto it = joiners.find(token);
     if (it == joiners.end()) {
--- a/src/records/recordkeeper.h
+++ b/src/records/recordkeeper.h
@@ -2,7 +2,7 @@
 
 #include "common/error.h"
 #include "common/time.h"
-#include "platform/tableservice.h"
+#include "ports/tableservice.h"
 #include "records/recordcodec.h"
 #include "records/requestrecord.h"
 
@@ -76,7 +76,7 @@
 class RecordKeeper
 {
 public:
-    RecordKeeper(RecordKeeperOptions options, platform::TableService &table, const RecordCodec &codec);
+    RecordKeeper(RecordKeeperOptions options, ports::TableService &table, const RecordCodec &codec);
     ~RecordKeeper();
     RecordKeeper(const RecordKeeper &) = delete;
     RecordKeeper &operator=(const RecordKeeper &) = delete;
--- /dev/null
+++ b/src/scheduling/paceregulator.cpp
@@ -0,0 +1,47 @@
+#include "scheduling/paceregulator.h"
+
+#include <algorithm>
+
+namespace monsoonspool::scheduling {
+
+namespace {
+
+constexpr int FullPace = 100;
+// Ratios of tail to target.
+constexpr double ViolatedRatio = 1.0;
+constexpr double NearRatio = 0.85;
+constexpr double CalmRatio = 0.65;
+// Measurements cover the last half second, and pacing takes 100 ms to work.
+constexpr Duration SettleTime = 600ms;
+constexpr Duration RiseInterval = 1200ms;
+constexpr int RiseStep = 20;
+constexpr int MinUsefulPace = 10; // below it the work stands still
+
+} // namespace
+
+int PaceRegulator::update(double worstRatio, TimePoint now)
+{
+    if (worstRatio <= 0) {
+        m_pace = FullPace;
+        return m_pace;
+    }
+    const auto sinceChange = now - m_changedAt;
+    int next = m_pace;
+    if (worstRatio >= ViolatedRatio && sinceChange >= SettleTime) {
+        next = m_pace / 4;
+    } else if (worstRatio >= NearRatio && sinceChange >= SettleTime) {
+        next = m_pace * 2 / 3;
+    } else if (worstRatio < CalmRatio && sinceChange >= RiseInterval) {
+        next = std::min(FullPace, m_pace + RiseStep);
+    }
+    if (next < MinUsefulPace) {
+        next = 0;
+    }
+    if (next != m_pace) {
+        m_pace = next;
+        m_changedAt = now;
+    }
+    return m_pace;
+}
+
+} // namespace monsoonspool::scheduling
--- /dev/null
+++ b/src/scheduling/waitingorder.cpp
@@ -0,0 +1,44 @@
+#include "scheduling/waitingorder.h"
+
+#include <algorithm>
+
+namespace monsoonspool::scheduling {
+
+namespace {
+
+// Bands, first to last.
+constexpr int LastingBand = 0;
+constexpr int OnTimeBand = 1; // plus two for each priority, one less for begun jobs
+constexpr int MaxPriority = 8; // lower priorities share a band
+constexpr int LateBand = OnTimeBand + 2 * (MaxPriority + 1);
+constexpr int HopelessBand = LateBand + 1;
+
+double seconds(Duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+} // namespace
+
+Rank ObjectiveFirst::rank(const JobOutlook &job, TimePoint now) const
+{
+    if (job.isLasting) {
+        return {LastingBand, seconds(job.acceptedAt.time_since_epoch())};
+    }
+    const auto slack = job.objectiveAt - now - job.remaining;
+    if (slack >= Duration::zero()) {
+        const int priority = std::clamp(job.priority, 0, MaxPriority);
+        return {OnTimeBand + 2 * priority + (job.hasStarted ? 0 : 1), seconds(slack)};
+    }
+    if (now + job.remaining <= job.lateAt) {
+        return {LateBand, job.work};
+    }
+    return {HopelessBand, job.work};
+}
+
+Rank ArrivalOrder::rank(const JobOutlook &job, TimePoint) const
+{
+    return {0, seconds(job.acceptedAt.time_since_epoch())};
+}
+
+} // namespace monsoonspool::scheduling
--- /dev/null
+++ b/src/scheduling/workerchooser.cpp
@@ -0,0 +1,93 @@
+#include "scheduling/workerchooser.h"
+
+#include <algorithm>
+
+namespace monsoonspool::scheduling {
+
+namespace {
+
+// Costs in shares of a worker's processors; the lowest sum is chosen.
+constexpr double OtherRackCost = 10; // more than any difference of fit: such tasks run a multiple as long
+constexpr double SameStepCost = 4; // for each lasting task of the same step beside it
+constexpr double ServingNeighbourCost = 0.5; // for each serving task that leftover work would disturb
+
+double coreShare(const Resources &room, const workers::Worker &worker)
+{
+    const auto capacity = std::max<std::int64_t>(worker.entry().capacity.milliCores, 1);
+    return static_cast<double>(room.milliCores) / static_cast<double>(capacity);
+}
+
+int servingTasks(const workers::Worker &worker)
+{
+    return static_cast<int>(std::ranges::count_if(worker.runs(), &workers::Run::isLasting));
+}
+
+int leftoverTasks(const workers::Worker &worker)
+{
+    return static_cast<int>(std::ranges::count_if(worker.runs(), &workers::Run::usesLeftover));
+}
+
+double cost(const workers::Worker &worker, const TaskDemand &demand)
+{
+    const auto &step = *demand.step;
+    double sum = 0;
+    const auto rack = step.dataRack.empty() ? demand.preferredRack : std::string_view(step.dataRack);
+    if (!rack.empty() && worker.entry().rack != rack) {
+        sum += OtherRackCost;
+    }
+    if (step.usesLeftover) {
+        return sum - coreShare(worker.leftoverRoom(), worker) + ServingNeighbourCost * servingTasks(worker);
+    }
+    if (step.isLasting) {
+        return sum + SameStepCost * worker.runsOfStep(demand.task) + ServingNeighbourCost * leftoverTasks(worker)
+            - coreShare(worker.freeRoom(), worker);
+    }
+    return sum + coreShare(worker.freeRoom() - step.needs, worker);
+}
+
+} // namespace
+
+bool isEligible(const workers::Worker &worker, const TaskDemand &demand, TimePoint now)
+{
+    const auto &step = *demand.step;
+    const auto &entry = worker.entry();
+    if (entry.service.view() != demand.service || !worker.isOpen(now) || worker.find(demand.task) != nullptr) {
+        return false;
+    }
+    if (!step.requiredLabel.empty() && step.requiredLabel != entry.kind && step.requiredLabel != entry.rack) {
+        return false;
+    }
+    if (step.maxPerWorker > 0 && worker.runsOfStep(demand.task) >= step.maxPerWorker) {
+        return false;
+    }
+    return !demand.isAdmitted || demand.isAdmitted(worker);
+}
+
+workers::Worker *TightFit::choose(const TaskDemand &demand, std::span<workers::Worker *const> workers,
+                                  TimePoint now) const
+{
+    workers::Worker *best = nullptr;
+    double lowest = 0;
+    for (auto *it : workers) {
+        if (!it->fits(demand.step->needs, demand.step->usesLeftover) || !isEligible(*it, demand, now)) {
+            continue;
+        }
+        const double itCost = cost(*it, demand);
+        if (best == nullptr || itCost < lowest) {
+            best = it;
+            lowest = itCost;
+        }
+    }
+    return best;
+}
+
+workers::Worker *FirstFit::choose(const TaskDemand &demand, std::span<workers::Worker *const> workers,
+                                  TimePoint now) const
+{
+    const auto it = std::ranges::find_if(workers, [&](const workers::Worker *worker) {
+        return worker->fits(demand.step->needs, demand.step->usesLeftover) && isEligible(*worker, demand, now);
+    });
+    return it == workers.end() ? nullptr : *it;
+}
+
+} // namespace monsoonspool::scheduling
--- /dev/null
+++ b/src/scheduling/workerchooser.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "jobs/jobspec.h"
+#include "jobs/taskid.h"
+#include "workers/worker.h"
+
+#include <functional>
+#include <span>
+#include <string_view>
+
+namespace monsoonspool::scheduling {
+
+// A task that looks for a worker.
+struct TaskDemand
+{
+    jobs::TaskId task;
+    const jobs::StepSpec *step = nullptr;
+    std::string_view service; // whose workers may run it
+    std::string_view preferredRack; // of the other members of a colocated gang; empty for any
+    std::function<bool(const workers::Worker &)> isAdmitted; // the adviser's word; empty for any worker
+};
+
+// Returns whether `worker` may run the task at all, room aside.
+bool isEligible(const workers::Worker &worker, const TaskDemand &demand, TimePoint now);
+
+// Chooses the worker for a task.
+class WorkerChooser
+{
+public:
+    virtual ~WorkerChooser() = default;
+    // Returns the worker, or nullptr if none has room.
+    virtual workers::Worker *choose(const TaskDemand &demand, std::span<workers::Worker *const> workers,
+                                    TimePoint now) const
+        = 0;
+};
+
+// For a full fleet with tasks of very unequal size: takes the worker whose
+// processors fit most tightly, so that wide tasks find room elsewhere. The rack of
+// the data goes first. Lasting tasks go where they spread most, since a rack may
+// be lost at once, and tasks that use leftover processors go where most is left
+// over and nobody serves beside them.
+class TightFit : public WorkerChooser
+{
+public:
+    workers::Worker *choose(const TaskDemand &demand, std::span<workers::Worker *const> workers,
+                            TimePoint now) const override;
+};
+
+// Takes the first worker with room; the plain baseline.
+class FirstFit : public WorkerChooser
+{
+public:
+    workers::Worker *choose(const TaskDemand &demand, std::span<workers::Worker *const> workers,
+                            TimePoint now) const override;
+};
+
+} // namespace monsoonspool::scheduling
--- a/tests/control/documentkeepertest.cpp
+++ b/tests/control/documentkeepertest.cpp
@@ -1,8 +1,8 @@
 #include "control/documentkeeper.h"
 
 #include "codec/cborrows.h"
-#include "platform/memory/memorytable.h"
-#include "platform/virtualscheduler.h"
+#include "ports/memory/memorytable.h"
+#include "ports/virtualscheduler.h"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
@@ -14,7 +14,7 @@
 
 namespace {
 
-class StoreFaults : public platform::FaultPlan
+class StoreFaults : public ports::FaultPlan
 {
 public:
     explicit StoreFaults(std::uint64_t seed) : m_generator(seed)
@@ -23,7 +23,7 @@
     int lostPercent = 0;
     bool isDown = false;
 
-    platform::Fault next(std::string_view, std::uint64_t, TimePoint) override
+    ports::Fault next(std::string_view, std::uint64_t, TimePoint) override
     {
         return {Duration(draw(4'000) + 200), isDown, draw(100) < lostPercent};
     }
@@ -79,9 +79,9 @@
         return *outcome;
     }
 
-    platform::VirtualScheduler scheduler;
+    ports::VirtualScheduler scheduler;
     StoreFaults faults;
-    platform::memory::MemoryTable table;
+    ports::memory::MemoryTable table;
     codec::CborRows codec;
     std::vector<documents::DocumentSet> sets;
     std::vector<std::unique_ptr<DocumentKeeper>> keepers;
@@ -176,9 +176,9 @@
 
 TEST(DocumentKeeper, LoadsEverythingWhenItIsFurtherBehindThanTheFeed)
 {
-    platform::VirtualScheduler scheduler;
+    ports::VirtualScheduler scheduler;
     StoreFaults faults(1);
-    platform::memory::MemoryTable table(scheduler, faults);
+    ports::memory::MemoryTable table(scheduler, faults);
     codec::CborRows codec;
     documents::DocumentSet first;
     documents::DocumentSet late;
--- a/tests/membership/ownershiptest.cpp
+++ b/tests/membership/ownershiptest.cpp
@@ -150,7 +150,7 @@
     EntryHosts hosts({A, {"127.0.0.1", 1}, RegionName("r"), 1, false, false, false, true, 0, {}});
     hosts.setStoreReachable(it.isOwnStoreReachable);
     hosts.setListed(
-        std::vector{platform::ListedEntryHost{B, {"127.0.0.1", 2}, RegionName("r"), platform::HostState::Live}}, Start);
+        std::vector{ports::ListedEntryHost{B, {"127.0.0.1", 2}, RegionName("r"), ports::HostState::Live}}, Start);
     if (it.isPeerHeard) {
         Heartbeat heartbeat;
         heartbeat.host = B;
@@ -230,11 +230,11 @@
     const auto &it = GetParam();
     EntryHosts hosts({A, {"127.0.0.1", 1}, RegionName("r"), 1, false, false, false, true, 0, {}});
     if (it.isListed) {
-        const platform::ListedEntryHost row{B,
+        const ports::ListedEntryHost row{B,
                                             {"127.0.0.1", 2},
                                             RegionName("r"),
-                                            it.isListedLeaving ? platform::HostState::Leaving
-                                                               : platform::HostState::Live};
+                                            it.isListedLeaving ? ports::HostState::Leaving
+                                                               : ports::HostState::Live};
         hosts.setListed(std::vector{row}, Start);
     }
     if (it.isHeard) {
--- a/tests/placement/partitiontest.cpp
+++ b/tests/placement/partitiontest.cpp
@@ -1,7 +1,7 @@
 #include "placement/partition.h"
 
-#include "platform/memory/memoryworkers.h"
-#include "platform/virtualscheduler.h"
+#include "ports/memory/memoryworkers.h"
+#include "ports/virtualscheduler.h"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
@@ -15,16 +15,16 @@
 
 namespace {
 
-using platform::memory::WorkerEvent;
+using ports::memory::WorkerEvent;
 
 // Commands with hidden truths: "bad ..." fails everywhere, and every command fails
 // on the workers that are bad themselves.
-class HiddenTruth : public platform::memory::CommandModel
+class HiddenTruth : public ports::memory::CommandModel
 {
 public:
     std::set<WorkerId> badWorkers;
 
-    Run plan(const WorkerId &worker, const platform::StartOrder &order) override
+    Run plan(const WorkerId &worker, const ports::StartOrder &order) override
     {
         const bool isBad = badWorkers.contains(worker) || order.command.starts_with("bad");
         const Duration length = order.command.starts_with("long") ? 600s : 3s;
@@ -32,7 +32,7 @@
     }
 };
 
-class WorkerFaults : public platform::FaultPlan
+class WorkerFaults : public ports::FaultPlan
 {
 public:
     explicit WorkerFaults(std::uint64_t seed) : m_generator(seed)
@@ -41,7 +41,7 @@
     int refusedPercent = 0;
     int lostPercent = 0;
 
-    platform::Fault next(std::string_view, std::uint64_t, TimePoint) override
+    ports::Fault next(std::string_view, std::uint64_t, TimePoint) override
     {
         return {Duration(draw(20'000) + 200), draw(100) < refusedPercent, draw(100) < lostPercent};
     }
@@ -71,7 +71,7 @@
                               "rack-" + std::to_string(n / 2),
                               Capacity,
                               {"127.0.0.1", 1},
-                              platform::HostState::Live});
+                              ports::HostState::Live});
         }
         replaceOwner();
         run(1s);
@@ -118,7 +118,7 @@
 
     void give(const std::shared_ptr<Partition> &it, const WorkerOrder &order, Epoch itsEpoch)
     {
-        const auto ignore = [](const platform::AsyncResult<platform::Done> &) {};
+        const auto ignore = [](const ports::AsyncResult<ports::Done> &) {};
         if (const auto *start = std::get_if<StartAttempt>(&order)) {
             workers.start(start->worker, start->order, [this, it, given = *start](const auto &result) {
                 it->noteStartReply(given, result, scheduler.now());
@@ -161,11 +161,11 @@
         return view(id);
     }
 
-    platform::VirtualScheduler scheduler;
+    ports::VirtualScheduler scheduler;
     WorkerFaults faults;
     HiddenTruth truth;
-    platform::memory::MemoryWorkers workers;
-    std::vector<platform::ListedWorker> listed;
+    ports::memory::MemoryWorkers workers;
+    std::vector<ports::ListedWorker> listed;
     std::vector<LogEntry> log; // committed
     std::vector<LogEntry> waiting; // to be committed
     std::unordered_map<TeamName, std::int64_t> quotas;
@@ -182,8 +182,8 @@
 std::vector<std::string> checkWorkers(const std::vector<WorkerEvent> &history)
 {
     std::vector<std::string> breaches;
-    std::map<JobId, platform::AttemptId> running;
-    std::set<platform::AttemptId> started;
+    std::map<JobId, ports::AttemptId> running;
+    std::set<ports::AttemptId> started;
     std::map<std::string, JobId> resumed;
     for (const auto &it : history) {
         switch (it.kind) {
--- a/tests/platform/contracttest.cpp
+++ b/tests/ports/contracttest.cpp
@@ -2,7 +2,7 @@
 #include "emulator/emulatedplatform.h"
 #include "emulator/platformapi.h"
 #include "http/apiserver.h"
-#include "platform/http/httpplatform.h"
+#include "ports/http/httpplatform.h"
 
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
@@ -12,7 +12,7 @@
 
 // What every implementation of the platform's interfaces must do: the one in
 // memory and the one over HTTP, through the same suite and the same faults.
-namespace monsoonspool::platform {
+namespace monsoonspool::ports {
 
 namespace {
 
@@ -310,4 +310,4 @@
 INSTANTIATE_TEST_SUITE_P(Implementations, PlatformContract, testing::Values(false, true),
                          [](const auto &info) { return info.param ? "Http" : "Memory"; });
 
-} // namespace monsoonspool::platform
+} // namespace monsoonspool::ports
--- a/tests/records/recordkeepertest.cpp
+++ b/tests/records/recordkeepertest.cpp
@@ -1,8 +1,8 @@
 #include "records/recordkeeper.h"
 
 #include "codec/cborrows.h"
-#include "platform/memory/memorytable.h"
-#include "platform/virtualscheduler.h"
+#include "ports/memory/memorytable.h"
+#include "ports/virtualscheduler.h"
 
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
@@ -15,7 +15,7 @@
 namespace {
 
 // Refuses calls or loses replies at random, and can be down.
-class RandomFaults : public platform::FaultPlan
+class RandomFaults : public ports::FaultPlan
 {
 public:
     explicit RandomFaults(std::uint64_t seed) : m_generator(seed)
@@ -25,7 +25,7 @@
     int lostPercent = 0;
     bool isDown = false;
 
-    platform::Fault next(std::string_view, std::uint64_t, TimePoint) override
+    ports::Fault next(std::string_view, std::uint64_t, TimePoint) override
     {
         return {Duration(draw(5'000) + 500), isDown || draw(100) < refusedPercent, draw(100) < lostPercent};
     }
@@ -65,9 +65,9 @@
         return {std::string(key), "fingerprint", scheduler.now() + patience, false};
     }
 
-    platform::VirtualScheduler scheduler;
+    ports::VirtualScheduler scheduler;
     RandomFaults faults;
-    platform::memory::MemoryTable table;
+    ports::memory::MemoryTable table;
     codec::CborRecords codec;
     std::vector<std::unique_ptr<RecordKeeper>> keepers;
 };
--- a/tests/system/systemtest.cpp
+++ b/tests/system/systemtest.cpp
@@ -75,7 +75,7 @@
 using Fields = std::vector<std::pair<std::string, std::string>>;
 
 // Sends one request on a new connection.
-GuestResult ask(asio::io_context &io, const platform::Address &address, const std::string &id, const Fields &fields,
+GuestResult ask(asio::io_context &io, const ports::Address &address, const std::string &id, const Fields &fields,
                 asio::yield_context yield)
 {
     GuestResult result;
@@ -117,7 +117,7 @@
     asio::io_context io{1};
     std::vector<GuestResult> results;
     int next = 0;
-    std::vector<platform::Address> addresses;
+    std::vector<ports::Address> addresses;
     for (const auto &it : system.daemons()) {
         addresses.push_back(it.guests);
     }
@@ -299,7 +299,7 @@
 
 // Sends raw bytes and returns the status line of what comes back, empty if
 // nothing does before the connection ends.
-std::string sendRaw(const platform::Address &address, const std::string &bytes, bool closesEarly)
+std::string sendRaw(const ports::Address &address, const std::string &bytes, bool closesEarly)
 {
     asio::io_context io;
     tcp::socket socket(io);
@@ -385,8 +385,8 @@
                                              {"region", "region"},
                                              {"failureDomain", "d"},
                                              {"guestAddress", daemon.guests},
-                                             {"operatorAddress", platform::Address{"127.0.0.1", 0}},
-                                             {"peerAddress", platform::Address{"127.0.0.1", 0}},
+                                             {"operatorAddress", ports::Address{"127.0.0.1", 0}},
+                                             {"peerAddress", ports::Address{"127.0.0.1", 0}},
                                              {"platformAddress", system->platformAddress()}});
     const int status = handleFailure(
         [&]() -> Result<int> {
