--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -1,6 +1,7 @@
 // What workers tell: listings, answers to orders, and silence.
 #include "execution/fleetstate.h"
 #include "jobs/names.h"
+#include "scheduling/tailforecast.h"
 
 #include <algorithm>
 
@@ -13,6 +14,10 @@
 constexpr Duration QuietWait = 1500ms;
 constexpr Duration ServingWait = 600ms;
 constexpr int FullPace = 100;
+// Measurements of a worker cover its last half second.
+constexpr Duration ObserveInterval = 500ms;
+// Weight of the newest measurement in a serving task's smoothed tail.
+constexpr double SmoothingWeight = 0.4;
 // Differs from every pace, so that the next plan orders one.
 constexpr int UnknownPace = -1;
 
@@ -52,6 +57,7 @@
     d->takeEnds(*worker, listing, now);
     d->takeRunning(*worker, listing, sentAt, now);
     d->settleUnlisted(*worker, listing, sentAt, now);
+    d->observeInterference(*worker, now);
     d->unheard.erase(id);
     if (!worker->isListed() && worker->runCount() == 0) {
         d->eraseWorker(id);
@@ -170,6 +176,7 @@
         }
         run->percent = it.percent;
         run->level = it.level;
+        run->smoothLevel += SmoothingWeight * (static_cast<double>(it.level) - run->smoothLevel);
         auto *job = findJob(it.task.job);
         if (!it.checkpoint.empty() && job != nullptr) {
             job->job.noteCheckpoint(it.task, it.checkpoint);
@@ -177,6 +184,36 @@
     }
 }
 
+void Fleet::Private::observeInterference(workers::Worker &worker, TimePoint now)
+{
+    if (now - worker.observedAt() < ObserveInterval) {
+        return;
+    }
+    worker.setObservedAt(now);
+    std::vector<scheduling::Neighbour> neighbours;
+    for (const auto &it : worker.runs()) {
+        if (it.usesLeftover) {
+            neighbours.push_back({it.image, scheduling::usedShare(worker, it)});
+        }
+    }
+    for (const auto &it : worker.runs()) {
+        const bool isServing = it.isLasting && it.tailTarget > Duration(0) && it.percent == FullPace;
+        if (isServing) {
+            interference.observe(it.image, neighbours, static_cast<double>(it.level));
+        }
+    }
+    interference.fit(now);
+}
+
+void Fleet::Private::describeRun(workers::Run &run, const jobs::StepSpec &spec) const
+{
+    run.needs = spec.needs;
+    run.image = spec.image;
+    run.usesLeftover = spec.usesLeftover;
+    run.isLasting = spec.isLasting;
+    run.tailTarget = spec.tailTarget.value_or(Duration(0));
+}
+
 // A run that this leader did not order: it was started under a former leader, or
 // by an order that was given up. It is kept if its task needs it.
 void Fleet::Private::adopt(workers::Worker &worker, const ports::ListedRun &listed, TimePoint now)
@@ -195,9 +232,7 @@
     bool isWanted = isKnown && job->job.isOpen();
     if (isKnown) {
         const auto &spec = job->job.stepSpec(listed.task.step);
-        run.needs = spec.needs;
-        run.usesLeftover = spec.usesLeftover;
-        run.isLasting = spec.isLasting;
+        describeRun(run, spec);
         const bool isOpenOccurrence
             = listed.task.occurrence < static_cast<int>(job->job.occurrences().size());
         if (isOpenOccurrence) {
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -1,6 +1,7 @@
 // What the fleet decides to start, stop and pace.
 #include "execution/fleetstate.h"
 #include "jobs/names.h"
+#include "scheduling/tailforecast.h"
 
 #include <algorithm>
 
@@ -20,6 +21,12 @@
 // Runs of one leader are numbered from here on, above those of all before it.
 constexpr jobs::RunNumber RunsPerTenure = 1000;
 
+constexpr int FullPace = 100;
+// A run that lengthens the tails beside it by less than this logarithm is harmless.
+constexpr double MinDisturbance = 0.04;
+// Smaller changes of pace are not worth a call.
+constexpr int MinPaceChange = 8;
+
 double seconds(Duration d)
 {
     return std::chrono::duration<double>(d).count();
@@ -117,26 +124,31 @@
     }
     double worst = 0;
     bool hasLeftover = false;
+    bool isCauseKnown = false;
     for (const auto &run : worker.runs()) {
-        const auto *job = findJob(run.task.job);
-        hasLeftover = hasLeftover || run.usesLeftover;
-        if (!run.isLasting || job == nullptr || run.state != workers::RunState::Running) {
-            continue;
-        }
-        const auto &target = job->job.stepSpec(run.task.step).tailTarget;
-        if (target && target->count() > 0) {
-            const auto ratio = static_cast<double>(run.level) / static_cast<double>(toMilliseconds(*target));
-            worst = std::max(worst, std::max(ratio, 0.01));
+        if (run.usesLeftover) {
+            hasLeftover = true;
+            isCauseKnown = isCauseKnown || disturbance(interference, worker, run) > MinDisturbance;
+        } else if (run.tailTarget > Duration(0) && run.state == workers::RunState::Running && run.smoothLevel > 0) {
+            worst = std::max(worst, run.smoothLevel / static_cast<double>(toMilliseconds(run.tailTarget)));
         }
     }
     if (!hasLeftover) {
         return;
     }
-    const int pace = worker.paceRegulator().update(worst, now);
+    const int measured = worker.paceRegulator().update(worst, now);
+    const int pace = std::min(measured, safePace(interference, worker));
     for (auto &run : worker.runs()) {
-        if (run.usesLeftover && run.state == workers::RunState::Running && run.pace != pace) {
-            run.pace = pace;
-            orders.paces.push_back({worker.entry().id, run.task, run.number, pace});
+        if (!run.usesLeftover || run.state != workers::RunState::Running) {
+            continue;
+        }
+        // While no cause is known, everything beside a late task slows down.
+        const bool isMeant = !isCauseKnown || disturbance(interference, worker, run) > MinDisturbance;
+        const int wanted = isMeant ? pace : FullPace;
+        const bool isNotable = std::abs(run.pace - wanted) >= MinPaceChange || wanted == FullPace || wanted == 0;
+        if (run.pace != wanted && isNotable) {
+            run.pace = wanted;
+            orders.paces.push_back({worker.entry().id, run.task, run.number, wanted});
         }
     }
 }
@@ -243,7 +255,8 @@
                                           std::string_view preferredRack, TimePoint now)
 {
     const auto &spec = job.job.stepSpec(task.step);
-    scheduling::TaskDemand demand{task, &spec, policyOf(job).service.view(), preferredRack, {}};
+    scheduling::TaskDemand demand{task, &spec, policyOf(job).service.view(), preferredRack,
+                                        &interference, {}};
     const bool isHopeless = std::ranges::any_of(failedDemands, [&](const FailedDemand &it) {
         return it.service == demand.service && it.usesLeftover == spec.usesLeftover && spec.needs.holds(it.needs);
     });
@@ -270,9 +283,7 @@
     workers::Run run;
     run.task = task;
     run.number = number;
-    run.needs = spec.needs;
-    run.usesLeftover = spec.usesLeftover;
-    run.isLasting = spec.isLasting;
+    describeRun(run, spec);
     run.orderedAt = now;
     run.progressedAt = now;
     run.startDeadline = worker.startDeadline(now);
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -2,6 +2,7 @@
 
 #include "execution/fleet.h"
 #include "jobs/runtimeestimator.h"
+#include "scheduling/interferencemodel.h"
 #include "scheduling/waitingorder.h"
 #include "scheduling/workerchooser.h"
 #include "workers/worker.h"
@@ -65,6 +66,8 @@
     // Parts of noteListing().
     void takeEnds(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint now);
     void takeRunning(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint sentAt, TimePoint now);
+    void observeInterference(workers::Worker &worker, TimePoint now);
+    void describeRun(workers::Run &run, const jobs::StepSpec &spec) const;
     void adopt(workers::Worker &worker, const ports::ListedRun &listed, TimePoint now);
     void settleUnlisted(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint sentAt,
                         TimePoint now);
@@ -106,6 +109,7 @@
     std::set<jobs::JobKey> changedJobs;
     bool isRosterChanged = false;
     jobs::RunTimeEstimator estimator;
+    scheduling::InterferenceModel interference;
     std::unique_ptr<scheduling::WaitingOrder> waitingOrder;
     std::unique_ptr<scheduling::WorkerChooser> workerChooser;
     std::vector<FailedDemand> failedDemands; // of the present plan
--- /dev/null
+++ b/src/scheduling/interferencemodel.cpp
@@ -0,0 +1,135 @@
+#include "scheduling/interferencemodel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsoonspool::scheduling {
+
+namespace {
+
+constexpr Duration FitInterval = 500ms;
+// What was seen loses half of its weight in this time.
+constexpr Duration HalfLife = 30s;
+// Below this number of measurements nothing is believed.
+constexpr double MinCount = 15;
+// Ridge penalty, in units of squared core share: a press needs a few dozen
+// measurements beside a tenth of a worker to be believed.
+constexpr double Ridge = 0.08;
+constexpr int Sweeps = 12; // of coordinate descent; it starts from the last fit
+constexpr double MinShare = 0.002;
+
+} // namespace
+
+std::size_t InterferenceModel::Serving::indexOf(std::string_view image)
+{
+    const auto it = std::ranges::find(images, image);
+    if (it != images.end()) {
+        return static_cast<std::size_t>(it - images.begin()) + 1;
+    }
+    const std::size_t old = size();
+    images.emplace_back(image);
+    std::vector<double> grown(size() * size(), 0.0);
+    for (std::size_t row = 0; row < old && !moments.empty(); ++row) {
+        std::copy_n(moments.begin() + static_cast<std::ptrdiff_t>(row * old), old,
+                    grown.begin() + static_cast<std::ptrdiff_t>(row * size()));
+    }
+    moments = std::move(grown);
+    products.resize(size(), 0.0);
+    weights.resize(size(), 0.0);
+    return old;
+}
+
+void InterferenceModel::Serving::fade(double factor)
+{
+    for (auto &it : moments) {
+        it *= factor;
+    }
+    for (auto &it : products) {
+        it *= factor;
+    }
+    count *= factor;
+}
+
+// Coordinate descent on the normal equations. The base is free; presses stay at or
+// above zero.
+void InterferenceModel::Serving::fit()
+{
+    const std::size_t n = size();
+    for (int sweep = 0; sweep < Sweeps; ++sweep) {
+        for (std::size_t row = 0; row < n; ++row) {
+            double rest = products[row];
+            for (std::size_t column = 0; column < n; ++column) {
+                if (column != row) {
+                    rest -= moments[row * n + column] * weights[column];
+                }
+            }
+            const double curvature = moments[row * n + row] + (row == 0 ? 0 : Ridge);
+            if (curvature > 0) {
+                weights[row] = row == 0 ? rest / curvature : std::max(0.0, rest / curvature);
+            }
+        }
+    }
+}
+
+void InterferenceModel::observe(std::string_view serving, std::span<const Neighbour> neighbours, double tailMs)
+{
+    if (tailMs <= 0) {
+        return;
+    }
+    auto it = m_servings.find(serving);
+    if (it == m_servings.end()) {
+        it = m_servings.emplace(std::string(serving), Serving()).first;
+        it->second.moments.assign(1, 0.0);
+        it->second.products.assign(1, 0.0);
+        it->second.weights.assign(1, 0.0);
+    }
+    auto &model = it->second;
+    std::vector<std::pair<std::size_t, double>> features = {{0, 1.0}};
+    for (const auto &neighbour : neighbours) {
+        if (neighbour.coreShare > MinShare) {
+            features.emplace_back(model.indexOf(neighbour.image), neighbour.coreShare);
+        }
+    }
+    const double y = std::log(tailMs);
+    const std::size_t n = model.size();
+    for (const auto &[a, x] : features) {
+        model.products[a] += x * y;
+        for (const auto &[b, z] : features) {
+            model.moments[a * n + b] += x * z;
+        }
+    }
+    ++model.count;
+}
+
+void InterferenceModel::fit(TimePoint now)
+{
+    if (now - m_fittedAt < FitInterval) {
+        return;
+    }
+    const double elapsed = m_fittedAt == TimePoint() ? 0 : std::chrono::duration<double>(now - m_fittedAt).count();
+    const double factor = std::exp2(-elapsed / std::chrono::duration<double>(HalfLife).count());
+    m_fittedAt = now;
+    for (auto &[image, it] : m_servings) {
+        it.fade(factor);
+        it.fit();
+    }
+}
+
+double InterferenceModel::press(std::string_view serving, std::string_view image) const
+{
+    const auto it = m_servings.find(serving);
+    if (it == m_servings.end() || it->second.count < MinCount) {
+        return 0;
+    }
+    const auto &images = it->second.images;
+    const auto found = std::ranges::find(images, image);
+    return found == images.end() ? 0 : it->second.weights[static_cast<std::size_t>(found - images.begin()) + 1];
+}
+
+double InterferenceModel::baseTail(std::string_view serving) const
+{
+    const auto it = m_servings.find(serving);
+    return it == m_servings.end() || it->second.count < MinCount ? 0 : std::exp(it->second.weights.front());
+}
+
+} // namespace monsoonspool::scheduling
--- /dev/null
+++ b/src/scheduling/interferencemodel.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "common/time.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace monsoonspool::scheduling {
+
+// Work on leftover processors beside a serving task.
+struct Neighbour
+{
+    std::string_view image;
+    double coreShare = 0; // of the worker's processors, as used
+};
+
+// Learns by how much work of each image lengthens the response times of serving
+// tasks of each image, since only a few pairs disturb each other and nobody
+// declares which.
+//
+// For each serving image it fits log(tail) = base + sum of press(image) * coreShare
+// by ridge regression with presses that are never negative. What was seen fades,
+// since interference shifts.
+//
+// Not thread-safe: owned by the control thread.
+class InterferenceModel
+{
+public:
+    // Takes in one measurement of a serving task.
+    void observe(std::string_view serving, std::span<const Neighbour> neighbours, double tailMs);
+    // Fits what was seen since; costs little and is due once in FitInterval.
+    void fit(TimePoint now);
+
+    // Returns the factor by which one full worker's worth of `image` multiplies the
+    // tail, as a logarithm; 0 for a pair that is harmless or unknown.
+    double press(std::string_view serving, std::string_view image) const;
+    // Returns the tail of `serving` alone, in ms; 0 while unknown.
+    double baseTail(std::string_view serving) const;
+
+private:
+    struct Serving
+    {
+        std::vector<std::string> images; // of the features, from index 1; 0 is the base
+        std::vector<double> moments; // sums of products of features, row by row
+        std::vector<double> products; // sums of feature times log(tail)
+        std::vector<double> weights;
+        double count = 0;
+
+        std::size_t size() const
+        {
+            return images.size() + 1;
+        }
+        std::size_t indexOf(std::string_view image);
+        void fit();
+        void fade(double factor);
+    };
+
+    std::map<std::string, Serving, std::less<>> m_servings;
+    TimePoint m_fittedAt;
+};
+
+} // namespace monsoonspool::scheduling
--- a/src/scheduling/paceregulator.cpp
+++ b/src/scheduling/paceregulator.cpp
@@ -9,8 +9,8 @@
 constexpr int FullPace = 100;
 // Ratios of tail to target.
 constexpr double ViolatedRatio = 1.0;
-constexpr double NearRatio = 0.85;
-constexpr double CalmRatio = 0.65;
+constexpr double NearRatio = 0.9;
+constexpr double CalmRatio = 0.75;
 // Measurements cover the last half second, and pacing takes 100 ms to work.
 constexpr Duration SettleTime = 600ms;
 constexpr Duration RiseInterval = 1200ms;
--- /dev/null
+++ b/src/scheduling/tailforecast.cpp
@@ -0,0 +1,101 @@
+#include "scheduling/tailforecast.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsoonspool::scheduling {
+
+namespace {
+
+constexpr int FullPace = 100;
+
+double capacityOf(const workers::Worker &worker)
+{
+    return static_cast<double>(std::max<std::int64_t>(worker.entry().capacity.milliCores, 1));
+}
+
+double declaredShare(const workers::Worker &worker, const workers::Run &run)
+{
+    return static_cast<double>(run.needs.milliCores) / capacityOf(worker);
+}
+
+// Returns the logarithm by which the leftover work on `worker`, at full pace,
+// lengthens the tail of tasks of the image `serving`.
+double fullPressure(const InterferenceModel &model, const workers::Worker &worker, std::string_view serving)
+{
+    double sum = 0;
+    for (const auto &it : worker.runs()) {
+        if (it.usesLeftover) {
+            sum += model.press(serving, it.image) * declaredShare(worker, it);
+        }
+    }
+    return sum;
+}
+
+double ratioOf(const InterferenceModel &model, std::string_view serving, Duration target, double pressure)
+{
+    const auto targetMs = static_cast<double>(toMilliseconds(target));
+    return targetMs <= 0 ? 0 : model.baseTail(serving) * std::exp(pressure) / targetMs;
+}
+
+} // namespace
+
+double usedShare(const workers::Worker &worker, const workers::Run &run)
+{
+    if (run.level > 0) {
+        return static_cast<double>(run.level) / capacityOf(worker);
+    }
+    return 0;
+}
+
+double worstTailRatio(const InterferenceModel &model, const workers::Worker &worker, const JoiningTask &joining)
+{
+    double worst = 0;
+    if (!joining.usesLeftover && joining.tailTarget > Duration(0)) {
+        worst = ratioOf(model, joining.image, joining.tailTarget, fullPressure(model, worker, joining.image));
+    }
+    if (!joining.usesLeftover) {
+        return worst;
+    }
+    for (const auto &it : worker.runs()) {
+        if (it.isLasting && it.tailTarget > Duration(0)) {
+            const double press = model.press(it.image, joining.image);
+            if (press > 0) {
+                const double pressure = fullPressure(model, worker, it.image) + press * joining.coreShare;
+                worst = std::max(worst, ratioOf(model, it.image, it.tailTarget, pressure));
+            }
+        }
+    }
+    return worst;
+}
+
+int safePace(const InterferenceModel &model, const workers::Worker &worker)
+{
+    double pace = 1;
+    for (const auto &it : worker.runs()) {
+        const auto targetMs = static_cast<double>(toMilliseconds(it.tailTarget));
+        const double base = model.baseTail(it.image);
+        if (!it.isLasting || targetMs <= 0 || base <= 0) {
+            continue;
+        }
+        const double pressure = fullPressure(model, worker, it.image);
+        const double allowed = std::log(SafeTailRatio * targetMs / base);
+        if (pressure > allowed) {
+            pace = std::min(pace, std::max(allowed, 0.0) / pressure);
+        }
+    }
+    return static_cast<int>(pace * FullPace);
+}
+
+double disturbance(const InterferenceModel &model, const workers::Worker &worker, const workers::Run &run)
+{
+    double worst = 0;
+    for (const auto &it : worker.runs()) {
+        if (it.isLasting && it.tailTarget > Duration(0)) {
+            worst = std::max(worst, model.press(it.image, run.image) * declaredShare(worker, run));
+        }
+    }
+    return worst;
+}
+
+} // namespace monsoonspool::scheduling
--- /dev/null
+++ b/src/scheduling/tailforecast.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "scheduling/interferencemodel.h"
+#include "workers/worker.h"
+
+#include <string_view>
+
+namespace monsoonspool::scheduling {
+
+// A task that might join a worker.
+struct JoiningTask
+{
+    std::string_view image;
+    double coreShare = 0; // of the worker's processors
+    bool usesLeftover = false;
+    Duration tailTarget{0}; // of a serving task
+};
+
+// A serving task's tail is kept at or below this part of its target in the mean,
+// since its own load swings by half around its mean.
+constexpr double SafeTailRatio = 0.62;
+
+// Returns the part of the worker's processors that a run on leftover ones uses,
+// by the last measurement if there is one.
+double usedShare(const workers::Worker &worker, const workers::Run &run);
+
+// Returns the greatest ratio of tail to target that serving tasks on `worker` would
+// see in the mean with `joining` at full pace; 0 if nobody serves there, or nothing
+// is known of them.
+double worstTailRatio(const InterferenceModel &model, const workers::Worker &worker, const JoiningTask &joining);
+
+// Returns the pace in percent at which the runs on leftover processors that disturb
+// serving tasks on `worker` keep all of them at SafeTailRatio.
+int safePace(const InterferenceModel &model, const workers::Worker &worker);
+
+// Returns by how much `run` at full pace lengthens the tails of serving tasks beside
+// it, as the greatest logarithm.
+double disturbance(const InterferenceModel &model, const workers::Worker &worker, const workers::Run &run);
+
+} // namespace monsoonspool::scheduling
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/workerchooser.h"
 
+#include "scheduling/tailforecast.h"
+
 #include <algorithm>
 
 namespace monsoonspool::scheduling {
@@ -9,7 +11,7 @@
 // Costs in shares of a worker's processors; the lowest sum is chosen.
 constexpr double OtherRackCost = 10; // more than any difference of fit: such tasks run a multiple as long
 constexpr double SameStepCost = 4; // for each lasting task of the same step beside it
-constexpr double ServingNeighbourCost = 0.5; // for each serving task that leftover work would disturb
+constexpr double DisturbanceCost = 8; // for each target's worth by which a tail would leave the safe range
 
 double coreShare(const Resources &room, const workers::Worker &worker)
 {
@@ -17,14 +19,15 @@
     return static_cast<double>(room.milliCores) / static_cast<double>(capacity);
 }
 
-int servingTasks(const workers::Worker &worker)
-{
-    return static_cast<int>(std::ranges::count_if(worker.runs(), &workers::Run::isLasting));
-}
-
-int leftoverTasks(const workers::Worker &worker)
+double disturbanceCost(const workers::Worker &worker, const TaskDemand &demand)
 {
-    return static_cast<int>(std::ranges::count_if(worker.runs(), &workers::Run::usesLeftover));
+    if (demand.interference == nullptr) {
+        return 0;
+    }
+    const auto &step = *demand.step;
+    const JoiningTask joining{step.image, coreShare(step.needs, worker), step.usesLeftover,
+                              step.tailTarget.value_or(Duration(0))};
+    return DisturbanceCost * std::max(0.0, worstTailRatio(*demand.interference, worker, joining) - SafeTailRatio);
 }
 
 double cost(const workers::Worker &worker, const TaskDemand &demand)
@@ -36,10 +39,10 @@
         sum += OtherRackCost;
     }
     if (step.usesLeftover) {
-        return sum - coreShare(worker.leftoverRoom(), worker) + ServingNeighbourCost * servingTasks(worker);
+        return sum - coreShare(worker.leftoverRoom(), worker) + disturbanceCost(worker, demand);
     }
     if (step.isLasting) {
-        return sum + SameStepCost * worker.runsOfStep(demand.task) + ServingNeighbourCost * leftoverTasks(worker)
+        return sum + SameStepCost * worker.runsOfStep(demand.task) + disturbanceCost(worker, demand)
             - coreShare(worker.freeRoom(), worker);
     }
     return sum + coreShare(worker.freeRoom() - step.needs, worker);
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -2,6 +2,7 @@
 
 #include "jobs/jobspec.h"
 #include "jobs/taskid.h"
+#include "scheduling/interferencemodel.h"
 #include "workers/worker.h"
 
 #include <functional>
@@ -17,6 +18,7 @@
     const jobs::StepSpec *step = nullptr;
     std::string_view service; // whose workers may run it
     std::string_view preferredRack; // of the other members of a colocated gang; empty for any
+    const InterferenceModel *interference = nullptr; // nullptr if nothing is known
     std::function<bool(const workers::Worker &)> isAdmitted; // the adviser's word; empty for any worker
 };
 
@@ -38,7 +40,7 @@
 // processors fit most tightly, so that wide tasks find room elsewhere. The rack of
 // the data goes first. Lasting tasks go where they spread most, since a rack may
 // be lost at once, and tasks that use leftover processors go where most is left
-// over and nobody serves beside them.
+// over and no serving task beside them would miss its target.
 class TightFit : public WorkerChooser
 {
 public:
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -11,6 +11,9 @@
 // A suspect worker gets its next trial task after this time for each failure.
 constexpr Duration SuspectPause = 700ms;
 constexpr Duration MaxSuspectPause = 4s;
+// The part of their processors that serving tasks use on average; their load swings
+// around it, and what they need more they take from work on leftover processors.
+constexpr double ServingUse = 0.5;
 
 } // namespace
 
@@ -52,7 +55,9 @@
 
 Resources Worker::leftoverRoom() const
 {
-    return m_entry.capacity - m_held - m_leftoverHeld;
+    auto room = m_entry.capacity - m_held - m_leftoverHeld;
+    room.milliCores += static_cast<std::int64_t>(static_cast<double>(m_servingMilliCores) * (1 - ServingUse));
+    return room;
 }
 
 bool Worker::fits(const Resources &needs, bool usesLeftover) const
@@ -82,6 +87,7 @@
 void Worker::add(const Run &run)
 {
     m_runs.push_back(run);
+    m_servingMilliCores += run.isLasting ? run.needs.milliCores : 0;
     (run.usesLeftover ? m_leftoverHeld : m_held) += run.needs;
 }
 
@@ -90,6 +96,7 @@
     const auto it = std::ranges::find(m_runs, task, &Run::task);
     if (it != m_runs.end()) {
         (it->usesLeftover ? m_leftoverHeld : m_held) -= it->needs;
+        m_servingMilliCores -= it->isLasting ? it->needs.milliCores : 0;
         m_runs.erase(it);
     }
 }
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -26,8 +26,10 @@
     jobs::TaskId task;
     jobs::RunNumber number = 0;
     Resources needs;
+    std::string image;
     bool usesLeftover = false;
     bool isLasting = false;
+    Duration tailTarget{0}; // of a serving task
     RunState state = RunState::Ordered;
     TimePoint orderedAt;
     TimePoint answeredAt; // when the worker said that it runs
@@ -36,6 +38,7 @@
     TimePoint progressedAt; // when percent last grew
     int pace = 100; // percent of full speed
     std::int64_t level = 0; // see ports::ListedRun
+    double smoothLevel = 0; // of a serving task; measurements are rough
     TimePoint unsettledAt;
     TimePoint stopSentAt;
     TimePoint stopConfirmedAt; // the worker cannot begin the run after this any more
@@ -87,6 +90,15 @@
     {
         m_isRostered = true;
     }
+    // When measurements of this worker were last learned from.
+    TimePoint observedAt() const
+    {
+        return m_observedAt;
+    }
+    void setObservedAt(TimePoint now)
+    {
+        m_observedAt = now;
+    }
     scheduling::PaceRegulator &paceRegulator()
     {
         return m_paceRegulator;
@@ -105,7 +117,8 @@
 
     // Room that tasks with processors of their own may take.
     Resources freeRoom() const;
-    // Room that tasks on leftover processors may take.
+    // Room that tasks on leftover processors may take: what nobody holds, and what
+    // serving tasks hold and do not use.
     Resources leftoverRoom() const;
     // Returns whether a task with `needs` would fit now.
     bool fits(const Resources &needs, bool usesLeftover) const;
@@ -179,11 +192,13 @@
     WorkerClock m_clock;
     std::vector<Run> m_runs;
     Resources m_held; // of runs with processors of their own
+    std::int64_t m_servingMilliCores = 0; // the lasting runs' part of it
     Resources m_leftoverHeld;
     ports::WorkerMillis m_deadline = 0;
     std::int64_t m_takenEnd = 0;
     std::int64_t m_acknowledgedEnd = 0;
     TimePoint m_lastContact;
+    TimePoint m_observedAt;
     TimePoint m_closedUntil;
     int m_suspicion = 0;
     scheduling::PaceRegulator m_paceRegulator;
