Bound leftover work by what is left over, and place lasting tasks tightly

Cause: work paced to nothing gave its room away, and overran serving tasks when its pace rose again (tails at 8 to 9 times their targets, all on workers with leftover work beyond their processors). Ruled out: single tasks' own load, which peaks alone.

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -16,6 +16,7 @@
 constexpr int FullPace = 100;
 // Measurements of a worker cover its last half second.
 constexpr Duration ObserveInterval = 500ms;
+constexpr double MaxObservedRatio = 2;
 // Weight of the newest measurement in a serving task's smoothed tail.
 constexpr double SmoothingWeight = 0.4;
 // Differs from every pace, so that the next plan orders one.
@@ -199,7 +200,9 @@
     for (const auto &it : worker.runs()) {
         const bool isServing = it.isLasting && it.tailTarget > Duration(0) && it.percent == FullPace;
         if (isServing) {
-            interference.observe(it.image, neighbours, static_cast<double>(it.level));
+            // Beyond twice the target the worker is overrun, whoever is on it.
+            const auto most = MaxObservedRatio * static_cast<double>(toMilliseconds(it.tailTarget));
+            interference.observe(it.image, neighbours, std::min(static_cast<double>(it.level), most));
         }
     }
     interference.fit(now);
@@ -398,7 +401,7 @@
     auto *worker = d->findWorker(order.worker);
     auto *run = worker == nullptr ? nullptr : worker->find(order.task);
     if (run != nullptr && run->number == order.run && run->pace == order.percent) {
-        run->pace = UnknownPace;
+        worker->setPace(*run, UnknownPace);
     }
 }
 
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -136,18 +136,19 @@
     if (!hasLeftover) {
         return;
     }
-    const int measured = worker.paceRegulator().update(worst, now);
+    const int measured = worker.paceRegulator().update(worst, isCauseKnown, now);
     const int pace = std::min(measured, safePace(interference, worker));
+    const int shared = worker.sharedPace();
     for (auto &run : worker.runs()) {
         if (!run.usesLeftover || run.state != workers::RunState::Running) {
             continue;
         }
         // While no cause is known, everything beside a late task slows down.
         const bool isMeant = !isCauseKnown || disturbance(interference, worker, run) > MinDisturbance;
-        const int wanted = isMeant ? pace : FullPace;
-        const bool isNotable = std::abs(run.pace - wanted) >= MinPaceChange || wanted == FullPace || wanted == 0;
+        const int wanted = std::min(isMeant ? pace : FullPace, shared);
+        const bool isNotable = std::abs(run.pace - wanted) >= MinPaceChange || wanted == FullPace || wanted == 0 || run.pace < 0;
         if (run.pace != wanted && isNotable) {
-            run.pace = wanted;
+            worker.setPace(run, wanted);
             orders.paces.push_back({worker.entry().id, run.task, run.number, wanted});
         }
     }
--- a/src/scheduling/interferencemodel.cpp
+++ b/src/scheduling/interferencemodel.cpp
@@ -17,6 +17,9 @@
 constexpr double Ridge = 0.08;
 constexpr int Sweeps = 12; // of coordinate descent; it starts from the last fit
 constexpr double MinShare = 0.002;
+// Presses below this are taken for noise: of pairs that do not disturb each other,
+// most fits stay below half of it.
+constexpr double MinPress = 1.0;
 
 } // namespace
 
@@ -123,7 +126,16 @@
     }
     const auto &images = it->second.images;
     const auto found = std::ranges::find(images, image);
-    return found == images.end() ? 0 : it->second.weights[static_cast<std::size_t>(found - images.begin()) + 1];
+    if (found == images.end()) {
+        return 0;
+    }
+    const double weight = it->second.weights[static_cast<std::size_t>(found - images.begin()) + 1];
+    return weight < MinPress ? 0 : weight;
+}
+
+bool InterferenceModel::disturbsAny(std::string_view image) const
+{
+    return std::ranges::any_of(m_servings, [&](const auto &it) { return press(it.first, image) > 0; });
 }
 
 double InterferenceModel::baseTail(std::string_view serving) const
--- a/src/scheduling/interferencemodel.h
+++ b/src/scheduling/interferencemodel.h
@@ -37,6 +37,8 @@
     // Returns the factor by which one full worker's worth of `image` multiplies the
     // tail, as a logarithm; 0 for a pair that is harmless or unknown.
     double press(std::string_view serving, std::string_view image) const;
+    // Returns whether work of `image` disturbs any serving image.
+    bool disturbsAny(std::string_view image) const;
     // Returns the tail of `serving` alone, in ms; 0 while unknown.
     double baseTail(std::string_view serving) const;
 
--- a/src/scheduling/paceregulator.cpp
+++ b/src/scheduling/paceregulator.cpp
@@ -14,19 +14,27 @@
 // Measurements cover the last half second, and pacing takes 100 ms to work.
 constexpr Duration SettleTime = 600ms;
 constexpr Duration RiseInterval = 1200ms;
-constexpr int RiseStep = 20;
+constexpr int RiseStep = 25;
+constexpr Duration UnknownCausePatience = 1200ms;
 constexpr int MinUsefulPace = 10; // below it the work stands still
 
 } // namespace
 
-int PaceRegulator::update(double worstRatio, TimePoint now)
+int PaceRegulator::update(double worstRatio, bool isCauseKnown, TimePoint now)
 {
     if (worstRatio <= 0) {
         m_pace = FullPace;
         return m_pace;
     }
+    if (worstRatio < ViolatedRatio) {
+        m_underAt = now;
+    }
     const auto sinceChange = now - m_changedAt;
+    const bool mayFall = isCauseKnown || now - m_underAt >= UnknownCausePatience;
     int next = m_pace;
+    if (!mayFall && worstRatio >= NearRatio) {
+        return m_pace;
+    }
     if (worstRatio >= ViolatedRatio && sinceChange >= SettleTime) {
         next = m_pace / 4;
     } else if (worstRatio >= NearRatio && sinceChange >= SettleTime) {
--- a/src/scheduling/paceregulator.h
+++ b/src/scheduling/paceregulator.h
@@ -14,8 +14,10 @@
 {
 public:
     // Takes in the worst ratio of a serving task's tail to its target; 0 if nobody
-    // serves there. Returns the pace in percent.
-    int update(double worstRatio, TimePoint now);
+    // serves there. `isCauseKnown` tells whether work that is known to disturb runs
+    // beside it; without, a tail must stay over its target for a while, since most
+    // such peaks come from the serving task's own load. Returns the pace in percent.
+    int update(double worstRatio, bool isCauseKnown, TimePoint now);
 
     int pace() const
     {
@@ -25,6 +27,7 @@
 private:
     int m_pace = 100;
     TimePoint m_changedAt;
+    TimePoint m_underAt; // when no tail was over its target last
 };
 
 } // namespace monsoonspool::scheduling
--- a/src/scheduling/tailforecast.cpp
+++ b/src/scheduling/tailforecast.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr int FullPace = 100;
+// Less than this logarithm disturbs nobody.
+constexpr double MinPressure = 0.03;
 
 double capacityOf(const workers::Worker &worker)
 {
@@ -32,6 +34,18 @@
     return sum;
 }
 
+// Returns the same for the processors that the work used when last measured.
+double usedPressure(const InterferenceModel &model, const workers::Worker &worker, std::string_view serving)
+{
+    double sum = 0;
+    for (const auto &it : worker.runs()) {
+        if (it.usesLeftover) {
+            sum += model.press(serving, it.image) * usedShare(worker, it);
+        }
+    }
+    return sum;
+}
+
 double ratioOf(const InterferenceModel &model, std::string_view serving, Duration target, double pressure)
 {
     const auto targetMs = static_cast<double>(toMilliseconds(target));
@@ -74,15 +88,17 @@
     double pace = 1;
     for (const auto &it : worker.runs()) {
         const auto targetMs = static_cast<double>(toMilliseconds(it.tailTarget));
-        const double base = model.baseTail(it.image);
-        if (!it.isLasting || targetMs <= 0 || base <= 0) {
+        if (!it.isLasting || targetMs <= 0 || it.level <= 0) {
             continue;
         }
-        const double pressure = fullPressure(model, worker, it.image);
-        const double allowed = std::log(SafeTailRatio * targetMs / base);
-        if (pressure > allowed) {
-            pace = std::min(pace, std::max(allowed, 0.0) / pressure);
+        const double full = fullPressure(model, worker, it.image);
+        if (full < MinPressure) {
+            continue;
         }
+        // The measured tail holds the pressure of its half second already.
+        const double allowed = std::log(SafeTailRatio * targetMs / static_cast<double>(it.level))
+            + usedPressure(model, worker, it.image);
+        pace = std::min(pace, std::max(allowed, 0.0) / full);
     }
     return static_cast<int>(pace * FullPace);
 }
--- a/src/scheduling/tailforecast.h
+++ b/src/scheduling/tailforecast.h
@@ -16,9 +16,12 @@
     Duration tailTarget{0}; // of a serving task
 };
 
-// A serving task's tail is kept at or below this part of its target in the mean,
-// since its own load swings by half around its mean.
-constexpr double SafeTailRatio = 0.62;
+// A serving task's tail is kept at or below this part of its target: its load may
+// rise by a fifth until the next measurement.
+constexpr double SafeTailRatio = 0.8;
+// The part of its target that a tail should keep to in the mean, where work is
+// placed for longer: a serving task's load swings by half around its mean.
+constexpr double SafeMeanTailRatio = 0.62;
 
 // Returns the part of the worker's processors that a run on leftover ones uses,
 // by the last measurement if there is one.
@@ -30,7 +33,8 @@
 double worstTailRatio(const InterferenceModel &model, const workers::Worker &worker, const JoiningTask &joining);
 
 // Returns the pace in percent at which the runs on leftover processors that disturb
-// serving tasks on `worker` keep all of them at SafeTailRatio.
+// serving tasks on `worker` keep all of them at SafeTailRatio, as they
+// were last measured.
 int safePace(const InterferenceModel &model, const workers::Worker &worker);
 
 // Returns by how much `run` at full pace lengthens the tails of serving tasks beside
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -10,7 +10,8 @@
 
 // Costs in shares of a worker's processors; the lowest sum is chosen.
 constexpr double OtherRackCost = 10; // more than any difference of fit: such tasks run a multiple as long
-constexpr double SameStepCost = 4; // for each lasting task of the same step beside it
+constexpr double SameStepCost = 0.2; // for each lasting task of the same step beside it
+constexpr double QuietWorkerCost = 0.5; // for harmless work on a worker that others need because nobody serves there
 constexpr double DisturbanceCost = 8; // for each target's worth by which a tail would leave the safe range
 
 double coreShare(const Resources &room, const workers::Worker &worker)
@@ -27,7 +28,17 @@
     const auto &step = *demand.step;
     const JoiningTask joining{step.image, coreShare(step.needs, worker), step.usesLeftover,
                               step.tailTarget.value_or(Duration(0))};
-    return DisturbanceCost * std::max(0.0, worstTailRatio(*demand.interference, worker, joining) - SafeTailRatio);
+    return DisturbanceCost * std::max(0.0, worstTailRatio(*demand.interference, worker, joining) - SafeMeanTailRatio);
+}
+
+bool isQuiet(const workers::Worker &worker)
+{
+    return std::ranges::none_of(worker.runs(), &workers::Run::isLasting);
+}
+
+bool disturbsAny(const TaskDemand &demand)
+{
+    return demand.interference != nullptr && demand.interference->disturbsAny(demand.step->image);
 }
 
 double cost(const workers::Worker &worker, const TaskDemand &demand)
@@ -39,13 +50,15 @@
         sum += OtherRackCost;
     }
     if (step.usesLeftover) {
-        return sum - coreShare(worker.leftoverRoom(), worker) + disturbanceCost(worker, demand);
+        const bool isWasted = isQuiet(worker) && !disturbsAny(demand);
+        return sum - coreShare(worker.leftoverRoom(), worker) + disturbanceCost(worker, demand)
+            + (isWasted ? QuietWorkerCost : 0);
     }
+    sum += coreShare(worker.freeRoom() - step.needs, worker);
     if (step.isLasting) {
-        return sum + SameStepCost * worker.runsOfStep(demand.task) + disturbanceCost(worker, demand)
-            - coreShare(worker.freeRoom(), worker);
+        sum += SameStepCost * worker.runsOfStep(demand.task) + disturbanceCost(worker, demand);
     }
-    return sum + coreShare(worker.freeRoom() - step.needs, worker);
+    return sum;
 }
 
 } // namespace
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -37,10 +37,11 @@
 };
 
 // For a full fleet with tasks of very unequal size: takes the worker whose
-// processors fit most tightly, so that wide tasks find room elsewhere. The rack of
-// the data goes first. Lasting tasks go where they spread most, since a rack may
-// be lost at once, and tasks that use leftover processors go where most is left
-// over and no serving task beside them would miss its target.
+// processors fit most tightly, so that wide tasks find room elsewhere, and some
+// workers stay free of serving tasks. The rack of the data goes first. Tasks that use
+// leftover processors go where most is left over and no serving task beside them would
+// miss its target; those that disturb nobody leave the workers without serving tasks
+// to those that do.
 class TightFit : public WorkerChooser
 {
 public:
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -14,6 +14,7 @@
 // The part of their processors that serving tasks use on average; their load swings
 // around it, and what they need more they take from work on leftover processors.
 constexpr double ServingUse = 0.5;
+constexpr int FullPace = 100;
 
 } // namespace
 
@@ -53,11 +54,26 @@
     return room;
 }
 
+Resources Worker::leftoverCapacity() const
+{
+    auto capacity = m_entry.capacity - m_held;
+    capacity.milliCores += static_cast<std::int64_t>(static_cast<double>(m_servingMilliCores) * (1 - ServingUse));
+    return capacity;
+}
+
 Resources Worker::leftoverRoom() const
 {
-    auto room = m_entry.capacity - m_held - m_leftoverHeld;
-    room.milliCores += static_cast<std::int64_t>(static_cast<double>(m_servingMilliCores) * (1 - ServingUse));
-    return room;
+    return leftoverCapacity() - m_leftoverHeld;
+}
+
+int Worker::sharedPace() const
+{
+    std::int64_t declared = 0;
+    for (const auto &it : m_runs) {
+        declared += it.usesLeftover ? it.needs.milliCores : 0;
+    }
+    const auto available = std::max<std::int64_t>(leftoverCapacity().milliCores, 0);
+    return declared <= available ? FullPace : static_cast<int>(available * FullPace / declared);
 }
 
 bool Worker::fits(const Resources &needs, bool usesLeftover) const
@@ -84,18 +100,39 @@
     return it == m_runs.end() ? nullptr : &*it;
 }
 
+namespace {
+
+// A run that is slowed down leaves the rest of its processors to others.
+Resources heldBy(const Run &run)
+{
+    auto held = run.needs;
+    if (run.usesLeftover && run.pace >= 0) {
+        held.milliCores = held.milliCores * run.pace / FullPace;
+    }
+    return held;
+}
+
+} // namespace
+
+void Worker::setPace(Run &run, int percent)
+{
+    m_leftoverHeld -= heldBy(run);
+    run.pace = percent;
+    m_leftoverHeld += heldBy(run);
+}
+
 void Worker::add(const Run &run)
 {
     m_runs.push_back(run);
     m_servingMilliCores += run.isLasting ? run.needs.milliCores : 0;
-    (run.usesLeftover ? m_leftoverHeld : m_held) += run.needs;
+    (run.usesLeftover ? m_leftoverHeld : m_held) += heldBy(run);
 }
 
 void Worker::remove(const jobs::TaskId &task)
 {
     const auto it = std::ranges::find(m_runs, task, &Run::task);
     if (it != m_runs.end()) {
-        (it->usesLeftover ? m_leftoverHeld : m_held) -= it->needs;
+        (it->usesLeftover ? m_leftoverHeld : m_held) -= heldBy(*it);
         m_servingMilliCores -= it->isLasting ? it->needs.milliCores : 0;
         m_runs.erase(it);
     }
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -120,6 +120,9 @@
     // Room that tasks on leftover processors may take: what nobody holds, and what
     // serving tasks hold and do not use.
     Resources leftoverRoom() const;
+    // Returns the pace in percent at which all runs on leftover processors together
+    // use no more than there are.
+    int sharedPace() const;
     // Returns whether a task with `needs` would fit now.
     bool fits(const Resources &needs, bool usesLeftover) const;
 
@@ -139,6 +142,9 @@
         return m_runs;
     }
 
+    // Sets the pace at which a run is to work; -1 if the worker may not have taken it.
+    void setPace(Run &run, int percent);
+
     void add(const Run &run);
     void remove(const jobs::TaskId &task);
 
@@ -186,6 +192,8 @@
     }
 
 private:
+    Resources leftoverCapacity() const;
+
     static constexpr int SuspicionLimit = 3; // failures in a row, of any tasks
 
     ports::WorkerEntry m_entry;
@@ -193,7 +201,7 @@
     std::vector<Run> m_runs;
     Resources m_held; // of runs with processors of their own
     std::int64_t m_servingMilliCores = 0; // the lasting runs' part of it
-    Resources m_leftoverHeld;
+    Resources m_leftoverHeld; // processors by pace
     ports::WorkerMillis m_deadline = 0;
     std::int64_t m_takenEnd = 0;
     std::int64_t m_acknowledgedEnd = 0;
