--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -13,7 +13,7 @@
 constexpr Duration MaxSuspectPause = 4s;
 // The part of their processors that serving tasks use on average; their load swings
 // around it, and what they need more they take from work on leftover processors.
-constexpr double ServingUse = 0.5;
+constexpr double ServingUse = 0.42;
 constexpr int FullPace = 100;
 
 } // namespace
