Count each end once, by its run, and keep what jobs that are over need

Cause: at a takeover, ends of earlier runs that were listed again took the place of the run at work (a task ran twice), failures were counted twice, and runs of jobs that were over counted as needing no room (workers over their capacity). Ruled out: the fence, which the workers checked.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -158,8 +158,16 @@
 std::string CborJobs::encode(const jobs::JobProgress &progress) const
 {
     Json json = {{"state", static_cast<int>(progress.state)}};
-    if (!progress.occurrences.empty()) {
-        json["tasks"] = progress.occurrences;
+    for (const auto &steps : progress.occurrences) {
+        Json encoded = Json::array();
+        for (const auto &it : steps) {
+            Json failed = Json::array();
+            for (const auto &[index, runs] : it.failedRuns) {
+                failed.push_back(Json::array({index, runs}));
+            }
+            encoded.push_back(Json::array({it.tasks, std::move(failed)}));
+        }
+        json["occurrences"].push_back(std::move(encoded));
     }
     return writeCbor(json);
 }
@@ -169,7 +177,16 @@
     return decodeWith(value, [](const Json &json) {
         jobs::JobProgress progress;
         progress.state = static_cast<jobs::JobState>(json.at("state").get<int>());
-        progress.occurrences = json.value("tasks", progress.occurrences);
+        for (const auto &steps : json.value("occurrences", Json::array())) {
+            auto &decoded = progress.occurrences.emplace_back();
+            for (const auto &it : steps) {
+                auto &step = decoded.emplace_back();
+                step.tasks = it.at(0).get<std::string>();
+                for (const auto &failed : it.at(1)) {
+                    step.failedRuns[failed.at(0).get<int>()] = failed.at(1).get<std::vector<jobs::RunNumber>>();
+                }
+            }
+        }
         return progress;
     });
 }
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -237,6 +237,9 @@
     // Called from inside the tenure, which must outlive the call.
     void onFenced()
     {
+        if (!leadership.isLeader()) {
+            return;
+        }
         ports.log.record("leadership-fenced", {{"fence", tenureFence.value}});
         leadership.stepDown(ports.scheduler.now());
         ports.scheduler.runAfter(Duration(0), [self = shared_from_this()] {
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -105,7 +105,7 @@
     const auto it = workersById.find(id);
     std::erase(workers, it->second.get());
     workersById.erase(it);
-    unheard.erase(id);
+    noteHeard(id);
     isRosterChanged = true;
 }
 
@@ -295,15 +295,35 @@
     }
 }
 
+// While workers are unheard, a job that is over may still run there, and what it
+// needs there must be known.
 void Fleet::Private::dropIfOver(jobs::JobKey key)
 {
     const auto *job = findJob(key);
-    if (job != nullptr && job->isStored && job->runs == 0) {
+    if (job != nullptr && job->isStored && job->runs == 0 && unheard.empty()) {
         changedJobs.erase(key);
         jobsByKey.erase(key);
     }
 }
 
+void Fleet::Private::noteHeard(const WorkerId &id)
+{
+    if (unheard.erase(id) > 0 && unheard.empty()) {
+        dropAllOver();
+    }
+}
+
+void Fleet::Private::dropAllOver()
+{
+    std::vector<jobs::JobKey> keys;
+    for (const auto &[key, it] : jobsByKey) {
+        keys.push_back(key);
+    }
+    for (const auto &it : keys) {
+        dropIfOver(it);
+    }
+}
+
 const FleetCounts &Fleet::counts() const
 {
     auto &counts = d->counts;
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -59,7 +59,7 @@
     d->takeRunning(*worker, listing, sentAt, now);
     d->settleUnlisted(*worker, listing, sentAt, now);
     d->observeInterference(*worker, now);
-    d->unheard.erase(id);
+    d->noteHeard(id);
     if (!worker->isListed() && worker->runCount() == 0) {
         d->eraseWorker(id);
     }
@@ -118,6 +118,7 @@
     auto *job = findJob(task.job);
     if (job != nullptr) {
         --job->runs;
+        job->job.noteOver(task);
     }
     switch (how) {
     case jobs::RunEnd::Done:
@@ -144,7 +145,7 @@
         return;
     }
     const bool wasOpen = job->job.isOpen();
-    if (job->job.noteEnded(task, run, how, checkpoint, policyOf(*job).maxAttempts, now)) {
+    if (job->job.noteEnd(task, run, how, checkpoint, policyOf(*job).maxAttempts, now)) {
         changedJobs.insert(task.job);
     }
     if (wasOpen && !job->job.isOpen()) {
@@ -247,6 +248,9 @@
             job->job.noteCheckpoint(listed.task, listed.checkpoint);
         }
         ++job->runs;
+    } else {
+        // Nobody knows what it needs; it may need all that is left.
+        run.needs = worker.freeRoom();
     }
     log.record(isWanted ? "run-adopted" : "run-unwanted",
                {{"task", jobs::taskName(listed.task)}, {"run", listed.run}, {"worker", worker.entry().id.view()}});
@@ -326,7 +330,7 @@
 {
     lapseAll(worker, now, "restarted");
     worker.restart(bornMs);
-    unheard.erase(worker.entry().id);
+    noteHeard(worker.entry().id);
 }
 
 void Fleet::noteStart(const StartTask &order, ports::RunAnswer answer, TimePoint now)
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -60,6 +60,7 @@
     if (!unheard.empty() && now >= formerLeasesEnd) {
         log.record("former-leases-over", {{"unheard", unheard.size()}});
         unheard.clear();
+        dropAllOver();
     }
     std::vector<WorkerId> gone;
     for (auto *it : workers) {
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -62,6 +62,8 @@
     void lapseAll(workers::Worker &worker, TimePoint now, std::string_view reason);
     void restart(workers::Worker &worker, std::int64_t bornMs, TimePoint now);
     void dropIfOver(jobs::JobKey key);
+    void noteHeard(const WorkerId &id);
+    void dropAllOver();
 
     // Parts of noteListing().
     void takeEnds(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint now);
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-constexpr char DoneMark = 'D';
-constexpr int MaxFailureDigit = 9;
-
 // A task that failed waits for a moment, so that a worker that fails everything
 // does not burn all attempts at once.
 constexpr Duration RetryPause = 20ms;
@@ -135,38 +132,38 @@
 bool Job::markFailed(const TaskId &id, RunNumber run, int maxAttempts)
 {
     const auto &spec = stepSpec(id.step);
-    auto &step = mutableStep(id.occurrence, id.step);
     if (spec.isLasting) {
         return false;
     }
-    if (spec.isGang) {
-        if (step.lastFailedRun == run) {
-            return false;
-        }
-        step.lastFailedRun = run;
-        for (auto &it : step.tasks) {
-            ++it.failures;
-        }
-    } else {
-        ++mutableTask(id).failures;
+    auto &failed = spec.isGang ? mutableStep(id.occurrence, id.step).failedRuns : mutableTask(id).failedRuns;
+    if (std::ranges::find(failed, run) != failed.end()) {
+        return false;
     }
-    if (mutableTask(id).failures >= maxAttempts && isOpen()) {
+    failed.push_back(run);
+    if (static_cast<int>(failed.size()) >= maxAttempts && isOpen()) {
         m_state = JobState::Failed;
     }
     return true;
 }
 
-bool Job::noteEnded(const TaskId &id, RunNumber run, RunEnd how, std::string_view checkpoint, int maxAttempts,
-                    TimePoint now)
+void Job::noteOver(const TaskId &id)
 {
     auto &step = mutableStep(id.occurrence, id.step);
     auto &task = step.tasks[static_cast<std::size_t>(id.index)];
     if (task.activeRuns > 0 && --task.activeRuns == 0 && !task.isDone) {
         --step.activeCount;
     }
+}
+
+bool Job::noteEnd(const TaskId &id, RunNumber run, RunEnd how, std::string_view checkpoint, int maxAttempts,
+                  TimePoint now)
+{
+    auto &step = mutableStep(id.occurrence, id.step);
+    auto &task = step.tasks[static_cast<std::size_t>(id.index)];
     if (task.isDone) {
         return false;
     }
+    task.lastRun = std::max(task.lastRun, run);
     if (!checkpoint.empty()) {
         noteCheckpoint(id, checkpoint);
     }
@@ -221,31 +218,58 @@
     for (const auto &occurrence : m_occurrences) {
         auto &steps = progress.occurrences.emplace_back();
         for (const auto &step : occurrence.steps) {
-            auto &marks = steps.emplace_back();
-            for (const auto &task : step.tasks) {
-                marks += task.isDone ? DoneMark
-                                     : static_cast<char>('0' + std::min<int>(task.failures, MaxFailureDigit));
+            auto &stored = steps.emplace_back();
+            if (!step.failedRuns.empty()) {
+                stored.failedRuns[StepProgress::GangIndex] = step.failedRuns;
+            }
+            for (std::size_t n = 0; n < step.tasks.size(); ++n) {
+                stored.tasks += step.tasks[n].isDone ? StepProgress::DoneMark : StepProgress::OpenMark;
+                if (!step.tasks[n].failedRuns.empty()) {
+                    stored.failedRuns[static_cast<int>(n)] = step.tasks[n].failedRuns;
+                }
             }
         }
     }
     return progress;
 }
 
+namespace {
+
+void mergeRuns(std::vector<RunNumber> &runs, std::span<const RunNumber> others)
+{
+    for (const auto it : others) {
+        if (std::ranges::find(runs, it) == runs.end()) {
+            runs.push_back(it);
+        }
+    }
+}
+
+} // namespace
+
+void Job::restoreStep(int occurrence, int step, const StepProgress &stored)
+{
+    auto &own = mutableStep(occurrence, step);
+    for (std::size_t n = 0; n < std::min(stored.tasks.size(), own.tasks.size()); ++n) {
+        if (stored.tasks[n] == StepProgress::DoneMark) {
+            markDone(occurrence, step, own.tasks[n]);
+        }
+    }
+    for (const auto &[index, runs] : stored.failedRuns) {
+        if (index == StepProgress::GangIndex) {
+            mergeRuns(own.failedRuns, runs);
+        } else if (index >= 0 && index < static_cast<int>(own.tasks.size())) {
+            mergeRuns(own.tasks[static_cast<std::size_t>(index)].failedRuns, runs);
+        }
+    }
+}
+
 void Job::restore(const JobProgress &progress)
 {
     const auto occurrences = std::min(progress.occurrences.size(), static_cast<std::size_t>(m_spec.occurrenceCount()));
     for (std::size_t k = 0; k < occurrences; ++k) {
         const auto &steps = progress.occurrences[k];
         for (std::size_t s = 0; s < std::min(steps.size(), m_spec.steps.size()); ++s) {
-            auto &step = mutableStep(static_cast<int>(k), static_cast<int>(s));
-            for (std::size_t n = 0; n < std::min(steps[s].size(), step.tasks.size()); ++n) {
-                auto &task = step.tasks[n];
-                if (steps[s][n] == DoneMark) {
-                    markDone(static_cast<int>(k), static_cast<int>(s), task);
-                } else {
-                    task.failures = std::max(task.failures, static_cast<std::uint8_t>(steps[s][n] - '0'));
-                }
-            }
+            restoreStep(static_cast<int>(k), static_cast<int>(s), steps[s]);
         }
     }
     const bool isFurther = isFinal(progress.state) || m_state == JobState::Queued;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -4,6 +4,7 @@
 #include "jobs/taskid.h"
 
 #include <cstdint>
+#include <map>
 #include <span>
 #include <string>
 #include <string_view>
@@ -39,7 +40,7 @@
 struct Task
 {
     bool isDone = false;
-    std::uint8_t failures = 0;
+    std::vector<RunNumber> failedRuns; // each counts once, however often its end is listed
     std::uint8_t activeRuns = 0; // runs that may be at work on some worker
     RunNumber lastRun = 0;
     std::string checkpoint; // to resume from; empty to begin
@@ -56,7 +57,7 @@
     std::vector<Task> tasks;
     int doneCount = 0;
     int activeCount = 0; // tasks with a run
-    RunNumber lastFailedRun = 0; // a gang's failure counts once for each run
+    std::vector<RunNumber> failedRuns; // of a gang, which fails as a whole
     bool isDone() const
     {
         return doneCount == static_cast<int>(tasks.size());
@@ -73,12 +74,24 @@
     int openSteps = 0; // steps that are not done
 };
 
-// What of a job must outlast its scheduler: one character for each task, 'D'
-// for done, or the digit of its failed runs.
+// What of a step must outlast its scheduler.
+struct StepProgress
+{
+    std::string tasks; // a character for each task: DoneMark or OpenMark
+    std::map<int, std::vector<RunNumber>> failedRuns; // by task; GangIndex for a gang as a whole
+
+    static constexpr char DoneMark = 'D';
+    static constexpr char OpenMark = '.';
+    static constexpr int GangIndex = -1;
+
+    bool operator==(const StepProgress &) const = default;
+};
+
+// What of a job must outlast its scheduler.
 struct JobProgress
 {
     JobState state = JobState::Queued;
-    std::vector<std::vector<std::string>> occurrences; // of steps; empty while nothing ended
+    std::vector<std::vector<StepProgress>> occurrences; // empty while nothing ended
 
     bool operator==(const JobProgress &) const = default;
 };
@@ -138,10 +151,12 @@
 
     // Notes that a run was ordered. The job counts as running from then on.
     void noteStarted(const TaskId &id, RunNumber run);
-    // Notes that a run ended, or was never begun (`RunEnd::Stopped`).
+    // Notes that a run that noteStarted() told of is over, however it ended.
+    void noteOver(const TaskId &id);
+    // Notes how a run ended, known here or not; an end that is told twice counts once.
     // Returns whether what must outlast the scheduler changed.
-    bool noteEnded(const TaskId &id, RunNumber run, RunEnd how, std::string_view checkpoint, int maxAttempts,
-                   TimePoint now);
+    bool noteEnd(const TaskId &id, RunNumber run, RunEnd how, std::string_view checkpoint, int maxAttempts,
+                 TimePoint now);
     // Remembers the newest checkpoint of a task at work.
     void noteCheckpoint(const TaskId &id, std::string_view checkpoint);
 
@@ -157,6 +172,7 @@
     Step &mutableStep(int occurrence, int step);
     void openOccurrence();
     void markDone(int occurrence, int step, Task &task);
+    void restoreStep(int occurrence, int step, const StepProgress &stored);
     bool markFailed(const TaskId &id, RunNumber run, int maxAttempts);
 
     JobKey m_key;
