Let the leases of a silent worker lapse

Cause: each renewal that a silent worker did not answer asked for a longer lease, so that what ran on a worker that was gone never counted as over (LOST 16 and 12).

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -33,7 +33,11 @@
         return order;
     }
     order.acknowledgedEnd = worker->acknowledgedEnd();
-    order.deadline = worker->nextDeadline(now);
+    if (!worker->isSilent()) {
+        // An order that is not answered may be carried out: while a worker is silent,
+        // nothing may lengthen what has to lapse.
+        order.deadline = worker->nextDeadline(now);
+    }
     if (worker->isConfirmed() && !worker->isSilent()) {
         const bool isServing = std::ranges::any_of(worker->runs(), &workers::Run::isLasting)
             && std::ranges::any_of(worker->runs(), &workers::Run::usesLeftover);
