Spend less processor time on plans

Ranks hold for a moment, pace is regulated on news only, and of the sizes that found no room only the smallest are remembered. Ruled out: the store (calls took 8 to 40 ms).

--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -14,6 +14,8 @@
 constexpr int LateFactor = 3;
 // Expected run times are worked out anew after this time.
 constexpr Duration ExpectedValidity = 2s;
+// So long a job keeps its place in the order of waiting work.
+constexpr Duration RankValidity = 250ms;
 // A stop that got no confirmation is sent again after this time.
 constexpr Duration StopRepeat = 1s;
 // A checkpointed task is moved off a leaving worker unless it ends well before.
@@ -120,7 +122,7 @@
 
 void Fleet::Private::regulate(workers::Worker &worker, TimePoint now, Orders &orders)
 {
-    if (worker.isSilent() || !worker.isConfirmed()) {
+    if (worker.isSilent() || !worker.isConfirmed() || !worker.takeMeasured()) {
         return;
     }
     double worst = 0;
@@ -217,6 +219,18 @@
     return !unheard.empty() && job.version <= claimVersion && now < formerLeasesEnd;
 }
 
+scheduling::Rank Fleet::Private::rankOf(TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall)
+{
+    const bool isFresh = job.rankedOccurrence == occurrence && now - job.rankedAt < RankValidity;
+    if (!isFresh) {
+        refreshExpected(job, now);
+        job.rank = waitingOrder->rank(outlook(job, occurrence, now, wall), now);
+        job.rankedOccurrence = occurrence;
+        job.rankedAt = now;
+    }
+    return job.rank;
+}
+
 std::vector<Fleet::Private::WaitingStep> Fleet::Private::waitingSteps(TimePoint now, jobs::WallTime wall)
 {
     std::vector<WaitingStep> waiting;
@@ -238,8 +252,7 @@
                     continue;
                 }
                 if (!isRanked) {
-                    refreshExpected(*job, now);
-                    rank = waitingOrder->rank(outlook(*job, k, now, wall), now);
+                    rank = rankOf(*job, k, now, wall);
                     isRanked = true;
                 }
                 waiting.push_back({job.get(), k, s, rank});
@@ -257,8 +270,9 @@
                                           std::string_view preferredRack, TimePoint now)
 {
     const auto &spec = job.job.stepSpec(task.step);
-    scheduling::TaskDemand demand{task, &spec, policyOf(job).service.view(), preferredRack,
-                                        &interference, {}};
+    const bool isConcerned = spec.isLasting || (spec.usesLeftover && interference.disturbsAny(spec.image));
+    const scheduling::TaskDemand demand{task, &spec, policyOf(job).service.view(), preferredRack,
+                                        isConcerned ? &interference : nullptr, {}};
     const bool isHopeless = std::ranges::any_of(failedDemands, [&](const FailedDemand &it) {
         return it.service == demand.service && it.usesLeftover == spec.usesLeftover && spec.needs.holds(it.needs);
     });
@@ -268,6 +282,10 @@
     auto *worker = workerChooser->choose(demand, workers, now);
     const bool isPlain = spec.requiredLabel.empty() && spec.maxPerWorker == 0;
     if (worker == nullptr && isPlain) {
+        // Only the smallest sizes that failed are worth remembering.
+        std::erase_if(failedDemands, [&](const FailedDemand &it) {
+            return it.service == demand.service && it.usesLeftover == spec.usesLeftover && it.needs.holds(spec.needs);
+        });
         failedDemands.push_back({demand.service, spec.usesLeftover, spec.needs});
     }
     return worker;
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -32,6 +32,9 @@
     std::vector<Duration> expected;
     Duration wholeChain{0};
     TimePoint expectedAt;
+    scheduling::Rank rank;
+    int rankedOccurrence = -1;
+    TimePoint rankedAt;
 };
 
 // A size that found no worker in the present plan.
@@ -85,6 +88,7 @@
     void refreshExpected(TrackedJob &job, TimePoint now) const;
     scheduling::JobOutlook outlook(const TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall) const;
     void noteLapses(TimePoint now);
+    scheduling::Rank rankOf(TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall);
     bool isBlocked(const TrackedJob &job, TimePoint now) const;
     std::vector<WaitingStep> waitingSteps(TimePoint now, jobs::WallTime wall);
     void placeStep(const WaitingStep &waiting, TimePoint now, Orders &orders);
--- a/src/execution/tenure.cpp
+++ b/src/execution/tenure.cpp
@@ -16,6 +16,10 @@
 
 // Gathers the events of one moment into one plan.
 constexpr Duration PlanDelay = 3ms;
+// A plan looks at every open job: with many, plans are made less often, so that a
+// weak host keeps up with its workers.
+constexpr Duration PlanDelayForJob = 60us;
+constexpr Duration MaxPlanDelay = 60ms;
 // Plans at least so often, for what time alone brings.
 constexpr Duration PlanInterval = 150ms;
 // How long the store may hold a question for changes.
@@ -229,7 +233,8 @@
             return;
         }
         isPlanning = true;
-        ports.scheduler.runAfter(PlanDelay, [self = shared_from_this()] {
+        const auto delay = PlanDelay + PlanDelayForJob * static_cast<int>(fleet.counts().openJobs);
+        ports.scheduler.runAfter(std::min(delay, MaxPlanDelay), [self = shared_from_this()] {
             self->isPlanning = false;
             if (!self->isClosed) {
                 self->plan();
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -36,11 +36,6 @@
     return std::ranges::none_of(worker.runs(), &workers::Run::isLasting);
 }
 
-bool disturbsAny(const TaskDemand &demand)
-{
-    return demand.interference != nullptr && demand.interference->disturbsAny(demand.step->image);
-}
-
 double cost(const workers::Worker &worker, const TaskDemand &demand)
 {
     const auto &step = *demand.step;
@@ -50,7 +45,7 @@
         sum += OtherRackCost;
     }
     if (step.usesLeftover) {
-        const bool isWasted = isQuiet(worker) && !disturbsAny(demand);
+        const bool isWasted = isQuiet(worker) && demand.interference == nullptr;
         return sum - coreShare(worker.leftoverRoom(), worker) + disturbanceCost(worker, demand)
             + (isWasted ? QuietWorkerCost : 0);
     }
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -18,7 +18,7 @@
     const jobs::StepSpec *step = nullptr;
     std::string_view service; // whose workers may run it
     std::string_view preferredRack; // of the other members of a colocated gang; empty for any
-    const InterferenceModel *interference = nullptr; // nullptr if nothing is known
+    const InterferenceModel *interference = nullptr; // nullptr if the task disturbs nobody and is not disturbed
     std::function<bool(const workers::Worker &)> isAdmitted; // the adviser's word; empty for any worker
 };
 
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -173,6 +173,7 @@
     m_lastContact = now;
     m_isConfirmed = true;
     m_isSilent = false;
+    m_isMeasured = true;
 }
 
 void Worker::noteSilence(TimePoint)
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -8,7 +8,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace monsoonspool::workers {
@@ -99,6 +99,11 @@
     {
         m_observedAt = now;
     }
+    // Returns whether a listing came in since the last call.
+    bool takeMeasured()
+    {
+        return std::exchange(m_isMeasured, false);
+    }
     scheduling::PaceRegulator &paceRegulator()
     {
         return m_paceRegulator;
@@ -214,6 +219,7 @@
     bool m_isRostered = false;
     bool m_isConfirmed = false;
     bool m_isSilent = false;
+    bool m_isMeasured = false;
 };
 
 } // namespace monsoonspool::workers
