Keep lasting tasks of one image together

Lasting tasks now join others of their image, and work that would have to stand still waits. Ruled out: room (1,100 cores were left over).

--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -140,23 +140,38 @@
         return;
     }
     const int measured = worker.paceRegulator().update(worst, isCauseKnown, now);
-    const int pace = std::min(measured, safePace(interference, worker));
-    const int shared = worker.sharedPace();
+    const int pace = std::min({measured, safePace(interference, worker), roomPace(worker)});
     for (auto &run : worker.runs()) {
         if (!run.usesLeftover || run.state != workers::RunState::Running) {
             continue;
         }
         // While no cause is known, everything beside a late task slows down.
         const bool isMeant = !isCauseKnown || disturbance(interference, worker, run) > MinDisturbance;
-        const int wanted = std::min(isMeant ? pace : FullPace, shared);
-        const bool isNotable = std::abs(run.pace - wanted) >= MinPaceChange || wanted == FullPace || wanted == 0 || run.pace < 0;
-        if (run.pace != wanted && isNotable) {
+        const int wanted = isMeant ? pace : FullPace;
+        const bool isNotable = std::abs(run.pace - wanted) >= MinPaceChange || run.pace < 0
+            || (run.pace != wanted && (wanted == FullPace || wanted == 0));
+        if (isNotable) {
             worker.setPace(run, wanted);
             orders.paces.push_back({worker.entry().id, run.task, run.number, wanted});
         }
     }
 }
 
+// Returns the pace at which the work that disturbs fits beside that which does not.
+int Fleet::Private::roomPace(const workers::Worker &worker) const
+{
+    std::int64_t disturbing = 0;
+    std::int64_t harmless = 0;
+    for (const auto &run : worker.runs()) {
+        if (run.usesLeftover) {
+            const bool isDisturbing = disturbance(interference, worker, run) > MinDisturbance;
+            (isDisturbing ? disturbing : harmless) += run.needs.milliCores;
+        }
+    }
+    const auto room = std::max<std::int64_t>(worker.leftoverMilliCores() - harmless, 0);
+    return disturbing <= room ? FullPace : static_cast<int>(room * FullPace / disturbing);
+}
+
 void Fleet::Private::refreshExpected(TrackedJob &job, TimePoint now) const
 {
     if (!job.expected.empty() && now - job.expectedAt < ExpectedValidity) {
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -100,6 +100,7 @@
     void stopUnwanted(workers::Worker &worker, TimePoint now, Orders &orders);
     void evacuate(workers::Worker &worker, TimePoint now);
     void regulate(workers::Worker &worker, TimePoint now, Orders &orders);
+    int roomPace(const workers::Worker &worker) const;
     void requestStop(workers::Run &run);
     jobs::RunNumber nextRun(const jobs::Task &task) const;
 
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -11,8 +11,12 @@
 // Costs in shares of a worker's processors; the lowest sum is chosen.
 constexpr double OtherRackCost = 10; // more than any difference of fit: such tasks run a multiple as long
 constexpr double SameStepCost = 0.2; // for each lasting task of the same step beside it
+constexpr double OtherImageCost = 3; // for a lasting task, for the part of those beside it that are of other images
 constexpr double QuietWorkerCost = 0.5; // for harmless work on a worker that others need because nobody serves there
 constexpr double DisturbanceCost = 8; // for each target's worth by which a tail would leave the safe range
+// Work that would bring a serving task's mean tail above this part of its target waits
+// instead: it would have to stand still most of the time.
+constexpr double MaxJoinRatio = 0.85;
 
 double coreShare(const Resources &room, const workers::Worker &worker)
 {
@@ -20,7 +24,7 @@
     return static_cast<double>(room.milliCores) / static_cast<double>(capacity);
 }
 
-double disturbanceCost(const workers::Worker &worker, const TaskDemand &demand)
+double tailRatio(const workers::Worker &worker, const TaskDemand &demand)
 {
     if (demand.interference == nullptr) {
         return 0;
@@ -28,7 +32,24 @@
     const auto &step = *demand.step;
     const JoiningTask joining{step.image, coreShare(step.needs, worker), step.usesLeftover,
                               step.tailTarget.value_or(Duration(0))};
-    return DisturbanceCost * std::max(0.0, worstTailRatio(*demand.interference, worker, joining) - SafeMeanTailRatio);
+    return worstTailRatio(*demand.interference, worker, joining);
+}
+
+double disturbanceCost(double ratio)
+{
+    return DisturbanceCost * std::max(0.0, ratio - SafeMeanTailRatio);
+}
+
+// Returns the part of the serving tasks on `worker` that are of another image.
+double otherImages(const workers::Worker &worker, std::string_view image)
+{
+    int serving = 0;
+    int others = 0;
+    for (const auto &it : worker.runs()) {
+        serving += it.isLasting ? 1 : 0;
+        others += it.isLasting && it.image != image ? 1 : 0;
+    }
+    return serving == 0 ? 0 : static_cast<double>(others) / serving;
 }
 
 bool isQuiet(const workers::Worker &worker)
@@ -36,22 +57,21 @@
     return std::ranges::none_of(worker.runs(), &workers::Run::isLasting);
 }
 
-double cost(const workers::Worker &worker, const TaskDemand &demand)
+double cost(const workers::Worker &worker, const TaskDemand &demand, double ratio)
 {
     const auto &step = *demand.step;
-    double sum = 0;
+    double sum = disturbanceCost(ratio);
     const auto rack = step.dataRack.empty() ? demand.preferredRack : std::string_view(step.dataRack);
     if (!rack.empty() && worker.entry().rack != rack) {
         sum += OtherRackCost;
     }
     if (step.usesLeftover) {
         const bool isWasted = isQuiet(worker) && demand.interference == nullptr;
-        return sum - coreShare(worker.leftoverRoom(), worker) + disturbanceCost(worker, demand)
-            + (isWasted ? QuietWorkerCost : 0);
+        return sum - coreShare(worker.leftoverRoom(), worker) + (isWasted ? QuietWorkerCost : 0);
     }
     sum += coreShare(worker.freeRoom() - step.needs, worker);
     if (step.isLasting) {
-        sum += SameStepCost * worker.runsOfStep(demand.task) + disturbanceCost(worker, demand);
+        sum += SameStepCost * worker.runsOfStep(demand.task) + OtherImageCost * otherImages(worker, step.image);
     }
     return sum;
 }
@@ -83,7 +103,11 @@
         if (!it->fits(demand.step->needs, demand.step->usesLeftover) || !isEligible(*it, demand, now)) {
             continue;
         }
-        const double itCost = cost(*it, demand);
+        const double ratio = tailRatio(*it, demand);
+        if (demand.step->usesLeftover && ratio > MaxJoinRatio) {
+            continue;
+        }
+        const double itCost = cost(*it, demand, ratio);
         if (best == nullptr || itCost < lowest) {
             best = it;
             lowest = itCost;
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -41,7 +41,8 @@
 // workers stay free of serving tasks. The rack of the data goes first. Tasks that use
 // leftover processors go where most is left over and no serving task beside them would
 // miss its target; those that disturb nobody leave the workers without serving tasks
-// to those that do.
+// to those that do. Lasting tasks of one image go together, since each image is
+// disturbed by other work: then most work finds workers where it disturbs nobody.
 class TightFit : public WorkerChooser
 {
 public:
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -66,16 +66,6 @@
     return leftoverCapacity() - m_leftoverHeld;
 }
 
-int Worker::sharedPace() const
-{
-    std::int64_t declared = 0;
-    for (const auto &it : m_runs) {
-        declared += it.usesLeftover ? it.needs.milliCores : 0;
-    }
-    const auto available = std::max<std::int64_t>(leftoverCapacity().milliCores, 0);
-    return declared <= available ? FullPace : static_cast<int>(available * FullPace / declared);
-}
-
 bool Worker::fits(const Resources &needs, bool usesLeftover) const
 {
     return (usesLeftover ? leftoverRoom() : freeRoom()).holds(needs);
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -125,9 +125,11 @@
     // Room that tasks on leftover processors may take: what nobody holds, and what
     // serving tasks hold and do not use.
     Resources leftoverRoom() const;
-    // Returns the pace in percent at which all runs on leftover processors together
-    // use no more than there are.
-    int sharedPace() const;
+    // Processors that work on leftover ones may use, in thousandths of a core.
+    std::int64_t leftoverMilliCores() const
+    {
+        return leftoverCapacity().milliCores;
+    }
     // Returns whether a task with `needs` would fit now.
     bool fits(const Resources &needs, bool usesLeftover) const;
 
