Fit the reciprocal of tails, and stop work beside a tail that stays over its target

Each serving task's own time over its target now counts, and a limit of 2.3 s stops first what is known to disturb, then the rest.

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -17,6 +17,9 @@
 // Measurements of a worker cover its last half second.
 constexpr Duration ObserveInterval = 500ms;
 constexpr double MaxObservedRatio = 2;
+// A task that is over its target when first seen may have been so for this long: a
+// leader's absence, more or less.
+constexpr Duration UnseenOver = 1500ms;
 // Weight of the newest measurement in a serving task's smoothed tail.
 constexpr double SmoothingWeight = 0.4;
 // Differs from every pace, so that the next plan orders one.
@@ -182,6 +185,11 @@
         }
         run->percent = it.percent;
         run->level = it.level;
+        if (static_cast<double>(it.level) < static_cast<double>(toMilliseconds(run->tailTarget))) {
+            run->underAt = now;
+        } else if (run->underAt == TimePoint()) {
+            run->underAt = now - UnseenOver;
+        }
         run->smoothLevel += SmoothingWeight * (static_cast<double>(it.level) - run->smoothLevel);
         auto *job = findJob(it.task.job);
         if (!it.checkpoint.empty() && job != nullptr) {
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -24,8 +24,8 @@
 constexpr jobs::RunNumber RunsPerTenure = 1000;
 
 constexpr int FullPace = 100;
-// A run that lengthens the tails beside it by less than this logarithm is harmless.
-constexpr double MinDisturbance = 0.04;
+// A run that disturbs those beside it less than this is harmless; see disturbance().
+constexpr double MinDisturbance = 0.08;
 // Smaller changes of pace are not worth a call.
 constexpr int MinPaceChange = 8;
 
@@ -125,29 +125,29 @@
     if (worker.isSilent() || !worker.isConfirmed() || !worker.takeMeasured()) {
         return;
     }
-    double worst = 0;
+    scheduling::PaceRegulator::Tails tails;
     bool hasLeftover = false;
-    bool isCauseKnown = false;
     for (const auto &run : worker.runs()) {
         if (run.usesLeftover) {
             hasLeftover = true;
-            isCauseKnown = isCauseKnown || disturbance(interference, worker, run) > MinDisturbance;
+            tails.isCauseKnown = tails.isCauseKnown || disturbance(interference, worker, run) > MinDisturbance;
         } else if (run.tailTarget > Duration(0) && run.state == workers::RunState::Running && run.smoothLevel > 0) {
-            worst = std::max(worst, run.smoothLevel / static_cast<double>(toMilliseconds(run.tailTarget)));
+            tails.worstRatio
+                = std::max(tails.worstRatio, run.smoothLevel / static_cast<double>(toMilliseconds(run.tailTarget)));
+            tails.longestOver = std::max(tails.longestOver, now - run.underAt);
         }
     }
     if (!hasLeftover) {
         return;
     }
-    const int measured = worker.paceRegulator().update(worst, isCauseKnown, now);
-    const int pace = std::min({measured, safePace(interference, worker), roomPace(worker)});
+    const auto measured = worker.paceRegulator().update(tails, now);
+    const int pace = std::min({measured.percent, safePace(interference, worker), roomPace(worker)});
     for (auto &run : worker.runs()) {
         if (!run.usesLeftover || run.state != workers::RunState::Running) {
             continue;
         }
-        // While no cause is known, everything beside a late task slows down.
-        const bool isMeant = !isCauseKnown || disturbance(interference, worker, run) > MinDisturbance;
-        const int wanted = isMeant ? pace : FullPace;
+        const bool isDisturbing = disturbance(interference, worker, run) > MinDisturbance;
+        const int wanted = isDisturbing ? pace : measured.isForAll ? measured.percent : FullPace;
         const bool isNotable = std::abs(run.pace - wanted) >= MinPaceChange || run.pace < 0
             || (run.pace != wanted && (wanted == FullPace || wanted == 0));
         if (isNotable) {
--- a/src/scheduling/interferencemodel.cpp
+++ b/src/scheduling/interferencemodel.cpp
@@ -17,8 +17,8 @@
 constexpr double Ridge = 0.08;
 constexpr int Sweeps = 12; // of coordinate descent; it starts from the last fit
 constexpr double MinShare = 0.002;
-// Presses below this are taken for noise: of pairs that do not disturb each other,
-// most fits stay below half of it.
+// Presses below this part of the base are taken for noise: of pairs that do not
+// disturb each other, most fits stay below half of it.
 constexpr double MinPress = 1.0;
 
 } // namespace
@@ -53,8 +53,8 @@
     count *= factor;
 }
 
-// Coordinate descent on the normal equations. The base is free; presses stay at or
-// above zero.
+// Coordinate descent on the normal equations. The base is free; the other weights
+// stay at or below zero, and are presses with their sign turned.
 void InterferenceModel::Serving::fit()
 {
     const std::size_t n = size();
@@ -68,7 +68,7 @@
             }
             const double curvature = moments[row * n + row] + (row == 0 ? 0 : Ridge);
             if (curvature > 0) {
-                weights[row] = row == 0 ? rest / curvature : std::max(0.0, rest / curvature);
+                weights[row] = row == 0 ? rest / curvature : std::min(0.0, rest / curvature);
             }
         }
     }
@@ -93,7 +93,7 @@
             features.emplace_back(model.indexOf(neighbour.image), neighbour.coreShare);
         }
     }
-    const double y = std::log(tailMs);
+    const double y = 1 / tailMs;
     const std::size_t n = model.size();
     for (const auto &[a, x] : features) {
         model.products[a] += x * y;
@@ -129,8 +129,8 @@
     if (found == images.end()) {
         return 0;
     }
-    const double weight = it->second.weights[static_cast<std::size_t>(found - images.begin()) + 1];
-    return weight < MinPress ? 0 : weight;
+    const double press = -it->second.weights[static_cast<std::size_t>(found - images.begin()) + 1];
+    return press < MinPress * it->second.weights.front() ? 0 : press;
 }
 
 bool InterferenceModel::disturbsAny(std::string_view image) const
@@ -138,10 +138,10 @@
     return std::ranges::any_of(m_servings, [&](const auto &it) { return press(it.first, image) > 0; });
 }
 
-double InterferenceModel::baseTail(std::string_view serving) const
+double InterferenceModel::baseRate(std::string_view serving) const
 {
     const auto it = m_servings.find(serving);
-    return it == m_servings.end() || it->second.count < MinCount ? 0 : std::exp(it->second.weights.front());
+    return it == m_servings.end() || it->second.count < MinCount ? 0 : it->second.weights.front();
 }
 
 } // namespace monsoonspool::scheduling
--- a/src/scheduling/interferencemodel.h
+++ b/src/scheduling/interferencemodel.h
@@ -21,9 +21,10 @@
 // tasks of each image, since only a few pairs disturb each other and nobody
 // declares which.
 //
-// For each serving image it fits log(tail) = base + sum of press(image) * coreShare
-// by ridge regression with presses that are never negative. What was seen fades,
-// since interference shifts.
+// For each serving image it fits 1/tail = base - sum of press(image) * coreShare by
+// ridge regression with presses that are never negative: a tail grows as the
+// reciprocal of what the load, its own and its neighbours', leaves free. What was
+// seen fades, since interference shifts.
 //
 // Not thread-safe: owned by the control thread.
 class InterferenceModel
@@ -34,21 +35,22 @@
     // Fits what was seen since; costs little and is due once in FitInterval.
     void fit(TimePoint now);
 
-    // Returns the factor by which one full worker's worth of `image` multiplies the
-    // tail, as a logarithm; 0 for a pair that is harmless or unknown.
+    // Returns by how much, in 1/ms, one full worker's worth of `image` lowers the
+    // reciprocal of the tail; 0 for a pair that is harmless or unknown.
     double press(std::string_view serving, std::string_view image) const;
     // Returns whether work of `image` disturbs any serving image.
     bool disturbsAny(std::string_view image) const;
-    // Returns the tail of `serving` alone, in ms; 0 while unknown.
-    double baseTail(std::string_view serving) const;
+    // Returns the reciprocal of the tail of `serving` alone in the mean, in 1/ms; 0
+    // while unknown.
+    double baseRate(std::string_view serving) const;
 
 private:
     struct Serving
     {
         std::vector<std::string> images; // of the features, from index 1; 0 is the base
         std::vector<double> moments; // sums of products of features, row by row
-        std::vector<double> products; // sums of feature times log(tail)
-        std::vector<double> weights;
+        std::vector<double> products; // sums of feature times 1/tail
+        std::vector<double> weights; // the base, and presses with a negative sign
         double count = 0;
 
         std::size_t size() const
--- a/src/scheduling/paceregulator.cpp
+++ b/src/scheduling/paceregulator.cpp
@@ -15,41 +15,49 @@
 constexpr Duration SettleTime = 600ms;
 constexpr Duration RiseInterval = 1200ms;
 constexpr int RiseStep = 25;
-constexpr Duration UnknownCausePatience = 1200ms;
 constexpr int MinUsefulPace = 10; // below it the work stands still
+// Most peaks come from the serving task's own load and are over by then.
+constexpr Duration UnknownCausePatience = 1200ms;
+// The platform allows a tail to be over its target for 4 s on account of work beside
+// it; what remains is for the measurement and for the pace to work.
+constexpr Duration OverPatience = 2300ms;
 
 } // namespace
 
-int PaceRegulator::update(double worstRatio, bool isCauseKnown, TimePoint now)
+PaceDecision PaceRegulator::update(const Tails &tails, TimePoint now)
 {
-    if (worstRatio <= 0) {
-        m_pace = FullPace;
-        return m_pace;
-    }
-    if (worstRatio < ViolatedRatio) {
-        m_underAt = now;
+    if (tails.worstRatio <= 0) {
+        m_decision = {};
+        return m_decision;
     }
     const auto sinceChange = now - m_changedAt;
-    const bool mayFall = isCauseKnown || now - m_underAt >= UnknownCausePatience;
-    int next = m_pace;
-    if (!mayFall && worstRatio >= NearRatio) {
-        return m_pace;
+    if (tails.longestOver >= OverPatience) {
+        // What is known to disturb stands still first; if that was not enough, all does.
+        const bool wasNotEnough = m_decision.percent == 0 && sinceChange >= SettleTime;
+        if (m_decision.percent != 0) {
+            m_changedAt = now;
+        }
+        m_decision = {0, wasNotEnough || !tails.isCauseKnown};
+        return m_decision;
     }
-    if (worstRatio >= ViolatedRatio && sinceChange >= SettleTime) {
-        next = m_pace / 4;
-    } else if (worstRatio >= NearRatio && sinceChange >= SettleTime) {
-        next = m_pace * 2 / 3;
-    } else if (worstRatio < CalmRatio && sinceChange >= RiseInterval) {
-        next = std::min(FullPace, m_pace + RiseStep);
+    m_decision.isForAll = !tails.isCauseKnown;
+    const bool mayFall = tails.isCauseKnown || tails.longestOver >= UnknownCausePatience;
+    int next = m_decision.percent;
+    if (tails.worstRatio >= NearRatio) {
+        if (mayFall && sinceChange >= SettleTime) {
+            next = tails.worstRatio >= ViolatedRatio ? next / 4 : next * 2 / 3;
+        }
+    } else if (tails.worstRatio < CalmRatio && sinceChange >= RiseInterval) {
+        next = std::min(FullPace, next + RiseStep);
     }
     if (next < MinUsefulPace) {
         next = 0;
     }
-    if (next != m_pace) {
-        m_pace = next;
+    if (next != m_decision.percent) {
+        m_decision.percent = next;
         m_changedAt = now;
     }
-    return m_pace;
+    return m_decision;
 }
 
 } // namespace monsoonspool::scheduling
--- a/src/scheduling/tailforecast.cpp
+++ b/src/scheduling/tailforecast.cpp
@@ -8,8 +8,10 @@
 namespace {
 
 constexpr int FullPace = 100;
-// Less than this logarithm disturbs nobody.
-constexpr double MinPressure = 0.03;
+// Stands for a tail that grows without bound.
+constexpr double MaxRatio = 10;
+// Less than this part of a target's reciprocal disturbs nobody.
+constexpr double MinPressure = 0.05;
 
 double capacityOf(const workers::Worker &worker)
 {
@@ -21,8 +23,8 @@
     return static_cast<double>(run.needs.milliCores) / capacityOf(worker);
 }
 
-// Returns the logarithm by which the leftover work on `worker`, at full pace,
-// lengthens the tail of tasks of the image `serving`.
+// Returns by how much the leftover work on `worker`, at full pace, lowers the
+// reciprocal of the tail of tasks of the image `serving`, in 1/ms.
 double fullPressure(const InterferenceModel &model, const workers::Worker &worker, std::string_view serving)
 {
     double sum = 0;
@@ -46,10 +48,15 @@
     return sum;
 }
 
+// Returns the ratio of the tail to its target in the mean under `pressure`.
 double ratioOf(const InterferenceModel &model, std::string_view serving, Duration target, double pressure)
 {
     const auto targetMs = static_cast<double>(toMilliseconds(target));
-    return targetMs <= 0 ? 0 : model.baseTail(serving) * std::exp(pressure) / targetMs;
+    const double base = model.baseRate(serving);
+    if (targetMs <= 0 || base <= 0) {
+        return 0;
+    }
+    return std::min(MaxRatio, 1 / (targetMs * std::max(base - pressure, 1e-6)));
 }
 
 } // namespace
@@ -92,12 +99,12 @@
             continue;
         }
         const double full = fullPressure(model, worker, it.image);
-        if (full < MinPressure) {
+        if (full * targetMs < MinPressure) {
             continue;
         }
         // The measured tail holds the pressure of its half second already.
-        const double allowed = std::log(SafeTailRatio * targetMs / static_cast<double>(it.level))
-            + usedPressure(model, worker, it.image);
+        const double allowed = 1 / static_cast<double>(it.level) + usedPressure(model, worker, it.image)
+            - 1 / (SafeTailRatio * targetMs);
         pace = std::min(pace, std::max(allowed, 0.0) / full);
     }
     return static_cast<int>(pace * FullPace);
@@ -108,7 +115,8 @@
     double worst = 0;
     for (const auto &it : worker.runs()) {
         if (it.isLasting && it.tailTarget > Duration(0)) {
-            worst = std::max(worst, model.press(it.image, run.image) * declaredShare(worker, run));
+            worst = std::max(worst, model.press(it.image, run.image) * declaredShare(worker, run)
+                                        * static_cast<double>(toMilliseconds(it.tailTarget)));
         }
     }
     return worst;
--- a/src/scheduling/tailforecast.h
+++ b/src/scheduling/tailforecast.h
@@ -37,8 +37,8 @@
 // were last measured.
 int safePace(const InterferenceModel &model, const workers::Worker &worker);
 
-// Returns by how much `run` at full pace lengthens the tails of serving tasks beside
-// it, as the greatest logarithm.
+// Returns by how much `run` at full pace lowers the reciprocal of a tail beside it,
+// at most, as a part of its target's reciprocal.
 double disturbance(const InterferenceModel &model, const workers::Worker &worker, const workers::Run &run);
 
 } // namespace monsoonspool::scheduling
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -39,6 +39,7 @@
     int pace = 100; // percent of full speed
     std::int64_t level = 0; // see ports::ListedRun
     double smoothLevel = 0; // of a serving task; measurements are rough
+    TimePoint underAt; // when a serving task was last seen below its target
     TimePoint unsettledAt;
     TimePoint stopSentAt;
     TimePoint stopConfirmedAt; // the worker cannot begin the run after this any more
