--- /dev/null
+++ b/src/ports/memory/memorychangestore.cpp
@@ -0,0 +1,123 @@
+#include "ports/memory/memorychangestore.h"
+
+#include "ports/memory/faultycall.h"
+
+#include <algorithm>
+
+namespace monsoonspool::ports::memory {
+
+namespace {
+
+constexpr Duration PollInterval = 5ms;
+constexpr std::size_t PageRows = 50; // small, so that tests see several pages
+
+} // namespace
+
+CommitResult SharedRows::apply(const Commit &commit)
+{
+    CommitResult result;
+    result.isApplied = std::ranges::all_of(commit.conditions, [&](const ExpectedVersion &it) {
+        const auto row = rows.find(it.name);
+        return (row == rows.end() ? 0 : row->second.version) == it.version;
+    });
+    if (!result.isApplied) {
+        for (const auto &it : commit.conditions) {
+            if (const auto row = rows.find(it.name); row != rows.end()) {
+                result.current.push_back(row->second);
+            }
+        }
+        return result;
+    }
+    result.version = ++version;
+    for (const auto &it : commit.writes) {
+        rows[it.name] = {it.name, it.value, version, false};
+        history.push_back(rows[it.name]);
+    }
+    for (const auto &it : commit.removals) {
+        if (rows.erase(it) > 0) {
+            history.push_back({it, {}, version, true});
+        }
+    }
+    return result;
+}
+
+void SharedRows::dropHistory()
+{
+    history.clear();
+    oldestKept = version;
+}
+
+MemoryChangeStore::MemoryChangeStore(SharedRows &rows, Scheduler &scheduler, FaultPlan &faults)
+    : m_rows(rows), m_scheduler(scheduler), m_faults(faults)
+{
+}
+
+void MemoryChangeStore::commit(Commit commit, Handler<CommitResult> handler)
+{
+    callWithFault<CommitResult>(
+        m_scheduler, m_faults.next("commit", ++m_calls, m_scheduler.now()), ErrorKind::StoreReplyLost,
+        [this, commit = std::move(commit)] { return AsyncResult<CommitResult>(m_rows.apply(commit)); },
+        std::move(handler));
+}
+
+void MemoryChangeStore::scan(std::string_view table, std::string_view part, std::string_view first,
+                             std::string_view last, Handler<RowPage> handler)
+{
+    const RowName begin{std::string(table), std::string(part), std::string(first)};
+    callWithFault<RowPage>(
+        m_scheduler, m_faults.next("scan", ++m_calls, m_scheduler.now()), ErrorKind::StoreReplyLost,
+        [this, begin, last = std::string(last)] {
+            RowPage page;
+            page.version = m_rows.version;
+            for (auto it = m_rows.rows.lower_bound(begin); it != m_rows.rows.end(); ++it) {
+                const auto &name = it->first;
+                if (name.table != begin.table || name.part != begin.part || (!last.empty() && name.key >= last)) {
+                    break;
+                }
+                if (page.rows.size() == PageRows) {
+                    page.isTruncated = true;
+                    break;
+                }
+                page.rows.push_back(it->second);
+            }
+            return AsyncResult<RowPage>(std::move(page));
+        },
+        std::move(handler));
+}
+
+void MemoryChangeStore::changes(std::string_view table, std::uint64_t after, Duration wait, Handler<RowPage> handler)
+{
+    const auto fault = m_faults.next("changes", ++m_calls, m_scheduler.now());
+    const auto until = m_scheduler.now() + wait;
+    m_scheduler.runAfter(fault.delay, [this, fault, table = std::string(table), after, until,
+                                       handler = std::move(handler)] {
+        if (fault.isRefused || fault.isReplyLost) {
+            handler(Failure{ErrorKind::StoreUnavailable, "the platform refused the call"});
+            return;
+        }
+        poll(table, after, until, handler);
+    });
+}
+
+void MemoryChangeStore::poll(const std::string &table, std::uint64_t after, TimePoint until,
+                             const Handler<RowPage> &handler)
+{
+    if (after < m_rows.oldestKept) {
+        handler(Failure{ErrorKind::StoreHistoryDropped, "the history is gone"});
+        return;
+    }
+    RowPage page;
+    page.version = m_rows.version;
+    for (const auto &it : m_rows.history) {
+        if (it.version > after && it.name.table == table) {
+            page.rows.push_back(it);
+        }
+    }
+    if (!page.rows.empty() || m_scheduler.now() >= until) {
+        handler(page);
+        return;
+    }
+    m_scheduler.runAfter(PollInterval, [this, table, after, until, handler] { poll(table, after, until, handler); });
+}
+
+} // namespace monsoonspool::ports::memory
--- /dev/null
+++ b/src/ports/memory/memorychangestore.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "ports/changestore.h"
+#include "ports/faultplan.h"
+#include "ports/scheduler.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace monsoonspool::ports::memory {
+
+// The rows that all hosts share.
+struct SharedRows
+{
+    std::map<RowName, StoredRow> rows;
+    std::vector<StoredRow> history; // in the order of versions
+    std::uint64_t version = 0;
+    std::uint64_t oldestKept = 0; // changes up to this version are forgotten
+
+    CommitResult apply(const Commit &commit);
+    void dropHistory();
+};
+
+// One host's way to the shared rows, with faults of its own. A change is seen by a
+// question for changes within PollInterval.
+class MemoryChangeStore : public ChangeStore
+{
+public:
+    MemoryChangeStore(SharedRows &rows, Scheduler &scheduler, FaultPlan &faults);
+
+    void commit(Commit commit, Handler<CommitResult> handler) override;
+    void scan(std::string_view table, std::string_view part, std::string_view first, std::string_view last,
+              Handler<RowPage> handler) override;
+    void changes(std::string_view table, std::uint64_t after, Duration wait, Handler<RowPage> handler) override;
+
+private:
+    void poll(const std::string &table, std::uint64_t after, TimePoint until, const Handler<RowPage> &handler);
+
+    SharedRows &m_rows;
+    Scheduler &m_scheduler;
+    FaultPlan &m_faults;
+    std::uint64_t m_calls = 0;
+};
+
+} // namespace monsoonspool::ports::memory
--- /dev/null
+++ b/tests/execution/executionlooptest.cpp
@@ -0,0 +1,489 @@
+#include "execution/executionloop.h"
+
+#include "codec/cborjobs.h"
+#include "ports/memory/memorychangestore.h"
+#include "ports/memory/memoryrunners.h"
+#include "ports/virtualscheduler.h"
+
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_01.hpp>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace monsoonspool::execution {
+
+namespace {
+
+using namespace ports;
+using ports::memory::MemoryChangeStore;
+using ports::memory::MemoryRunners;
+using ports::memory::MemoryWorkerLink;
+using ports::memory::SharedRows;
+using ports::memory::TaskTruth;
+
+constexpr int HostCount = 3;
+constexpr int WorkerCount = 6;
+constexpr Resources TaskSize{2000, 1000, 0};
+const ServiceName Service("desk");
+
+class Truth : public ports::memory::TaskModel
+{
+public:
+    std::map<jobs::JobKey, TaskTruth> special;
+
+    TaskTruth truth(const jobs::TaskId &task) const override
+    {
+        const auto it = special.find(task.job);
+        return it == special.end() ? TaskTruth{400ms, false, TaskSize} : it->second;
+    }
+};
+
+// Reads rows that this test writes: a configuration's value is its version.
+class TestRegistry : public Registry
+{
+public:
+    explicit TestRegistry(const MemoryRunners &runners) : m_runners(runners)
+    {
+    }
+    RowName configurationRow() const override
+    {
+        return {"configuration", "", "current"};
+    }
+    std::string workersTable() const override
+    {
+        return "workers";
+    }
+    Result<Configuration> decodeConfiguration(std::string_view value) const override
+    {
+        Configuration configuration;
+        configuration.version = std::stoi(std::string(value));
+        QueueRoute route;
+        route.policy.queue = "plans";
+        route.policy.service = Service;
+        route.policy.maxAttempts = 3;
+        route.policy.stretch = 2;
+        route.policy.targetLatency = 1s;
+        configuration.routes.push_back(route);
+        return configuration;
+    }
+    Result<WorkerEntry> decodeWorker(std::string_view key, std::string_view value) const override
+    {
+        if (value == "unreadable") {
+            return fail(ErrorKind::MalformedMessage, "not an entry");
+        }
+        auto entry = m_runners.entry(WorkerId(key));
+        entry.isDraining = value == "draining";
+        return entry;
+    }
+
+private:
+    const MemoryRunners &m_runners;
+};
+
+class NoLog : public DecisionLog
+{
+public:
+    void record(std::string_view, std::initializer_list<DecisionField>) override
+    {
+    }
+};
+
+// What one host's calls meet, changed by the test as it goes.
+class HostFaults : public FaultPlan
+{
+public:
+    explicit HostFaults(std::uint32_t seed) : m_generator(seed)
+    {
+    }
+    bool isCut = false;
+    double lost = 0; // part of the answers
+    Duration late{0}; // orders with a lost answer are carried out so late
+
+    Fault next(std::string_view, std::uint64_t, TimePoint) override
+    {
+        Fault fault{2ms, isCut, false};
+        if (!isCut && lost > 0 && boost::random::uniform_01<>()(m_generator) < lost) {
+            fault.isReplyLost = true;
+            fault.delay += late;
+        }
+        return fault;
+    }
+
+private:
+    boost::random::mt19937 m_generator;
+};
+
+// Hosts, a store and workers in virtual time.
+class Cluster
+{
+public:
+    explicit Cluster(std::uint32_t seed = 1) : runners(scheduler, truth), registry(runners)
+    {
+        put(registry.configurationRow(), "1");
+        for (int n = 0; n < WorkerCount; ++n) {
+            WorkerEntry entry;
+            entry.id = WorkerId("w" + std::to_string(n));
+            entry.service = Service;
+            entry.capacity = {8000, 16000, 0};
+            entry.rack = "r" + std::to_string(n / 2);
+            entry.bornMs = 1;
+            runners.addWorker(entry);
+            put({"workers", "", entry.id.text()}, "ready");
+        }
+        for (int n = 0; n < HostCount; ++n) {
+            auto &host = hosts.emplace_back(std::make_unique<Host>(*this, seed + static_cast<std::uint32_t>(n)));
+            host->name = EntryHostId("host-" + std::to_string(n));
+            startHost(n);
+        }
+    }
+
+    struct Host
+    {
+        Host(Cluster &cluster, std::uint32_t seed)
+            : storeFaults(seed), workerFaults(seed + 1000), store(cluster.rows, cluster.scheduler, storeFaults),
+              link(cluster.runners, cluster.scheduler, workerFaults)
+        {
+        }
+        EntryHostId name;
+        HostFaults storeFaults;
+        HostFaults workerFaults;
+        MemoryChangeStore store;
+        MemoryWorkerLink link;
+        std::uint64_t incarnation = 0;
+        std::unique_ptr<ExecutionLoop> loop;
+    };
+
+    void startHost(int n)
+    {
+        auto &host = *hosts[static_cast<std::size_t>(n)];
+        host.loop = std::make_unique<ExecutionLoop>(
+            ExecutionPorts{host.store, host.link, scheduler, registry, codec, log, [this] { return wallNow(); }},
+            ExecutionOptions{host.name, ++host.incarnation, 1.0}, [](const ExecutionLoop::ConfigurationPointer &) {});
+        host.loop->start();
+    }
+    void killHost(int n)
+    {
+        hosts[static_cast<std::size_t>(n)]->loop.reset();
+    }
+
+    int leader() const
+    {
+        for (int n = 0; n < HostCount; ++n) {
+            const auto &loop = hosts[static_cast<std::size_t>(n)]->loop;
+            if (loop && loop->summary().isLoaded) {
+                return n;
+            }
+        }
+        return -1;
+    }
+    Host &host(int n)
+    {
+        return *hosts[static_cast<std::size_t>(n)];
+    }
+
+    jobs::WallTime wallNow() const
+    {
+        return jobs::WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(scheduler.now().time_since_epoch()));
+    }
+
+    void put(const RowName &name, std::string value)
+    {
+        rows.apply({{}, {{name, std::move(value)}}, {}});
+    }
+
+    void submit(int host, std::uint64_t key)
+    {
+        AcceptedJob job;
+        job.key = {key};
+        job.policy.queue = "plans";
+        job.policy.service = Service;
+        job.policy.maxAttempts = 3;
+        job.spec.payload = "plan";
+        job.spec.steps.resize(2);
+        for (auto &it : job.spec.steps) {
+            it.count = 3;
+            it.needs = TaskSize;
+            it.estimate = 400ms;
+        }
+        job.spec.steps[1].after = {0};
+        job.acceptedAt = wallNow();
+        this->host(host).loop->jobDesk().submit(std::move(job), scheduler.now() + 2500ms,
+                                                [this, key](JobAnswer answer) { answers[key] = answer; });
+    }
+
+    std::optional<JobStatus> status(int host, std::uint64_t key)
+    {
+        std::optional<JobStatus> found;
+        this->host(host).loop->jobDesk().status({key}, scheduler.now() + 1s, [&](const auto &result) {
+            if (result.isOk()) {
+                found = result.value();
+            }
+        });
+        scheduler.runFor(2s);
+        return found;
+    }
+
+    VirtualScheduler scheduler;
+    Truth truth;
+    SharedRows rows;
+    MemoryRunners runners;
+    TestRegistry registry;
+    NoLog log;
+    codec::CborJobs codec;
+    std::vector<std::unique_ptr<Host>> hosts;
+    std::map<std::uint64_t, JobAnswer> answers;
+};
+
+std::string violationsOf(const Cluster &cluster)
+{
+    std::string text;
+    for (const auto &it : cluster.runners.violations()) {
+        text += it.rule + ": " + it.detail + "\n";
+    }
+    return text;
+}
+
+constexpr int TasksPerJob = 6;
+
+} // namespace
+
+TEST(ExecutionLoop, OneHostLeadsAndJobsRunToTheirEnd)
+{
+    Cluster cluster;
+    cluster.scheduler.runFor(2s);
+    ASSERT_GE(cluster.leader(), 0);
+    for (std::uint64_t key = 1; key <= 20; ++key) {
+        cluster.submit(static_cast<int>(key % HostCount), key);
+    }
+    cluster.scheduler.runFor(15s);
+    for (std::uint64_t key = 1; key <= 20; ++key) {
+        EXPECT_EQ(cluster.answers[key], JobAnswer::Accepted);
+        EXPECT_EQ(cluster.runners.doneCount({key}), TasksPerJob);
+    }
+    const auto status = cluster.status(0, 20);
+    ASSERT_TRUE(status);
+    EXPECT_EQ(status->state, jobs::JobState::Completed);
+    EXPECT_FALSE(cluster.status(1, 99)->isKnown);
+    EXPECT_EQ(violationsOf(cluster), "");
+    EXPECT_EQ(cluster.runners.startCount(), 20 * TasksPerJob);
+}
+
+TEST(ExecutionLoop, AJobThatIsSubmittedAgainRunsOnce)
+{
+    Cluster cluster;
+    cluster.scheduler.runFor(2s);
+    cluster.submit(0, 7);
+    cluster.submit(1, 7);
+    cluster.scheduler.runFor(5s);
+    cluster.submit(2, 7);
+    cluster.scheduler.runFor(5s);
+    EXPECT_EQ(cluster.answers[7], JobAnswer::Accepted);
+    EXPECT_EQ(cluster.runners.startCount(), TasksPerJob);
+}
+
+TEST(ExecutionLoop, ACancelledJobStopsAndStartsNothing)
+{
+    Cluster cluster;
+    cluster.truth.special[{7}] = {60s, false, TaskSize};
+    cluster.scheduler.runFor(2s);
+    cluster.submit(0, 7);
+    cluster.scheduler.runFor(1s);
+    EXPECT_EQ(cluster.runners.runningCount(), 3);
+    std::optional<JobStatus> cancelled;
+    cluster.host(1).loop->jobDesk().cancel({7}, cluster.scheduler.now() + 1s,
+                                           [&](const auto &result) { cancelled = result.value(); });
+    cluster.scheduler.runFor(1s);
+    ASSERT_TRUE(cancelled);
+    EXPECT_EQ(cancelled->state, jobs::JobState::Cancelled);
+    EXPECT_EQ(cluster.runners.runningCount(), 0);
+    cluster.scheduler.runFor(5s);
+    EXPECT_EQ(cluster.runners.startCount(), 3);
+}
+
+TEST(ExecutionLoop, AHopelessJobFailsAfterItsAttempts)
+{
+    Cluster cluster;
+    cluster.truth.special[{7}] = {50ms, true, TaskSize};
+    cluster.scheduler.runFor(2s);
+    cluster.submit(0, 7);
+    cluster.scheduler.runFor(20s);
+    const auto status = cluster.status(2, 7);
+    ASSERT_TRUE(status);
+    EXPECT_EQ(status->state, jobs::JobState::Failed);
+    EXPECT_LE(cluster.runners.startCount(), 3 * 3);
+}
+
+TEST(ExecutionLoop, AnEntryThatCannotBeReadNamesNoWorker)
+{
+    Cluster cluster;
+    cluster.put({"workers", "", "w0"}, "unreadable");
+    cluster.scheduler.runFor(2s);
+    for (std::uint64_t key = 1; key <= 10; ++key) {
+        cluster.submit(0, key);
+    }
+    cluster.scheduler.runFor(15s);
+    EXPECT_EQ(cluster.runners.doneCount({10}), TasksPerJob);
+}
+
+struct FaultCase
+{
+    const char *name;
+    std::function<void(Cluster &)> strike; // at 4 s, while jobs run
+    std::function<void(Cluster &)> heal; // 5 s later
+};
+
+class ExecutionFaults : public testing::TestWithParam<FaultCase>
+{
+};
+
+// Whatever strikes, every accepted job runs to its end, and no worker sees a task
+// twice, a start after its end, or more than it can hold.
+TEST_P(ExecutionFaults, LoseNothingAndDoNothingTwice)
+{
+    for (std::uint32_t seed = 1; seed <= 8; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        Cluster cluster(seed);
+        cluster.scheduler.runFor(2s);
+        std::uint64_t key = 0;
+        const auto feed = [&](int seconds) {
+            for (int n = 0; n < seconds * 4; ++n) {
+                ++key;
+                int host = static_cast<int>(key % HostCount);
+                while (!cluster.host(host).loop) {
+                    host = (host + 1) % HostCount;
+                }
+                cluster.submit(host, key);
+                cluster.scheduler.runFor(250ms);
+            }
+        };
+        feed(2);
+        GetParam().strike(cluster);
+        feed(5);
+        GetParam().heal(cluster);
+        feed(2);
+        cluster.scheduler.runFor(60s);
+        int accepted = 0;
+        for (const auto &[id, answer] : cluster.answers) {
+            if (answer == JobAnswer::Accepted) {
+                ++accepted;
+                EXPECT_EQ(cluster.runners.doneCount({id}), TasksPerJob) << "job " << id;
+            } else if (answer == JobAnswer::NotAccepted) {
+                EXPECT_EQ(cluster.runners.doneCount({id}), 0) << "job " << id;
+            }
+        }
+        EXPECT_GE(accepted, 12);
+        EXPECT_EQ(violationsOf(cluster), "");
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, ExecutionFaults,
+    testing::Values(
+        FaultCase{"leader killed", [](Cluster &c) { c.killHost(c.leader()); },
+                  [](Cluster &c) {
+                      for (int n = 0; n < HostCount; ++n) {
+                          if (!c.host(n).loop) {
+                              c.startHost(n);
+                          }
+                      }
+                  }},
+        FaultCase{"leader restarted at once",
+                  [](Cluster &c) {
+                      const int n = c.leader();
+                      c.killHost(n);
+                      c.startHost(n);
+                  },
+                  [](Cluster &) {}},
+        FaultCase{"leader cut from the store", [](Cluster &c) { c.host(c.leader()).storeFaults.isCut = true; },
+                  [](Cluster &c) {
+                      for (auto &it : c.hosts) {
+                          it->storeFaults.isCut = false;
+                      }
+                  }},
+        FaultCase{"leader cut from the workers", [](Cluster &c) { c.host(c.leader()).workerFaults.isCut = true; },
+                  [](Cluster &c) {
+                      for (auto &it : c.hosts) {
+                          it->workerFaults.isCut = false;
+                      }
+                  }},
+        FaultCase{"store away for all",
+                  [](Cluster &c) {
+                      for (auto &it : c.hosts) {
+                          it->storeFaults.isCut = true;
+                      }
+                  },
+                  [](Cluster &c) {
+                      for (auto &it : c.hosts) {
+                          it->storeFaults.isCut = false;
+                      }
+                  }},
+        FaultCase{"answers of the store lost",
+                  [](Cluster &c) {
+                      for (auto &it : c.hosts) {
+                          it->storeFaults.lost = 0.3;
+                      }
+                  },
+                  [](Cluster &c) {
+                      for (auto &it : c.hosts) {
+                          it->storeFaults.lost = 0;
+                      }
+                  }},
+        FaultCase{"orders unanswered and late",
+                  [](Cluster &c) {
+                      for (auto &it : c.hosts) {
+                          it->workerFaults.lost = 0.2;
+                          it->workerFaults.late = 3s;
+                      }
+                  },
+                  [](Cluster &c) {
+                      for (auto &it : c.hosts) {
+                          it->workerFaults.lost = 0;
+                      }
+                  }},
+        FaultCase{"a worker gone, the leader killed",
+                  [](Cluster &c) {
+                      c.runners.crash(WorkerId("w1"));
+                      c.killHost(c.leader());
+                  },
+                  [](Cluster &c) {
+                      c.runners.restart(WorkerId("w1"), 2);
+                      c.put({"workers", "", "w1"}, "ready");
+                      for (int n = 0; n < HostCount; ++n) {
+                          if (!c.host(n).loop) {
+                              c.startHost(n);
+                          }
+                      }
+                  }},
+        FaultCase{"a worker drains, the history is dropped",
+                  [](Cluster &c) {
+                      c.put({"workers", "", "w2"}, "draining");
+                      c.rows.dropHistory();
+                  },
+                  [](Cluster &c) { c.put({"workers", "", "w2"}, "ready"); }}),
+    [](const testing::TestParamInfo<FaultCase> &info) {
+        std::string name;
+        for (const char it : std::string_view(info.param.name)) {
+            if (std::isalnum(static_cast<unsigned char>(it)) != 0) {
+                name += it;
+            }
+        }
+        return name;
+    });
+
+// Proves that the checker rejects: a worker that is told twice says so.
+TEST(MemoryRunners, TakeDownATaskInTwoPlaces)
+{
+    Cluster cluster;
+    const RunOrder order{{1}, {{7}, 0, 0, 0}, 1, {}, {}, {}, 100000};
+    cluster.runners.start(WorkerId("w0"), order);
+    EXPECT_TRUE(cluster.runners.violations().empty());
+    cluster.runners.start(WorkerId("w1"), order);
+    ASSERT_EQ(cluster.runners.violations().size(), 1U);
+    EXPECT_EQ(cluster.runners.violations().front().rule, "runs twice");
+}
+
+} // namespace monsoonspool::execution
