--- a/src/ports/memory/memoryrunners.cpp
+++ b/src/ports/memory/memoryrunners.cpp
@@ -32,6 +32,22 @@
     addWorker(entry);
 }
 
+void MemoryRunners::setCut(const WorkerId &id, bool isCut)
+{
+    m_runners.at(id).isCut = isCut;
+}
+
+std::optional<Failure> MemoryRunners::unreachable(const Runner &runner) const
+{
+    if (runner.isCut) {
+        return Failure{ErrorKind::StoreReplyLost, runner.entry.id.text()};
+    }
+    if (!runner.isUp) {
+        return Failure{ErrorKind::DaemonUnreachable, runner.entry.id.text()};
+    }
+    return std::nullopt;
+}
+
 const WorkerEntry &MemoryRunners::entry(const WorkerId &id) const
 {
     return m_runners.at(id).entry;
@@ -78,8 +94,8 @@
 {
     advance();
     auto &runner = m_runners.at(id);
-    if (!runner.isUp) {
-        return Failure{ErrorKind::DaemonUnreachable, id.text()};
+    if (const auto failure = unreachable(runner)) {
+        return *failure;
     }
     if (order.fence < runner.fence) {
         return Failure{ErrorKind::StaleEpoch, id.text()};
@@ -109,8 +125,8 @@
 {
     advance();
     auto &runner = m_runners.at(id);
-    if (!runner.isUp) {
-        return Failure{ErrorKind::DaemonUnreachable, id.text()};
+    if (const auto failure = unreachable(runner)) {
+        return *failure;
     }
     if (order.fence < runner.fence) {
         return Failure{ErrorKind::StaleEpoch, id.text()};
@@ -154,8 +170,8 @@
 {
     advance();
     auto &runner = m_runners.at(id);
-    if (!runner.isUp) {
-        return Failure{ErrorKind::DaemonUnreachable, id.text()};
+    if (const auto failure = unreachable(runner)) {
+        return *failure;
     }
     if (fence < runner.fence) {
         return Failure{ErrorKind::StaleEpoch, id.text()};
--- a/src/ports/memory/memoryrunners.h
+++ b/src/ports/memory/memoryrunners.h
@@ -5,6 +5,7 @@
 #include "ports/workerlink.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -46,6 +47,8 @@
     // Ends everything on the worker; it answers nobody until restart().
     void crash(const WorkerId &id);
     void restart(const WorkerId &id, std::int64_t bornMs);
+    // Cuts the worker off, or heals the cut: it runs on, and no order reaches it.
+    void setCut(const WorkerId &id, bool isCut);
 
     AsyncResult<WorkerListing> renew(const WorkerId &id, const LeaseOrder &order);
     AsyncResult<RunAnswer> start(const WorkerId &id, const RunOrder &order);
@@ -80,6 +83,7 @@
         WorkerEntry entry;
         Epoch fence;
         bool isUp = true;
+        bool isCut = false;
         TimePoint bornAt;
         WorkerMillis deadline = 0;
         std::int64_t nextEnd = 1;
@@ -88,6 +92,7 @@
         std::map<jobs::TaskId, jobs::RunNumber> highestOver;
     };
 
+    std::optional<Failure> unreachable(const Runner &runner) const;
     WorkerMillis clock(const Runner &runner) const;
     void end(Runner &runner, const Run &run, jobs::RunEnd how);
     void note(std::string rule, const jobs::TaskId &task, const WorkerId &worker);
