--- a/src/jobs/names.cpp
+++ b/src/jobs/names.cpp
@@ -4,10 +4,10 @@
 
 std::string jobName(JobKey key)
 {
-    constexpr int Width = 16;
+    constexpr int width = 16;
     constexpr std::string_view digits = "0123456789abcdef";
-    std::string name(Width, '0');
-    for (int n = Width - 1; n >= 0; --n) {
+    std::string name(width, '0');
+    for (int n = width - 1; n >= 0; --n) {
         name[static_cast<std::size_t>(n)] = digits[key.value & 0xf];
         key.value >>= 4;
     }
--- a/src/jobs/taskid.h
+++ b/src/jobs/taskid.h
@@ -43,9 +43,9 @@
 {
     std::size_t operator()(const monsoonspool::jobs::TaskId &id) const noexcept
     {
-        constexpr std::uint64_t Multiplier = 0x9e3779b97f4a7c15ULL; // of Fibonacci hashing
+        constexpr std::uint64_t multiplier = 0x9e3779b97f4a7c15ULL; // of Fibonacci hashing
         const auto position = static_cast<std::uint64_t>(id.occurrence) << 40
             ^ static_cast<std::uint64_t>(id.step) << 20 ^ static_cast<std::uint64_t>(id.index);
-        return (id.job.value ^ position * Multiplier) * Multiplier >> 7;
+        return (id.job.value ^ position * multiplier) * multiplier >> 7;
     }
 };
--- /dev/null
+++ b/tests/jobs/jobtest.cpp
@@ -0,0 +1,182 @@
+#include "jobs/job.h"
+
+#include "jobs/names.h"
+#include "jobs/runtimeestimator.h"
+
+#include <gtest/gtest.h>
+
+namespace monsoonspool::jobs {
+
+namespace {
+
+constexpr TimePoint Now{1h};
+constexpr int MaxAttempts = 3;
+
+JobSpec twoSteps(bool isGang = false)
+{
+    JobSpec spec;
+    spec.steps.resize(2);
+    spec.steps[0].count = 2;
+    spec.steps[0].isGang = isGang;
+    spec.steps[1].count = 1;
+    spec.steps[1].after = {0};
+    return spec;
+}
+
+TaskId task(int step, int index)
+{
+    return {{7}, 0, step, index};
+}
+
+} // namespace
+
+TEST(Job, RunsAStepOnceTheStepsBeforeItAreDone)
+{
+    Job job({7}, twoSteps(), "plans", Now);
+    EXPECT_EQ(job.state(), JobState::Queued);
+    EXPECT_TRUE(job.isReady(0, 0));
+    EXPECT_FALSE(job.isReady(0, 1));
+    job.noteStarted(task(0, 0), 1);
+    EXPECT_EQ(job.state(), JobState::Running);
+    EXPECT_TRUE(job.noteEnd(task(0, 0), 1, RunEnd::Done, {}, MaxAttempts, Now));
+    EXPECT_FALSE(job.isReady(0, 1));
+    EXPECT_TRUE(job.noteEnd(task(0, 1), 1, RunEnd::Done, {}, MaxAttempts, Now));
+    EXPECT_TRUE(job.isReady(0, 1));
+    job.noteEnd(task(1, 0), 1, RunEnd::Done, {}, MaxAttempts, Now);
+    EXPECT_EQ(job.state(), JobState::Completed);
+}
+
+// Replays a takeover: the end of run 1 is listed again while run 2 is at work.
+TEST(Job, AnEarlierEndDoesNotTakeThePlaceOfTheRunAtWork)
+{
+    Job job({7}, twoSteps(), "plans", Now);
+    job.noteStarted(task(0, 0), 2);
+    job.noteEnd(task(0, 0), 1, RunEnd::Failed, {}, MaxAttempts, Now);
+    EXPECT_FALSE(job.task(task(0, 0)).isWaiting());
+    job.noteOver(task(0, 0));
+    EXPECT_TRUE(job.task(task(0, 0)).isWaiting());
+}
+
+TEST(Job, CountsAFailureOnceHoweverOftenItIsListed)
+{
+    Job first({7}, twoSteps(), "plans", Now);
+    for (const RunNumber run : {1, 2, 1, 2}) {
+        first.noteEnd(task(0, 0), run, RunEnd::Failed, {}, MaxAttempts, Now);
+    }
+    EXPECT_EQ(first.state(), JobState::Queued);
+    Job successor({7}, twoSteps(), "plans", Now);
+    successor.restore(first.progress());
+    successor.noteEnd(task(0, 0), 2, RunEnd::Failed, {}, MaxAttempts, Now);
+    EXPECT_TRUE(successor.isOpen());
+    successor.noteEnd(task(0, 0), 3, RunEnd::Failed, {}, MaxAttempts, Now);
+    EXPECT_EQ(successor.state(), JobState::Failed);
+}
+
+struct EndCase
+{
+    RunEnd how;
+    bool isChange; // of what must outlast the scheduler
+    bool isDone;
+    std::size_t failures;
+};
+
+TEST(Job, KnowsHowRunsEnd)
+{
+    for (const auto &it : {EndCase{RunEnd::Done, true, true, 0}, EndCase{RunEnd::Failed, true, false, 1},
+                           EndCase{RunEnd::Stopped, false, false, 0}, EndCase{RunEnd::Lapsed, false, false, 0},
+                           EndCase{RunEnd::Broken, false, false, 0}, EndCase{RunEnd::Alone, false, false, 0}}) {
+        SCOPED_TRACE(runEndName(it.how));
+        Job job({7}, twoSteps(), "plans", Now);
+        EXPECT_EQ(job.noteEnd(task(0, 0), 1, it.how, "saved", MaxAttempts, Now), it.isChange);
+        EXPECT_EQ(job.task(task(0, 0)).isDone, it.isDone);
+        EXPECT_EQ(job.task(task(0, 0)).failedRuns.size(), it.failures);
+        EXPECT_EQ(job.task(task(0, 0)).checkpoint, "saved");
+    }
+}
+
+TEST(Job, AGangIsDoneAndFailsAsAWhole)
+{
+    Job job({7}, twoSteps(true), "plans", Now);
+    job.noteEnd(task(0, 0), 1, RunEnd::Failed, {}, MaxAttempts, Now);
+    job.noteEnd(task(0, 1), 1, RunEnd::Failed, {}, MaxAttempts, Now);
+    EXPECT_EQ(job.step(0, 0).failedRuns.size(), 1U);
+    job.noteEnd(task(0, 1), 2, RunEnd::Done, {}, MaxAttempts, Now);
+    EXPECT_TRUE(job.step(0, 0).isDone());
+}
+
+TEST(Job, ATaskThatLastsIsNeverDoneAndHasNoLimitOfAttempts)
+{
+    auto spec = twoSteps();
+    spec.steps.resize(1);
+    spec.steps[0].isLasting = true;
+    Job job({7}, spec, "watch", Now);
+    for (RunNumber run = 1; run < 10; ++run) {
+        job.noteEnd(task(0, 0), run, run % 2 == 0 ? RunEnd::Done : RunEnd::Failed, {}, 2, Now);
+    }
+    EXPECT_TRUE(job.isOpen());
+    EXPECT_FALSE(job.task(task(0, 0)).isDone);
+}
+
+TEST(Job, OccurrencesOpenWhenTheyAreDue)
+{
+    auto spec = twoSteps();
+    spec.occurrences = 3;
+    spec.firstDue = WallTime(std::chrono::seconds(100));
+    spec.interval = std::chrono::seconds(10);
+    Job job({7}, spec, "plans", Now);
+    EXPECT_TRUE(job.occurrences().empty());
+    job.openDue(WallTime(std::chrono::milliseconds(99'999)));
+    EXPECT_TRUE(job.occurrences().empty());
+    job.openDue(WallTime(std::chrono::seconds(110)));
+    EXPECT_EQ(job.occurrences().size(), 2U);
+}
+
+TEST(Job, RefusesWhatCannotRun)
+{
+    struct Case
+    {
+        const char *name;
+        std::function<void(JobSpec &)> spoil;
+    };
+    const Case cases[] = {
+        {"no steps", [](JobSpec &it) { it.steps.clear(); }},
+        {"no tasks", [](JobSpec &it) { it.steps[0].count = 0; }},
+        {"too many tasks", [](JobSpec &it) { it.steps[0].count = MaxTasksPerStep + 1; }},
+        {"negative size", [](JobSpec &it) { it.steps[0].needs.milliCores = -1; }},
+        {"follows itself", [](JobSpec &it) { it.steps[1].after = {1}; }},
+        {"follows a later step", [](JobSpec &it) { it.steps[0].after = {1}; }},
+        {"negative interval", [](JobSpec &it) { it.interval = std::chrono::milliseconds(-1); }},
+    };
+    EXPECT_TRUE(handleFailure([] { return validate(twoSteps()).operator bool() ? Result<bool>(true) : false; },
+                              [](const Failure &) { return false; }));
+    for (const auto &it : cases) {
+        auto spec = twoSteps();
+        it.spoil(spec);
+        const auto kind = handleFailure(
+            [&]() -> Result<ErrorKind> {
+                BOOST_LEAF_CHECK(validate(spec));
+                return ErrorKind::Internal;
+            },
+            [](const Failure &failure) { return failure.kind; });
+        EXPECT_EQ(kind, ErrorKind::InvalidJob) << it.name;
+    }
+}
+
+// Estimates of one kind are off by the same factor, those of the other at random.
+TEST(RunTimeEstimator, LearnsWhichGuessVariesLeast)
+{
+    RunTimeEstimator estimator;
+    StepSpec step;
+    step.estimate = 1s;
+    EXPECT_EQ(estimator.expected("plans", step), Duration(1s));
+    for (int n = 0; n < 200; ++n) {
+        step.estimate = std::chrono::milliseconds(n % 2 == 0 ? 500 : 2000);
+        estimator.learn("plans", step, step.estimate * 2);
+        estimator.learn("proofs", step, Duration(800ms));
+    }
+    step.estimate = 1s;
+    EXPECT_NEAR(static_cast<double>(estimator.expected("plans", step).count()), 2e6, 2e5);
+    EXPECT_NEAR(static_cast<double>(estimator.expected("proofs", step).count()), 8e5, 2e5);
+}
+
+} // namespace monsoonspool::jobs
--- /dev/null
+++ b/tests/membership/leadershiptest.cpp
@@ -0,0 +1,100 @@
+#include "membership/leadership.h"
+
+#include <gtest/gtest.h>
+
+namespace monsoonspool::membership {
+
+namespace {
+
+constexpr TimePoint Start{1h};
+const EntryHostId A("a");
+const EntryHostId B("b");
+
+LeaderRow rowOf(const EntryHostId &host, std::uint64_t incarnation, std::uint64_t fence)
+{
+    LeaderRow row;
+    row.host = host;
+    row.incarnation = incarnation;
+    row.fence = {fence};
+    return row;
+}
+
+} // namespace
+
+TEST(Leadership, IsClaimedWithAHigherFenceAndRenewed)
+{
+    Leadership a(A, 1, Start);
+    EXPECT_FALSE(a.dueWrite(100ms, Start + 1s)) << "the row was not read yet";
+    a.noteRow(std::nullopt, 0, Start);
+    EXPECT_FALSE(a.dueWrite(100ms, Start + 50ms)) << "better hosts go first";
+    const auto claim = a.dueWrite(100ms, Start + 200ms);
+    ASSERT_TRUE(claim);
+    EXPECT_EQ(claim->row.fence, Epoch{1});
+    a.noteWritten(*claim, 5, Start + 200ms, Start + 210ms);
+    EXPECT_TRUE(a.mayDecide(Start + 300ms));
+    EXPECT_FALSE(a.dueWrite(100ms, Start + 300ms));
+    const auto renewal = a.dueWrite(100ms, Start + 200ms + RenewInterval);
+    ASSERT_TRUE(renewal);
+    EXPECT_EQ(renewal->expectedVersion, 5U);
+    EXPECT_FALSE(a.mayDecide(Start + 200ms + DecideWithoutStore));
+}
+
+struct ClaimCase
+{
+    const char *name;
+    LeaderRow row;
+    Duration silence; // since the row changed
+    bool isInContact; // with the store all the while
+    bool isClaimed;
+};
+
+TEST(Leadership, IsClaimedOnlyFromTheDeadOrTheGone)
+{
+    const Duration stale = LeaderStaleAfter + 200ms;
+    for (const auto &it : {ClaimCase{"renewed lately", rowOf(B, 1, 4), 1s, true, false},
+                           ClaimCase{"silent", rowOf(B, 1, 4), stale, true, true},
+                           ClaimCase{"silent, and so is the store", rowOf(B, 1, 4), stale, false, false},
+                           ClaimCase{"released", rowOf(EntryHostId(), 1, 4), 200ms, true, true},
+                           ClaimCase{"an earlier run of this host", rowOf(A, 1, 4), 0ms, true, true}}) {
+        SCOPED_TRACE(it.name);
+        Leadership a(A, 2, Start);
+        a.noteContact(Start);
+        a.noteRow(it.row, 9, Start);
+        if (it.isInContact) {
+            for (Duration d{0}; d <= it.silence; d += 100ms) {
+                a.noteContact(Start + d);
+            }
+        }
+        const auto write = a.dueWrite(100ms, Start + it.silence);
+        EXPECT_EQ(write.has_value(), it.isClaimed);
+        if (write) {
+            EXPECT_EQ(write->row.fence, Epoch{5});
+            EXPECT_EQ(write->expectedVersion, 9U);
+        }
+    }
+}
+
+TEST(Leadership, EndsWhenAnotherRowIsSeen)
+{
+    Leadership a(A, 1, Start);
+    a.noteRow(std::nullopt, 0, Start);
+    const auto claim = a.dueWrite(0ms, Start + 1s);
+    a.noteWritten(*claim, 5, Start + 1s, Start + 1s);
+    a.noteRow(rowOf(B, 1, 2), 6, Start + 2s);
+    EXPECT_FALSE(a.isLeader());
+    a.noteRow(claim->row, 5, Start + 2s);
+    EXPECT_FALSE(a.isLeader()) << "an older row changes nothing";
+}
+
+TEST(Leadership, AClaimWhoseAnswerWasLostIsFound)
+{
+    Leadership a(A, 1, Start);
+    a.noteRow(std::nullopt, 0, Start);
+    const auto claim = a.dueWrite(0ms, Start + 1s);
+    a.noteFailed(Start + 2s);
+    a.noteRow(claim->row, 5, Start + 2s);
+    EXPECT_TRUE(a.isLeader());
+    EXPECT_EQ(a.fence(), Epoch{1});
+}
+
+} // namespace monsoonspool::membership
--- /dev/null
+++ b/tests/platform/wirecodectest.cpp
@@ -0,0 +1,187 @@
+#include "wirecodec.h"
+
+#include "codec/cborjobs.h"
+#include "codec/json.h"
+#include "jobingress.h"
+#include "settings.h"
+
+#include <gtest/gtest.h>
+
+namespace monsoonspool::platform {
+
+namespace {
+
+template <typename F>
+ErrorKind kindOf(F f)
+{
+    return handleFailure(
+        [&]() -> Result<ErrorKind> {
+            BOOST_LEAF_CHECK(f());
+            return ErrorKind::Internal; // stands for success
+        },
+        [](const Failure &failure) { return failure.kind; });
+}
+
+template <typename F>
+auto valueOf(F f)
+{
+    using T = std::decay_t<decltype(f().value())>;
+    return handleFailure(f, [](const Failure &failure) {
+        ADD_FAILURE() << failure.detail;
+        return T();
+    });
+}
+
+} // namespace
+
+TEST(WireCodec, TaskNames)
+{
+    const auto task = decodeTaskName("5c0e7a21d94b36f8.3.1.17");
+    ASSERT_TRUE(task);
+    EXPECT_EQ(task->job.value, 0x5c0e7a21d94b36f8ULL);
+    EXPECT_EQ(task->occurrence, 3);
+    EXPECT_EQ(task->step, 1);
+    EXPECT_EQ(task->index, 17);
+    for (const auto *it : {"", "x", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1", "5c0e7a21d94b36f8.0.1.x",
+                           "5c0e7a21d94b36f.0.1.2", "5c0e7a21d94b36f8.0..2", "zc0e7a21d94b36f8.0.1.2"}) {
+        EXPECT_FALSE(decodeTaskName(it)) << it;
+    }
+}
+
+TEST(WireCodec, JobsAsClientsSubmitThem)
+{
+    const auto spec = valueOf([] {
+        return decodeJobSpec(R"({"spec":"text","steps":[
+            {"count":4,"cpu":500,"memMb":256,"estimateMs":900,"affinity":"r1-3"},
+            {"count":20,"cpu":2000,"memMb":1024,"estimateMs":7000,"after":[0],"checkpoints":true,"fills":true,
+             "image":"i","daemon":true,"targetMs":18,"bestEffort":2,"antiAffinity":1,"requires":"a","speculative":true}]})");
+    });
+    ASSERT_EQ(spec.steps.size(), 2U);
+    EXPECT_EQ(spec.steps[0].dataRack, "r1-3");
+    EXPECT_EQ(spec.steps[0].needs.milliCores, 500);
+    const auto &step = spec.steps[1];
+    EXPECT_TRUE(step.hasCheckpoints && step.usesLeftover && step.isLasting && step.maySpeculate);
+    EXPECT_EQ(step.tailTarget, std::optional<Duration>(18ms));
+    EXPECT_EQ(step.maxUnavailable, 2);
+    EXPECT_EQ(step.maxPerWorker, 1);
+    for (const auto *it : {"", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})", R"({"steps":[{"cpu":"x"}]})",
+                           R"({"steps":[{"after":[0]}]})", "\xff"}) {
+        EXPECT_NE(kindOf([&] { return decodeJobSpec(it); }), ErrorKind::Internal) << it;
+    }
+}
+
+TEST(WireCodec, ListingsOfWorkers)
+{
+    const auto listing = valueOf([] {
+        return decodeListing(R"({"clockMs":482113,"born":17,
+            "running":[["5c0e7a21d94b36f8.0.1.17",2,"c",41,12],["foreign",1,"",0]],
+            "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[57,"5c0e7a21d94b36f8.0.1.8",1,"failed","s"]]})");
+    });
+    EXPECT_EQ(listing.clock, 482113);
+    EXPECT_EQ(listing.bornMs, 17);
+    ASSERT_EQ(listing.running.size(), 1U);
+    EXPECT_EQ(listing.running[0].level, 12);
+    ASSERT_EQ(listing.ended.size(), 2U);
+    EXPECT_EQ(listing.ended[0].number, 57) << "in the order of their numbers";
+    EXPECT_EQ(listing.ended[1].how, jobs::RunEnd::Done);
+    EXPECT_EQ(kindOf([] { return decodeListing("{}"); }), ErrorKind::MalformedMessage);
+}
+
+TEST(WireCodec, EntriesOfWorkersThatNobodyCanUse)
+{
+    const std::string good = R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","born":5,
+        "capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"]})";
+    const auto entry = valueOf([&] { return decodeWorkerEntry("i-1", good); });
+    EXPECT_EQ(entry.rack, "r1-3");
+    EXPECT_EQ(entry.capacity.milliCores, 16000);
+    EXPECT_FALSE(entry.isDraining);
+    const std::pair<const char *, const char *> spoiled[] = {
+        {R"("ready")", R"("resting")"}, {R"("ready")", "7"},       {R"("10.0.0.1:80")", R"("nowhere")"},
+        {R"("zone":"z",)", ""},         {R"(["a","r1-3"])", "3"}, {R"({"cpu":16000,"memMb":32768,"gpu":0})", "[]"},
+    };
+    for (const auto &[from, to] : spoiled) {
+        auto text = good;
+        text.replace(text.find(from), std::string_view(from).size(), to);
+        EXPECT_EQ(kindOf([&] { return decodeWorkerEntry("i-1", text); }), ErrorKind::MalformedMessage) << to;
+    }
+    EXPECT_EQ(kindOf([] { return decodeWorkerEntry("i-1", "\x01\xff"); }), ErrorKind::MalformedMessage);
+}
+
+TEST(WireCodec, CommitsSayWhenTheyCrossParts)
+{
+    ports::Commit commit;
+    commit.conditions.push_back({{"t", "1", "a"}, 4});
+    commit.writes.push_back({{"t", "1", "a"}, std::string("\0\xff!", 3)});
+    EXPECT_EQ(encodeCommit(commit).find("across"), std::string::npos);
+    commit.removals.push_back({"t", "2", "b"});
+    EXPECT_NE(encodeCommit(commit).find("\"across\":true"), std::string::npos);
+    EXPECT_NE(encodeCommit(commit).find("\"value\":\"AP8h\""), std::string::npos);
+    const auto page = valueOf([] {
+        return decodeRows(R"({"ver":9,"rows":[{"table":"t","part":"1","key":"a","ver":5,"value":"AP8h"},
+                             {"table":"t","part":"1","key":"b","ver":6,"removed":true}],"truncated":true})");
+    });
+    ASSERT_EQ(page.rows.size(), 2U);
+    EXPECT_EQ(page.rows[0].value, std::string("\0\xff!", 3));
+    EXPECT_TRUE(page.rows[1].isRemoved && page.isTruncated);
+}
+
+TEST(WireCodec, RoutesByHostAndLongestPrefix)
+{
+    const auto configuration = valueOf([] {
+        return decodeConfiguration(R"({"version":7,"routes":[
+            {"name":"a","host":"h","pathPrefix":"/x/","service":"s","timeoutMs":3000,"targetLatencyMs":400,
+             "priority":1,"maxAttempts":4,"stretch":1.5},
+            {"name":"b","host":"h","pathPrefix":"/x/y/","service":"s"}]})");
+    });
+    EXPECT_EQ(configuration.version, 7);
+    EXPECT_EQ(configuration.routes[0].policy.maxAttempts, 4);
+    EXPECT_EQ(findRoute(configuration, "h", "/x/1")->policy.queue, "a");
+    EXPECT_EQ(findRoute(configuration, "h", "/x/y/1")->policy.queue, "b");
+    EXPECT_EQ(findRoute(configuration, "other", "/x/1"), nullptr);
+    EXPECT_EQ(findRoute(configuration, "h", "/z"), nullptr);
+}
+
+TEST(CborJobs, KeepWhatTheyWrite)
+{
+    const codec::CborJobs rows;
+    execution::AcceptedJob job;
+    job.policy.queue = "q";
+    job.policy.service = ServiceName("s");
+    job.policy.stretch = 1.5;
+    job.spec.payload = "text";
+    job.spec.steps.resize(2);
+    job.spec.steps[1].after = {0};
+    job.spec.steps[1].tailTarget = 18ms;
+    job.spec.steps[1].isGang = true;
+    const auto decoded = valueOf([&] { return rows.decodeJob(rows.encode(job)); });
+    EXPECT_EQ(decoded.policy.stretch, 1.5);
+    EXPECT_EQ(decoded.spec.steps[1].after, std::vector<int>{0});
+    EXPECT_EQ(decoded.spec.steps[1].tailTarget, std::optional<Duration>(18ms));
+    EXPECT_TRUE(decoded.spec.steps[1].isGang);
+    jobs::JobProgress progress;
+    progress.state = jobs::JobState::Running;
+    progress.occurrences = {{jobs::StepProgress{"D.", {{1, {2, 3}}}}}};
+    EXPECT_EQ(valueOf([&] { return rows.decodeProgress(rows.encode(progress)); }), progress);
+    EXPECT_EQ(kindOf([&] { return rows.decodeProgress("no cbor"); }), ErrorKind::MalformedMessage);
+}
+
+TEST(PlatformSettings, NameEveryFault)
+{
+    const std::string good = R"({"name":"n","region":"r","failureDomain":"d","clientAddress":"10.0.0.1:1",
+        "readyAddress":"10.0.0.1:2","controlAddress":"10.0.0.1:3","storeAddress":"10.0.0.9:4",
+        "processorShare":0.1,"stopGraceSeconds":6})";
+    EXPECT_TRUE(decodeSettings(good).faults.empty());
+    EXPECT_EQ(decodeSettings(good).settings.stopGrace, std::chrono::milliseconds(6000));
+    const auto spoiled = decodeSettings(R"({"name":"","storeAddress":"nowhere","processorShare":0,"colour":"red"})");
+    std::vector<std::string> keys;
+    for (const auto &it : spoiled.faults) {
+        keys.push_back(it.key);
+    }
+    for (const auto *it : {"name", "region", "storeAddress", "processorShare", "colour"}) {
+        EXPECT_NE(std::ranges::find(keys, it), keys.end()) << it;
+    }
+    EXPECT_FALSE(decodeSettings("{").faults.empty());
+    EXPECT_FALSE(decodeSettings("[]").faults.empty());
+}
+
+} // namespace monsoonspool::platform
--- /dev/null
+++ b/tests/scheduling/schedulingtest.cpp
@@ -0,0 +1,216 @@
+#include "scheduling/interferencemodel.h"
+#include "scheduling/paceregulator.h"
+#include "scheduling/tailforecast.h"
+#include "scheduling/waitingorder.h"
+#include "scheduling/workerchooser.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+
+namespace monsoonspool::scheduling {
+
+namespace {
+
+constexpr TimePoint Now{1h};
+constexpr std::int64_t Capacity = 32000;
+const ServiceName Service("desk");
+
+std::unique_ptr<workers::Worker> makeWorker(std::string_view name)
+{
+    ports::WorkerEntry entry;
+    entry.id = WorkerId(name);
+    entry.service = Service;
+    entry.capacity = {Capacity, 128000, 0};
+    entry.rack = "r1";
+    auto worker = std::make_unique<workers::Worker>(entry);
+    worker->setRostered();
+    worker->noteContact(0, Now, Now);
+    return worker;
+}
+
+workers::Run serving(std::uint64_t job, std::string_view image)
+{
+    workers::Run run;
+    run.task = {{job}, 0, 0, 0};
+    run.needs = {6000, 1000, 0};
+    run.image = image;
+    run.isLasting = true;
+    run.tailTarget = 18ms;
+    run.state = workers::RunState::Running;
+    run.level = 8;
+    return run;
+}
+
+// Serving image "s1" is disturbed by "heavy" work, "s2" by nobody.
+InterferenceModel learnedModel()
+{
+    InterferenceModel model;
+    for (int n = 0; n < 400; ++n) {
+        const double share = 0.1 + 0.01 * (n % 10);
+        const double load = 0.42 + 0.2 * std::sin(n * 0.3);
+        const Neighbour heavy{"heavy", share};
+        const Neighbour light{"light", share};
+        model.observe("s1", std::vector{heavy}, 4 / (1 - load - 1.5 * share));
+        model.observe("s1", std::vector{light}, 4 / (1 - load));
+        model.observe("s2", std::vector{heavy, light}, 4 / (1 - load));
+    }
+    model.fit(Now);
+    return model;
+}
+
+jobs::StepSpec leftoverStep(std::string_view image)
+{
+    jobs::StepSpec step;
+    step.needs = {4000, 1000, 0};
+    step.usesLeftover = true;
+    step.image = image;
+    return step;
+}
+
+} // namespace
+
+TEST(InterferenceModel, TellsThePairsThatDisturbFromThoseThatDoNot)
+{
+    const auto model = learnedModel();
+    EXPECT_NEAR(model.press("s1", "heavy") * 4, 1.5, 0.4);
+    EXPECT_EQ(model.press("s1", "light"), 0);
+    EXPECT_EQ(model.press("s2", "heavy"), 0);
+    EXPECT_EQ(model.press("s3", "heavy"), 0);
+    EXPECT_TRUE(model.disturbsAny("heavy"));
+    EXPECT_FALSE(model.disturbsAny("light"));
+}
+
+// The worst days: many kinds of leftover work, each of which disturbs some image.
+// Before lasting tasks were kept together by image, every worker had one of each.
+TEST(TightFit, KeepsLastingTasksOfOneImageTogether)
+{
+    auto mixed = makeWorker("a");
+    auto alike = makeWorker("b");
+    mixed->add(serving(1, "s2"));
+    alike->add(serving(2, "s1"));
+    jobs::StepSpec step;
+    step.needs = {6000, 1000, 0};
+    step.isLasting = true;
+    step.image = "s1";
+    step.tailTarget = 18ms;
+    const TaskDemand demand{{{9}, 0, 0, 0}, &step, Service.view(), {}, nullptr, {}};
+    std::vector<workers::Worker *> both = {mixed.get(), alike.get()};
+    EXPECT_EQ(TightFit().choose(demand, both, Now), alike.get());
+}
+
+TEST(TightFit, SendsWorkWhereItDisturbsNobodyOrLetsItWait)
+{
+    const auto model = learnedModel();
+    auto sensitive = makeWorker("a");
+    auto tolerant = makeWorker("b");
+    sensitive->add(serving(1, "s1"));
+    tolerant->add(serving(2, "s2"));
+    auto wide = leftoverStep("heavy");
+    wide.needs.milliCores = 6000;
+    const TaskDemand wideDemand{{{9}, 0, 0, 0}, &wide, Service.view(), {}, &model, {}};
+    std::vector<workers::Worker *> both = {sensitive.get(), tolerant.get()};
+    EXPECT_EQ(TightFit().choose(wideDemand, both, Now), tolerant.get());
+    const auto heavy = leftoverStep("heavy");
+    const TaskDemand demand{{{9}, 0, 0, 0}, &heavy, Service.view(), {}, &model, {}};
+    // One task fits beside the sensitive one; with more its tail would leave its target.
+    std::vector<workers::Worker *> one = {sensitive.get()};
+    int joined = 0;
+    while (auto *worker = TightFit().choose(demand, one, Now)) {
+        workers::Run run;
+        run.task = {{100 + static_cast<std::uint64_t>(joined)}, 0, 0, 0};
+        run.needs = heavy.needs;
+        run.image = heavy.image;
+        run.usesLeftover = true;
+        worker->add(run);
+        ASSERT_LT(++joined, 5);
+    }
+    EXPECT_LT(joined, 3);
+}
+
+TEST(SafePace, KeepsTheTailBelowItsTarget)
+{
+    const auto model = learnedModel();
+    auto worker = makeWorker("a");
+    auto task = serving(1, "s1");
+    task.level = 12;
+    worker->add(task);
+    workers::Run run;
+    run.task = {{2}, 0, 0, 0};
+    run.needs = {8000, 1000, 0};
+    run.image = "heavy";
+    run.usesLeftover = true;
+    worker->add(run);
+    const int pace = safePace(model, *worker);
+    EXPECT_LT(pace, 60);
+    // 1/tail falls by press times share: at this pace it stays above 1/target.
+    const double pressure = model.press("s1", "heavy") * 0.25 * pace / 100;
+    EXPECT_GT(1.0 / 12 - pressure, 1.0 / 18);
+}
+
+struct PaceStep
+{
+    Duration at;
+    double ratio;
+    Duration over;
+    bool isCauseKnown;
+    int percent;
+    bool isForAll;
+};
+
+TEST(PaceRegulator, FallsAtOnceRisesSlowlyAndStopsAllInTime)
+{
+    PaceRegulator regulator;
+    for (const auto &it : {PaceStep{0ms, 0.5, 0ms, true, 100, false}, PaceStep{1s, 0.95, 0ms, true, 66, false},
+                           PaceStep{1200ms, 1.1, 200ms, true, 66, false}, // settles first
+                           PaceStep{1700ms, 1.1, 700ms, true, 16, false}, PaceStep{3s, 0.5, 0ms, true, 41, false},
+                           PaceStep{3500ms, 0.5, 0ms, true, 41, false}, PaceStep{5s, 1.2, 2400ms, true, 0, false},
+                           PaceStep{6s, 1.2, 3400ms, true, 0, true}, PaceStep{8s, 0.5, 0ms, true, 25, false}}) {
+        SCOPED_TRACE(toMilliseconds(it.at));
+        const auto decision = regulator.update({it.ratio, it.over, it.isCauseKnown}, Now + it.at);
+        EXPECT_EQ(decision.percent, it.percent);
+        EXPECT_EQ(decision.isForAll, it.isForAll);
+    }
+}
+
+TEST(PaceRegulator, LeavesPeaksWithoutACauseAlone)
+{
+    PaceRegulator regulator;
+    EXPECT_EQ(regulator.update({1.5, 600ms, false}, Now + 1s).percent, 100);
+    EXPECT_EQ(regulator.update({1.5, 1300ms, false}, Now + 2s).percent, 25);
+    EXPECT_TRUE(regulator.update({1.5, 1400ms, false}, Now + 2100ms).isForAll);
+}
+
+TEST(ObjectiveFirst, LetsWhatCannotBeOnTimeYield)
+{
+    const auto job = [](int priority, Duration objective, Duration remaining, bool hasStarted) {
+        JobOutlook outlook;
+        outlook.priority = priority;
+        outlook.hasStarted = hasStarted;
+        outlook.objectiveAt = Now + objective;
+        outlook.lateAt = Now + objective * 3;
+        outlook.remaining = remaining;
+        outlook.work = std::chrono::duration<double>(remaining).count();
+        return outlook;
+    };
+    JobOutlook lasting;
+    lasting.isLasting = true;
+    const std::vector<JobOutlook> inOrder = {
+        lasting,
+        job(0, 5s, 1s, true),
+        job(0, 2s, 1s, false),
+        job(2, 2s, 1s, true),
+        job(2, 2s, 1s, false),
+        job(0, 2s, 3s, true), // late
+        job(2, 2s, 4s, true), // late, and more work
+        job(0, 2s, 9s, true), // too late
+    };
+    const ObjectiveFirst order;
+    for (std::size_t n = 1; n < inOrder.size(); ++n) {
+        EXPECT_LT(order.rank(inOrder[n - 1], Now), order.rank(inOrder[n], Now)) << n;
+    }
+}
+
+} // namespace monsoonspool::scheduling
--- /dev/null
+++ b/tests/workers/workertest.cpp
@@ -0,0 +1,102 @@
+#include "workers/worker.h"
+
+#include <gtest/gtest.h>
+
+namespace monsoonspool::workers {
+
+namespace {
+
+constexpr TimePoint Now{1h};
+
+Worker makeWorker()
+{
+    ports::WorkerEntry entry;
+    entry.id = WorkerId("w");
+    entry.capacity = {32000, 128000, 0};
+    entry.bornMs = 1;
+    Worker worker(entry);
+    worker.setRostered();
+    return worker;
+}
+
+Run makeRun(std::uint64_t job, std::int64_t milliCores, bool usesLeftover, bool isLasting)
+{
+    Run run;
+    run.task = {{job}, 0, 0, 0};
+    run.needs = {milliCores, 1000, 0};
+    run.usesLeftover = usesLeftover;
+    run.isLasting = isLasting;
+    return run;
+}
+
+} // namespace
+
+TEST(Worker, TakesNothingBeforeItConfirmedTheFence)
+{
+    auto worker = makeWorker();
+    EXPECT_FALSE(worker.isOpen(Now));
+    worker.noteContact(0, Now, Now);
+    EXPECT_TRUE(worker.isOpen(Now));
+    worker.noteSilence(Now);
+    EXPECT_FALSE(worker.isOpen(Now));
+}
+
+TEST(Worker, CountsRoomByWhoMayUseIt)
+{
+    auto worker = makeWorker();
+    worker.add(makeRun(1, 20000, false, true));
+    EXPECT_EQ(worker.freeRoom().milliCores, 12000);
+    EXPECT_GT(worker.leftoverRoom().milliCores, 12000) << "serving tasks leave some of theirs";
+    worker.add(makeRun(2, 10000, true, false));
+    EXPECT_EQ(worker.freeRoom().milliCores, 12000) << "work on leftover processors makes way";
+    EXPECT_EQ(worker.freeRoom().memoryMiB, 126000) << "but keeps its memory";
+    const auto before = worker.leftoverRoom().milliCores;
+    worker.setPace(*worker.find({{2}, 0, 0, 0}), 50);
+    EXPECT_EQ(worker.leftoverRoom().milliCores, before + 5000);
+    worker.remove({{2}, 0, 0, 0});
+    worker.remove({{1}, 0, 0, 0});
+    EXPECT_EQ(worker.freeRoom(), worker.entry().capacity);
+}
+
+// The worker's clock may run 2% slow: the lease counts as over only when it must be.
+TEST(Worker, ALeaseLapsesByTheSlowestClock)
+{
+    auto worker = makeWorker();
+    worker.noteContact(10'000, Now, Now + 20ms);
+    EXPECT_EQ(worker.nextDeadline(Now + 20ms), 16'000);
+    EXPECT_FALSE(worker.hasLapsed(Now + 6s));
+    EXPECT_FALSE(worker.hasLapsed(Now + 6100ms));
+    EXPECT_TRUE(worker.hasLapsed(Now + 6300ms));
+}
+
+TEST(Worker, ARestartedWorkerHoldsNothing)
+{
+    auto worker = makeWorker();
+    worker.noteContact(10'000, Now, Now);
+    worker.add(makeRun(1, 20000, false, true));
+    worker.setTakenEnd(9);
+    worker.restart(2);
+    EXPECT_EQ(worker.runCount(), 0);
+    EXPECT_EQ(worker.takenEnd(), 0);
+    EXPECT_FALSE(worker.isConfirmed());
+    EXPECT_EQ(worker.freeRoom(), worker.entry().capacity);
+}
+
+// A worker that fails everything gets one trial task at a time, later and later.
+TEST(Worker, ASuspectGetsOneTaskAtATime)
+{
+    auto worker = makeWorker();
+    worker.noteContact(0, Now, Now);
+    for (int n = 0; n < 3; ++n) {
+        worker.noteFailure(Now);
+    }
+    EXPECT_TRUE(worker.isSuspect());
+    EXPECT_FALSE(worker.isOpen(Now + 100ms));
+    EXPECT_TRUE(worker.isOpen(Now + 1s));
+    worker.add(makeRun(1, 1000, false, false));
+    EXPECT_FALSE(worker.isOpen(Now + 1s));
+    worker.noteDone(Now + 1s);
+    EXPECT_TRUE(worker.isOpen(Now + 1s));
+}
+
+} // namespace monsoonspool::workers
