--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -1,13 +1,22 @@
 #include "logging/log.h"
 
 #include "codec/json.h"
+#include "logging/linebudget.h"
+#include "logging/linesink.h"
 
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/consoleappender.h>
+#include <log4cxx/helpers/transcoder.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
+#include <unistd.h>
+
+#include <algorithm>
 #include <atomic>
+#include <map>
+#include <mutex>
 
 namespace monsoonspool::logging {
 
@@ -36,6 +45,53 @@
     return log4cxx::Level::getError();
 }
 
+// Hands formatted lines to a sink that never waits.
+class SinkAppender : public log4cxx::AppenderSkeleton
+{
+public:
+    explicit SinkAppender(int descriptor) : m_sink(descriptor)
+    {
+    }
+    void close() override
+    {
+    }
+    bool requiresLayout() const override
+    {
+        return true;
+    }
+
+protected:
+    // Called by one thread at a time; the base class sees to it.
+    void append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool) override
+    {
+        log4cxx::LogString line;
+        getLayout()->format(line, event, pool);
+        std::string encoded;
+        log4cxx::helpers::Transcoder::encode(line, encoded);
+        m_sink.write(encoded);
+    }
+
+private:
+    LineSink m_sink;
+};
+
+std::mutex budgetMutex;
+LineBudget budget;
+
+// Appends `text` as a JSON string; most need no escapes.
+void appendJson(std::string &line, std::string_view text)
+{
+    const bool isPlain = std::ranges::all_of(
+        text, [](char c) { return c >= ' ' && c != '"' && c != '\\' && static_cast<unsigned char>(c) < 0x7f; });
+    if (isPlain) {
+        line += '"';
+        line += text;
+        line += '"';
+    } else {
+        line += codec::writeJson(codec::Json(text));
+    }
+}
+
 bool needsQuotes(std::string_view value)
 {
     return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
@@ -60,7 +116,7 @@
 
 } // namespace
 
-Result<void> configure(std::string_view level, std::string_view format)
+Result<void> configure(std::string_view level, std::string_view format, Destination destination)
 {
     BOOST_LEAF_AUTO(threshold, levelFrom(level));
     if (format != "keyvalue" && format != "json") {
@@ -70,7 +126,13 @@
     const char *pattern
         = format == "json" ? "{\"time\":\"%d{ISO8601}\",\"level\":\"%p\",%m}%n" : "time=%d{ISO8601} level=%p %m%n";
     const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    log4cxx::AppenderPtr appender;
+    if (destination == Destination::StandardOutput) {
+        appender = std::make_shared<SinkAppender>(STDOUT_FILENO);
+        appender->setLayout(layout);
+    } else {
+        appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    }
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
     root->addAppender(appender);
@@ -82,9 +144,13 @@
 {
     std::string line;
     if (format == Format::Json) {
-        line = "\"event\":" + codec::writeJson(codec::Json(event));
+        line = "\"event\":";
+        appendJson(line, event);
         for (const auto &it : fields) {
-            line += "," + codec::writeJson(codec::Json(it.key)) + ":" + codec::writeJson(codec::Json(it.value));
+            line += ',';
+            appendJson(line, it.key);
+            line += ':';
+            appendJson(line, it.value);
         }
         return line;
     }
@@ -107,7 +173,20 @@
 
 void logDecision(std::string_view event, std::initializer_list<Field> fields)
 {
-    log(Level::Info, event, fields);
+    std::map<std::string, std::uint64_t> leftOut;
+    bool isTaken = false;
+    {
+        const std::lock_guard lock(budgetMutex);
+        const auto now = monotonicNow();
+        isTaken = budget.take(event, now);
+        leftOut = budget.takeLeftOut(now);
+    }
+    for (const auto &[name, count] : leftOut) {
+        log(Level::Warning, "lines-left-out", {{"of", name}, {"count", count}});
+    }
+    if (isTaken) {
+        log(Level::Info, event, fields);
+    }
 }
 
 } // namespace monsoonspool::logging
--- a/src/logging/log.h
+++ b/src/logging/log.h
@@ -24,9 +24,15 @@
 
 using Field = DecisionField;
 
-// Sets up the logs of the process, which go to standard error.
+enum class Destination {
+    StandardError,
+    StandardOutput, // without ever waiting for its reader
+};
+
+// Sets up the logs of the process.
 // Fails with InvalidSettings for an unknown level or format.
-Result<void> configure(std::string_view level, std::string_view format);
+Result<void> configure(std::string_view level, std::string_view format,
+                       Destination destination = Destination::StandardError);
 
 // Writes one line for `event` with `fields`. Thread-safe.
 void log(Level level, std::string_view event, std::initializer_list<Field> fields = {});
--- /dev/null
+++ b/tests/logging/logtest.cpp
@@ -0,0 +1,84 @@
+#include "logging/linebudget.h"
+#include "logging/linesink.h"
+#include "logging/log.h"
+
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+#include <array>
+
+namespace monsoonspool::logging {
+
+namespace {
+
+constexpr TimePoint Now{1h};
+
+std::string drain(int descriptor)
+{
+    std::string text;
+    std::array<char, 4096> buf{};
+    while (true) {
+        const auto n = ::read(descriptor, buf.data(), buf.size());
+        if (n <= 0) {
+            return text;
+        }
+        text.append(buf.data(), static_cast<std::size_t>(n));
+    }
+}
+
+} // namespace
+
+// Nobody reads the pipe: the writer goes on, lines stay whole, and what was left
+// out is told of.
+TEST(LineSink, NeverWaitsForItsReader)
+{
+    std::array<int, 2> ends{};
+    ASSERT_EQ(pipe(ends.data()), 0);
+    LineSink sink(ends[1]);
+    LineSink reader(ends[0]); // makes the reading end non-blocking
+    const std::string line = std::string(999, 'x') + "\n";
+    for (int n = 0; n < 500; ++n) {
+        sink.write(line);
+    }
+    EXPECT_GT(sink.droppedLines(), 300U);
+    auto text = drain(ends[0]);
+    sink.write("last\n");
+    text += drain(ends[0]);
+    EXPECT_TRUE(text.ends_with("last\n"));
+    EXPECT_NE(text.find("lines-dropped"), std::string::npos);
+    std::size_t begin = 0;
+    while (begin < text.size()) {
+        const auto end = text.find('\n', begin);
+        const auto found = text.substr(begin, end - begin + 1);
+        EXPECT_TRUE(found == line || found == "last\n" || found.starts_with("{\"event\":\"lines-dropped\"")) << found;
+        begin = end + 1;
+    }
+    close(ends[0]);
+    close(ends[1]);
+}
+
+TEST(LineBudget, BoundsEachEventAndCountsWhatIsLeftOut)
+{
+    LineBudget budget;
+    int written = 0;
+    for (int n = 0; n < 10'000; ++n) {
+        written += budget.take("start", Now + n * Duration(1ms)) ? 1 : 0;
+    }
+    EXPECT_LT(written, 1500);
+    EXPECT_GT(written, 1000);
+    EXPECT_TRUE(budget.take("stop", Now)) << "other events have budgets of their own";
+    const auto leftOut = budget.takeLeftOut(Now + 10s);
+    ASSERT_EQ(leftOut.size(), 1U);
+    EXPECT_EQ(leftOut.at("start"), 10'000U - static_cast<unsigned>(written));
+    EXPECT_TRUE(budget.takeLeftOut(Now + 10500ms).empty());
+}
+
+TEST(Log, WritesOneJsonObjectWhateverTheValues)
+{
+    EXPECT_EQ(formatEvent(Format::Json, "start", {{"task", "a"}, {"run", 3}}),
+              R"("event":"start","task":"a","run":"3")");
+    EXPECT_EQ(formatEvent(Format::Json, "x", {{"detail", "say \"no\"\n"}}), R"("event":"x","detail":"say \"no\"\n")");
+}
+
+} // namespace monsoonspool::logging
