--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -329,9 +329,18 @@
     auto &counts = d->counts;
     counts.openJobs = d->jobsByKey.size();
     counts.workers = d->workers.size();
-    counts.runs = 0;
+    return counts;
+}
+
+FleetCounts Fleet::fullCounts() const
+{
+    auto counts = this->counts();
     for (const auto *it : d->workers) {
         counts.runs += static_cast<std::size_t>(it->runCount());
+        counts.silentWorkers += it->isSilent() ? 1 : 0;
+    }
+    for (const auto &[key, it] : d->jobsByKey) {
+        counts.waitingJobs += it->job.state() == jobs::JobState::Queued ? 1 : 0;
     }
     return counts;
 }
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -4,6 +4,7 @@
 #include "execution/orders.h"
 #include "jobs/job.h"
 #include "jobs/queuepolicy.h"
+#include "metrics/latencyhistogram.h"
 #include "ports/workerlink.h"
 
 #include <map>
@@ -42,7 +43,11 @@
     std::uint64_t failed = 0;
     std::uint64_t lapsed = 0;
     std::uint64_t stopped = 0;
-    std::uint64_t unsettled = 0;
+    std::uint64_t unsettled = 0; // starts without an answer
+    std::uint64_t paces = 0;
+    std::size_t waitingJobs = 0; // none of their tasks has started
+    std::size_t silentWorkers = 0;
+    metrics::LatencyHistogram firstStart; // from acceptance to the first start
 };
 
 // All jobs and workers as the leader sees them: takes in what happened and says
@@ -118,7 +123,10 @@
     // Drops a job whose final state is stored, once nothing of it runs.
     void noteStored(jobs::JobKey key);
 
+    // Cheap: numbers of jobs, workers and events.
     const FleetCounts &counts() const;
+    // All counts, for dumps and metrics.
+    FleetCounts fullCounts() const;
 
 private:
     struct Private;
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -54,6 +54,7 @@
         }
     }
     d->counts.starts += orders.starts.size();
+    d->counts.paces += orders.paces.size();
     return orders;
 }
 
@@ -325,6 +326,9 @@
     worker.add(run);
     ++job.runs;
     const auto checkpoint = job.job.task(task).checkpoint;
+    if (job.job.state() == jobs::JobState::Queued) {
+        counts.firstStart.add(now - job.job.acceptedAt());
+    }
     job.job.noteStarted(task, number);
     log.record("start", {{"task", jobs::taskName(task)},
                          {"run", number},
--- a/src/execution/tenure.cpp
+++ b/src/execution/tenure.cpp
@@ -300,9 +300,9 @@
     return d->isLoaded;
 }
 
-const FleetCounts &Tenure::counts() const
+FleetCounts Tenure::counts() const
 {
-    return d->fleet.counts();
+    return d->fleet.fullCounts();
 }
 
 } // namespace monsoonspool::execution
--- a/src/execution/tenure.h
+++ b/src/execution/tenure.h
@@ -56,7 +56,7 @@
     // Returns how many jobs of each queue have not started, once all are read.
     std::map<std::string, int> waitingCounts() const;
     bool isLoaded() const;
-    const FleetCounts &counts() const;
+    FleetCounts counts() const;
 
 private:
     struct Private;
--- /dev/null
+++ b/tests/platform/controlapitest.cpp
@@ -0,0 +1,41 @@
+#include "controlapi.h"
+
+#include "codec/json.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace monsoonspool::platform {
+
+TEST(ControlApi, MetricsHaveOneValueALineAndAHelpLineEach)
+{
+    execution::ExecutionSummary summary;
+    summary.fleet.starts = 12;
+    summary.fleet.firstStart.add(200ms);
+    std::istringstream text(encodeMetrics(summary));
+    std::string line;
+    int helps = 0;
+    int values = 0;
+    while (std::getline(text, line)) {
+        if (line.starts_with("# HELP")) {
+            ++helps;
+        } else if (!line.starts_with("#")) {
+            ++values;
+            EXPECT_TRUE(line.starts_with("monsoonspool_")) << line;
+            EXPECT_NE(line.find(' '), std::string::npos) << line;
+        }
+    }
+    EXPECT_GT(helps, 12);
+    EXPECT_EQ(values, helps + 3) << "the summary has three quantiles and a count";
+}
+
+TEST(ControlApi, TheStateHasASectionForEachPart)
+{
+    const auto json = codec::Json::parse(encodeState({}, EntryHostId("h")));
+    for (const auto *it : {"host", "leadership", "configuration", "store", "jobs", "workers", "runs"}) {
+        EXPECT_TRUE(json.contains(it)) << it;
+    }
+}
+
+} // namespace monsoonspool::platform
