--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -57,6 +57,7 @@
         const auto now = ports.scheduler.now();
         contactAt = now;
         leadership.noteContact(now);
+        desk.noteContact(now);
         if (roundTrip > Duration(0)) {
             storeRoundTrip = storeRoundTrip == Duration(0) ? roundTrip : std::min(storeRoundTrip, roundTrip);
         }
--- a/src/execution/jobdesk.cpp
+++ b/src/execution/jobdesk.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace monsoonspool::execution {
 
@@ -40,6 +41,7 @@
         TimePoint deadline;
         Duration pause = FirstRetry;
         bool maybeStored = false;
+        bool isAnswered = false;
         std::function<void(JobAnswer)> reply;
     };
     using SubmissionPointer = std::shared_ptr<Submission>;
@@ -48,7 +50,9 @@
     {
         store.commit(submission->commit,
                      [self = shared_from_this(), submission](const ports::AsyncResult<ports::CommitResult> &result) {
-                         self->onSubmitted(submission, result);
+                         if (!submission->isAnswered) {
+                             self->onSubmitted(submission, result);
+                         }
                      });
     }
 
@@ -73,8 +77,9 @@
         submission->pause = std::min(submission->pause * 2, MaxRetry);
     }
 
-    void finish(const Submission &submission, JobAnswer answer, std::string_view why)
+    void finish(Submission &submission, JobAnswer answer, std::string_view why)
     {
+        submission.isAnswered = true;
         constexpr std::string_view names[] = {"accepted", "not accepted", "unknown"};
         log.record("job-submitted", {{"job", jobs::jobName(submission.key)},
                                      {"answer", names[static_cast<std::size_t>(answer)]},
@@ -83,6 +88,25 @@
         submission.reply(answer);
     }
 
+    bool isStoreSilent() const
+    {
+        return scheduler.now() - contactAt > StoreSilence;
+    }
+
+    // Returns a handler that hands on the first result, or a failure at `deadline`.
+    ports::Handler<JobStatus> until(TimePoint deadline, ports::Handler<JobStatus> reply)
+    {
+        const auto isAnswered = std::make_shared<bool>(false);
+        ports::Handler<JobStatus> once = [isAnswered, reply = std::move(reply)](const auto &result) {
+            if (!std::exchange(*isAnswered, true)) {
+                reply(result);
+            }
+        };
+        scheduler.runAfter(deadline - scheduler.now(),
+                           [once] { once(Failure{ErrorKind::StoreUnavailable, "no answer in time"}); });
+        return once;
+    }
+
     using ProgressHandler = ports::Handler<std::optional<StoredProgress>>;
 
     void readProgress(jobs::JobKey key, TimePoint deadline, Duration pause, const ProgressHandler &handler)
@@ -169,6 +193,7 @@
     ports::Scheduler &scheduler;
     const RowCodec &codec;
     DecisionLog &log;
+    TimePoint contactAt;
 };
 
 JobDesk::JobDesk(ports::ChangeStore &store, ports::Scheduler &scheduler, const RowCodec &codec, DecisionLog &log)
@@ -178,6 +203,11 @@
 
 JobDesk::~JobDesk() = default;
 
+void JobDesk::noteContact(TimePoint now)
+{
+    d->contactAt = now;
+}
+
 void JobDesk::submit(AcceptedJob job, TimePoint deadline, std::function<void(JobAnswer)> reply)
 {
     auto submission = std::make_shared<Private::Submission>();
@@ -188,26 +218,44 @@
     submission->startedAt = d->scheduler.now();
     submission->deadline = deadline;
     submission->reply = std::move(reply);
+    if (d->isStoreSilent()) {
+        d->finish(*submission, JobAnswer::NotAccepted, "the store is silent");
+        return;
+    }
+    d->scheduler.runAfter(deadline - submission->startedAt, [self = d, submission] {
+        if (!submission->isAnswered) {
+            self->finish(*submission, JobAnswer::Unknown, "no answer in time");
+        }
+    });
     d->trySubmit(submission);
 }
 
 void JobDesk::status(jobs::JobKey key, TimePoint deadline, ports::Handler<JobStatus> reply)
 {
+    if (d->isStoreSilent()) {
+        reply(Failure{ErrorKind::StoreUnavailable, "the store is silent"});
+        return;
+    }
     d->readProgress(key, deadline, FirstRetry,
-                    [reply = std::move(reply)](const ports::AsyncResult<std::optional<StoredProgress>> &result) {
+                    [once = d->until(deadline, std::move(reply))](
+                        const ports::AsyncResult<std::optional<StoredProgress>> &result) {
                         if (!result.isOk()) {
-                            reply(result.failure());
+                            once(result.failure());
                         } else if (!result.value()) {
-                            reply(JobStatus{});
+                            once(JobStatus{});
                         } else {
-                            reply(JobStatus{true, result.value()->progress.state});
+                            once(JobStatus{true, result.value()->progress.state});
                         }
                     });
 }
 
 void JobDesk::cancel(jobs::JobKey key, TimePoint deadline, ports::Handler<JobStatus> reply)
 {
-    d->tryCancel(key, deadline, reply);
+    if (d->isStoreSilent()) {
+        reply(Failure{ErrorKind::StoreUnavailable, "the store is silent"});
+        return;
+    }
+    d->tryCancel(key, deadline, d->until(deadline, std::move(reply)));
 }
 
 } // namespace monsoonspool::execution
--- a/src/execution/jobdesk.h
+++ b/src/execution/jobdesk.h
@@ -10,6 +10,9 @@
 
 namespace monsoonspool::execution {
 
+// A question for changes is answered at least once a second while the store is well.
+constexpr Duration StoreSilence = 2s;
+
 // What a client is told of its call.
 enum class JobAnswer {
     Accepted, // stored, now or earlier
@@ -36,6 +39,11 @@
     JobDesk(const JobDesk &) = delete;
     JobDesk &operator=(const JobDesk &) = delete;
 
+    // Notes that the store answered this host. While it has not for StoreSilence,
+    // calls are answered at once: the client is better served elsewhere, or later.
+    void noteContact(TimePoint now);
+
+    // Replies by `deadline` at the latest.
     void submit(AcceptedJob job, TimePoint deadline, std::function<void(JobAnswer)> reply);
     // Fails with StoreUnavailable if the store does not answer until `deadline`.
     void status(jobs::JobKey key, TimePoint deadline, ports::Handler<JobStatus> reply);
--- a/tests/execution/executionlooptest.cpp
+++ b/tests/execution/executionlooptest.cpp
@@ -304,6 +304,27 @@
     EXPECT_EQ(cluster.runners.startCount(), 3);
 }
 
+// Without the store a host answers at once, and before the client stops waiting.
+TEST(ExecutionLoop, AHostWithoutTheStoreAnswersInTime)
+{
+    Cluster cluster;
+    cluster.scheduler.runFor(2s);
+    cluster.host(0).storeFaults.lost = 1;
+    cluster.host(0).storeFaults.late = 10s;
+    cluster.submit(0, 7);
+    cluster.scheduler.runFor(2499ms);
+    EXPECT_FALSE(cluster.answers.contains(7));
+    cluster.scheduler.runFor(2ms);
+    EXPECT_EQ(cluster.answers[7], JobAnswer::Unknown);
+    cluster.scheduler.runFor(1s);
+    cluster.submit(0, 8);
+    EXPECT_EQ(cluster.answers[8], JobAnswer::NotAccepted);
+    std::optional<ErrorKind> kind;
+    cluster.host(0).loop->jobDesk().status({7}, cluster.scheduler.now() + 1s,
+                                           [&](const auto &result) { kind = result.failure().kind; });
+    EXPECT_EQ(kind, ErrorKind::StoreUnavailable);
+}
+
 TEST(ExecutionLoop, AHopelessJobFailsAfterItsAttempts)
 {
     Cluster cluster;
