Number images, and hand the leadership over when the control thread lags

A tenth of the processor time went into comparing names of images. The leader now measures how late its own ticks are, and releases the row beyond 500 ms. Ruled out: the store and the network, which answered the other hosts in time.

--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -17,6 +17,15 @@
 // A host without the store for this long sends its clients elsewhere.
 constexpr Duration ReadySilence = 2500ms;
 
+// A leader whose control thread runs so late, on average, hands over to another host,
+// and claims late itself for a while: its machine is slow, or has too little left.
+constexpr Duration LagLimit = 500ms;
+constexpr Duration LagPenalty = 2s;
+constexpr Duration LagPenaltyTime = 15s;
+constexpr Duration MinTenure = 4s;
+// Weight of the newest tick in the average.
+constexpr double LagWeight = 0.3;
+
 // How much later than the best host this one claims the leadership: for each
 // halving of its processor share, and for each millisecond to the store.
 constexpr double HandicapForHalving = 120; // ms
@@ -144,22 +153,40 @@
 
     void tick()
     {
-        ports.scheduler.runAfter(TickInterval, [self = shared_from_this()] {
+        const auto dueAt = ports.scheduler.now() + TickInterval;
+        ports.scheduler.runAfter(TickInterval, [self = shared_from_this(), dueAt] {
             if (!self->isClosed) {
+                self->followLag(self->ports.scheduler.now() - dueAt);
                 self->followLeadership();
                 self->tick();
             }
         });
     }
 
+    void followLag(Duration lateness)
+    {
+        const auto now = ports.scheduler.now();
+        lag += std::chrono::duration_cast<Duration>((lateness - lag) * LagWeight);
+        if (!tenure || isStopping || lag < LagLimit || now - tenureBeganAt < MinTenure) {
+            return;
+        }
+        lagPenaltyUntil = now + LagPenaltyTime;
+        ports.log.record("leadership-handed-over", {{"fence", tenureFence.value}, {"lagMs", toMilliseconds(lag)}});
+        lag = Duration(0);
+        if (const auto write = leadership.release()) {
+            writeLeader(*write);
+        }
+    }
+
     Duration handicap() const
     {
+        const auto penalty = ports.scheduler.now() < lagPenaltyUntil ? LagPenalty : Duration(0);
         const double halvings = std::max(0.0, -std::log2(std::max(options.processorShare, 0.01)));
         const double distance = std::chrono::duration<double, std::milli>(storeRoundTrip).count();
         const auto jitter = JitterStep * static_cast<int>(std::hash<std::string_view>{}(options.self.view()) % JitterSteps);
         return std::chrono::milliseconds(
                    static_cast<std::int64_t>(halvings * HandicapForHalving + distance * HandicapForMillisecond))
-            + jitter;
+            + jitter + penalty;
     }
 
     // Makes the tenure what the leadership says, and writes what is due.
@@ -218,6 +245,7 @@
     void beginTenure()
     {
         tenureFence = leadership.fence();
+        tenureBeganAt = ports.scheduler.now();
         TenureStart start{tenureFence, leadership.claimVersion(), {}, rosterVersion, queues()};
         if (!roster.empty()) {
             start.roster = handleFailure([&] { return ports.codec.decodeRoster(roster); },
@@ -260,6 +288,9 @@
     std::optional<TableFollower> leaderFollower;
     std::optional<Tenure> tenure;
     Epoch tenureFence;
+    TimePoint tenureBeganAt;
+    Duration lag{0}; // of the control thread's ticks, on average
+    TimePoint lagPenaltyUntil;
     std::string roster;
     std::uint64_t rosterVersion = 0;
     TimePoint contactAt;
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -221,10 +221,10 @@
     interference.fit(now);
 }
 
-void Fleet::Private::describeRun(workers::Run &run, const jobs::StepSpec &spec) const
+void Fleet::Private::describeRun(workers::Run &run, const jobs::StepSpec &spec)
 {
     run.needs = spec.needs;
-    run.image = spec.image;
+    run.image = interference.numberOf(spec.image);
     run.usesLeftover = spec.usesLeftover;
     run.isLasting = spec.isLasting;
     run.tailTarget = spec.tailTarget.value_or(Duration(0));
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -286,8 +286,9 @@
                                           std::string_view preferredRack, TimePoint now)
 {
     const auto &spec = job.job.stepSpec(task.step);
-    const bool isConcerned = spec.isLasting || (spec.usesLeftover && interference.disturbsAny(spec.image));
-    const scheduling::TaskDemand demand{task, &spec, policyOf(job).service.view(), preferredRack,
+    const auto image = interference.numberOf(spec.image);
+    const bool isConcerned = spec.isLasting || (spec.usesLeftover && interference.disturbsAny(image));
+    const scheduling::TaskDemand demand{task, &spec, image, policyOf(job).service.view(), preferredRack,
                                         isConcerned ? &interference : nullptr, {}};
     const bool isHopeless = std::ranges::any_of(failedDemands, [&](const FailedDemand &it) {
         return it.service == demand.service && it.usesLeftover == spec.usesLeftover && spec.needs.holds(it.needs);
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -72,7 +72,7 @@
     void takeEnds(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint now);
     void takeRunning(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint sentAt, TimePoint now);
     void observeInterference(workers::Worker &worker, TimePoint now);
-    void describeRun(workers::Run &run, const jobs::StepSpec &spec) const;
+    void describeRun(workers::Run &run, const jobs::StepSpec &spec);
     void adopt(workers::Worker &worker, const ports::ListedRun &listed, TimePoint now);
     void settleUnlisted(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint sentAt,
                         TimePoint now);
--- a/src/scheduling/interferencemodel.cpp
+++ b/src/scheduling/interferencemodel.cpp
@@ -23,14 +23,14 @@
 
 } // namespace
 
-std::size_t InterferenceModel::Serving::indexOf(std::string_view image)
+std::size_t InterferenceModel::Serving::indexOf(ImageNumber image)
 {
     const auto it = std::ranges::find(images, image);
     if (it != images.end()) {
         return static_cast<std::size_t>(it - images.begin()) + 1;
     }
     const std::size_t old = size();
-    images.emplace_back(image);
+    images.push_back(image);
     std::vector<double> grown(size() * size(), 0.0);
     for (std::size_t row = 0; row < old && !moments.empty(); ++row) {
         std::copy_n(moments.begin() + static_cast<std::ptrdiff_t>(row * old), old,
@@ -74,14 +74,14 @@
     }
 }
 
-void InterferenceModel::observe(std::string_view serving, std::span<const Neighbour> neighbours, double tailMs)
+void InterferenceModel::observe(ImageNumber serving, std::span<const Neighbour> neighbours, double tailMs)
 {
     if (tailMs <= 0) {
         return;
     }
     auto it = m_servings.find(serving);
     if (it == m_servings.end()) {
-        it = m_servings.emplace(std::string(serving), Serving()).first;
+        it = m_servings.emplace(serving, Serving()).first;
         it->second.moments.assign(1, 0.0);
         it->second.products.assign(1, 0.0);
         it->second.weights.assign(1, 0.0);
@@ -112,36 +112,48 @@
     const double elapsed = m_fittedAt == TimePoint() ? 0 : std::chrono::duration<double>(now - m_fittedAt).count();
     const double factor = std::exp2(-elapsed / std::chrono::duration<double>(HalfLife).count());
     m_fittedAt = now;
-    for (auto &[image, it] : m_servings) {
+    m_answers.assign(m_numbers.size(), Answers());
+    for (auto &[serving, it] : m_servings) {
         it.fade(factor);
         it.fit();
+        if (it.count < MinCount || serving >= m_answers.size()) {
+            continue;
+        }
+        auto &answers = m_answers[serving];
+        answers.baseRate = it.weights.front();
+        answers.presses.assign(m_numbers.size(), 0.0);
+        for (std::size_t n = 0; n < it.images.size(); ++n) {
+            const double press = -it.weights[n + 1];
+            if (press >= MinPress * answers.baseRate) {
+                answers.presses[it.images[n]] = press;
+            }
+        }
     }
 }
 
-double InterferenceModel::press(std::string_view serving, std::string_view image) const
+ImageNumber InterferenceModel::numberOf(std::string_view image)
 {
-    const auto it = m_servings.find(serving);
-    if (it == m_servings.end() || it->second.count < MinCount) {
-        return 0;
-    }
-    const auto &images = it->second.images;
-    const auto found = std::ranges::find(images, image);
-    if (found == images.end()) {
+    const auto it = m_numbers.find(image);
+    return it != m_numbers.end() ? it->second : m_numbers.emplace(std::string(image), m_numbers.size()).first->second;
+}
+
+double InterferenceModel::press(ImageNumber serving, ImageNumber image) const
+{
+    if (serving >= m_answers.size() || image >= m_answers[serving].presses.size()) {
         return 0;
     }
-    const double press = -it->second.weights[static_cast<std::size_t>(found - images.begin()) + 1];
-    return press < MinPress * it->second.weights.front() ? 0 : press;
+    return m_answers[serving].presses[image];
 }
 
-bool InterferenceModel::disturbsAny(std::string_view image) const
+bool InterferenceModel::disturbsAny(ImageNumber image) const
 {
-    return std::ranges::any_of(m_servings, [&](const auto &it) { return press(it.first, image) > 0; });
+    return std::ranges::any_of(m_answers,
+                               [&](const Answers &it) { return image < it.presses.size() && it.presses[image] > 0; });
 }
 
-double InterferenceModel::baseRate(std::string_view serving) const
+double InterferenceModel::baseRate(ImageNumber serving) const
 {
-    const auto it = m_servings.find(serving);
-    return it == m_servings.end() || it->second.count < MinCount ? 0 : it->second.weights.front();
+    return serving < m_answers.size() ? m_answers[serving].baseRate : 0;
 }
 
 } // namespace monsoonspool::scheduling
--- a/src/scheduling/interferencemodel.h
+++ b/src/scheduling/interferencemodel.h
@@ -10,10 +10,13 @@
 
 namespace monsoonspool::scheduling {
 
+// Stands for the name of an image; asked for often, so that names are not compared.
+using ImageNumber = std::size_t;
+
 // Work on leftover processors beside a serving task.
 struct Neighbour
 {
-    std::string_view image;
+    ImageNumber image = 0;
     double coreShare = 0; // of the worker's processors, as used
 };
 
@@ -31,23 +34,26 @@
 {
 public:
     // Takes in one measurement of a serving task.
-    void observe(std::string_view serving, std::span<const Neighbour> neighbours, double tailMs);
+    void observe(ImageNumber serving, std::span<const Neighbour> neighbours, double tailMs);
     // Fits what was seen since; costs little and is due once in FitInterval.
     void fit(TimePoint now);
 
+    // Returns the number that stands for an image in the questions below.
+    ImageNumber numberOf(std::string_view image);
+
     // Returns by how much, in 1/ms, one full worker's worth of `image` lowers the
     // reciprocal of the tail; 0 for a pair that is harmless or unknown.
-    double press(std::string_view serving, std::string_view image) const;
+    double press(ImageNumber serving, ImageNumber image) const;
     // Returns whether work of `image` disturbs any serving image.
-    bool disturbsAny(std::string_view image) const;
+    bool disturbsAny(ImageNumber image) const;
     // Returns the reciprocal of the tail of `serving` alone in the mean, in 1/ms; 0
     // while unknown.
-    double baseRate(std::string_view serving) const;
+    double baseRate(ImageNumber serving) const;
 
 private:
     struct Serving
     {
-        std::vector<std::string> images; // of the features, from index 1; 0 is the base
+        std::vector<ImageNumber> images; // of the features, from index 1; 0 is the base
         std::vector<double> moments; // sums of products of features, row by row
         std::vector<double> products; // sums of feature times 1/tail
         std::vector<double> weights; // the base, and presses with a negative sign
@@ -57,12 +63,20 @@
         {
             return images.size() + 1;
         }
-        std::size_t indexOf(std::string_view image);
+        std::size_t indexOf(ImageNumber image);
         void fit();
         void fade(double factor);
     };
+    // What a fit says of one serving image.
+    struct Answers
+    {
+        double baseRate = 0;
+        std::vector<double> presses; // by image; those beyond the end are 0
+    };
 
-    std::map<std::string, Serving, std::less<>> m_servings;
+    std::map<std::string, ImageNumber, std::less<>> m_numbers;
+    std::map<ImageNumber, Serving> m_servings;
+    std::vector<Answers> m_answers; // by serving image
     TimePoint m_fittedAt;
 };
 
--- a/src/scheduling/tailforecast.cpp
+++ b/src/scheduling/tailforecast.cpp
@@ -25,7 +25,7 @@
 
 // Returns by how much the leftover work on `worker`, at full pace, lowers the
 // reciprocal of the tail of tasks of the image `serving`, in 1/ms.
-double fullPressure(const InterferenceModel &model, const workers::Worker &worker, std::string_view serving)
+double fullPressure(const InterferenceModel &model, const workers::Worker &worker, ImageNumber serving)
 {
     double sum = 0;
     for (const auto &it : worker.runs()) {
@@ -37,7 +37,7 @@
 }
 
 // Returns the same for the processors that the work used when last measured.
-double usedPressure(const InterferenceModel &model, const workers::Worker &worker, std::string_view serving)
+double usedPressure(const InterferenceModel &model, const workers::Worker &worker, ImageNumber serving)
 {
     double sum = 0;
     for (const auto &it : worker.runs()) {
@@ -49,7 +49,7 @@
 }
 
 // Returns the ratio of the tail to its target in the mean under `pressure`.
-double ratioOf(const InterferenceModel &model, std::string_view serving, Duration target, double pressure)
+double ratioOf(const InterferenceModel &model, ImageNumber serving, Duration target, double pressure)
 {
     const auto targetMs = static_cast<double>(toMilliseconds(target));
     const double base = model.baseRate(serving);
--- a/src/scheduling/tailforecast.h
+++ b/src/scheduling/tailforecast.h
@@ -10,7 +10,7 @@
 // A task that might join a worker.
 struct JoiningTask
 {
-    std::string_view image;
+    ImageNumber image = 0;
     double coreShare = 0; // of the worker's processors
     bool usesLeftover = false;
     Duration tailTarget{0}; // of a serving task
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -30,7 +30,7 @@
         return 0;
     }
     const auto &step = *demand.step;
-    const JoiningTask joining{step.image, coreShare(step.needs, worker), step.usesLeftover,
+    const JoiningTask joining{demand.image, coreShare(step.needs, worker), step.usesLeftover,
                               step.tailTarget.value_or(Duration(0))};
     return worstTailRatio(*demand.interference, worker, joining);
 }
@@ -41,7 +41,7 @@
 }
 
 // Returns the part of the serving tasks on `worker` that are of another image.
-double otherImages(const workers::Worker &worker, std::string_view image)
+double otherImages(const workers::Worker &worker, ImageNumber image)
 {
     int serving = 0;
     int others = 0;
@@ -71,7 +71,7 @@
     }
     sum += coreShare(worker.freeRoom() - step.needs, worker);
     if (step.isLasting) {
-        sum += SameStepCost * worker.runsOfStep(demand.task) + OtherImageCost * otherImages(worker, step.image);
+        sum += SameStepCost * worker.runsOfStep(demand.task) + OtherImageCost * otherImages(worker, demand.image);
     }
     return sum;
 }
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -16,6 +16,7 @@
 {
     jobs::TaskId task;
     const jobs::StepSpec *step = nullptr;
+    ImageNumber image = 0; // of the step
     std::string_view service; // whose workers may run it
     std::string_view preferredRack; // of the other members of a colocated gang; empty for any
     const InterferenceModel *interference = nullptr; // nullptr if the task disturbs nobody and is not disturbed
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -2,6 +2,7 @@
 
 #include "jobs/taskid.h"
 #include "ports/workerlink.h"
+#include "scheduling/interferencemodel.h"
 #include "scheduling/paceregulator.h"
 #include "workers/workerclock.h"
 
@@ -26,7 +27,7 @@
     jobs::TaskId task;
     jobs::RunNumber number = 0;
     Resources needs;
-    std::string image;
+    scheduling::ImageNumber image = 0;
     bool usesLeftover = false;
     bool isLasting = false;
     Duration tailTarget{0}; // of a serving task
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -31,7 +31,7 @@
     return worker;
 }
 
-workers::Run serving(std::uint64_t job, std::string_view image)
+workers::Run serving(std::uint64_t job, ImageNumber image)
 {
     workers::Run run;
     run.task = {{job}, 0, 0, 0};
@@ -44,29 +44,37 @@
     return run;
 }
 
+// Images of the learned model.
+constexpr ImageNumber S1 = 0;
+constexpr ImageNumber S2 = 1;
+constexpr ImageNumber Heavy = 2;
+constexpr ImageNumber Light = 3;
+
 // Serving image "s1" is disturbed by "heavy" work, "s2" by nobody.
 InterferenceModel learnedModel()
 {
     InterferenceModel model;
+    for (const auto *it : {"s1", "s2", "heavy", "light"}) {
+        model.numberOf(it);
+    }
     for (int n = 0; n < 400; ++n) {
         const double share = 0.1 + 0.01 * (n % 10);
         const double load = 0.42 + 0.2 * std::sin(n * 0.3);
-        const Neighbour heavy{"heavy", share};
-        const Neighbour light{"light", share};
-        model.observe("s1", std::vector{heavy}, 4 / (1 - load - 1.5 * share));
-        model.observe("s1", std::vector{light}, 4 / (1 - load));
-        model.observe("s2", std::vector{heavy, light}, 4 / (1 - load));
+        const Neighbour heavy{Heavy, share};
+        const Neighbour light{Light, share};
+        model.observe(S1, std::vector{heavy}, 4 / (1 - load - 1.5 * share));
+        model.observe(S1, std::vector{light}, 4 / (1 - load));
+        model.observe(S2, std::vector{heavy, light}, 4 / (1 - load));
     }
     model.fit(Now);
     return model;
 }
 
-jobs::StepSpec leftoverStep(std::string_view image)
+jobs::StepSpec leftoverStep()
 {
     jobs::StepSpec step;
     step.needs = {4000, 1000, 0};
     step.usesLeftover = true;
-    step.image = image;
     return step;
 }
 
@@ -75,12 +83,12 @@
 TEST(InterferenceModel, TellsThePairsThatDisturbFromThoseThatDoNot)
 {
     const auto model = learnedModel();
-    EXPECT_NEAR(model.press("s1", "heavy") * 4, 1.5, 0.4);
-    EXPECT_EQ(model.press("s1", "light"), 0);
-    EXPECT_EQ(model.press("s2", "heavy"), 0);
-    EXPECT_EQ(model.press("s3", "heavy"), 0);
-    EXPECT_TRUE(model.disturbsAny("heavy"));
-    EXPECT_FALSE(model.disturbsAny("light"));
+    EXPECT_NEAR(model.press(S1, Heavy) * 4, 1.5, 0.4);
+    EXPECT_EQ(model.press(S1, Light), 0);
+    EXPECT_EQ(model.press(S2, Heavy), 0);
+    EXPECT_EQ(model.press(9, Heavy), 0);
+    EXPECT_TRUE(model.disturbsAny(Heavy));
+    EXPECT_FALSE(model.disturbsAny(Light));
 }
 
 // The worst days: many kinds of leftover work, each of which disturbs some image.
@@ -89,14 +97,13 @@
 {
     auto mixed = makeWorker("a");
     auto alike = makeWorker("b");
-    mixed->add(serving(1, "s2"));
-    alike->add(serving(2, "s1"));
+    mixed->add(serving(1, S2));
+    alike->add(serving(2, S1));
     jobs::StepSpec step;
     step.needs = {6000, 1000, 0};
     step.isLasting = true;
-    step.image = "s1";
     step.tailTarget = 18ms;
-    const TaskDemand demand{{{9}, 0, 0, 0}, &step, Service.view(), {}, nullptr, {}};
+    const TaskDemand demand{{{9}, 0, 0, 0}, &step, S1, Service.view(), {}, nullptr, {}};
     std::vector<workers::Worker *> both = {mixed.get(), alike.get()};
     EXPECT_EQ(TightFit().choose(demand, both, Now), alike.get());
 }
@@ -106,15 +113,15 @@
     const auto model = learnedModel();
     auto sensitive = makeWorker("a");
     auto tolerant = makeWorker("b");
-    sensitive->add(serving(1, "s1"));
-    tolerant->add(serving(2, "s2"));
-    auto wide = leftoverStep("heavy");
+    sensitive->add(serving(1, S1));
+    tolerant->add(serving(2, S2));
+    auto wide = leftoverStep();
     wide.needs.milliCores = 6000;
-    const TaskDemand wideDemand{{{9}, 0, 0, 0}, &wide, Service.view(), {}, &model, {}};
+    const TaskDemand wideDemand{{{9}, 0, 0, 0}, &wide, Heavy, Service.view(), {}, &model, {}};
     std::vector<workers::Worker *> both = {sensitive.get(), tolerant.get()};
     EXPECT_EQ(TightFit().choose(wideDemand, both, Now), tolerant.get());
-    const auto heavy = leftoverStep("heavy");
-    const TaskDemand demand{{{9}, 0, 0, 0}, &heavy, Service.view(), {}, &model, {}};
+    const auto heavy = leftoverStep();
+    const TaskDemand demand{{{9}, 0, 0, 0}, &heavy, Heavy, Service.view(), {}, &model, {}};
     // One task fits beside the sensitive one; with more its tail would leave its target.
     std::vector<workers::Worker *> one = {sensitive.get()};
     int joined = 0;
@@ -122,7 +129,7 @@
         workers::Run run;
         run.task = {{100 + static_cast<std::uint64_t>(joined)}, 0, 0, 0};
         run.needs = heavy.needs;
-        run.image = heavy.image;
+        run.image = Heavy;
         run.usesLeftover = true;
         worker->add(run);
         ASSERT_LT(++joined, 5);
@@ -134,19 +141,19 @@
 {
     const auto model = learnedModel();
     auto worker = makeWorker("a");
-    auto task = serving(1, "s1");
+    auto task = serving(1, S1);
     task.level = 12;
     worker->add(task);
     workers::Run run;
     run.task = {{2}, 0, 0, 0};
     run.needs = {8000, 1000, 0};
-    run.image = "heavy";
+    run.image = Heavy;
     run.usesLeftover = true;
     worker->add(run);
     const int pace = safePace(model, *worker);
     EXPECT_LT(pace, 60);
     // 1/tail falls by press times share: at this pace it stays above 1/target.
-    const double pressure = model.press("s1", "heavy") * 0.25 * pace / 100;
+    const double pressure = model.press(S1, Heavy) * 0.25 * pace / 100;
     EXPECT_GT(1.0 / 12 - pressure, 1.0 / 18);
 }
 
