--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -98,6 +98,9 @@
                 learnFromDone(worker, *run, now);
             } else if (it.how == jobs::RunEnd::Failed) {
                 worker.noteFailure(now);
+                if (auto *job = findJob(it.task.job)) {
+                    job->avoided[it.task].push_back(worker.entry().id);
+                }
             }
             endRun(worker, it.task, it.how, it.checkpoint, now);
         } else {
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -24,6 +24,12 @@
 constexpr jobs::RunNumber RunsPerTenure = 1000;
 
 constexpr int FullPace = 100;
+// A run at this pace or more whose progress stands still for so long is stuck. Workers
+// list progress every 1.5 s at least.
+constexpr int MinMovingPace = 50;
+constexpr Duration StuckTime = 2500ms;
+// A task that stood still or failed so often is left where it is: it may be its own way.
+constexpr std::size_t MaxAvoided = 3;
 // A run that disturbs those beside it less than this is harmless; see disturbance().
 constexpr double MinDisturbance = 0.08;
 // Smaller changes of pace are not worth a call.
@@ -42,6 +48,7 @@
     d->noteLapses(now);
     for (auto *it : d->workers) {
         d->evacuate(*it, now);
+        d->stopStuck(*it, now);
         d->stopUnwanted(*it, now, orders);
         d->regulate(*it, now, orders);
     }
@@ -98,6 +105,32 @@
     }
 }
 
+// Tasks that stand still on a worker that answers: they are started elsewhere, and the
+// worker gets few tasks until one of them is done.
+void Fleet::Private::stopStuck(workers::Worker &worker, TimePoint now)
+{
+    if (worker.isSilent() || !worker.isConfirmed()) {
+        return;
+    }
+    for (auto &run : worker.runs()) {
+        auto *job = findJob(run.task.job);
+        const bool isExpectedToMove = run.state == workers::RunState::Running && !run.isLasting
+            && run.pace >= MinMovingPace && run.percent < 100 && now - run.pacedAt > StuckTime;
+        if (!isExpectedToMove || job == nullptr || now - run.progressedAt < StuckTime
+            || job->avoided[run.task].size() >= MaxAvoided) {
+            continue;
+        }
+        log.record("run-stuck", {{"task", jobs::taskName(run.task)},
+                                 {"run", run.number},
+                                 {"worker", worker.entry().id.view()},
+                                 {"percent", run.percent},
+                                 {"standsStillMs", toMilliseconds(now - run.progressedAt)}});
+        job->avoided[run.task].push_back(worker.entry().id);
+        worker.noteFailure(now);
+        requestStop(run);
+    }
+}
+
 void Fleet::Private::stopUnwanted(workers::Worker &worker, TimePoint now, Orders &orders)
 {
     if (worker.isSilent() || !worker.isConfirmed()) {
@@ -153,6 +186,7 @@
             || (run.pace != wanted && (wanted == FullPace || wanted == 0));
         if (isNotable) {
             worker.setPace(run, wanted);
+            run.pacedAt = now;
             orders.paces.push_back({worker.entry().id, run.task, run.number, wanted});
         }
     }
@@ -288,8 +322,16 @@
     const auto &spec = job.job.stepSpec(task.step);
     const auto image = interference.numberOf(spec.image);
     const bool isConcerned = spec.isLasting || (spec.usesLeftover && interference.disturbsAny(image));
-    const scheduling::TaskDemand demand{task, &spec, image, policyOf(job).service.view(), preferredRack,
-                                        isConcerned ? &interference : nullptr, {}};
+    scheduling::TaskDemand demand;
+    demand.task = task;
+    demand.step = &spec;
+    demand.image = image;
+    demand.service = policyOf(job).service.view();
+    demand.preferredRack = preferredRack;
+    demand.interference = isConcerned ? &interference : nullptr;
+    if (const auto it = job.avoided.find(task); it != job.avoided.end()) {
+        demand.avoided = it->second;
+    }
     const bool isHopeless = std::ranges::any_of(failedDemands, [&](const FailedDemand &it) {
         return it.service == demand.service && it.usesLeftover == spec.usesLeftover && spec.needs.holds(it.needs);
     });
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -33,6 +33,7 @@
     Duration wholeChain{0};
     TimePoint expectedAt;
     scheduling::Rank rank;
+    std::map<jobs::TaskId, std::vector<WorkerId>> avoided; // workers that failed a task
     int rankedOccurrence = -1;
     TimePoint rankedAt;
 };
@@ -99,6 +100,7 @@
                     TimePoint now, Orders &orders);
     void stopUnwanted(workers::Worker &worker, TimePoint now, Orders &orders);
     void evacuate(workers::Worker &worker, TimePoint now);
+    void stopStuck(workers::Worker &worker, TimePoint now);
     void regulate(workers::Worker &worker, TimePoint now, Orders &orders);
     int roomPace(const workers::Worker &worker) const;
     void requestStop(workers::Run &run);
--- a/src/ports/memory/memoryrunners.cpp
+++ b/src/ports/memory/memoryrunners.cpp
@@ -116,7 +116,8 @@
     listing.bornMs = runner.entry.bornMs;
     listing.ended = runner.ended;
     for (const auto &it : runner.runs) {
-        listing.running.push_back({it.task, it.number, {}, 50, 0});
+        const auto percent = (m_scheduler.now() - it.startedAt) * 100 / (it.endsAt - it.startedAt);
+        listing.running.push_back({it.task, it.number, {}, static_cast<int>(percent), 0});
     }
     return listing;
 }
@@ -162,7 +163,8 @@
     }
     ++m_starts;
     runner.deadline = std::max(runner.deadline, order.deadline);
-    runner.runs.push_back({order.task, order.run, truth.needs, m_scheduler.now() + truth.runTime, truth.alwaysFails});
+    runner.runs.push_back({order.task, order.run, truth.needs, m_scheduler.now(), m_scheduler.now() + truth.runTime,
+                           truth.alwaysFails});
     return RunAnswer::Accepted;
 }
 
--- a/src/ports/memory/memoryrunners.h
+++ b/src/ports/memory/memoryrunners.h
@@ -75,6 +75,7 @@
         jobs::TaskId task;
         jobs::RunNumber number = 0;
         Resources needs;
+        TimePoint startedAt;
         TimePoint endsAt;
         bool fails = false;
     };
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -10,6 +10,7 @@
 
 // Costs in shares of a worker's processors; the lowest sum is chosen.
 constexpr double OtherRackCost = 10; // more than any difference of fit: such tasks run a multiple as long
+constexpr double AvoidedCost = 20; // more than any other: another worker may be sound
 constexpr double SameStepCost = 0.2; // for each lasting task of the same step beside it
 constexpr double OtherImageCost = 3; // for a lasting task, for the part of those beside it that are of other images
 constexpr double QuietWorkerCost = 0.5; // for harmless work on a worker that others need because nobody serves there
@@ -61,6 +62,9 @@
 {
     const auto &step = *demand.step;
     double sum = disturbanceCost(ratio);
+    if (std::ranges::find(demand.avoided, worker.entry().id) != demand.avoided.end()) {
+        sum += AvoidedCost;
+    }
     const auto rack = step.dataRack.empty() ? demand.preferredRack : std::string_view(step.dataRack);
     if (!rack.empty() && worker.entry().rack != rack) {
         sum += OtherRackCost;
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -19,6 +19,7 @@
     ImageNumber image = 0; // of the step
     std::string_view service; // whose workers may run it
     std::string_view preferredRack; // of the other members of a colocated gang; empty for any
+    std::span<const WorkerId> avoided; // where runs of the task have failed or stood still
     const InterferenceModel *interference = nullptr; // nullptr if the task disturbs nobody and is not disturbed
     std::function<bool(const workers::Worker &)> isAdmitted; // the adviser's word; empty for any worker
 };
@@ -44,6 +45,8 @@
 // miss its target; those that disturb nobody leave the workers without serving tasks
 // to those that do. Lasting tasks of one image go together, since each image is
 // disturbed by other work: then most work finds workers where it disturbs nobody.
+// A task that failed somewhere goes elsewhere, since some workers fail all that they
+// start, and would burn all its attempts.
 class TightFit : public WorkerChooser
 {
 public:
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -38,6 +38,7 @@
     int percent = 0;
     TimePoint progressedAt; // when percent last grew
     int pace = 100; // percent of full speed
+    TimePoint pacedAt; // when it changed last
     std::int64_t level = 0; // see ports::ListedRun
     double smoothLevel = 0; // of a serving task; measurements are rough
     TimePoint underAt; // when a serving task was last seen below its target
@@ -203,7 +204,7 @@
 private:
     Resources leftoverCapacity() const;
 
-    static constexpr int SuspicionLimit = 3; // failures in a row, of any tasks
+    static constexpr int SuspicionLimit = 2; // failures in a row, of any tasks
 
     ports::WorkerEntry m_entry;
     WorkerClock m_clock;
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -103,11 +103,29 @@
     step.needs = {6000, 1000, 0};
     step.isLasting = true;
     step.tailTarget = 18ms;
-    const TaskDemand demand{{{9}, 0, 0, 0}, &step, S1, Service.view(), {}, nullptr, {}};
+    const TaskDemand demand{{{9}, 0, 0, 0}, &step, S1, Service.view(), {}, {}, nullptr, {}};
     std::vector<workers::Worker *> both = {mixed.get(), alike.get()};
     EXPECT_EQ(TightFit().choose(demand, both, Now), alike.get());
 }
 
+// Some workers fail all that they start, and are free again at once.
+TEST(TightFit, SendsATaskThatFailedElsewhere)
+{
+    auto failed = makeWorker("a");
+    auto other = makeWorker("b");
+    failed->add(serving(1, S1)); // the tighter fit
+    jobs::StepSpec step;
+    step.needs = {6000, 1000, 0};
+    const std::vector<WorkerId> avoided = {failed->entry().id};
+    TaskDemand demand{{{9}, 0, 0, 0}, &step, 0, Service.view(), {}, {}, nullptr, {}};
+    std::vector<workers::Worker *> both = {failed.get(), other.get()};
+    EXPECT_EQ(TightFit().choose(demand, both, Now), failed.get());
+    demand.avoided = avoided;
+    EXPECT_EQ(TightFit().choose(demand, both, Now), other.get());
+    std::vector<workers::Worker *> one = {failed.get()};
+    EXPECT_EQ(TightFit().choose(demand, one, Now), failed.get()) << "better there than nowhere";
+}
+
 TEST(TightFit, SendsWorkWhereItDisturbsNobodyOrLetsItWait)
 {
     const auto model = learnedModel();
@@ -117,11 +135,11 @@
     tolerant->add(serving(2, S2));
     auto wide = leftoverStep();
     wide.needs.milliCores = 6000;
-    const TaskDemand wideDemand{{{9}, 0, 0, 0}, &wide, Heavy, Service.view(), {}, &model, {}};
+    const TaskDemand wideDemand{{{9}, 0, 0, 0}, &wide, Heavy, Service.view(), {}, {}, &model, {}};
     std::vector<workers::Worker *> both = {sensitive.get(), tolerant.get()};
     EXPECT_EQ(TightFit().choose(wideDemand, both, Now), tolerant.get());
     const auto heavy = leftoverStep();
-    const TaskDemand demand{{{9}, 0, 0, 0}, &heavy, Heavy, Service.view(), {}, &model, {}};
+    const TaskDemand demand{{{9}, 0, 0, 0}, &heavy, Heavy, Service.view(), {}, {}, &model, {}};
     // One task fits beside the sensitive one; with more its tail would leave its target.
     std::vector<workers::Worker *> one = {sensitive.get()};
     int joined = 0;
--- a/tests/workers/workertest.cpp
+++ b/tests/workers/workertest.cpp
@@ -87,9 +87,9 @@
 {
     auto worker = makeWorker();
     worker.noteContact(0, Now, Now);
-    for (int n = 0; n < 3; ++n) {
-        worker.noteFailure(Now);
-    }
+    worker.noteFailure(Now);
+    EXPECT_TRUE(worker.isOpen(Now)) << "one failure may be the task's own";
+    worker.noteFailure(Now);
     EXPECT_TRUE(worker.isSuspect());
     EXPECT_FALSE(worker.isOpen(Now + 100ms));
     EXPECT_TRUE(worker.isOpen(Now + 1s));
