--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -171,6 +171,7 @@
             tails.longestOver = std::max(tails.longestOver, now - run.underAt);
         }
     }
+    worker.setStrained(tails.worstRatio >= 1);
     if (!hasLeftover) {
         return;
     }
--- a/src/scheduling/paceregulator.cpp
+++ b/src/scheduling/paceregulator.cpp
@@ -20,7 +20,9 @@
 constexpr Duration UnknownCausePatience = 1200ms;
 // The platform allows a tail to be over its target for 4 s on account of work beside
 // it; what remains is for the measurement and for the pace to work.
-constexpr Duration OverPatience = 2300ms;
+constexpr Duration OverPatience = 1800ms;
+// By now even work that is not known to disturb stands still.
+constexpr Duration LastPatience = 2500ms;
 
 } // namespace
 
@@ -33,11 +35,10 @@
     const auto sinceChange = now - m_changedAt;
     if (tails.longestOver >= OverPatience) {
         // What is known to disturb stands still first; if that was not enough, all does.
-        const bool wasNotEnough = m_decision.percent == 0 && sinceChange >= SettleTime;
         if (m_decision.percent != 0) {
             m_changedAt = now;
         }
-        m_decision = {0, wasNotEnough || !tails.isCauseKnown};
+        m_decision = {0, !tails.isCauseKnown || tails.longestOver >= LastPatience};
         return m_decision;
     }
     m_decision.isForAll = !tails.isCauseKnown;
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -89,6 +89,9 @@
     if (entry.service.view() != demand.service || !worker.isOpen(now) || worker.find(demand.task) != nullptr) {
         return false;
     }
+    if (step.usesLeftover && worker.isStrained()) {
+        return false;
+    }
     if (!step.requiredLabel.empty() && step.requiredLabel != entry.kind && step.requiredLabel != entry.rack) {
         return false;
     }
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -102,6 +102,15 @@
     {
         m_observedAt = now;
     }
+    // Whether a serving task is over its target, so that no leftover work may join.
+    bool isStrained() const
+    {
+        return m_isStrained;
+    }
+    void setStrained(bool isStrained)
+    {
+        m_isStrained = isStrained;
+    }
     // Returns whether a listing came in since the last call.
     bool takeMeasured()
     {
@@ -225,6 +234,7 @@
     bool m_isConfirmed = false;
     bool m_isSilent = false;
     bool m_isMeasured = false;
+    bool m_isStrained = false;
 };
 
 } // namespace monsoonspool::workers
