--- a/bench/nodeplatform.h
+++ b/bench/nodeplatform.h
@@ -89,8 +89,7 @@
         }
         m_shared.hosts.list(back(std::move(handler)));
     }
-    void start(const WorkerId &worker, const ports::StartOrder &order,
-               ports::Handler<ports::Done> handler) override
+    void start(const WorkerId &worker, const ports::StartOrder &order, ports::Handler<ports::Done> handler) override
     {
         m_shared.workers.start(worker, order, back(std::move(handler)));
     }
--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -87,12 +87,9 @@
 
 Json encodePolicy(const jobs::QueuePolicy &policy)
 {
-    Json json = {{"queue", policy.queue},
-                 {"service", policy.service.text()},
-                 {"priority", policy.priority},
-                 {"attempts", policy.maxAttempts},
-                 {"stretch", policy.stretch},
-                 {"latency", policy.targetLatency.count()}};
+    Json json = {{"queue", policy.queue},       {"service", policy.service.text()},
+                 {"priority", policy.priority}, {"attempts", policy.maxAttempts},
+                 {"stretch", policy.stretch},   {"latency", policy.targetLatency.count()}};
     if (policy.advice) {
         json["advice"] = Json::array(
             {policy.advice->decision.count(), policy.advice->perWorker.count(), policy.advice->validity.count()});
@@ -129,8 +126,8 @@
         json["steps"].push_back(encodeStep(it));
     }
     if (job.spec.isTimed()) {
-        json["times"] = Json::array({job.spec.occurrences, job.spec.firstDue.time_since_epoch().count(),
-                                     job.spec.interval.count()});
+        json["times"] = Json::array(
+            {job.spec.occurrences, job.spec.firstDue.time_since_epoch().count(), job.spec.interval.count()});
     }
     return writeCbor(json);
 }
--- a/src/codec/platformjson.cpp
+++ b/src/codec/platformjson.cpp
@@ -103,8 +103,8 @@
         BOOST_LEAF_AUTO(value, fromBase64(text));
         BOOST_LEAF_AUTO(write, decode([&] {
                             return ports::RowWrite{it.at("key").get<std::string>(),
-                                                      it.at("expected").get<std::uint64_t>(), value,
-                                                      it.at("remove").get<bool>()};
+                                                   it.at("expected").get<std::uint64_t>(), value,
+                                                   it.at("remove").get<bool>()};
                         }));
         writes.push_back(std::move(write));
     }
@@ -136,12 +136,12 @@
 {
     return decode([&] {
         return ports::StartOrder{json.at("epoch").get<Epoch>(),
-                                    json.at("workerIncarnation").get<std::uint64_t>(),
-                                    attemptFromJson(json.at("attempt")),
-                                    json.at("resources").get<Resources>(),
-                                    json.at("command").get<std::string>(),
-                                    json.at("checkpoint").get<std::string>(),
-                                    Duration(std::chrono::milliseconds(json.at("leaseMs").get<std::int64_t>()))};
+                                 json.at("workerIncarnation").get<std::uint64_t>(),
+                                 attemptFromJson(json.at("attempt")),
+                                 json.at("resources").get<Resources>(),
+                                 json.at("command").get<std::string>(),
+                                 json.at("checkpoint").get<std::string>(),
+                                 Duration(std::chrono::milliseconds(json.at("leaseMs").get<std::int64_t>()))};
     });
 }
 
--- a/src/common/time.h
+++ b/src/common/time.h
@@ -30,8 +30,8 @@
 {
     timespec now{};
     clock_gettime(CLOCK_BOOTTIME, &now);
-    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec)
-                                                          + std::chrono::nanoseconds(now.tv_nsec)));
+    return TimePoint(
+        std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 // Returns `d` in whole milliseconds, rounded down.
--- a/src/control/documentkeeper.cpp
+++ b/src/control/documentkeeper.cpp
@@ -73,8 +73,8 @@
     std::deque<DocumentChange> cache; // consecutive, ends at `position`
     std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 
-    Private(DocumentKeeperOptions keeperOptions, documents::DocumentSet &documentSet,
-            ports::TableService &tableService, const RowCodec &rowCodec, std::uint64_t seed)
+    Private(DocumentKeeperOptions keeperOptions, documents::DocumentSet &documentSet, ports::TableService &tableService,
+            const RowCodec &rowCodec, std::uint64_t seed)
         : options(keeperOptions), documents(documentSet), table(tableService), codec(rowCodec), generator(seed)
     {
     }
@@ -198,14 +198,13 @@
 {
     // The head sorts behind every position, so that it is seen only when no
     // further change lies before it.
-    table.scan(
-        feedKey(position + 1), "feed0", FeedBatch,
-        guarded<std::vector<ports::Row>>([this](const ports::AsyncResult<std::vector<ports::Row>> &result) {
-            isReading = false;
-            if (result.isOk()) {
-                onFeed(result.value());
-            }
-        }));
+    table.scan(feedKey(position + 1), "feed0", FeedBatch,
+               guarded<std::vector<ports::Row>>([this](const ports::AsyncResult<std::vector<ports::Row>> &result) {
+                   isReading = false;
+                   if (result.isOk()) {
+                       onFeed(result.value());
+                   }
+               }));
 }
 
 void DocumentKeeper::Private::onFeed(const std::vector<ports::Row> &rows)
@@ -241,23 +240,22 @@
 {
     // The head is read first: the rows may be newer than it, never older, and
     // the feed from the head on brings nothing that is not newer still.
-    table.read(
-        HeadKey,
-        guarded<std::optional<ports::Row>>([this](const ports::AsyncResult<std::optional<ports::Row>> &head) {
-            if (!head.isOk()) {
-                isReading = false;
-                return;
-            }
-            const std::uint64_t headPosition = head.value() ? parseNumber(head.value()->value) : 0;
-            table.scan("document/", "document0", MaxDocuments,
-                       guarded<std::vector<ports::Row>>(
-                           [this, headPosition](const ports::AsyncResult<std::vector<ports::Row>> &rows) {
-                               isReading = false;
-                               if (rows.isOk()) {
-                                   onAll(headPosition, rows.value());
-                               }
-                           }));
-        }));
+    table.read(HeadKey,
+               guarded<std::optional<ports::Row>>([this](const ports::AsyncResult<std::optional<ports::Row>> &head) {
+                   if (!head.isOk()) {
+                       isReading = false;
+                       return;
+                   }
+                   const std::uint64_t headPosition = head.value() ? parseNumber(head.value()->value) : 0;
+                   table.scan("document/", "document0", MaxDocuments,
+                              guarded<std::vector<ports::Row>>(
+                                  [this, headPosition](const ports::AsyncResult<std::vector<ports::Row>> &rows) {
+                                      isReading = false;
+                                      if (rows.isOk()) {
+                                          onAll(headPosition, rows.value());
+                                      }
+                                  }));
+               }));
 }
 
 void DocumentKeeper::Private::onAll(std::uint64_t headPosition, const std::vector<ports::Row> &rows)
@@ -304,35 +302,35 @@
         refuse(apply, {ErrorKind::StoreConflict, "too many other changes at once; nothing was applied"});
         return;
     }
-    table.read(HeadKey,
-               guarded<std::optional<ports::Row>>(
-                   [this, apply](const ports::AsyncResult<std::optional<ports::Row>> &head) {
-                       if (!head.isOk()) {
-                           refuse(apply, {ErrorKind::StoreUnavailable, head.failure().detail});
-                           return;
-                       }
-                       apply->head = head.value().value_or(ports::Row{std::string(HeadKey), "0", 0});
-                       readDocumentRow(apply);
-                   }));
+    table.read(
+        HeadKey,
+        guarded<std::optional<ports::Row>>([this, apply](const ports::AsyncResult<std::optional<ports::Row>> &head) {
+            if (!head.isOk()) {
+                refuse(apply, {ErrorKind::StoreUnavailable, head.failure().detail});
+                return;
+            }
+            apply->head = head.value().value_or(ports::Row{std::string(HeadKey), "0", 0});
+            readDocumentRow(apply);
+        }));
 }
 
 void DocumentKeeper::Private::readDocumentRow(const ApplyPointer &apply)
 {
-    table.read(documentKey(apply->request.service),
-               guarded<std::optional<ports::Row>>(
-                   [this, apply](const ports::AsyncResult<std::optional<ports::Row>> &row) {
-                       if (!row.isOk()) {
-                           refuse(apply, {ErrorKind::StoreUnavailable, row.failure().detail});
-                           return;
-                       }
-                       apply->rowVersion = row.value() ? row.value()->version : 0;
-                       apply->current = DocumentRow();
-                       if (row.value()) {
-                           apply->current = handleFailure([&] { return codec.decodeDocument(row.value()->value); },
-                                                          [](const Failure &) { return DocumentRow(); });
-                       }
-                       check(apply);
-                   }));
+    table.read(
+        documentKey(apply->request.service),
+        guarded<std::optional<ports::Row>>([this, apply](const ports::AsyncResult<std::optional<ports::Row>> &row) {
+            if (!row.isOk()) {
+                refuse(apply, {ErrorKind::StoreUnavailable, row.failure().detail});
+                return;
+            }
+            apply->rowVersion = row.value() ? row.value()->version : 0;
+            apply->current = DocumentRow();
+            if (row.value()) {
+                apply->current = handleFailure([&] { return codec.decodeDocument(row.value()->value); },
+                                               [](const Failure &) { return DocumentRow(); });
+            }
+            check(apply);
+        }));
 }
 
 void DocumentKeeper::Private::check(const ApplyPointer &apply)
@@ -351,16 +349,16 @@
     // The documents in force here must be those at the head that the commit
     // rests on, or else the check against them would prove nothing.
     if (position != parseNumber(apply->head.value)) {
-        table.scan(feedKey(position + 1), "feed0", FeedBatch,
-                   guarded<std::vector<ports::Row>>(
-                       [this, apply](const ports::AsyncResult<std::vector<ports::Row>> &rows) {
-                           if (!rows.isOk()) {
-                               refuse(apply, {ErrorKind::StoreUnavailable, rows.failure().detail});
-                               return;
-                           }
-                           onFeed(rows.value());
-                           startTry(apply);
-                       }));
+        table.scan(
+            feedKey(position + 1), "feed0", FeedBatch,
+            guarded<std::vector<ports::Row>>([this, apply](const ports::AsyncResult<std::vector<ports::Row>> &rows) {
+                if (!rows.isOk()) {
+                    refuse(apply, {ErrorKind::StoreUnavailable, rows.failure().detail});
+                    return;
+                }
+                onFeed(rows.value());
+                startTry(apply);
+            }));
         return;
     }
     auto clashes = documents::findClashes(apply->document, documents.documents());
@@ -419,23 +417,22 @@
         refuse(apply, {ErrorKind::StoreReplyLost, "the store does not tell whether the document was applied"});
         return;
     }
-    table.read(historyKey(apply->request.service, apply->current.revision + 1),
-               guarded<std::optional<ports::Row>>(
-                   [this, apply](const ports::AsyncResult<std::optional<ports::Row>> &row) {
-                       if (!row.isOk()) {
-                           readBack(apply);
-                           return;
-                       }
-                       const auto stored = row.value()
-                           ? handleFailure([&] { return codec.decodeDocument(row.value()->value); },
-                                           [](const Failure &) { return DocumentRow(); })
-                           : DocumentRow();
-                       if (stored.applyId == apply->applyId) {
-                           succeed(apply);
-                       } else {
-                           startTry(apply);
-                       }
-                   }));
+    table.read(
+        historyKey(apply->request.service, apply->current.revision + 1),
+        guarded<std::optional<ports::Row>>([this, apply](const ports::AsyncResult<std::optional<ports::Row>> &row) {
+            if (!row.isOk()) {
+                readBack(apply);
+                return;
+            }
+            const auto stored = row.value() ? handleFailure([&] { return codec.decodeDocument(row.value()->value); },
+                                                            [](const Failure &) { return DocumentRow(); })
+                                            : DocumentRow();
+            if (stored.applyId == apply->applyId) {
+                succeed(apply);
+            } else {
+                startTry(apply);
+            }
+        }));
 }
 
 void DocumentKeeper::Private::succeed(const ApplyPointer &apply)
--- a/src/control/grantdesk.cpp
+++ b/src/control/grantdesk.cpp
@@ -376,8 +376,7 @@
     if (partition.isWriting || now < partition.retryAt) {
         return;
     }
-    std::vector<ports::RowWrite> writes{
-        {fenceKey(name), partition.fenceVersion, fenceValue(partition.epoch), false}};
+    std::vector<ports::RowWrite> writes{{fenceKey(name), partition.fenceVersion, fenceValue(partition.epoch), false}};
     Admissions admitted;
     for (auto &[key, ledger] : partition.ledgers) {
         for (const auto &holder : ledger.holdersToAdmit()) {
--- a/src/control/grantdesk.h
+++ b/src/control/grantdesk.h
@@ -56,8 +56,8 @@
     void noteOwnership(const membership::OwnershipEvent &event, TimePoint now);
 
     // Takes in the documents and the targets.
-    void setWorld(std::span<const documents::ServiceDocument> documents,
-                  std::span<const ports::ListedTarget> targets, TimePoint now);
+    void setWorld(std::span<const documents::ServiceDocument> documents, std::span<const ports::ListedTarget> targets,
+                  TimePoint now);
 
     // Takes in a request from a lane of this host, or from a peer.
     void handleRequest(const grants::SlotRequest &request, TimePoint now);
--- a/src/control/placementdesk.cpp
+++ b/src/control/placementdesk.cpp
@@ -247,13 +247,12 @@
     const auto ignore = [](const ports::AsyncResult<ports::Done> &) {};
     auto &agent = ports.workers;
     if (const auto *start = std::get_if<placement::StartAttempt>(&order)) {
-        agent.start(
-            start->worker, start->order,
-            [this, &it, alive = it.isAlive, given = *start](const ports::AsyncResult<ports::Done> &result) {
-                if (*alive) {
-                    it.partition->noteStartReply(given, result, now);
-                }
-            });
+        agent.start(start->worker, start->order,
+                    [this, &it, alive = it.isAlive, given = *start](const ports::AsyncResult<ports::Done> &result) {
+                        if (*alive) {
+                            it.partition->noteStartReply(given, result, now);
+                        }
+                    });
     } else if (const auto *stop = std::get_if<placement::StopAttempt>(&order)) {
         agent.stop(stop->worker, it.epoch, stop->attempt, ignore);
     } else if (const auto *checkpoint = std::get_if<placement::CheckpointAttempt>(&order)) {
--- a/src/control/placementlogkeeper.cpp
+++ b/src/control/placementlogkeeper.cpp
@@ -165,26 +165,25 @@
 void PlacementLogKeeper::Private::readCheckpoint()
 {
     loaded = {};
-    table.read(
-        checkpointKey(options.partition),
-        guarded<std::optional<ports::Row>>([this](const ports::AsyncResult<std::optional<ports::Row>> &row) {
-            if (!row.isOk()) {
-                retryLoad();
-                return;
-            }
-            covered = 0;
-            checkpointObject.clear();
-            if (row.value()) {
-                std::tie(covered, checkpointObject) = parseCheckpoint(row.value()->value);
-            }
-            sequence = covered;
-            removed = covered;
-            if (checkpointObject.empty()) {
-                readLog();
-            } else {
-                readObject();
-            }
-        }));
+    table.read(checkpointKey(options.partition),
+               guarded<std::optional<ports::Row>>([this](const ports::AsyncResult<std::optional<ports::Row>> &row) {
+                   if (!row.isOk()) {
+                       retryLoad();
+                       return;
+                   }
+                   covered = 0;
+                   checkpointObject.clear();
+                   if (row.value()) {
+                       std::tie(covered, checkpointObject) = parseCheckpoint(row.value()->value);
+                   }
+                   sequence = covered;
+                   removed = covered;
+                   if (checkpointObject.empty()) {
+                       readLog();
+                   } else {
+                       readObject();
+                   }
+               }));
 }
 
 void PlacementLogKeeper::Private::readObject()
@@ -212,15 +211,14 @@
 
 void PlacementLogKeeper::Private::readLog()
 {
-    table.scan(
-        logKey(options.partition, sequence + 1), logKey(options.partition, 999'999'999'999), MaxScan,
-        guarded<std::vector<ports::Row>>([this](const ports::AsyncResult<std::vector<ports::Row>> &rows) {
-            if (rows.isOk()) {
-                onLog(rows.value());
-            } else {
-                retryLoad();
-            }
-        }));
+    table.scan(logKey(options.partition, sequence + 1), logKey(options.partition, 999'999'999'999), MaxScan,
+               guarded<std::vector<ports::Row>>([this](const ports::AsyncResult<std::vector<ports::Row>> &rows) {
+                   if (rows.isOk()) {
+                       onLog(rows.value());
+                   } else {
+                       retryLoad();
+                   }
+               }));
 }
 
 void PlacementLogKeeper::Private::onLog(const std::vector<ports::Row> &rows)
@@ -290,9 +288,8 @@
     ++counts.commits;
     const std::vector<ports::RowWrite> writes{
         fenceWrite(), {logKey(options.partition, batch.sequence), 0, codec.encode(batch), false}};
-    table.commit(writes, guarded<std::uint64_t>([this](const ports::AsyncResult<std::uint64_t> &result) {
-                     onWritten(result);
-                 }));
+    table.commit(
+        writes, guarded<std::uint64_t>([this](const ports::AsyncResult<std::uint64_t> &result) { onWritten(result); }));
 }
 
 void PlacementLogKeeper::Private::onWritten(const ports::AsyncResult<std::uint64_t> &result)
@@ -323,29 +320,28 @@
 {
     mustReadBack = false;
     ++counts.readBacks;
-    table.read(
-        logKey(options.partition, batch.sequence),
-        guarded<std::optional<ports::Row>>([this](const ports::AsyncResult<std::optional<ports::Row>> &row) {
-            if (!row.isOk()) {
-                mustReadBack = true;
-                nextWrite = now + RetryInterval;
-                return;
-            }
-            bool isOwn = false;
-            if (row.value()) {
-                isOwn = handleFailure(
-                    [&]() -> Result<bool> {
-                        BOOST_LEAF_AUTO(it, codec.decodeBatch(row.value()->value));
-                        return it.epoch == options.epoch;
-                    },
-                    [](const Failure &) { return false; });
-                if (!isOwn) {
-                    isFencedOff = true;
-                    return;
-                }
-            }
-            readFence(isOwn);
-        }));
+    table.read(logKey(options.partition, batch.sequence),
+               guarded<std::optional<ports::Row>>([this](const ports::AsyncResult<std::optional<ports::Row>> &row) {
+                   if (!row.isOk()) {
+                       mustReadBack = true;
+                       nextWrite = now + RetryInterval;
+                       return;
+                   }
+                   bool isOwn = false;
+                   if (row.value()) {
+                       isOwn = handleFailure(
+                           [&]() -> Result<bool> {
+                               BOOST_LEAF_AUTO(it, codec.decodeBatch(row.value()->value));
+                               return it.epoch == options.epoch;
+                           },
+                           [](const Failure &) { return false; });
+                       if (!isOwn) {
+                           isFencedOff = true;
+                           return;
+                       }
+                   }
+                   readFence(isOwn);
+               }));
 }
 
 void PlacementLogKeeper::Private::readFence(bool wasBatchWritten)
@@ -382,23 +378,21 @@
     isCheckpointing = true;
     const auto name = objectName(options.partition, options.epoch, sequence);
     const auto state = jobs();
-    objects.put(
-        name, codec.encode(state),
-        guarded<ports::Done>([this, name, upTo = sequence](const ports::AsyncResult<ports::Done> &result) {
-            if (result.isOk()) {
-                moveCheckpoint(upTo, name);
-            } else {
-                isCheckpointing = false;
-            }
-        }));
+    objects.put(name, codec.encode(state),
+                guarded<ports::Done>([this, name, upTo = sequence](const ports::AsyncResult<ports::Done> &result) {
+                    if (result.isOk()) {
+                        moveCheckpoint(upTo, name);
+                    } else {
+                        isCheckpointing = false;
+                    }
+                }));
 }
 
 void PlacementLogKeeper::Private::moveCheckpoint(std::uint64_t upTo, const std::string &object)
 {
     const std::vector<ports::RowWrite> writes{
         fenceWrite(), {checkpointKey(options.partition), ports::AnyVersion, checkpointValue(upTo, object), false}};
-    table.commit(writes,
-                 guarded<std::uint64_t>([this, upTo, object](const ports::AsyncResult<std::uint64_t> &result) {
+    table.commit(writes, guarded<std::uint64_t>([this, upTo, object](const ports::AsyncResult<std::uint64_t> &result) {
                      isCheckpointing = false;
                      if (!result.isOk()) {
                          // Settled by the next write, which finds the fence moved.
--- a/src/emulator/platformapi.cpp
+++ b/src/emulator/platformapi.cpp
@@ -82,8 +82,7 @@
 void PlatformApi::Private::table(const http::ApiRequest &request, const http::ApiReply &reply)
 {
     if (request.path == "/table/row") {
-        platform.table.read(request.queryValue("key"),
-                            answerBy<std::optional<ports::Row>>(reply, [](const auto &row) {
+        platform.table.read(request.queryValue("key"), answerBy<std::optional<ports::Row>>(reply, [](const auto &row) {
                                 return Json{{"row", row ? codec::rowToJson(*row) : Json()}};
                             }));
         return;
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -48,11 +48,11 @@
     void start()
     {
         const auto row = ports.registry.configurationRow();
-        configurationFollower.emplace(
-            ports.store, ports.scheduler, ports.log, row.table, std::vector<std::string>{row.part}, FollowWait,
-            TableFollower::Hooks{[this](auto rows) { onConfigurationRows(rows); },
-                                 [this](auto rows) { onConfigurationRows(rows); },
-                                 [this](Duration roundTrip) { onContact(roundTrip); }});
+        configurationFollower.emplace(ports.store, ports.scheduler, ports.log, row.table,
+                                      std::vector<std::string>{row.part}, FollowWait,
+                                      TableFollower::Hooks{[this](auto rows) { onConfigurationRows(rows); },
+                                                           [this](auto rows) { onConfigurationRows(rows); },
+                                                           [this](Duration roundTrip) { onContact(roundTrip); }});
         leaderFollower.emplace(ports.store, ports.scheduler, ports.log, std::string(LeaderTable),
                                std::vector<std::string>{std::string()}, FollowWait,
                                TableFollower::Hooks{[this](auto rows) { onLeaderSnapshot(rows); },
@@ -183,7 +183,8 @@
         const auto penalty = ports.scheduler.now() < lagPenaltyUntil ? LagPenalty : Duration(0);
         const double halvings = std::max(0.0, -std::log2(std::max(options.processorShare, 0.01)));
         const double distance = std::chrono::duration<double, std::milli>(storeRoundTrip).count();
-        const auto jitter = JitterStep * static_cast<int>(std::hash<std::string_view>{}(options.self.view()) % JitterSteps);
+        const auto jitter
+            = JitterStep * static_cast<int>(std::hash<std::string_view>{}(options.self.view()) % JitterSteps);
         return std::chrono::milliseconds(
                    static_cast<std::int64_t>(halvings * HandicapForHalving + distance * HandicapForMillisecond))
             + jitter + penalty;
@@ -221,25 +222,26 @@
         }
         commit.writes.push_back({leaderRow(), ports.codec.encode(write.row)});
         const auto sentAt = ports.scheduler.now();
-        ports.store.commit(std::move(commit), [self = shared_from_this(), write,
-                                               sentAt](const ports::AsyncResult<ports::CommitResult> &result) {
-            if (self->isClosed) {
-                return;
-            }
-            const auto now = self->ports.scheduler.now();
-            if (result.isOk()) {
-                self->onContact(Duration(0));
-            }
-            if (result.isOk() && result.value().isApplied) {
-                self->leadership.noteWritten(write, result.value().version, sentAt, now);
-            } else {
-                self->leadership.noteFailed(now);
+        ports.store.commit(
+            std::move(commit),
+            [self = shared_from_this(), write, sentAt](const ports::AsyncResult<ports::CommitResult> &result) {
+                if (self->isClosed) {
+                    return;
+                }
+                const auto now = self->ports.scheduler.now();
                 if (result.isOk()) {
-                    self->onLeaderRows(result.value().current);
+                    self->onContact(Duration(0));
                 }
-            }
-            self->followLeadership();
-        });
+                if (result.isOk() && result.value().isApplied) {
+                    self->leadership.noteWritten(write, result.value().version, sentAt, now);
+                } else {
+                    self->leadership.noteFailed(now);
+                    if (result.isOk()) {
+                        self->onLeaderRows(result.value().current);
+                    }
+                }
+                self->followLeadership();
+            });
     }
 
     void beginTenure()
@@ -248,19 +250,19 @@
         tenureBeganAt = ports.scheduler.now();
         TenureStart start{tenureFence, leadership.claimVersion(), {}, rosterVersion, queues()};
         if (!roster.empty()) {
-            start.roster = handleFailure([&] { return ports.codec.decodeRoster(roster); },
-                                         [&](const Failure &failure) {
-                                             ports.log.record("row-unreadable",
-                                                              {{"key", RosterKey}, {"detail", failure.detail}});
-                                             return std::vector<ports::WorkerEntry>();
-                                         });
+            start.roster = handleFailure(
+                [&] { return ports.codec.decodeRoster(roster); },
+                [&](const Failure &failure) {
+                    ports.log.record("row-unreadable", {{"key", RosterKey}, {"detail", failure.detail}});
+                    return std::vector<ports::WorkerEntry>();
+                });
         }
-        ports.log.record("leadership-won", {{"fence", tenureFence.value},
-                                            {"claimVersion", start.claimVersion},
-                                            {"roster", start.roster.size()}});
-        tenure.emplace(ports, std::move(start),
-                       Tenure::Hooks{[this] { onFenced(); },
-                                     [this] { return leadership.mayDecide(ports.scheduler.now()); }});
+        ports.log.record(
+            "leadership-won",
+            {{"fence", tenureFence.value}, {"claimVersion", start.claimVersion}, {"roster", start.roster.size()}});
+        tenure.emplace(
+            ports, std::move(start),
+            Tenure::Hooks{[this] { onFenced(); }, [this] { return leadership.mayDecide(ports.scheduler.now()); }});
     }
 
     // Called from inside the tenure, which must outlive the call.
@@ -343,8 +345,8 @@
 int ExecutionLoop::waitingJobs(std::string_view queue) const
 {
     const auto counts = d->tenure && d->tenure->isLoaded() ? d->tenure->waitingCounts()
-        : d->leadership.row()                               ? d->leadership.row()->waiting
-                                                            : std::map<std::string, int>();
+        : d->leadership.row()                              ? d->leadership.row()->waiting
+                                                           : std::map<std::string, int>();
     const auto it = counts.find(std::string(queue));
     return it == counts.end() ? 0 : it->second;
 }
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -190,7 +190,8 @@
         return; // the row still tells of the run before
     }
     if (entry.isDraining && !worker->entry().isDraining) {
-        d->log.record("worker-draining", {{"worker", entry.id.view()}, {"remainingMs", toMilliseconds(entry.remaining)}});
+        d->log.record("worker-draining",
+                      {{"worker", entry.id.view()}, {"remainingMs", toMilliseconds(entry.remaining)}});
     }
     if (entry.address != worker->entry().address) {
         d->isRosterChanged = true;
@@ -241,8 +242,7 @@
             worker->setRostered();
         }
     }
-    d->isRosterChanged
-        = std::ranges::any_of(d->workers, [](const workers::Worker *it) { return !it->isRostered(); });
+    d->isRosterChanged = std::ranges::any_of(d->workers, [](const workers::Worker *it) { return !it->isRostered(); });
 }
 
 const ports::WorkerEntry *Fleet::entryOf(const WorkerId &id) const
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -88,10 +88,11 @@
             continue;
         }
         worker.setTakenEnd(it.number);
-        log.record("run-ended", {{"task", jobs::taskName(it.task)},
-                                 {"run", it.run},
-                                 {"worker", worker.entry().id.view()},
-                                 {"how", jobs::runEndName(it.how)}});
+        log.record("run-ended",
+                   {{"task", jobs::taskName(it.task)},
+                    {"run", it.run},
+                    {"worker", worker.entry().id.view()},
+                    {"how", jobs::runEndName(it.how)}});
         const auto *run = worker.find(it.task);
         if (run != nullptr && run->number == it.run) {
             if (it.how == jobs::RunEnd::Done) {
@@ -160,9 +161,10 @@
     }
     if (wasOpen && !job->job.isOpen()) {
         job->stoppedAt = now;
-        log.record("job-over", {{"job", jobs::jobName(task.job)},
-                                {"state", jobs::jobStateName(job->job.state())},
-                                {"ageMs", toMilliseconds(now - job->job.acceptedAt())}});
+        log.record("job-over",
+                   {{"job", jobs::jobName(task.job)},
+                    {"state", jobs::jobStateName(job->job.state())},
+                    {"ageMs", toMilliseconds(now - job->job.acceptedAt())}});
     }
     dropIfOver(task.job);
 }
@@ -252,8 +254,7 @@
     if (isKnown) {
         const auto &spec = job->job.stepSpec(listed.task.step);
         describeRun(run, spec);
-        const bool isOpenOccurrence
-            = listed.task.occurrence < static_cast<int>(job->job.occurrences().size());
+        const bool isOpenOccurrence = listed.task.occurrence < static_cast<int>(job->job.occurrences().size());
         if (isOpenOccurrence) {
             const auto &task = job->job.task(listed.task);
             isWanted = isWanted && !task.isDone && (task.activeRuns == 0 || spec.maySpeculate || spec.isGang);
@@ -333,8 +334,7 @@
         tasks.push_back(it.task);
     }
     if (!tasks.empty()) {
-        log.record("worker-lost",
-                   {{"worker", worker.entry().id.view()}, {"runs", tasks.size()}, {"reason", reason}});
+        log.record("worker-lost", {{"worker", worker.entry().id.view()}, {"runs", tasks.size()}, {"reason", reason}});
     }
     for (const auto &it : tasks) {
         endRun(worker, it, jobs::RunEnd::Lapsed, {}, now);
@@ -363,10 +363,11 @@
         run->progressedAt = now;
         return;
     }
-    d->log.record("start-refused", {{"task", jobs::taskName(order.task)},
-                                    {"run", order.run},
-                                    {"worker", order.worker.view()},
-                                    {"answer", static_cast<int>(answer)}});
+    d->log.record("start-refused",
+                  {{"task", jobs::taskName(order.task)},
+                   {"run", order.run},
+                   {"worker", order.worker.view()},
+                   {"answer", static_cast<int>(answer)}});
     if (answer != ports::RunAnswer::Superseded && answer != ports::RunAnswer::TooLate) {
         worker->noteUnhealthy(now);
     }
@@ -380,10 +381,11 @@
     if (run == nullptr || run->number != order.run) {
         return;
     }
-    d->log.record("start-unanswered", {{"task", jobs::taskName(order.task)},
-                                       {"run", order.run},
-                                       {"worker", order.worker.view()},
-                                       {"maybeStarted", maybeStarted ? 1 : 0}});
+    d->log.record("start-unanswered",
+                  {{"task", jobs::taskName(order.task)},
+                   {"run", order.run},
+                   {"worker", order.worker.view()},
+                   {"maybeStarted", maybeStarted ? 1 : 0}});
     if (!maybeStarted) {
         worker->noteUnhealthy(now);
         d->endRun(*worker, order.task, jobs::RunEnd::Stopped, {}, now);
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -120,11 +120,12 @@
             || job->avoided[run.task].size() >= MaxAvoided) {
             continue;
         }
-        log.record("run-stuck", {{"task", jobs::taskName(run.task)},
-                                 {"run", run.number},
-                                 {"worker", worker.entry().id.view()},
-                                 {"percent", run.percent},
-                                 {"standsStillMs", toMilliseconds(now - run.progressedAt)}});
+        log.record("run-stuck",
+                   {{"task", jobs::taskName(run.task)},
+                    {"run", run.number},
+                    {"worker", worker.entry().id.view()},
+                    {"percent", run.percent},
+                    {"standsStillMs", toMilliseconds(now - run.progressedAt)}});
         job->avoided[run.task].push_back(worker.entry().id);
         worker.noteFailure(now);
         requestStop(run);
@@ -374,11 +375,12 @@
         counts.firstStart.add(now - job.job.acceptedAt());
     }
     job.job.noteStarted(task, number);
-    log.record("start", {{"task", jobs::taskName(task)},
-                         {"run", number},
-                         {"worker", worker.entry().id.view()},
-                         {"waitedMs", toMilliseconds(now - job.job.acceptedAt())},
-                         {"freeCores", worker.freeRoom().milliCores}});
+    log.record("start",
+               {{"task", jobs::taskName(task)},
+                {"run", number},
+                {"worker", worker.entry().id.view()},
+                {"waitedMs", toMilliseconds(now - job.job.acceptedAt())},
+                {"freeCores", worker.freeRoom().milliCores}});
     orders.starts.push_back({worker.entry().id, task, number, checkpoint, {}, run.startDeadline});
 }
 
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -75,8 +75,7 @@
     void observeInterference(workers::Worker &worker, TimePoint now);
     void describeRun(workers::Run &run, const jobs::StepSpec &spec);
     void adopt(workers::Worker &worker, const ports::ListedRun &listed, TimePoint now);
-    void settleUnlisted(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint sentAt,
-                        TimePoint now);
+    void settleUnlisted(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint sentAt, TimePoint now);
 
     // Parts of plan().
     struct WaitingStep
--- a/src/execution/jobdesk.cpp
+++ b/src/execution/jobdesk.cpp
@@ -81,10 +81,11 @@
     {
         submission.isAnswered = true;
         constexpr std::string_view names[] = {"accepted", "not accepted", "unknown"};
-        log.record("job-submitted", {{"job", jobs::jobName(submission.key)},
-                                     {"answer", names[static_cast<std::size_t>(answer)]},
-                                     {"why", why},
-                                     {"tookMs", toMilliseconds(scheduler.now() - submission.startedAt)}});
+        log.record("job-submitted",
+                   {{"job", jobs::jobName(submission.key)},
+                    {"answer", names[static_cast<std::size_t>(answer)]},
+                    {"why", why},
+                    {"tookMs", toMilliseconds(scheduler.now() - submission.startedAt)}});
         submission.reply(answer);
     }
 
@@ -102,8 +103,9 @@
                 reply(result);
             }
         };
-        scheduler.runAfter(deadline - scheduler.now(),
-                           [once] { once(Failure{ErrorKind::StoreUnavailable, "no answer in time"}); });
+        scheduler.runAfter(deadline - scheduler.now(), [once] {
+            once(Failure{ErrorKind::StoreUnavailable, "no answer in time"});
+        });
         return once;
     }
 
@@ -171,22 +173,22 @@
         commit.conditions.push_back({progressRow(key), stored.version});
         commit.writes.push_back({progressRow(key), codec.encode(stored.progress)});
         commit.writes.push_back({cancelRow(key), {}});
-        store.commit(std::move(commit), [self = shared_from_this(), key, deadline,
-                                         reply](const ports::AsyncResult<ports::CommitResult> &result) {
-            if (result.isOk() && result.value().isApplied) {
-                self->log.record("job-cancelled", {{"job", jobs::jobName(key)}});
-                reply(JobStatus{true, jobs::JobState::Cancelled});
-                return;
-            }
-            // The leader wrote meanwhile, or the outcome is not known: look again.
-            if (self->scheduler.now() + FirstRetry >= deadline) {
-                reply(result.isOk() ? Failure{ErrorKind::StoreConflict, jobs::jobName(key)} : result.failure());
-                return;
-            }
-            self->scheduler.runAfter(result.isOk() ? Duration(0) : FirstRetry, [self, key, deadline, reply] {
-                self->tryCancel(key, deadline, reply);
+        store.commit(
+            std::move(commit),
+            [self = shared_from_this(), key, deadline, reply](const ports::AsyncResult<ports::CommitResult> &result) {
+                if (result.isOk() && result.value().isApplied) {
+                    self->log.record("job-cancelled", {{"job", jobs::jobName(key)}});
+                    reply(JobStatus{true, jobs::JobState::Cancelled});
+                    return;
+                }
+                // The leader wrote meanwhile, or the outcome is not known: look again.
+                if (self->scheduler.now() + FirstRetry >= deadline) {
+                    reply(result.isOk() ? Failure{ErrorKind::StoreConflict, jobs::jobName(key)} : result.failure());
+                    return;
+                }
+                self->scheduler.runAfter(result.isOk() ? Duration(0) : FirstRetry,
+                                         [self, key, deadline, reply] { self->tryCancel(key, deadline, reply); });
             });
-        });
     }
 
     ports::ChangeStore &store;
@@ -236,17 +238,17 @@
         reply(Failure{ErrorKind::StoreUnavailable, "the store is silent"});
         return;
     }
-    d->readProgress(key, deadline, FirstRetry,
-                    [once = d->until(deadline, std::move(reply))](
-                        const ports::AsyncResult<std::optional<StoredProgress>> &result) {
-                        if (!result.isOk()) {
-                            once(result.failure());
-                        } else if (!result.value()) {
-                            once(JobStatus{});
-                        } else {
-                            once(JobStatus{true, result.value()->progress.state});
-                        }
-                    });
+    d->readProgress(
+        key, deadline, FirstRetry,
+        [once = d->until(deadline, std::move(reply))](const ports::AsyncResult<std::optional<StoredProgress>> &result) {
+            if (!result.isOk()) {
+                once(result.failure());
+            } else if (!result.value()) {
+                once(JobStatus{});
+            } else {
+                once(JobStatus{true, result.value()->progress.state});
+            }
+        });
 }
 
 void JobDesk::cancel(jobs::JobKey key, TimePoint deadline, ports::Handler<JobStatus> reply)
--- a/src/execution/progresskeeper.cpp
+++ b/src/execution/progresskeeper.cpp
@@ -55,8 +55,8 @@
         }
         for (std::size_t n = 0; n < keys.size(); n += JobsPerCommit) {
             const auto count = std::min(JobsPerCommit, keys.size() - n);
-            commit({keys.begin() + static_cast<std::ptrdiff_t>(n),
-                    keys.begin() + static_cast<std::ptrdiff_t>(n + count)});
+            commit(
+                {keys.begin() + static_cast<std::ptrdiff_t>(n), keys.begin() + static_cast<std::ptrdiff_t>(n + count)});
         }
     }
 
@@ -87,8 +87,7 @@
                      });
     }
 
-    void onCommitted(std::span<const jobs::JobKey> keys,
-                     const std::unordered_map<jobs::JobKey, jobs::JobState> &states,
+    void onCommitted(std::span<const jobs::JobKey> keys, const std::unordered_map<jobs::JobKey, jobs::JobState> &states,
                      const ports::AsyncResult<ports::CommitResult> &result)
     {
         if (result.isOk() && result.value().isApplied) {
@@ -107,9 +106,10 @@
             if (result.isOk()) {
                 takeCurrent(result.value().current);
             } else {
-                log.record("progress-unstored", {{"error", answerFor(result.failure().kind).name},
-                                                 {"detail", result.failure().detail},
-                                                 {"jobs", keys.size()}});
+                log.record("progress-unstored",
+                           {{"error", answerFor(result.failure().kind).name},
+                            {"detail", result.failure().detail},
+                            {"jobs", keys.size()}});
             }
         }
         if (openCommits > 0) {
--- a/src/execution/tablefollower.cpp
+++ b/src/execution/tablefollower.cpp
@@ -103,7 +103,8 @@
     {
         if (!isLost) {
             isLost = true;
-            log.record("store-lost", {{"table", table}, {"error", answerFor(failure.kind).name}, {"detail", failure.detail}});
+            log.record("store-lost",
+                       {{"table", table}, {"error", answerFor(failure.kind).name}, {"detail", failure.detail}});
         }
         scheduler.runAfter(retryPause, [self = shared_from_this(), again] {
             if (!self->isClosed) {
--- a/src/execution/tenure.cpp
+++ b/src/execution/tenure.cpp
@@ -32,7 +32,8 @@
 
 struct Tenure::Private : std::enable_shared_from_this<Tenure::Private>
 {
-    Private(ExecutionPorts executionPorts, Hooks h) : ports(std::move(executionPorts)), hooks(std::move(h)), fleet(ports.log)
+    Private(ExecutionPorts executionPorts, Hooks h)
+        : ports(std::move(executionPorts)), hooks(std::move(h)), fleet(ports.log)
     {
     }
 
@@ -70,14 +71,14 @@
             onProgressRow(it);
         }
         isLoaded = true;
-        ports.log.record("tenure-loaded", {{"fence", fleet.fence().value},
-                                           {"openJobs", fleet.counts().openJobs},
-                                           {"workers", fleet.counts().workers}});
+        ports.log.record("tenure-loaded",
+                         {{"fence", fleet.fence().value},
+                          {"openJobs", fleet.counts().openJobs},
+                          {"workers", fleet.counts().workers}});
         workerFollower.emplace(ports.store, ports.scheduler, ports.log, ports.registry.workersTable(),
                                std::vector<std::string>{std::string()}, FollowWait,
                                TableFollower::Hooks{[this](auto entries) { onWorkerSnapshot(entries); },
-                                                    [this](auto entries) { onWorkerRows(entries); },
-                                                    [](Duration) {}});
+                                                    [this](auto entries) { onWorkerRows(entries); }, [](Duration) {}});
         workerKeeper->syncWorkers();
         tick();
         ports.scheduler.runAfter(Duration(0), [self = shared_from_this()] { self->progressReader.reset(); });
@@ -163,8 +164,7 @@
                 },
                 [&](const Failure &failure) {
                     // Some other writer's entry: it names no worker to use.
-                    ports.log.record("worker-entry-unreadable",
-                                     {{"worker", row.name.key}, {"detail", failure.detail}});
+                    ports.log.record("worker-entry-unreadable", {{"worker", row.name.key}, {"detail", failure.detail}});
                     fleet.removeWorker(WorkerId(row.name.key), now);
                 });
         }
--- a/src/placement/partition.cpp
+++ b/src/placement/partition.cpp
@@ -579,8 +579,7 @@
     }
 }
 
-void Partition::noteStartReply(const StartAttempt &order, const ports::AsyncResult<ports::Done> &result,
-                               TimePoint now)
+void Partition::noteStartReply(const StartAttempt &order, const ports::AsyncResult<ports::Done> &result, TimePoint now)
 {
     const auto &id = order.order.attempt.job;
     const auto live = m_live.find(id);
@@ -607,8 +606,8 @@
     }
 }
 
-void Partition::noteReport(const WorkerId &id, const ports::AsyncResult<ports::WorkerReport> &result,
-                           TimePoint sentAt, TimePoint now)
+void Partition::noteReport(const WorkerId &id, const ports::AsyncResult<ports::WorkerReport> &result, TimePoint sentAt,
+                           TimePoint now)
 {
     const auto n = m_workers.indexOf(id);
     auto &state = stateOf(n);
--- a/src/placement/partition.h
+++ b/src/placement/partition.h
@@ -155,8 +155,8 @@
 
     // Takes in how orders went. `sentAt` is when the order was sent.
     void noteStartReply(const StartAttempt &order, const ports::AsyncResult<ports::Done> &result, TimePoint now);
-    void noteReport(const WorkerId &worker, const ports::AsyncResult<ports::WorkerReport> &result,
-                    TimePoint sentAt, TimePoint now);
+    void noteReport(const WorkerId &worker, const ports::AsyncResult<ports::WorkerReport> &result, TimePoint sentAt,
+                    TimePoint now);
 
     // Returns the durable state, for a checkpoint.
     const JobTable &jobs() const
--- a/src/ports/memory/memorychangestore.cpp
+++ b/src/ports/memory/memorychangestore.cpp
@@ -89,14 +89,14 @@
 {
     const auto fault = m_faults.next("changes", ++m_calls, m_scheduler.now());
     const auto until = m_scheduler.now() + wait;
-    m_scheduler.runAfter(fault.delay, [this, fault, table = std::string(table), after, until,
-                                       handler = std::move(handler)] {
-        if (fault.isRefused || fault.isReplyLost) {
-            handler(Failure{ErrorKind::StoreUnavailable, "the platform refused the call"});
-            return;
-        }
-        poll(table, after, until, handler);
-    });
+    m_scheduler.runAfter(fault.delay,
+                         [this, fault, table = std::string(table), after, until, handler = std::move(handler)] {
+                             if (fault.isRefused || fault.isReplyLost) {
+                                 handler(Failure{ErrorKind::StoreUnavailable, "the platform refused the call"});
+                                 return;
+                             }
+                             poll(table, after, until, handler);
+                         });
 }
 
 void MemoryChangeStore::poll(const std::string &table, std::uint64_t after, TimePoint until,
--- a/src/ports/memory/memoryrunners.cpp
+++ b/src/ports/memory/memoryrunners.cpp
@@ -163,8 +163,8 @@
     }
     ++m_starts;
     runner.deadline = std::max(runner.deadline, order.deadline);
-    runner.runs.push_back({order.task, order.run, truth.needs, m_scheduler.now(), m_scheduler.now() + truth.runTime,
-                           truth.alwaysFails});
+    runner.runs.push_back(
+        {order.task, order.run, truth.needs, m_scheduler.now(), m_scheduler.now() + truth.runTime, truth.alwaysFails});
     return RunAnswer::Accepted;
 }
 
@@ -233,8 +233,7 @@
         });
     }
     if (!isAnswered) {
-        scheduler.runAfter(AnswerTimeout,
-                           [handler] { handler(Failure{ErrorKind::StoreReplyLost, "no answer"}); });
+        scheduler.runAfter(AnswerTimeout, [handler] { handler(Failure{ErrorKind::StoreReplyLost, "no answer"}); });
     }
 }
 
@@ -252,23 +251,23 @@
 void MemoryWorkerLink::start(const WorkerEntry &worker, const RunOrder &order, Handler<RunAnswer> handler)
 {
     carryOut<RunAnswer>(
-        m_scheduler, nextFault("start"), [this, id = worker.id, order] { return m_runners.start(id, order); }, std::move(handler));
+        m_scheduler, nextFault("start"), [this, id = worker.id, order] { return m_runners.start(id, order); },
+        std::move(handler));
 }
 
 void MemoryWorkerLink::stop(const WorkerEntry &worker, Epoch fence, const jobs::TaskId &task, jobs::RunNumber run,
                             Handler<Done> handler)
 {
     carryOut<Done>(
-        m_scheduler, nextFault("stop"), [this, id = worker.id, fence, task, run] { return m_runners.stop(id, fence, task, run); },
-        std::move(handler));
+        m_scheduler, nextFault("stop"),
+        [this, id = worker.id, fence, task, run] { return m_runners.stop(id, fence, task, run); }, std::move(handler));
 }
 
 void MemoryWorkerLink::pace(const WorkerEntry &, Epoch, const jobs::TaskId &, jobs::RunNumber, int,
                             Handler<Done> handler)
 {
     carryOut<Done>(
-        m_scheduler, nextFault("pace"), [] { return AsyncResult<Done>(Done{}); },
-        std::move(handler));
+        m_scheduler, nextFault("pace"), [] { return AsyncResult<Done>(Done{}); }, std::move(handler));
 }
 
 void MemoryWorkerLink::forget(const WorkerId &)
--- a/src/records/recordkeeper.cpp
+++ b/src/records/recordkeeper.cpp
@@ -198,17 +198,15 @@
     nextCommit = now + options.window;
     ++counts.commits;
     counts.rows += writes.size();
-    table.commit(
-        writes,
-        [this, alive = isAlive, tokens = std::move(tokens)](const ports::AsyncResult<std::uint64_t> &result) {
-            if (*alive) {
-                onCommitted(tokens, result);
-            }
-        });
+    table.commit(writes,
+                 [this, alive = isAlive, tokens = std::move(tokens)](const ports::AsyncResult<std::uint64_t> &result) {
+                     if (*alive) {
+                         onCommitted(tokens, result);
+                     }
+                 });
 }
 
-void RecordKeeper::Private::onCommitted(std::span<const Token> tokens,
-                                        const ports::AsyncResult<std::uint64_t> &result)
+void RecordKeeper::Private::onCommitted(std::span<const Token> tokens, const ports::AsyncResult<std::uint64_t> &result)
 {
     isCommitting = false;
     if (result.isOk()) {
--- a/src/scheduling/tailforecast.cpp
+++ b/src/scheduling/tailforecast.cpp
@@ -115,8 +115,9 @@
     double worst = 0;
     for (const auto &it : worker.runs()) {
         if (it.isLasting && it.tailTarget > Duration(0)) {
-            worst = std::max(worst, model.press(it.image, run.image) * declaredShare(worker, run)
-                                        * static_cast<double>(toMilliseconds(it.tailTarget)));
+            worst = std::max(worst,
+                             model.press(it.image, run.image) * declaredShare(worker, run)
+                                 * static_cast<double>(toMilliseconds(it.tailTarget)));
         }
     }
     return worst;
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -34,8 +34,7 @@
     virtual ~WorkerChooser() = default;
     // Returns the worker, or nullptr if none has room.
     virtual workers::Worker *choose(const TaskDemand &demand, std::span<workers::Worker *const> workers,
-                                    TimePoint now) const
-        = 0;
+                                    TimePoint now) const = 0;
 };
 
 // For a full fleet with tasks of very unequal size: takes the worker whose
--- a/tests/execution/executionlooptest.cpp
+++ b/tests/execution/executionlooptest.cpp
@@ -187,7 +187,8 @@
 
     jobs::WallTime wallNow() const
     {
-        return jobs::WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(scheduler.now().time_since_epoch()));
+        return jobs::WallTime(
+            std::chrono::duration_cast<std::chrono::milliseconds>(scheduler.now().time_since_epoch()));
     }
 
     void put(const RowName &name, std::string value)
@@ -401,119 +402,121 @@
     }
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Cases, ExecutionFaults,
-    testing::Values(
-        FaultCase{"leader killed", [](Cluster &c) { c.killHost(c.leader()); },
-                  [](Cluster &c) {
-                      for (int n = 0; n < HostCount; ++n) {
-                          if (!c.host(n).loop) {
-                              c.startHost(n);
-                          }
-                      }
-                  }},
-        FaultCase{"leader restarted at once",
-                  [](Cluster &c) {
-                      const int n = c.leader();
-                      c.killHost(n);
-                      c.startHost(n);
-                  },
-                  [](Cluster &) {}},
-        FaultCase{"leader cut from the store", [](Cluster &c) { c.host(c.leader()).storeFaults.isCut = true; },
-                  [](Cluster &c) {
-                      for (auto &it : c.hosts) {
-                          it->storeFaults.isCut = false;
-                      }
-                  }},
-        FaultCase{"leader cut from the workers", [](Cluster &c) { c.host(c.leader()).workerFaults.isCut = true; },
-                  [](Cluster &c) {
-                      for (auto &it : c.hosts) {
-                          it->workerFaults.isCut = false;
-                      }
-                  }},
-        FaultCase{"store away for all",
-                  [](Cluster &c) {
-                      for (auto &it : c.hosts) {
-                          it->storeFaults.isCut = true;
-                      }
-                  },
-                  [](Cluster &c) {
-                      for (auto &it : c.hosts) {
-                          it->storeFaults.isCut = false;
-                      }
-                  }},
-        FaultCase{"answers of the store lost",
-                  [](Cluster &c) {
-                      for (auto &it : c.hosts) {
-                          it->storeFaults.lost = 0.3;
-                      }
-                  },
-                  [](Cluster &c) {
-                      for (auto &it : c.hosts) {
-                          it->storeFaults.lost = 0;
-                      }
-                  }},
-        FaultCase{"orders unanswered and late",
-                  [](Cluster &c) {
-                      for (auto &it : c.hosts) {
-                          it->workerFaults.lost = 0.2;
-                          it->workerFaults.late = 3s;
-                      }
-                  },
-                  [](Cluster &c) {
-                      for (auto &it : c.hosts) {
-                          it->workerFaults.lost = 0;
-                      }
-                  }},
-        FaultCase{"a worker gone, the leader killed",
-                  [](Cluster &c) {
-                      c.runners.crash(WorkerId("w1"));
-                      c.killHost(c.leader());
-                  },
-                  [](Cluster &c) {
-                      c.runners.restart(WorkerId("w1"), 2);
-                      c.put({"workers", "", "w1"}, "ready");
-                      for (int n = 0; n < HostCount; ++n) {
-                          if (!c.host(n).loop) {
-                              c.startHost(n);
-                          }
-                      }
-                  }},
-        FaultCase{"a worker cut off and at work, the leader killed",
-                  [](Cluster &c) {
-                      c.truth.special[{1000}] = {5s, false, TaskSize};
-                      c.truth.special[{1001}] = {5s, false, TaskSize};
-                      c.submit(0, 1000);
-                      c.submit(1, 1001);
-                      c.scheduler.runFor(300ms);
-                      c.runners.setCut(WorkerId("w0"), true);
-                      c.runners.setCut(WorkerId("w1"), true);
-                      c.killHost(c.leader());
-                  },
-                  [](Cluster &c) {
-                      c.runners.setCut(WorkerId("w0"), false);
-                      c.runners.setCut(WorkerId("w1"), false);
-                      for (int n = 0; n < HostCount; ++n) {
-                          if (!c.host(n).loop) {
-                              c.startHost(n);
-                          }
-                      }
-                  }},
-        FaultCase{"a worker drains, the history is dropped",
-                  [](Cluster &c) {
-                      c.put({"workers", "", "w2"}, "draining");
-                      c.rows.dropHistory();
-                  },
-                  [](Cluster &c) { c.put({"workers", "", "w2"}, "ready"); }}),
-    [](const testing::TestParamInfo<FaultCase> &info) {
-        std::string name;
-        for (const char it : std::string_view(info.param.name)) {
-            if (std::isalnum(static_cast<unsigned char>(it)) != 0) {
-                name += it;
-            }
-        }
-        return name;
-    });
+INSTANTIATE_TEST_SUITE_P(Cases, ExecutionFaults,
+                         testing::Values(FaultCase{"leader killed", [](Cluster &c) { c.killHost(c.leader()); },
+                                                   [](Cluster &c) {
+                                                       for (int n = 0; n < HostCount; ++n) {
+                                                           if (!c.host(n).loop) {
+                                                               c.startHost(n);
+                                                           }
+                                                       }
+                                                   }},
+                                         FaultCase{"leader restarted at once",
+                                                   [](Cluster &c) {
+                                                       const int n = c.leader();
+                                                       c.killHost(n);
+                                                       c.startHost(n);
+                                                   },
+                                                   [](Cluster &) {}},
+                                         FaultCase{"leader cut from the store",
+                                                   [](Cluster &c) { c.host(c.leader()).storeFaults.isCut = true; },
+                                                   [](Cluster &c) {
+                                                       for (auto &it : c.hosts) {
+                                                           it->storeFaults.isCut = false;
+                                                       }
+                                                   }},
+                                         FaultCase{"leader cut from the workers",
+                                                   [](Cluster &c) { c.host(c.leader()).workerFaults.isCut = true; },
+                                                   [](Cluster &c) {
+                                                       for (auto &it : c.hosts) {
+                                                           it->workerFaults.isCut = false;
+                                                       }
+                                                   }},
+                                         FaultCase{"store away for all",
+                                                   [](Cluster &c) {
+                                                       for (auto &it : c.hosts) {
+                                                           it->storeFaults.isCut = true;
+                                                       }
+                                                   },
+                                                   [](Cluster &c) {
+                                                       for (auto &it : c.hosts) {
+                                                           it->storeFaults.isCut = false;
+                                                       }
+                                                   }},
+                                         FaultCase{"answers of the store lost",
+                                                   [](Cluster &c) {
+                                                       for (auto &it : c.hosts) {
+                                                           it->storeFaults.lost = 0.3;
+                                                       }
+                                                   },
+                                                   [](Cluster &c) {
+                                                       for (auto &it : c.hosts) {
+                                                           it->storeFaults.lost = 0;
+                                                       }
+                                                   }},
+                                         FaultCase{"orders unanswered and late",
+                                                   [](Cluster &c) {
+                                                       for (auto &it : c.hosts) {
+                                                           it->workerFaults.lost = 0.2;
+                                                           it->workerFaults.late = 3s;
+                                                       }
+                                                   },
+                                                   [](Cluster &c) {
+                                                       for (auto &it : c.hosts) {
+                                                           it->workerFaults.lost = 0;
+                                                       }
+                                                   }},
+                                         FaultCase{"a worker gone, the leader killed",
+                                                   [](Cluster &c) {
+                                                       c.runners.crash(WorkerId("w1"));
+                                                       c.killHost(c.leader());
+                                                   },
+                                                   [](Cluster &c) {
+                                                       c.runners.restart(WorkerId("w1"), 2);
+                                                       c.put({"workers", "", "w1"}, "ready");
+                                                       for (int n = 0; n < HostCount; ++n) {
+                                                           if (!c.host(n).loop) {
+                                                               c.startHost(n);
+                                                           }
+                                                       }
+                                                   }},
+                                         FaultCase{"a worker cut off and at work, the leader killed",
+                                                   [](Cluster &c) {
+                                                       c.truth.special[{1000}] = {5s, false, TaskSize};
+                                                       c.truth.special[{1001}] = {5s, false, TaskSize};
+                                                       c.submit(0, 1000);
+                                                       c.submit(1, 1001);
+                                                       c.scheduler.runFor(300ms);
+                                                       c.runners.setCut(WorkerId("w0"), true);
+                                                       c.runners.setCut(WorkerId("w1"), true);
+                                                       c.killHost(c.leader());
+                                                   },
+                                                   [](Cluster &c) {
+                                                       c.runners.setCut(WorkerId("w0"), false);
+                                                       c.runners.setCut(WorkerId("w1"), false);
+                                                       for (int n = 0; n < HostCount; ++n) {
+                                                           if (!c.host(n).loop) {
+                                                               c.startHost(n);
+                                                           }
+                                                       }
+                                                   }},
+                                         FaultCase{"a worker drains, the history is dropped",
+                                                   [](Cluster &c) {
+                                                       c.put({"workers", "", "w2"}, "draining");
+                                                       c.rows.dropHistory();
+                                                   },
+                                                   [](Cluster &c) {
+                                                       c.put({"workers", "", "w2"}, "ready");
+                                                   }}),
+                         [](const testing::TestParamInfo<FaultCase> &info) {
+                             std::string name;
+                             for (const char it : std::string_view(info.param.name)) {
+                                 if (std::isalnum(static_cast<unsigned char>(it)) != 0) {
+                                     name += it;
+                                 }
+                             }
+                             return name;
+                         });
 
 // Proves that the checker rejects: a worker that is told twice says so.
 TEST(MemoryRunners, TakeDownATaskInTwoPlaces)
--- a/tests/logging/logtest.cpp
+++ b/tests/logging/logtest.cpp
@@ -1,6 +1,6 @@
+#include "logging/log.h"
 #include "logging/linebudget.h"
 #include "logging/linesink.h"
-#include "logging/log.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/membership/ownershiptest.cpp
+++ b/tests/membership/ownershiptest.cpp
@@ -149,8 +149,8 @@
     const auto &it = GetParam();
     EntryHosts hosts({A, {"127.0.0.1", 1}, RegionName("r"), 1, false, false, false, true, 0, {}});
     hosts.setStoreReachable(it.isOwnStoreReachable);
-    hosts.setListed(
-        std::vector{ports::ListedEntryHost{B, {"127.0.0.1", 2}, RegionName("r"), ports::HostState::Live}}, Start);
+    hosts.setListed(std::vector{ports::ListedEntryHost{B, {"127.0.0.1", 2}, RegionName("r"), ports::HostState::Live}},
+                    Start);
     if (it.isPeerHeard) {
         Heartbeat heartbeat;
         heartbeat.host = B;
@@ -231,10 +231,9 @@
     EntryHosts hosts({A, {"127.0.0.1", 1}, RegionName("r"), 1, false, false, false, true, 0, {}});
     if (it.isListed) {
         const ports::ListedEntryHost row{B,
-                                            {"127.0.0.1", 2},
-                                            RegionName("r"),
-                                            it.isListedLeaving ? ports::HostState::Leaving
-                                                               : ports::HostState::Live};
+                                         {"127.0.0.1", 2},
+                                         RegionName("r"),
+                                         it.isListedLeaving ? ports::HostState::Leaving : ports::HostState::Live};
         hosts.setListed(std::vector{row}, Start);
     }
     if (it.isHeard) {
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -64,8 +64,8 @@
     EXPECT_EQ(step.tailTarget, std::optional<Duration>(18ms));
     EXPECT_EQ(step.maxUnavailable, 2);
     EXPECT_EQ(step.maxPerWorker, 1);
-    for (const auto *it : {"", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})", R"({"steps":[{"cpu":"x"}]})",
-                           R"({"steps":[{"after":[0]}]})", "\xff"}) {
+    for (const auto *it : {"", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
+                           R"({"steps":[{"cpu":"x"}]})", R"({"steps":[{"after":[0]}]})", "\xff"}) {
         EXPECT_NE(kindOf([&] { return decodeJobSpec(it); }), ErrorKind::Internal) << it;
     }
 }
@@ -96,7 +96,7 @@
     EXPECT_EQ(entry.capacity.milliCores, 16000);
     EXPECT_FALSE(entry.isDraining);
     const std::pair<const char *, const char *> spoiled[] = {
-        {R"("ready")", R"("resting")"}, {R"("ready")", "7"},       {R"("10.0.0.1:80")", R"("nowhere")"},
+        {R"("ready")", R"("resting")"}, {R"("ready")", "7"},      {R"("10.0.0.1:80")", R"("nowhere")"},
         {R"("zone":"z",)", ""},         {R"(["a","r1-3"])", "3"}, {R"({"cpu":16000,"memMb":32768,"gpu":0})", "[]"},
     };
     for (const auto &[from, to] : spoiled) {
