--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -24,6 +24,7 @@
 constexpr jobs::RunNumber RunsPerTenure = 1000;
 
 constexpr int FullPace = 100;
+constexpr int WholeWork = 100; // percent
 // A run at this pace or more whose progress stands still for so long is stuck. Workers
 // list progress every 1.5 s at least.
 constexpr int MinMovingPace = 50;
@@ -86,18 +87,22 @@
     }
 }
 
-void Fleet::Private::evacuate(workers::Worker &worker, TimePoint)
+// Moves work off a worker that leaves: lasting tasks at once, since they would be away
+// until their leases lapse, and checkpointed ones that would not end in time.
+void Fleet::Private::evacuate(workers::Worker &worker, TimePoint now)
 {
     if (!worker.entry().isDraining) {
         return;
     }
     for (auto &run : worker.runs()) {
-        const auto *job = findJob(run.task.job);
-        if (run.state != workers::RunState::Running || job == nullptr || job->expected.empty()) {
+        auto *job = findJob(run.task.job);
+        if (run.state != workers::RunState::Running || job == nullptr) {
             continue;
         }
+        refreshExpected(*job, now);
         const auto &spec = job->job.stepSpec(run.task.step);
-        const auto left = job->expected[static_cast<std::size_t>(run.task.step)] * (100 - run.percent) / 100;
+        const auto left
+            = job->expected[static_cast<std::size_t>(run.task.step)] * (WholeWork - run.percent) / WholeWork;
         const bool isLost = left + DrainMargin > worker.entry().remaining;
         if (spec.isLasting || (spec.hasCheckpoints && isLost)) {
             requestStop(run);
@@ -115,7 +120,7 @@
     for (auto &run : worker.runs()) {
         auto *job = findJob(run.task.job);
         const bool isExpectedToMove = run.state == workers::RunState::Running && !run.isLasting
-            && run.pace >= MinMovingPace && run.percent < 100 && now - run.pacedAt > StuckTime;
+            && run.pace >= MinMovingPace && run.percent < WholeWork && now - run.pacedAt > StuckTime;
         if (!isExpectedToMove || job == nullptr || now - run.progressedAt < StuckTime
             || job->avoided[run.task].size() >= MaxAvoided) {
             continue;
