Do not claim the leadership again while it is handed over

Cause, found by reading: between a hand-over and its answer the row still named this host, and the same tick claimed it back as an earlier run's.

--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -92,6 +92,7 @@
     Write write{m_version, *m_row, false};
     write.row.host = EntryHostId();
     m_isLeader = false;
+    m_isWriting = true; // or the row, which still names this host, would be claimed again at once
     return write;
 }
 
--- a/tests/membership/leadershiptest.cpp
+++ b/tests/membership/leadershiptest.cpp
@@ -86,6 +86,22 @@
     EXPECT_FALSE(a.isLeader()) << "an older row changes nothing";
 }
 
+TEST(Leadership, IsNotClaimedAgainWhileItIsHandedOver)
+{
+    Leadership a(A, 1, Start);
+    a.noteRow(std::nullopt, 0, Start);
+    const auto claim = a.dueWrite(0ms, Start + 1s);
+    a.noteWritten(*claim, 5, Start + 1s, Start + 1s);
+    const auto release = a.release();
+    ASSERT_TRUE(release);
+    EXPECT_TRUE(release->row.host.isEmpty());
+    EXPECT_FALSE(a.dueWrite(2s, Start + 1100ms)) << "the row still names this host";
+    a.noteWritten(*release, 6, Start + 1100ms, Start + 1200ms);
+    EXPECT_FALSE(a.isLeader());
+    EXPECT_FALSE(a.dueWrite(2s, Start + 3s)) << "other hosts go first";
+    EXPECT_TRUE(a.dueWrite(2s, Start + 3300ms));
+}
+
 TEST(Leadership, AClaimWhoseAnswerWasLostIsFound)
 {
     Leadership a(A, 1, Start);
