Trust a suspect worker again, also beside a lasting task

Only runs since the failure count as trials now, and six seconds without a failure end the suspicion. The test failed before the change.

--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -11,6 +11,8 @@
 // A suspect worker gets its next trial task after this time for each failure.
 constexpr Duration SuspectPause = 700ms;
 constexpr Duration MaxSuspectPause = 4s;
+// After this time without a failure a worker is trusted again.
+constexpr Duration SuspicionTime = 6s;
 // The part of their processors that serving tasks use on average; their load swings
 // around it, and what they need more they take from work on leftover processors.
 constexpr double ServingUse = 0.42;
@@ -43,7 +45,11 @@
     if (!m_isListed || !m_isRostered || !m_isConfirmed || m_isSilent || m_entry.isDraining || now < m_closedUntil) {
         return false;
     }
-    return !isSuspect() || m_runs.empty();
+    if (!isSuspect() || now - m_failedAt > SuspicionTime) {
+        return true;
+    }
+    // What ran before the failure is no trial: lasting tasks may run there for good.
+    return std::ranges::none_of(m_runs, [&](const Run &it) { return it.orderedAt > m_failedAt; });
 }
 
 Resources Worker::freeRoom() const
@@ -185,6 +191,7 @@
 void Worker::noteFailure(TimePoint now)
 {
     ++m_suspicion;
+    m_failedAt = now;
     if (isSuspect()) {
         m_closedUntil = now + std::min(SuspectPause * (m_suspicion - SuspicionLimit + 1), MaxSuspectPause);
     }
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -204,7 +204,7 @@
     void noteDone(TimePoint now);
     void noteFailure(TimePoint now);
     void noteUnhealthy(TimePoint now);
-    // Returns whether so much went wrong lately that only one task may try it.
+    // Returns whether so much went wrong lately that only one task may try it at a time.
     bool isSuspect() const
     {
         return m_suspicion >= SuspicionLimit;
@@ -227,6 +227,7 @@
     TimePoint m_lastContact;
     TimePoint m_observedAt;
     TimePoint m_closedUntil;
+    TimePoint m_failedAt; // last
     int m_suspicion = 0;
     scheduling::PaceRegulator m_paceRegulator;
     bool m_isListed = true;
--- a/tests/workers/workertest.cpp
+++ b/tests/workers/workertest.cpp
@@ -93,10 +93,29 @@
     EXPECT_TRUE(worker.isSuspect());
     EXPECT_FALSE(worker.isOpen(Now + 100ms));
     EXPECT_TRUE(worker.isOpen(Now + 1s));
-    worker.add(makeRun(1, 1000, false, false));
+    auto trial = makeRun(1, 1000, false, false);
+    trial.orderedAt = Now + 1s;
+    worker.add(trial);
     EXPECT_FALSE(worker.isOpen(Now + 1s));
     worker.noteDone(Now + 1s);
     EXPECT_TRUE(worker.isOpen(Now + 1s));
 }
 
+// A lasting task never ends: beside one, a suspect must not stay closed for good.
+TEST(Worker, ASuspectWithALastingTaskOpensAgain)
+{
+    auto worker = makeWorker();
+    worker.noteContact(0, Now, Now);
+    worker.add(makeRun(1, 1000, false, true));
+    worker.noteFailure(Now + 1s);
+    worker.noteFailure(Now + 1s);
+    EXPECT_FALSE(worker.isOpen(Now + 1100ms));
+    EXPECT_TRUE(worker.isOpen(Now + 2s)) << "one trial";
+    auto trial = makeRun(2, 1000, false, true);
+    trial.orderedAt = Now + 2s;
+    worker.add(trial);
+    EXPECT_FALSE(worker.isOpen(Now + 2s)) << "one at a time";
+    EXPECT_TRUE(worker.isOpen(Now + 8s)) << "nothing failed for long";
+}
+
 } // namespace monsoonspool::workers
