Call what the project has, and drop what nobody reads

Dropped: the time at which a job was over, a worker's last contact, a clock's forget(), and a hook of placement for advice that is not built.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -88,14 +88,19 @@
     return it == workersById.end() ? nullptr : it->second.get();
 }
 
+workers::Run *Fleet::Private::findRun(const WorkerId &id, const jobs::TaskId &task, jobs::RunNumber number)
+{
+    auto *worker = findWorker(id);
+    auto *run = worker == nullptr ? nullptr : worker->find(task);
+    return run != nullptr && run->number == number ? run : nullptr;
+}
+
 workers::Worker &Fleet::Private::addWorker(const ports::WorkerEntry &entry)
 {
     auto &worker = workersById[entry.id];
     worker = std::make_unique<workers::Worker>(entry);
-    workers.clear();
-    for (const auto &[id, it] : workersById) {
-        workers.push_back(it.get());
-    }
+    const auto idOf = [](const workers::Worker *it) -> const WorkerId & { return it->entry().id; };
+    workers.insert(std::ranges::lower_bound(workers, entry.id, {}, idOf), worker.get());
     isRosterChanged = true;
     return *worker;
 }
@@ -129,31 +134,26 @@
     }
 }
 
-void Fleet::restoreProgress(jobs::JobKey key, const jobs::JobProgress &progress, TimePoint now)
+void Fleet::restoreProgress(jobs::JobKey key, const jobs::JobProgress &progress)
 {
     auto *job = d->findJob(key);
     if (job == nullptr) {
         return;
     }
-    const bool wasOpen = job->job.isOpen();
     job->job.restore(progress);
-    if (wasOpen && !job->job.isOpen()) {
-        job->stoppedAt = now;
-    }
     if (job->job.state() == progress.state && jobs::isFinal(progress.state)) {
         job->isStored = true;
         d->dropIfOver(key);
     }
 }
 
-void Fleet::cancel(jobs::JobKey key, TimePoint now)
+void Fleet::cancel(jobs::JobKey key)
 {
     auto *job = d->findJob(key);
     if (job == nullptr || !job->job.isOpen()) {
         return;
     }
     job->job.cancel();
-    job->stoppedAt = now;
     job->isStored = true; // the cancellation was stored first
     d->dropIfOver(key);
 }
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -82,8 +82,8 @@
     // Jobs.
     void addJob(AcceptedJob job, TimePoint now, jobs::WallTime wall);
     // Takes in what is stored of a job's progress.
-    void restoreProgress(jobs::JobKey key, const jobs::JobProgress &progress, TimePoint now);
-    void cancel(jobs::JobKey key, TimePoint now);
+    void restoreProgress(jobs::JobKey key, const jobs::JobProgress &progress);
+    void cancel(jobs::JobKey key);
     const jobs::Job *find(jobs::JobKey key) const;
     // Returns how many accepted jobs of each queue have not started.
     std::map<std::string, int> waitingCounts() const;
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -160,7 +160,6 @@
         changedJobs.insert(task.job);
     }
     if (wasOpen && !job->job.isOpen()) {
-        job->stoppedAt = now;
         log.record("job-over",
                    {{"job", jobs::jobName(task.job)},
                     {"state", jobs::jobStateName(job->job.state())},
@@ -351,8 +350,8 @@
 void Fleet::noteStart(const StartTask &order, ports::RunAnswer answer, TimePoint now)
 {
     auto *worker = d->findWorker(order.worker);
-    auto *run = worker == nullptr ? nullptr : worker->find(order.task);
-    if (run == nullptr || run->number != order.run) {
+    auto *run = d->findRun(order.worker, order.task, order.run);
+    if (run == nullptr) {
         return;
     }
     if (answer == ports::RunAnswer::Accepted) {
@@ -377,8 +376,8 @@
 void Fleet::noteStartFailed(const StartTask &order, bool maybeStarted, TimePoint now)
 {
     auto *worker = d->findWorker(order.worker);
-    auto *run = worker == nullptr ? nullptr : worker->find(order.task);
-    if (run == nullptr || run->number != order.run) {
+    auto *run = d->findRun(order.worker, order.task, order.run);
+    if (run == nullptr) {
         return;
     }
     d->log.record("start-unanswered",
@@ -400,9 +399,8 @@
 
 void Fleet::noteStopped(const StopTask &order, TimePoint now)
 {
-    auto *worker = d->findWorker(order.worker);
-    auto *run = worker == nullptr ? nullptr : worker->find(order.task);
-    if (run != nullptr && run->number == order.run) {
+    auto *run = d->findRun(order.worker, order.task, order.run);
+    if (run != nullptr) {
         run->isStopConfirmed = true;
         run->stopConfirmedAt = now;
     }
@@ -410,19 +408,17 @@
 
 void Fleet::noteStopFailed(const StopTask &order, TimePoint)
 {
-    auto *worker = d->findWorker(order.worker);
-    auto *run = worker == nullptr ? nullptr : worker->find(order.task);
-    if (run != nullptr && run->number == order.run) {
+    auto *run = d->findRun(order.worker, order.task, order.run);
+    if (run != nullptr) {
         run->isStopSent = false;
     }
 }
 
 void Fleet::notePaceFailed(const PaceTask &order)
 {
-    auto *worker = d->findWorker(order.worker);
-    auto *run = worker == nullptr ? nullptr : worker->find(order.task);
-    if (run != nullptr && run->number == order.run && run->pace == order.percent) {
-        worker->setPace(*run, UnknownPace);
+    auto *run = d->findRun(order.worker, order.task, order.run);
+    if (run != nullptr && run->pace == order.percent) {
+        d->findWorker(order.worker)->setPace(*run, UnknownPace);
     }
 }
 
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -25,7 +25,6 @@
     std::uint64_t version = 0;
     int runs = 0; // on all workers
     bool isStored = false; // its final state is
-    TimePoint stoppedAt; // when its state became final
 
     // Expected run times of the steps' tasks, and what follows from them. Kept for a
     // moment, since every plan asks for them.
@@ -54,6 +53,8 @@
     const jobs::QueuePolicy &policyOf(const TrackedJob &job) const;
     TrackedJob *findJob(jobs::JobKey key);
     workers::Worker *findWorker(const WorkerId &id);
+    // Returns the run that an order was about, or nullptr if it is over.
+    workers::Run *findRun(const WorkerId &id, const jobs::TaskId &task, jobs::RunNumber number);
     workers::Worker &addWorker(const ports::WorkerEntry &entry);
     void eraseWorker(const WorkerId &id);
 
--- a/src/execution/progresskeeper.cpp
+++ b/src/execution/progresskeeper.cpp
@@ -139,7 +139,7 @@
             handleFailure(
                 [&]() -> Result<void> {
                     BOOST_LEAF_AUTO(progress, codec.decodeProgress(row.value));
-                    fleet.restoreProgress(*key, progress, scheduler.now());
+                    fleet.restoreProgress(*key, progress);
                     return {};
                 },
                 [&](const Failure &failure) {
--- a/src/execution/tenure.cpp
+++ b/src/execution/tenure.cpp
@@ -94,7 +94,7 @@
             [&]() -> Result<void> {
                 BOOST_LEAF_AUTO(progress, ports.codec.decodeProgress(row.value));
                 progressKeeper->noteVersion(*key, row.version);
-                fleet.restoreProgress(*key, progress, ports.scheduler.now());
+                fleet.restoreProgress(*key, progress);
                 return {};
             },
             [&](const Failure &failure) {
@@ -110,7 +110,7 @@
                 continue;
             }
             if (isCancelKey(row.name.key)) {
-                fleet.cancel(*key, ports.scheduler.now());
+                fleet.cancel(*key);
             } else if (seenJobs.insert(*key).second) {
                 onJobRow(*key, row);
             }
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -95,10 +95,7 @@
     if (!step.requiredLabel.empty() && step.requiredLabel != entry.kind && step.requiredLabel != entry.rack) {
         return false;
     }
-    if (step.maxPerWorker > 0 && worker.runsOfStep(demand.task) >= step.maxPerWorker) {
-        return false;
-    }
-    return !demand.isAdmitted || demand.isAdmitted(worker);
+    return step.maxPerWorker == 0 || worker.runsOfStep(demand.task) < step.maxPerWorker;
 }
 
 workers::Worker *TightFit::choose(const TaskDemand &demand, std::span<workers::Worker *const> workers,
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -5,7 +5,6 @@
 #include "scheduling/interferencemodel.h"
 #include "workers/worker.h"
 
-#include <functional>
 #include <span>
 #include <string_view>
 
@@ -21,7 +20,6 @@
     std::string_view preferredRack; // of the other members of a colocated gang; empty for any
     std::span<const WorkerId> avoided; // where runs of the task have failed or stood still
     const InterferenceModel *interference = nullptr; // nullptr if the task disturbs nobody and is not disturbed
-    std::function<bool(const workers::Worker &)> isAdmitted; // the adviser's word; empty for any worker
 };
 
 // Returns whether `worker` may run the task at all, room aside.
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -166,7 +166,6 @@
 void Worker::noteContact(ports::WorkerMillis clock, TimePoint sentAt, TimePoint now)
 {
     m_clock.note(clock, sentAt, now);
-    m_lastContact = now;
     m_isConfirmed = true;
     m_isSilent = false;
     m_isMeasured = true;
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -176,10 +176,6 @@
     // A listing of this worker came in.
     void noteContact(ports::WorkerMillis clock, TimePoint sentAt, TimePoint now);
     void noteSilence(TimePoint now);
-    TimePoint lastContact() const
-    {
-        return m_lastContact;
-    }
     bool isSilent() const
     {
         return m_isSilent;
@@ -224,7 +220,6 @@
     ports::WorkerMillis m_deadline = 0;
     std::int64_t m_takenEnd = 0;
     std::int64_t m_acknowledgedEnd = 0;
-    TimePoint m_lastContact;
     TimePoint m_observedAt;
     TimePoint m_closedUntil;
     TimePoint m_failedAt; // last
--- a/src/workers/workerclock.h
+++ b/src/workers/workerclock.h
@@ -18,10 +18,6 @@
         m_upper = {clock, sentAt};
         m_isKnown = true;
     }
-    void forget()
-    {
-        m_isKnown = false;
-    }
     bool isKnown() const
     {
         return m_isKnown;
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -103,7 +103,7 @@
     step.needs = {6000, 1000, 0};
     step.isLasting = true;
     step.tailTarget = 18ms;
-    const TaskDemand demand{{{9}, 0, 0, 0}, &step, S1, Service.view(), {}, {}, nullptr, {}};
+    const TaskDemand demand{{{9}, 0, 0, 0}, &step, S1, Service.view(), {}, {}, nullptr};
     std::vector<workers::Worker *> both = {mixed.get(), alike.get()};
     EXPECT_EQ(TightFit().choose(demand, both, Now), alike.get());
 }
@@ -117,7 +117,7 @@
     jobs::StepSpec step;
     step.needs = {6000, 1000, 0};
     const std::vector<WorkerId> avoided = {failed->entry().id};
-    TaskDemand demand{{{9}, 0, 0, 0}, &step, 0, Service.view(), {}, {}, nullptr, {}};
+    TaskDemand demand{{{9}, 0, 0, 0}, &step, 0, Service.view(), {}, {}, nullptr};
     std::vector<workers::Worker *> both = {failed.get(), other.get()};
     EXPECT_EQ(TightFit().choose(demand, both, Now), failed.get());
     demand.avoided = avoided;
@@ -132,7 +132,7 @@
     auto worker = makeWorker("a");
     worker->add(serving(1, S1));
     const auto light = leftoverStep();
-    const TaskDemand demand{{{9}, 0, 0, 0}, &light, Light, Service.view(), {}, {}, nullptr, {}};
+    const TaskDemand demand{{{9}, 0, 0, 0}, &light, Light, Service.view(), {}, {}, nullptr};
     std::vector<workers::Worker *> one = {worker.get()};
     EXPECT_EQ(TightFit().choose(demand, one, Now), worker.get());
     worker->setStrained(true);
@@ -148,11 +148,11 @@
     tolerant->add(serving(2, S2));
     auto wide = leftoverStep();
     wide.needs.milliCores = 6000;
-    const TaskDemand wideDemand{{{9}, 0, 0, 0}, &wide, Heavy, Service.view(), {}, {}, &model, {}};
+    const TaskDemand wideDemand{{{9}, 0, 0, 0}, &wide, Heavy, Service.view(), {}, {}, &model};
     std::vector<workers::Worker *> both = {sensitive.get(), tolerant.get()};
     EXPECT_EQ(TightFit().choose(wideDemand, both, Now), tolerant.get());
     const auto heavy = leftoverStep();
-    const TaskDemand demand{{{9}, 0, 0, 0}, &heavy, Heavy, Service.view(), {}, {}, &model, {}};
+    const TaskDemand demand{{{9}, 0, 0, 0}, &heavy, Heavy, Service.view(), {}, {}, &model};
     // One task fits beside the sensitive one; with more its tail would leave its target.
     std::vector<workers::Worker *> one = {sensitive.get()};
     int joined = 0;
