Keep the roster out of the table that every host follows

The roster (350 workers, some 50 KB) was one row of the table with the leader's row, written again for each worker that joined, and all hosts follow that table: 20 hosts across the link between regions took 1 MB for each write, more than the link carries. Starts went unanswered, leases lapsed, and tasks that were done started again (TWICE).

Change: a table of its own in 16 rows, read by a host that claims. A row that each claim writes is a condition of every change, so that a former leader cannot change the roster after a claim. The lines of a decision that may be written in a second are a setting now, since the search needed all of them.

--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -128,14 +128,7 @@
     void onLeaderRows(std::span<const ports::StoredRow> rows)
     {
         for (const auto &row : rows) {
-            if (row.isRemoved) {
-                continue;
-            }
-            if (row.name.key == RosterKey) {
-                if (row.version > rosterVersion) {
-                    roster = row.value;
-                    rosterVersion = row.version;
-                }
+            if (row.isRemoved || row.name.key != LeaderKey) {
                 continue;
             }
             handleFailure(
@@ -214,13 +207,52 @@
 
     void writeLeader(const membership::Leadership::Write &write)
     {
-        ports::Commit commit;
-        commit.conditions.push_back({leaderRow(), write.expectedVersion});
         if (write.isClaim) {
-            // What the former leader may have started must be known to the claimant.
-            commit.conditions.push_back({rosterRow(), rosterVersion});
+            readRoster(write);
+            return;
         }
+        ports::Commit commit;
+        commit.conditions.push_back({leaderRow(), write.expectedVersion});
         commit.writes.push_back({leaderRow(), ports.codec.encode(write.row)});
+        commitLeader(write, std::move(commit));
+    }
+
+    // What the former leader may have started must be known to the claimant.
+    void readRoster(const membership::Leadership::Write &write)
+    {
+        ports.store.scan(RosterTable, {}, {}, {},
+                         [self = shared_from_this(), write](const ports::AsyncResult<ports::RowPage> &result) {
+                             if (self->isClosed) {
+                                 return;
+                             }
+                             if (result.isOk()) {
+                                 self->claim(write, result.value().rows);
+                             } else {
+                                 self->leadership.noteFailed(self->ports.scheduler.now());
+                             }
+                         });
+    }
+
+    void claim(const membership::Leadership::Write &write, std::span<const ports::StoredRow> rows)
+    {
+        ports::Commit commit;
+        commit.conditions.push_back({leaderRow(), write.expectedVersion});
+        commit.writes.push_back({leaderRow(), ports.codec.encode(write.row)});
+        std::vector<ports::RowName> names = {rosterOwnerRow()};
+        for (int n = 0; n < RosterBuckets; ++n) {
+            names.push_back(rosterRow(n));
+        }
+        for (auto &it : names) {
+            const auto row = std::ranges::find(rows, it.key, [](const ports::StoredRow &r) { return r.name.key; });
+            commit.conditions.push_back({std::move(it), row == rows.end() ? 0 : row->version});
+        }
+        commit.writes.push_back({rosterOwnerRow(), {}});
+        roster.assign(rows.begin(), rows.end());
+        commitLeader(write, std::move(commit));
+    }
+
+    void commitLeader(const membership::Leadership::Write &write, ports::Commit commit)
+    {
         const auto sentAt = ports.scheduler.now();
         ports.store.commit(
             std::move(commit),
@@ -248,18 +280,10 @@
     {
         tenureFence = leadership.fence();
         tenureBeganAt = ports.scheduler.now();
-        TenureStart start{tenureFence, leadership.claimVersion(), {}, rosterVersion, queues()};
-        if (!roster.empty()) {
-            start.roster = handleFailure(
-                [&] { return ports.codec.decodeRoster(roster); },
-                [&](const Failure &failure) {
-                    ports.log.record("row-unreadable", {{"key", RosterKey}, {"detail", failure.detail}});
-                    return std::vector<ports::WorkerEntry>();
-                });
-        }
+        TenureStart start{tenureFence, leadership.claimVersion(), roster, queues()};
         ports.log.record(
             "leadership-won",
-            {{"fence", tenureFence.value}, {"claimVersion", start.claimVersion}, {"roster", start.roster.size()}});
+            {{"fence", tenureFence.value}, {"claimVersion", start.claimVersion}, {"rosterRows", start.roster.size()}});
         tenure.emplace(
             ports, std::move(start),
             Tenure::Hooks{[this] { onFenced(); }, [this] { return leadership.mayDecide(ports.scheduler.now()); }});
@@ -293,8 +317,7 @@
     TimePoint tenureBeganAt;
     Duration lag{0}; // of the control thread's ticks, on average
     TimePoint lagPenaltyUntil;
-    std::string roster;
-    std::uint64_t rosterVersion = 0;
+    std::vector<ports::StoredRow> roster; // as read for the last claim
     TimePoint contactAt;
     Duration storeRoundTrip{0};
     bool isStopping = false;
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -3,6 +3,7 @@
 #include "execution/fleetstate.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace monsoonspool::execution {
 
@@ -230,9 +231,14 @@
     return roster;
 }
 
-bool Fleet::isRosterChanged() const
+bool Fleet::takeRosterChanged()
 {
-    return d->isRosterChanged;
+    return std::exchange(d->isRosterChanged, false);
+}
+
+void Fleet::markRosterChanged()
+{
+    d->isRosterChanged = true;
 }
 
 void Fleet::noteRosterStored(std::span<const ports::WorkerEntry> roster)
@@ -242,7 +248,6 @@
             worker->setRostered();
         }
     }
-    d->isRosterChanged = std::ranges::any_of(d->workers, [](const workers::Worker *it) { return !it->isRostered(); });
 }
 
 const ports::WorkerEntry *Fleet::entryOf(const WorkerId &id) const
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -95,7 +95,9 @@
     // The workers that may run something. A worker gets its first task only after a
     // roster with it was stored.
     std::vector<ports::WorkerEntry> roster() const;
-    bool isRosterChanged() const;
+    // Returns whether the roster has changed since the last call.
+    bool takeRosterChanged();
+    void markRosterChanged();
     void noteRosterStored(std::span<const ports::WorkerEntry> roster);
     const ports::WorkerEntry *entryOf(const WorkerId &id) const;
     // Returns the next renewal for a worker; its wait is zero until the worker
--- /dev/null
+++ b/src/execution/rosterkeeper.cpp
@@ -0,0 +1,179 @@
+#include "execution/rosterkeeper.h"
+
+#include "execution/rowlayout.h"
+
+#include <array>
+#include <string>
+
+namespace monsoonspool::execution {
+
+namespace {
+
+// Gathers workers that join at one moment; small beside the seconds that a worker
+// needs to start.
+constexpr Duration GatherTime = 50ms;
+constexpr Duration RetryPause = 200ms;
+
+struct Bucket
+{
+    std::uint64_t version = 0; // of its row
+    std::string value; // of its row
+};
+
+} // namespace
+
+struct RosterKeeper::Private : std::enable_shared_from_this<RosterKeeper::Private>
+{
+    Private(ports::ChangeStore &changeStore, ports::Scheduler &s, const RowCodec &rowCodec, Fleet &f,
+            DecisionLog &decisionLog)
+        : store(changeStore), scheduler(s), codec(rowCodec), fleet(f), log(decisionLog)
+    {
+    }
+
+    void takeRow(const ports::StoredRow &row)
+    {
+        for (int n = 0; n < RosterBuckets; ++n) {
+            if (row.name.key == rosterRow(n).key) {
+                auto &bucket = buckets[static_cast<std::size_t>(n)];
+                bucket.version = row.isRemoved ? 0 : row.version;
+                bucket.value = row.value;
+            }
+        }
+    }
+
+    void schedule(Duration delay)
+    {
+        if (isScheduled || isStoring) {
+            return;
+        }
+        isScheduled = true;
+        scheduler.runAfter(delay, [self = shared_from_this()] {
+            self->isScheduled = false;
+            if (!self->isClosed) {
+                self->write();
+            }
+        });
+    }
+
+    void write()
+    {
+        std::array<std::vector<ports::WorkerEntry>, RosterBuckets> wanted;
+        for (auto &it : fleet.roster()) {
+            wanted[static_cast<std::size_t>(rosterBucketOf(it.id))].push_back(std::move(it));
+        }
+        ports::Commit commit;
+        commit.conditions.push_back({rosterOwnerRow(), claimVersion});
+        std::vector<ports::WorkerEntry> written;
+        for (int n = 0; n < RosterBuckets; ++n) {
+            auto &entries = wanted[static_cast<std::size_t>(n)];
+            const auto &bucket = buckets[static_cast<std::size_t>(n)];
+            auto value = entries.empty() ? std::string() : codec.encode(entries);
+            if (value != bucket.value) {
+                commit.conditions.push_back({rosterRow(n), bucket.version});
+                commit.writes.push_back({rosterRow(n), std::move(value)});
+            }
+            written.insert(written.end(), entries.begin(), entries.end());
+        }
+        if (commit.writes.empty()) {
+            fleet.noteRosterStored(written);
+            return;
+        }
+        isStoring = true;
+        auto writes = commit.writes;
+        store.commit(std::move(commit),
+                     [self = shared_from_this(), written = std::move(written),
+                      writes = std::move(writes)](const ports::AsyncResult<ports::CommitResult> &result) {
+                         self->isStoring = false;
+                         if (!self->isClosed) {
+                             self->onWritten(written, writes, result);
+                         }
+                     });
+    }
+
+    void onWritten(std::span<const ports::WorkerEntry> written, std::span<const ports::RowValue> writes,
+                   const ports::AsyncResult<ports::CommitResult> &result)
+    {
+        if (result.isOk() && result.value().isApplied) {
+            for (const auto &it : writes) {
+                takeRow({it.name, it.value, result.value().version, false});
+            }
+            fleet.noteRosterStored(written);
+            onStored();
+            poke();
+            return;
+        }
+        // A conflict means an own write whose answer was lost, or a successor's claim,
+        // which the leader's row tells of as well.
+        if (result.isOk()) {
+            for (const auto &it : result.value().current) {
+                takeRow(it);
+            }
+        }
+        log.record("roster-unstored",
+                   {{"error", result.isOk() ? "conflict" : answerFor(result.failure().kind).name},
+                    {"rows", writes.size()}});
+        fleet.markRosterChanged();
+        schedule(RetryPause);
+    }
+
+    void poke()
+    {
+        if (!isStoring && !isScheduled && fleet.takeRosterChanged()) {
+            schedule(GatherTime);
+        }
+    }
+
+    ports::ChangeStore &store;
+    ports::Scheduler &scheduler;
+    const RowCodec &codec;
+    Fleet &fleet;
+    DecisionLog &log;
+    std::function<void()> onStored;
+    std::uint64_t claimVersion = 0;
+    std::array<Bucket, RosterBuckets> buckets;
+    bool isScheduled = false;
+    bool isStoring = false;
+    bool isClosed = false;
+};
+
+RosterKeeper::RosterKeeper(ports::ChangeStore &store, ports::Scheduler &scheduler, const RowCodec &codec, Fleet &fleet,
+                           DecisionLog &log, std::uint64_t claimVersion, std::span<const ports::StoredRow> stored,
+                           std::function<void()> onStored)
+    : d(std::make_shared<Private>(store, scheduler, codec, fleet, log))
+{
+    d->onStored = std::move(onStored);
+    d->claimVersion = claimVersion;
+    for (const auto &it : stored) {
+        d->takeRow(it);
+    }
+}
+
+RosterKeeper::~RosterKeeper()
+{
+    d->isClosed = true;
+}
+
+std::vector<ports::WorkerEntry> RosterKeeper::entries() const
+{
+    std::vector<ports::WorkerEntry> entries;
+    for (const auto &bucket : d->buckets) {
+        if (bucket.value.empty()) {
+            continue;
+        }
+        const auto part = handleFailure([&] { return d->codec.decodeRoster(bucket.value); },
+                                        [&](const Failure &failure) {
+                                            d->log.record("row-unreadable",
+                                                          {{"key", RosterTable}, {"detail", failure.detail}});
+                                            return std::vector<ports::WorkerEntry>();
+                                        });
+        entries.insert(entries.end(), part.begin(), part.end());
+    }
+    return entries;
+}
+
+void RosterKeeper::poke()
+{
+    d->poke();
+}
+
+} // namespace monsoonspool::execution
--- a/src/execution/rowlayout.cpp
+++ b/src/execution/rowlayout.cpp
@@ -2,6 +2,9 @@
 
 #include "jobs/names.h"
 
+#include <xxhash.h>
+
+#include <algorithm>
 #include <charconv>
 
 namespace monsoonspool::execution {
@@ -49,9 +52,20 @@
     return {std::string(LeaderTable), {}, std::string(LeaderKey)};
 }
 
-ports::RowName rosterRow()
+ports::RowName rosterOwnerRow()
+{
+    return {std::string(RosterTable), {}, std::string(RosterOwnerKey)};
+}
+
+ports::RowName rosterRow(int bucket)
+{
+    const auto number = std::to_string(bucket);
+    return {std::string(RosterTable), {}, std::string(2 - std::min<std::size_t>(number.size(), 2), '0') + number};
+}
+
+int rosterBucketOf(const WorkerId &worker)
 {
-    return {std::string(LeaderTable), {}, std::string(RosterKey)};
+    return static_cast<int>(XXH64(worker.view().data(), worker.view().size(), 0) % RosterBuckets);
 }
 
 std::optional<jobs::JobKey> jobOfKey(std::string_view key)
--- a/src/execution/rowlayout.h
+++ b/src/execution/rowlayout.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/identifiers.h"
 #include "jobs/taskid.h"
 #include "ports/changestore.h"
 
@@ -16,14 +17,20 @@
 //   progress  0..3   ID          by the leader, as tasks end;  by any host that is asked
 //                                by any host that cancels
 //   leader    ""     "leader"    at a claim, then each beat    by all hosts, as it changes
-//   leader    ""     "workers"   before a new worker is used   by a new leader
+//   roster    ""     "owner"     at a claim                    by the leader, as a condition
+//   roster    ""     00..15      before a new worker is used   by a host that claims
+//
+// The roster is apart from the leader's row, which all hosts follow: a few hundred
+// workers that join would send each of their rows to every host.
 namespace monsoonspool::execution {
 
 inline constexpr std::string_view JobsTable = "jobs";
 inline constexpr std::string_view ProgressTable = "progress";
 inline constexpr std::string_view LeaderTable = "leader";
 inline constexpr std::string_view LeaderKey = "leader";
-inline constexpr std::string_view RosterKey = "workers";
+inline constexpr std::string_view RosterTable = "roster";
+inline constexpr std::string_view RosterOwnerKey = "owner";
+inline constexpr int RosterBuckets = 16; // a worker that joins writes a sixteenth of the roster
 inline constexpr char CancelSuffix = 'x';
 
 // Returns the part for rows of `job`. One part takes a few hundred commits a
@@ -36,7 +43,12 @@
 ports::RowName cancelRow(jobs::JobKey job);
 ports::RowName progressRow(jobs::JobKey job);
 ports::RowName leaderRow();
-ports::RowName rosterRow();
+// Returns the row that is written at each claim, so that no former leader changes
+// the roster after it.
+ports::RowName rosterOwnerRow();
+// Returns the row with the workers of one bucket.
+ports::RowName rosterRow(int bucket);
+int rosterBucketOf(const WorkerId &worker);
 
 // Returns the job that a row's key names, or nothing for a foreign key.
 std::optional<jobs::JobKey> jobOfKey(std::string_view key);
--- a/src/execution/tenure.cpp
+++ b/src/execution/tenure.cpp
@@ -1,6 +1,7 @@
 #include "execution/tenure.h"
 
 #include "execution/progresskeeper.h"
+#include "execution/rosterkeeper.h"
 #include "execution/rowlayout.h"
 #include "execution/tablefollower.h"
 #include "execution/workerkeeper.h"
@@ -26,7 +27,6 @@
 constexpr Duration FollowWait = 3s;
 // A former leader's last renewal may lie a little behind the claim.
 constexpr Duration FormerLeaseSlack = 1s;
-constexpr Duration RosterRetry = 200ms;
 
 } // namespace
 
@@ -40,9 +40,10 @@
     void begin(const TenureStart &start)
     {
         const auto now = ports.scheduler.now();
-        rosterVersion = start.rosterVersion;
+        rosterKeeper.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion, start.roster,
+                             [this] { requestPlan(); });
         const auto lastLease = std::chrono::duration_cast<Duration>(workers::RunLease * (1 + ports::MaxClockDrift));
-        fleet.beginTenure(start.fence, start.claimVersion, start.roster, now + lastLease + FormerLeaseSlack);
+        fleet.beginTenure(start.fence, start.claimVersion, rosterKeeper->entries(), now + lastLease + FormerLeaseSlack);
         fleet.setQueues(start.queues);
         progressKeeper.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
         workerKeeper.emplace(ports.workers, ports.scheduler, fleet,
@@ -169,54 +170,10 @@
                 });
         }
         workerKeeper->syncWorkers();
-        storeRoster();
+        rosterKeeper->poke();
         requestPlan();
     }
 
-    // A worker gets work only once a successor would know of it.
-    void storeRoster()
-    {
-        if (isStoringRoster || !fleet.isRosterChanged()) {
-            return;
-        }
-        isStoringRoster = true;
-        auto roster = fleet.roster();
-        ports::Commit commit;
-        commit.conditions.push_back({rosterRow(), rosterVersion});
-        commit.writes.push_back({rosterRow(), ports.codec.encode(roster)});
-        ports.store.commit(std::move(commit),
-                           [self = shared_from_this(),
-                            roster = std::move(roster)](const ports::AsyncResult<ports::CommitResult> &result) {
-                               self->onRosterStored(roster, result);
-                           });
-    }
-
-    void onRosterStored(std::span<const ports::WorkerEntry> roster,
-                        const ports::AsyncResult<ports::CommitResult> &result)
-    {
-        isStoringRoster = false;
-        if (isClosed) {
-            return;
-        }
-        if (result.isOk() && result.value().isApplied) {
-            rosterVersion = result.value().version;
-            fleet.noteRosterStored(roster);
-            requestPlan();
-            storeRoster();
-            return;
-        }
-        if (result.isOk() && !result.value().current.empty()) {
-            // Either this host's own write whose answer was lost, or a newer leader's,
-            // which fences this one at the workers.
-            rosterVersion = result.value().current.front().version;
-        }
-        ports.scheduler.runAfter(RosterRetry, [self = shared_from_this()] {
-            if (!self->isClosed) {
-                self->storeRoster();
-            }
-        });
-    }
-
     void tick()
     {
         ports.scheduler.runAfter(PlanInterval, [self = shared_from_this()] {
@@ -249,20 +206,19 @@
         }
         workerKeeper->carryOut(fleet.plan(ports.scheduler.now(), ports.wallNow()));
         progressKeeper->poke();
-        storeRoster();
+        rosterKeeper->poke();
     }
 
     ExecutionPorts ports;
     Hooks hooks;
     Fleet fleet;
+    std::optional<RosterKeeper> rosterKeeper;
     std::optional<ProgressKeeper> progressKeeper;
     std::optional<WorkerKeeper> workerKeeper;
     std::optional<TableFollower> jobFollower;
     std::optional<TableFollower> progressReader;
     std::optional<TableFollower> workerFollower;
     std::set<jobs::JobKey> seenJobs;
-    std::uint64_t rosterVersion = 0;
-    bool isStoringRoster = false;
     bool isLoaded = false;
     bool isPlanning = false;
     bool isClosed = false;
@@ -282,6 +238,7 @@
     d->workerFollower.reset();
     d->workerKeeper.reset();
     d->progressKeeper.reset();
+    d->rosterKeeper.reset();
 }
 
 void Tenure::setQueues(std::span<const jobs::QueuePolicy> queues)
--- a/src/execution/tenure.h
+++ b/src/execution/tenure.h
@@ -29,8 +29,7 @@
 {
     Epoch fence;
     std::uint64_t claimVersion = 0;
-    std::vector<ports::WorkerEntry> roster; // as the former leader left it
-    std::uint64_t rosterVersion = 0;
+    std::vector<ports::StoredRow> roster; // as the former leader left it
     std::vector<jobs::QueuePolicy> queues;
 };
 
--- a/src/logging/linebudget.cpp
+++ b/src/logging/linebudget.cpp
@@ -6,25 +6,24 @@
 
 namespace {
 
-// A line costs some 10 us; at these rates ten events together cost a host with a
-// tenth of a core about a tenth of it.
-constexpr double LinesPerSecond = 100;
-constexpr double BurstLines = 400;
+// A burst may write the lines of this many seconds at once.
+constexpr double BurstSeconds = 4;
 constexpr Duration TellInterval = 1s;
 
 } // namespace
 
 bool LineBudget::take(std::string_view event, TimePoint now)
 {
+    const double burst = m_linesPerSecond * BurstSeconds;
     auto it = m_buckets.find(event);
     if (it == m_buckets.end()) {
         it = m_buckets.emplace(std::string(event), Bucket()).first;
-        it->second.tokens = BurstLines;
+        it->second.tokens = burst;
         it->second.filledAt = now;
     }
     auto &bucket = it->second;
     const double elapsed = std::chrono::duration<double>(now - bucket.filledAt).count();
-    bucket.tokens = std::min(BurstLines, bucket.tokens + elapsed * LinesPerSecond);
+    bucket.tokens = std::min(burst, bucket.tokens + elapsed * m_linesPerSecond);
     bucket.filledAt = now;
     if (bucket.tokens < 1) {
         ++bucket.leftOut;
--- a/src/logging/linebudget.h
+++ b/src/logging/linebudget.h
@@ -16,6 +16,16 @@
 class LineBudget
 {
 public:
+    // A line costs some 10 us; at this rate ten events together cost a host with a
+    // tenth of a core about a tenth of it.
+    static constexpr double DefaultLinesPerSecond = 100; // of each event
+
+    // Sets how many lines of each event may be written in a second.
+    void setRate(double linesPerSecond)
+    {
+        m_linesPerSecond = linesPerSecond;
+    }
+
     // Returns whether a line of `event` may be written now.
     bool take(std::string_view event, TimePoint now);
 
@@ -32,6 +42,7 @@
 
     std::map<std::string, Bucket, std::less<>> m_buckets;
     TimePoint m_toldAt;
+    double m_linesPerSecond = DefaultLinesPerSecond;
 };
 
 } // namespace monsoonspool::logging
--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -171,6 +171,12 @@
     }
 }
 
+void setDecisionRate(double linesPerSecond)
+{
+    const std::scoped_lock lock(budgetMutex);
+    budget.setRate(linesPerSecond);
+}
+
 void logDecision(std::string_view event, std::initializer_list<Field> fields)
 {
     std::map<std::string, std::uint64_t> leftOut;
--- a/src/logging/log.h
+++ b/src/logging/log.h
@@ -34,6 +34,9 @@
 Result<void> configure(std::string_view level, std::string_view format,
                        Destination destination = Destination::StandardError);
 
+// Sets how many lines of each decision may be written in a second. Thread-safe.
+void setDecisionRate(double linesPerSecond);
+
 // Writes one line for `event` with `fields`. Thread-safe.
 void log(Level level, std::string_view event, std::initializer_list<Field> fields = {});
 
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -169,15 +169,15 @@
 {
     const std::string good = R"({"name":"n","region":"r","failureDomain":"d","clientAddress":"10.0.0.1:1",
         "readyAddress":"10.0.0.1:2","controlAddress":"10.0.0.1:3","storeAddress":"10.0.0.9:4",
-        "processorShare":0.1,"stopGraceSeconds":6})";
+        "processorShare":0.1,"logLinesPerSecond":100,"stopGraceSeconds":6})";
     EXPECT_TRUE(decodeSettings(good).faults.empty());
     EXPECT_EQ(decodeSettings(good).settings.stopGrace, std::chrono::milliseconds(6000));
-    const auto spoiled = decodeSettings(R"({"name":"","storeAddress":"nowhere","processorShare":0,"colour":"red"})");
+    const auto spoiled = decodeSettings(R"({"name":"","storeAddress":"nowhere","processorShare":0,"logLinesPerSecond":0,"colour":"red"})");
     std::vector<std::string> keys;
     for (const auto &it : spoiled.faults) {
         keys.push_back(it.key);
     }
-    for (const auto *it : {"name", "region", "storeAddress", "processorShare", "colour"}) {
+    for (const auto *it : {"name", "region", "storeAddress", "processorShare", "logLinesPerSecond", "colour"}) {
         EXPECT_NE(std::ranges::find(keys, it), keys.end()) << it;
     }
     EXPECT_FALSE(decodeSettings("{").faults.empty());
