Let strong hosts claim the leadership first

Ruled out: a hand-over for lag goes to the next weak host as often.

Change: the handicap for each halving outweighs the moments by which hosts start, and counts from the strongest leader so far, so that hosts that are alike do not wait.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -194,6 +194,7 @@
                       {"incarnation", row.incarnation},
                       {"fence", row.fence.value},
                       {"beat", row.beat},
+                      {"bestShare", row.bestShare},
                       {"waiting", row.waiting}});
 }
 
@@ -205,6 +206,7 @@
         row.incarnation = json.at("incarnation").get<std::uint64_t>();
         row.fence = {json.at("fence").get<std::uint64_t>()};
         row.beat = json.at("beat").get<std::uint64_t>();
+        row.bestShare = json.at("bestShare").get<double>();
         row.waiting = json.at("waiting").get<std::map<std::string, int>>();
         return row;
     });
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -4,7 +4,6 @@
 #include "execution/tablefollower.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace monsoonspool::execution {
 
@@ -26,10 +25,6 @@
 // Weight of the newest tick in the average.
 constexpr double LagWeight = 0.3;
 
-// How much later than the best host this one claims the leadership: for each
-// halving of its processor share, and for each millisecond to the store.
-constexpr double HandicapForHalving = 120; // ms
-constexpr double HandicapForMillisecond = 12; // ms
 // Hosts that are alike claim one after another.
 constexpr std::size_t JitterSteps = 16;
 constexpr Duration JitterStep = 12ms;
@@ -174,13 +169,10 @@
     Duration handicap() const
     {
         const auto penalty = ports.scheduler.now() < lagPenaltyUntil ? LagPenalty : Duration(0);
-        const double halvings = std::max(0.0, -std::log2(std::max(options.processorShare, 0.01)));
-        const double distance = std::chrono::duration<double, std::milli>(storeRoundTrip).count();
         const auto jitter
             = JitterStep * static_cast<int>(std::hash<std::string_view>{}(options.self.view()) % JitterSteps);
-        return std::chrono::milliseconds(
-                   static_cast<std::int64_t>(halvings * HandicapForHalving + distance * HandicapForMillisecond))
-            + jitter + penalty;
+        const double bestShare = leadership.row() ? leadership.row()->bestShare : 0;
+        return membership::claimHandicap(options.processorShare, bestShare, storeRoundTrip) + jitter + penalty;
     }
 
     // Makes the tenure what the leadership says, and writes what is due.
@@ -201,6 +193,7 @@
             if (tenure && tenure->isLoaded()) {
                 write->row.waiting = tenure->waitingCounts();
             }
+            write->row.bestShare = std::max(write->row.bestShare, options.processorShare);
             writeLeader(*write);
         }
     }
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -1,6 +1,7 @@
 #include "membership/leadership.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace monsoonspool::membership {
 
@@ -9,8 +10,24 @@
 // After a refused or unanswered write, before the next one.
 constexpr Duration RetryPause = 250ms;
 
+// How much later than the best host another claims: for each halving of its processor
+// share, and for each millisecond to the store. A halving outweighs the moments by
+// which hosts start apart (0.3 s, as the platform states) and the way between regions.
+constexpr double HandicapForHalving = 350; // ms
+constexpr double HandicapForMillisecond = 12; // ms
+constexpr double MinShare = 0.01;
+
 } // namespace
 
+Duration claimHandicap(double share, double bestShare, Duration distance)
+{
+    const double best = bestShare > 0 ? bestShare : 1;
+    const double halvings = std::max(0.0, std::log2(best / std::max(share, MinShare)));
+    const double ms = std::chrono::duration<double, std::milli>(distance).count();
+    return std::chrono::milliseconds(
+        static_cast<std::int64_t>(halvings * HandicapForHalving + ms * HandicapForMillisecond));
+}
+
 Leadership::Leadership(EntryHostId self, std::uint64_t incarnation, TimePoint now)
     : m_self(std::move(self)), m_incarnation(incarnation), m_startedAt(now), m_contactSince(now)
 {
@@ -79,6 +96,7 @@
     write.row.host = m_self;
     write.row.incarnation = m_incarnation;
     write.row.fence = {m_row ? m_row->fence.value + 1 : 1};
+    write.row.bestShare = m_row ? m_row->bestShare : 0;
     write.row.waiting = m_row ? m_row->waiting : std::map<std::string, int>();
     m_isWriting = true;
     return write;
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -17,6 +17,7 @@
     std::uint64_t incarnation = 0; // of the host's process
     Epoch fence;
     std::uint64_t beat = 0; // grows with each renewal
+    double bestShare = 0; // the greatest processor share of a leader so far
     std::map<std::string, int> waiting; // jobs of each queue that have not started
 };
 
@@ -31,6 +32,11 @@
 // A gap in a host's own contact with the store that makes it start counting anew.
 constexpr Duration ContactGap = 1s;
 
+// Returns how much later than the best host one with `share` of a processor, at
+// `distance` from the store, claims. `bestShare` is that of the strongest leader so far,
+// or 0 if nobody has led: then all hosts wait for one of a whole processor.
+Duration claimHandicap(double share, double bestShare, Duration distance);
+
 // Whether this host schedules, or should claim to. The row's compare-and-set
 // judges; its fence rises with each claim, and workers refuse lower ones.
 //
--- a/tests/execution/executionlooptest.cpp
+++ b/tests/execution/executionlooptest.cpp
@@ -1,6 +1,7 @@
 #include "execution/executionloop.h"
 
 #include "codec/cborjobs.h"
+#include "execution/rowlayout.h"
 #include "ports/memory/memorychangestore.h"
 #include "ports/memory/memoryrunners.h"
 #include "ports/virtualscheduler.h"
@@ -9,6 +10,7 @@
 #include <boost/random/uniform_01.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -351,6 +353,69 @@
     EXPECT_EQ(cluster.runners.doneCount({10}), TasksPerJob);
 }
 
+// Every host follows the leader's row. When a few hundred workers join, their list must
+// not travel to every host.
+TEST(ExecutionLoop, WorkersThatJoinDoNotReachOtherHosts)
+{
+    Cluster cluster;
+    cluster.scheduler.runFor(2s);
+    constexpr int Joining = 200;
+    for (int n = 0; n < Joining; ++n) {
+        WorkerEntry entry;
+        entry.id = WorkerId("joining-" + std::to_string(n));
+        entry.service = Service;
+        entry.capacity = {16000, 32000, 0};
+        entry.rack = "r9";
+        entry.bornMs = 1;
+        cluster.runners.addWorker(entry);
+        cluster.put({"workers", "", entry.id.text()}, "ready");
+        cluster.scheduler.runFor(10ms);
+    }
+    cluster.scheduler.runFor(2s);
+    std::size_t followed = 0;
+    std::size_t rosterWrites = 0;
+    for (const auto &it : cluster.rows.history) {
+        followed += it.name.table == LeaderTable ? it.value.size() : 0;
+        rosterWrites += it.name.table == RosterTable ? 1 : 0;
+    }
+    const auto &leaderValue = cluster.rows.rows.at(leaderRow()).value;
+    EXPECT_LE(followed, 12 * (leaderValue.size() + 16)) << "a row each 800 ms and nothing else";
+    EXPECT_GT(rosterWrites, 0U);
+    std::size_t stored = 0;
+    for (int n = 0; n < RosterBuckets; ++n) {
+        const auto row = cluster.rows.rows.find(rosterRow(n));
+        if (row != cluster.rows.rows.end() && !row->second.value.empty()) {
+            stored += cluster.codec.decodeRoster(row->second.value).value().size();
+        }
+    }
+    EXPECT_EQ(stored, static_cast<std::size_t>(Joining + WorkerCount));
+}
+
+// A leader that does not know yet of its successor must not let new workers in: the
+// successor has read the roster and would not wait for them.
+TEST(ExecutionLoop, AFormerLeaderCannotChangeTheRoster)
+{
+    Cluster cluster;
+    cluster.scheduler.runFor(2s);
+    const int former = cluster.leader();
+    ASSERT_GE(former, 0);
+    // The successor's claim, which the former leader does not hear of.
+    cluster.put(rosterOwnerRow(), "");
+    WorkerEntry entry;
+    entry.id = WorkerId("late");
+    entry.service = Service;
+    entry.capacity = {64000, 64000, 0};
+    entry.bornMs = 1;
+    cluster.runners.addWorker(entry);
+    cluster.put({"workers", "", "late"}, "ready");
+    cluster.scheduler.runFor(1s);
+    const auto row = cluster.rows.rows.find(rosterRow(rosterBucketOf(entry.id)));
+    if (row != cluster.rows.rows.end() && !row->second.value.empty()) {
+        const auto stored = cluster.codec.decodeRoster(row->second.value).value();
+        EXPECT_TRUE(std::ranges::none_of(stored, [&](const WorkerEntry &it) { return it.id == entry.id; }));
+    }
+}
+
 struct FaultCase
 {
     const char *name;
--- a/tests/membership/leadershiptest.cpp
+++ b/tests/membership/leadershiptest.cpp
@@ -113,4 +113,17 @@
     EXPECT_EQ(a.fence(), Epoch{1});
 }
 
+// Where a few strong hosts stand beside many weak ones, a strong one leads, though it
+// starts last; where all are alike, none waits for the others.
+TEST(Leadership, IsClaimedByStrongHostsFirst)
+{
+    constexpr Duration startsApart = 300ms; // at most, as the platform states
+    constexpr Duration otherRegion = 25ms; // round trip
+    EXPECT_GT(claimHandicap(0.12, 0, 0ms), claimHandicap(0.5, 0, otherRegion) + startsApart);
+    EXPECT_GT(claimHandicap(0.069, 0.5, 0ms), claimHandicap(0.5, 0.5, otherRegion) + startsApart);
+    EXPECT_EQ(claimHandicap(0.1, 0.1, 0ms), Duration(0));
+    EXPECT_EQ(claimHandicap(0.5, 0.1, 0ms), Duration(0));
+    EXPECT_GT(claimHandicap(0.1, 0.1, otherRegion), claimHandicap(0.1, 0.1, 1ms));
+}
+
 } // namespace monsoonspool::membership
