Let leftover work wait rather than join where it is known to disturb

Work placed where it is harmless lost 0.1 s. Ruled out: waiting for room (first starts after 43 ms at the median), processor time (charged none).

Change: the mean tail that work may bring about falls from 0.85 of the target to 0.4. Paces are logged with what decided them.

Also: a job counts as waiting until a worker has surely begun one of its tasks.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -169,7 +169,7 @@
 {
     std::map<std::string, int> counts;
     for (const auto &[key, it] : d->jobsByKey) {
-        if (it->job.state() == jobs::JobState::Queued) {
+        if (it->job.isWaiting()) {
             ++counts[it->job.queue()];
         }
     }
@@ -345,7 +345,7 @@
         counts.silentWorkers += it->isSilent() ? 1 : 0;
     }
     for (const auto &[key, it] : d->jobsByKey) {
-        counts.waitingJobs += it->job.state() == jobs::JobState::Queued ? 1 : 0;
+        counts.waitingJobs += it->job.isWaiting() ? 1 : 0;
     }
     return counts;
 }
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -180,6 +180,7 @@
             continue;
         }
         if (run->state == workers::RunState::Ordered || run->state == workers::RunState::Unsettled) {
+            noteBegun(it.task.job);
             run->state = workers::RunState::Running;
             run->answeredAt = std::min(now, std::max(run->orderedAt, sentAt));
             run->progressedAt = now;
@@ -259,6 +260,7 @@
             isWanted = isWanted && !task.isDone && (task.activeRuns == 0 || spec.maySpeculate || spec.isGang);
         }
         job->job.noteStarted(listed.task, listed.run);
+        job->job.noteBegun();
         if (!listed.checkpoint.empty()) {
             job->job.noteCheckpoint(listed.task, listed.checkpoint);
         }
@@ -320,6 +322,13 @@
     }
 }
 
+void Fleet::Private::noteBegun(jobs::JobKey key)
+{
+    if (auto *job = findJob(key)) {
+        job->job.noteBegun();
+    }
+}
+
 void Fleet::Private::requestStop(workers::Run &run)
 {
     run.state = workers::RunState::Stopping;
@@ -355,6 +364,7 @@
         return;
     }
     if (answer == ports::RunAnswer::Accepted) {
+        d->noteBegun(order.task.job);
         if (run->state == workers::RunState::Ordered || run->state == workers::RunState::Unsettled) {
             run->state = workers::RunState::Running;
         }
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -182,7 +182,9 @@
         return;
     }
     const auto measured = worker.paceRegulator().update(tails, now);
-    const int pace = std::min({measured.percent, safePace(interference, worker), roomPace(worker)});
+    const int safe = safePace(interference, worker);
+    const int room = roomPace(worker);
+    const int pace = std::min({measured.percent, safe, room});
     for (auto &run : worker.runs()) {
         if (!run.usesLeftover || run.state != workers::RunState::Running) {
             continue;
@@ -194,6 +196,17 @@
         if (isNotable) {
             worker.setPace(run, wanted);
             run.pacedAt = now;
+            log.record("pace",
+                       {{"task", jobs::taskName(run.task)},
+                        {"run", run.number},
+                        {"worker", worker.entry().id.view()},
+                        {"percent", wanted},
+                        {"measuredPercent", measured.percent},
+                        {"safePercent", safe},
+                        {"roomPercent", room},
+                        {"tailPercentOfTarget", static_cast<int>(tails.worstRatio * WholeWork)},
+                        {"overMs", toMilliseconds(tails.longestOver)},
+                        {"isDisturbing", isDisturbing ? 1 : 0}});
             orders.paces.push_back({worker.entry().id, run.task, run.number, wanted});
         }
     }
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -66,6 +66,7 @@
     void learnFromDone(workers::Worker &worker, const workers::Run &run, TimePoint now);
     void lapseAll(workers::Worker &worker, TimePoint now, std::string_view reason);
     void restart(workers::Worker &worker, std::int64_t bornMs, TimePoint now);
+    void noteBegun(jobs::JobKey key);
     void dropIfOver(jobs::JobKey key);
     void noteHeard(const WorkerId &id);
     void dropAllOver();
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -164,6 +164,8 @@
         return false;
     }
     task.lastRun = std::max(task.lastRun, run);
+    const bool hasRun = how == RunEnd::Done || how == RunEnd::Failed || how == RunEnd::Broken;
+    m_hasBegun = m_hasBegun || hasRun;
     if (!checkpoint.empty()) {
         noteCheckpoint(id, checkpoint);
     }
@@ -276,6 +278,7 @@
     if (isFurther && m_state != JobState::Completed) {
         m_state = progress.state;
     }
+    m_hasBegun = m_hasBegun || progress.state != JobState::Queued;
 }
 
 } // namespace monsoonspool::jobs
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -151,6 +151,16 @@
 
     // Notes that a run was ordered. The job counts as running from then on.
     void noteStarted(const TaskId &id, RunNumber run);
+    // Notes that a worker has surely begun a run: an order alone may come to nothing.
+    void noteBegun()
+    {
+        m_hasBegun = true;
+    }
+    // Returns whether no task has surely begun.
+    bool isWaiting() const
+    {
+        return isOpen() && !m_hasBegun;
+    }
     // Notes that a run that noteStarted() told of is over, however it ended.
     void noteOver(const TaskId &id);
     // Notes how a run ended, known here or not; an end that is told twice counts once.
@@ -180,6 +190,7 @@
     std::string m_queue;
     TimePoint m_acceptedAt;
     JobState m_state = JobState::Queued;
+    bool m_hasBegun = false;
     std::vector<Occurrence> m_occurrences; // those that have become due
 };
 
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -16,8 +16,9 @@
 constexpr double QuietWorkerCost = 0.5; // for harmless work on a worker that others need because nobody serves there
 constexpr double DisturbanceCost = 8; // for each target's worth by which a tail would leave the safe range
 // Work that would bring a serving task's mean tail above this part of its target waits
-// instead: it would have to stand still most of the time.
-constexpr double MaxJoinRatio = 0.85;
+// for another worker: load swings by half around its mean, a tail grows without bound
+// as load nears its limit, and what joined would stand still through each peak.
+constexpr double MaxJoinRatio = 0.4;
 
 double coreShare(const Resources &room, const workers::Worker &worker)
 {
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -153,19 +153,36 @@
     EXPECT_EQ(TightFit().choose(wideDemand, both, Now), tolerant.get());
     const auto heavy = leftoverStep();
     const TaskDemand demand{{{9}, 0, 0, 0}, &heavy, Heavy, Service.view(), {}, {}, &model};
-    // One task fits beside the sensitive one; with more its tail would leave its target.
     std::vector<workers::Worker *> one = {sensitive.get()};
-    int joined = 0;
-    while (auto *worker = TightFit().choose(demand, one, Now)) {
+    EXPECT_EQ(TightFit().choose(demand, one, Now), nullptr);
+}
+
+// The grown days: two thirds of all pairs disturb each other. Work that joined where it
+// was known to disturb stood still through each peak of the serving task's load, and its
+// job was late; it waits the second until a task ends where it is harmless.
+TEST(TightFit, WaitsForAWorkerWhereItIsHarmlessHoweverLittleItTakes)
+{
+    const auto model = learnedModel();
+    auto sensitive = makeWorker("a");
+    auto tolerant = makeWorker("b");
+    sensitive->add(serving(1, S1));
+    tolerant->add(serving(2, S2));
+    auto small = leftoverStep();
+    small.needs.milliCores = 2500;
+    const TaskDemand demand{{{9}, 0, 0, 0}, &small, Heavy, Service.view(), {}, {}, &model};
+    std::vector<workers::Worker *> both = {sensitive.get(), tolerant.get()};
+    std::uint64_t joined = 0;
+    while (auto *worker = TightFit().choose(demand, both, Now)) {
+        ASSERT_EQ(worker, tolerant.get());
         workers::Run run;
-        run.task = {{100 + static_cast<std::uint64_t>(joined)}, 0, 0, 0};
-        run.needs = heavy.needs;
+        run.task = {{100 + joined}, 0, 0, 0};
+        run.needs = small.needs;
         run.image = Heavy;
         run.usesLeftover = true;
         worker->add(run);
-        ASSERT_LT(++joined, 5);
+        ASSERT_LT(++joined, 20U);
     }
-    EXPECT_LT(joined, 3);
+    EXPECT_EQ(joined, 11U) << "all that is left over beside the tolerant one";
 }
 
 TEST(SafePace, KeepsTheTailBelowItsTarget)
