Make calls to workers and the store cheaper

Change: one timer for all calls of a thread instead of two for each call, no questions to a connection that answered half a second ago, sockets without a type-erased executor.

--- a/src/http/apiclient.cpp
+++ b/src/http/apiclient.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <deque>
 #include <optional>
+#include <utility>
 
 namespace monsoonspool::http {
 
@@ -21,6 +22,15 @@
 constexpr std::size_t MaxAnswerBytes = 64 * 1024 * 1024;
 // An idle connection is not used again after this time.
 constexpr std::chrono::milliseconds MaxIdle{5000};
+// A connection that was idle for longer is asked whether the server has closed it, which
+// costs three system calls.
+constexpr std::chrono::milliseconds MaxUnasked{500};
+// How late a time limit may be noticed. One timer for all calls: two timers for each
+// call cost more than the call's own system calls.
+constexpr std::chrono::milliseconds DeadlineStep{50};
+
+using Clock = std::chrono::steady_clock;
+using Socket = asio::basic_stream_socket<tcp, asio::io_context::executor_type>;
 
 struct PendingCall
 {
@@ -28,6 +38,97 @@
     ports::Handler<ApiAnswer> handler;
 };
 
+struct Connection
+{
+    explicit Connection(asio::io_context &io) : socket(io)
+    {
+    }
+    // Makes the operation under way fail.
+    void timeOut()
+    {
+        isTimedOut = true;
+        beast::error_code ignored;
+        socket.close(ignored);
+    }
+
+    Socket socket;
+    beast::flat_buffer buffer;
+    bhttp::request<bhttp::string_body> request;
+    std::optional<bhttp::response_parser<bhttp::string_body>> parser;
+    ports::Handler<ApiAnswer> handler;
+    Clock::time_point lastUsed;
+    Clock::time_point deadline; // of the call under way
+    std::size_t watchIndex = 0;
+    bool isTimedOut = false;
+};
+using ConnectionPointer = std::shared_ptr<Connection>;
+
+// Ends the calls of all clients on one io_context that take too long.
+class CallDeadlines : public asio::execution_context::service
+{
+public:
+    using key_type = CallDeadlines;
+    static inline asio::execution_context::id id;
+
+    explicit CallDeadlines(asio::execution_context &context)
+        : asio::execution_context::service(context), m_timer(static_cast<asio::io_context &>(context))
+    {
+    }
+
+    void watch(const ConnectionPointer &connection)
+    {
+        connection->watchIndex = m_watched.size();
+        m_watched.push_back(connection);
+        if (!std::exchange(m_isTicking, true)) {
+            tick();
+        }
+    }
+
+    void unwatch(const ConnectionPointer &connection)
+    {
+        const auto n = connection->watchIndex;
+        std::swap(m_watched[n], m_watched.back());
+        m_watched[n]->watchIndex = n;
+        m_watched.pop_back();
+    }
+
+private:
+    void shutdown() override
+    {
+        m_watched.clear();
+    }
+
+    void tick()
+    {
+        m_timer.expires_after(DeadlineStep);
+        m_timer.async_wait([this](const boost::system::error_code &ec) {
+            if (ec) {
+                return;
+            }
+            const auto now = Clock::now();
+            for (const auto &it : m_watched) {
+                if (now >= it->deadline && !it->isTimedOut) {
+                    it->timeOut();
+                }
+            }
+            if (m_watched.empty()) {
+                m_isTicking = false;
+            } else {
+                tick();
+            }
+        });
+    }
+
+    asio::basic_waitable_timer<Clock, asio::wait_traits<Clock>, asio::io_context::executor_type> m_timer;
+    std::vector<ConnectionPointer> m_watched;
+    bool m_isTicking = false;
+};
+
+std::string reasonOf(const Connection &connection, const beast::error_code &ec)
+{
+    return connection.isTimedOut ? "no answer in time" : ec.message();
+}
+
 } // namespace
 
 std::string_view ApiAnswer::field(std::string_view name) const
@@ -38,33 +139,21 @@
 
 struct ApiClient::Private : std::enable_shared_from_this<ApiClient::Private>
 {
-    struct Connection
-    {
-        explicit Connection(asio::io_context &io) : stream(io)
-        {
-        }
-        beast::tcp_stream stream;
-        beast::flat_buffer buffer;
-        bhttp::request<bhttp::string_body> request;
-        std::optional<bhttp::response_parser<bhttp::string_body>> parser;
-        ports::Handler<ApiAnswer> handler;
-        std::chrono::steady_clock::time_point lastUsed;
-    };
-    using ConnectionPointer = std::shared_ptr<Connection>;
-
     Private(asio::io_context &context, ports::Address target, int connections)
-        : io(context), address(std::move(target)), maxConnections(connections)
+        : io(context), deadlines(asio::use_service<CallDeadlines>(context)), address(std::move(target)),
+          maxConnections(connections)
     {
     }
 
     void startNext();
     ConnectionPointer takeIdle();
-    void connect(const ConnectionPointer &connection, std::chrono::milliseconds timeout);
+    void connect(const ConnectionPointer &connection);
     void write(const ConnectionPointer &connection);
     void onRead(const ConnectionPointer &connection, beast::error_code ec);
     void finish(const ConnectionPointer &connection, const ports::AsyncResult<ApiAnswer> &result, bool isReusable);
 
     asio::io_context &io;
+    CallDeadlines &deadlines;
     ports::Address address;
     int maxConnections;
     int openConnections = 0;
@@ -91,20 +180,26 @@
     d->startNext();
 }
 
+// Returns whether the server has closed the connection, or sent what nobody asked for.
+static bool hasEnded(Connection &connection)
+{
+    beast::error_code ec;
+    char byte = 0;
+    connection.socket.non_blocking(true, ec);
+    connection.socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec != asio::error::would_block;
+}
+
 // Drops idle connections that the server may have closed, so that a call is not
 // lost on one of them.
-ApiClient::Private::ConnectionPointer ApiClient::Private::takeIdle()
+ConnectionPointer ApiClient::Private::takeIdle()
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = Clock::now();
     while (!idle.empty()) {
         auto connection = idle.back();
         idle.pop_back();
-        beast::error_code ec;
-        const bool hasClosed = connection->stream.socket().available(ec) > 0 || ec;
-        char byte = 0;
-        connection->stream.socket().non_blocking(true, ec);
-        connection->stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-        if (!hasClosed && ec == asio::error::would_block && now - connection->lastUsed < MaxIdle) {
+        const auto unused = now - connection->lastUsed;
+        if (unused < MaxUnasked || (unused < MaxIdle && !hasEnded(*connection))) {
             return connection;
         }
         --openConnections;
@@ -138,16 +233,17 @@
         request.body() = std::move(next.call.body);
         request.prepare_payload();
         connection->handler = std::move(next.handler);
-        connection->stream.expires_after(next.call.timeout);
+        connection->deadline = Clock::now() + next.call.timeout;
+        deadlines.watch(connection);
         if (isNew) {
-            connect(connection, next.call.timeout);
+            connect(connection);
         } else {
             write(connection);
         }
     }
 }
 
-void ApiClient::Private::connect(const ConnectionPointer &connection, std::chrono::milliseconds)
+void ApiClient::Private::connect(const ConnectionPointer &connection)
 {
     const auto endpoint = handleFailure([&]() -> Result<std::optional<tcp::endpoint>> { return endpointOf(address); },
                                         [](const Failure &) { return std::optional<tcp::endpoint>(); });
@@ -157,40 +253,41 @@
         });
         return;
     }
-    connection->stream.async_connect(*endpoint, [self = shared_from_this(), connection](beast::error_code ec) {
+    connection->socket.async_connect(*endpoint, [self = shared_from_this(), connection](beast::error_code ec) {
         if (ec) {
-            self->finish(connection,
-                         Failure{ErrorKind::DaemonUnreachable, addressText(self->address) + ": " + ec.message()},
-                         false);
+            self->finish(
+                connection,
+                Failure{ErrorKind::DaemonUnreachable, addressText(self->address) + ": " + reasonOf(*connection, ec)},
+                false);
             return;
         }
         beast::error_code ignored;
-        connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+        connection->socket.set_option(tcp::no_delay(true), ignored);
         self->write(connection);
     });
 }
 
 void ApiClient::Private::write(const ConnectionPointer &connection)
 {
-    bhttp::async_write(connection->stream, connection->request,
-                       [self = shared_from_this(), connection](beast::error_code ec, std::size_t) {
-                           if (ec) {
-                               self->finish(connection, Failure{ErrorKind::StoreReplyLost, ec.message()}, false);
-                               return;
-                           }
-                           connection->parser.emplace();
-                           connection->parser->body_limit(MaxAnswerBytes);
-                           bhttp::async_read(connection->stream, connection->buffer, *connection->parser,
-                                             [self, connection](beast::error_code readError, std::size_t) {
-                                                 self->onRead(connection, readError);
-                                             });
-                       });
+    bhttp::async_write(
+        connection->socket, connection->request,
+        [self = shared_from_this(), connection](beast::error_code ec, std::size_t) {
+            if (ec) {
+                self->finish(connection, Failure{ErrorKind::StoreReplyLost, reasonOf(*connection, ec)}, false);
+                return;
+            }
+            connection->parser.emplace();
+            connection->parser->body_limit(MaxAnswerBytes);
+            bhttp::async_read(
+                connection->socket, connection->buffer, *connection->parser,
+                [self, connection](beast::error_code readError, std::size_t) { self->onRead(connection, readError); });
+        });
 }
 
 void ApiClient::Private::onRead(const ConnectionPointer &connection, beast::error_code ec)
 {
     if (ec) {
-        finish(connection, Failure{ErrorKind::StoreReplyLost, ec.message()}, false);
+        finish(connection, Failure{ErrorKind::StoreReplyLost, reasonOf(*connection, ec)}, false);
         return;
     }
     auto message = connection->parser->release();
@@ -208,9 +305,9 @@
                                 bool isReusable)
 {
     const auto handler = std::move(connection->handler);
-    if (isReusable && !isClosed) {
-        connection->stream.expires_never();
-        connection->lastUsed = std::chrono::steady_clock::now();
+    deadlines.unwatch(connection);
+    if (isReusable && !isClosed && !connection->isTimedOut) {
+        connection->lastUsed = Clock::now();
         idle.push_back(connection);
     } else {
         --openConnections;
@@ -228,7 +325,7 @@
     ApiClient client(io, address, 1);
     std::optional<ports::AsyncResult<ApiAnswer>> result;
     client.call(call, [&](const ports::AsyncResult<ApiAnswer> &it) { result = it; });
-    io.run();
+    while (!result && io.run_one() > 0) { }
     if (!result) {
         return fail(ErrorKind::Internal, "the call ended without a result");
     }
