--- a/src/execution/workerkeeper.cpp
+++ b/src/execution/workerkeeper.cpp
@@ -1,13 +1,17 @@
 #include "execution/workerkeeper.h"
 
+#include <algorithm>
 #include <set>
 
 namespace monsoonspool::execution {
 
 namespace {
 
-// After a listing with ends, so that the ends of one moment share the next call.
+// After a listing with ends, so that the ends of one moment share the next call. With
+// many workers, a leader's time goes to such calls: each of them then gathers more ends.
 constexpr Duration EndsPause = 30ms;
+constexpr Duration EndsPauseForWorker = 70us;
+constexpr Duration MaxEndsPause = 150ms; // the shortest tasks run several times as long
 // After a listing without ends: the worker waited for one already.
 constexpr Duration QuietPause = 0ms;
 // After a call that failed.
@@ -73,10 +77,15 @@
         fleet.noteListing(id, result.value(), sentAt, scheduler.now());
         hooks.onChange();
         if (!isClosed) {
-            renewAfter(id, result.value().ended.empty() ? QuietPause : EndsPause);
+            renewAfter(id, result.value().ended.empty() ? QuietPause : endsPause());
         }
     }
 
+    Duration endsPause() const
+    {
+        return std::min(EndsPause + EndsPauseForWorker * static_cast<int>(kept.size()), MaxEndsPause);
+    }
+
     void start(const StartTask &order)
     {
         const auto *entry = fleet.entryOf(order.worker);
