Let work that must wait for its image's sake hold up no other

A size that found no worker was remembered for the rest of a plan, and larger sizes were passed over; but leftover work that disturbs fails for its image, not its size. Ruled out: closed or strained workers (6,085 of the 6,213 cores were open).

Change: what is remembered of leftover work that disturbs counts for its image alone. Lasting tasks that cannot stay with their image go where images are mixed already.

--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -352,9 +352,14 @@
     if (const auto it = job.avoided.find(task); it != job.avoided.end()) {
         demand.avoided = it->second;
     }
-    const bool isHopeless = std::ranges::any_of(failedDemands, [&](const FailedDemand &it) {
-        return it.service == demand.service && it.usesLeftover == spec.usesLeftover && spec.needs.holds(it.needs);
-    });
+    // Leftover work that disturbs others finds no worker for its image's sake.
+    const auto failedImage
+        = spec.usesLeftover && isConcerned ? std::optional(image) : std::optional<scheduling::ImageNumber>();
+    const auto isAlike = [&](const FailedDemand &it) {
+        return it.service == demand.service && it.usesLeftover == spec.usesLeftover && it.image == failedImage;
+    };
+    const bool isHopeless = std::ranges::any_of(
+        failedDemands, [&](const FailedDemand &it) { return isAlike(it) && spec.needs.holds(it.needs); });
     if (isHopeless) {
         return nullptr;
     }
@@ -362,10 +367,8 @@
     const bool isPlain = spec.requiredLabel.empty() && spec.maxPerWorker == 0;
     if (worker == nullptr && isPlain) {
         // Only the smallest sizes that failed are worth remembering.
-        std::erase_if(failedDemands, [&](const FailedDemand &it) {
-            return it.service == demand.service && it.usesLeftover == spec.usesLeftover && it.needs.holds(spec.needs);
-        });
-        failedDemands.push_back({demand.service, spec.usesLeftover, spec.needs});
+        std::erase_if(failedDemands, [&](const FailedDemand &it) { return isAlike(it) && it.needs.holds(spec.needs); });
+        failedDemands.push_back({demand.service, spec.usesLeftover, failedImage, spec.needs});
     }
     return worker;
 }
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -42,6 +43,7 @@
 {
     std::string_view service;
     bool usesLeftover = false;
+    std::optional<scheduling::ImageNumber> image; // if it decides where the task may go
     Resources needs;
 };
 
--- a/src/execution/rosterkeeper.cpp
+++ b/src/execution/rosterkeeper.cpp
@@ -109,9 +109,9 @@
                 takeRow(it);
             }
         }
-        log.record("roster-unstored",
-                   {{"error", result.isOk() ? "conflict" : answerFor(result.failure().kind).name},
-                    {"rows", writes.size()}});
+        log.record(
+            "roster-unstored",
+            {{"error", result.isOk() ? "conflict" : answerFor(result.failure().kind).name}, {"rows", writes.size()}});
         fleet.markRosterChanged();
         schedule(RetryPause);
     }
@@ -160,12 +160,12 @@
         if (bucket.value.empty()) {
             continue;
         }
-        const auto part = handleFailure([&] { return d->codec.decodeRoster(bucket.value); },
-                                        [&](const Failure &failure) {
-                                            d->log.record("row-unreadable",
-                                                          {{"key", RosterTable}, {"detail", failure.detail}});
-                                            return std::vector<ports::WorkerEntry>();
-                                        });
+        const auto part
+            = handleFailure([&] { return d->codec.decodeRoster(bucket.value); },
+                            [&](const Failure &failure) {
+                                d->log.record("row-unreadable", {{"key", RosterTable}, {"detail", failure.detail}});
+                                return std::vector<ports::WorkerEntry>();
+                            });
         entries.insert(entries.end(), part.begin(), part.end());
     }
     return entries;
--- a/src/execution/tenure.cpp
+++ b/src/execution/tenure.cpp
@@ -41,8 +41,8 @@
     void begin(const TenureStart &start)
     {
         const auto now = ports.scheduler.now();
-        rosterKeeper.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion, start.roster,
-                             [this] { requestPlan(); });
+        rosterKeeper.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion,
+                             start.roster, [this] { requestPlan(); });
         const auto lastLease = std::chrono::duration_cast<Duration>(workers::RunLease * (1 + ports::MaxClockDrift));
         fleet.beginTenure(start.fence, start.claimVersion, rosterKeeper->entries(), now + lastLease + FormerLeaseSlack);
         fleet.setQueues(start.queues);
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/tailforecast.h"
 
 #include <algorithm>
+#include <array>
 
 namespace monsoonspool::scheduling {
 
@@ -12,7 +13,8 @@
 constexpr double OtherRackCost = 10; // more than any difference of fit: such tasks run a multiple as long
 constexpr double AvoidedCost = 20; // more than any other: another worker may be sound
 constexpr double SameStepCost = 0.2; // for each lasting task of the same step beside it
-constexpr double OtherImageCost = 3; // for a lasting task, for the part of those beside it that are of other images
+constexpr double MixCost = 1; // for a lasting task beside lasting tasks of other images alone
+constexpr double FirstMixCost = 1; // besides, where these are of one image, and half of it where they are of two
 constexpr double QuietWorkerCost = 0.5; // for harmless work on a worker that others need because nobody serves there
 constexpr double DisturbanceCost = 8; // for each target's worth by which a tail would leave the safe range
 // Work that would bring a serving task's mean tail above this part of its target waits
@@ -42,16 +44,31 @@
     return DisturbanceCost * std::max(0.0, ratio - SafeMeanTailRatio);
 }
 
-// Returns the part of the serving tasks on `worker` that are of another image.
-double otherImages(const workers::Worker &worker, ImageNumber image)
+// Returns what a lasting task of `image` spoils on `worker` for leftover work. Where its
+// image serves already, nothing; where others do, the less the more of them there are.
+double mixCost(const workers::Worker &worker, ImageNumber image)
 {
-    int serving = 0;
-    int others = 0;
+    std::array<ImageNumber, 2> seen{};
+    std::size_t count = 0;
     for (const auto &it : worker.runs()) {
-        serving += it.isLasting ? 1 : 0;
-        others += it.isLasting && it.image != image ? 1 : 0;
+        if (!it.isLasting) {
+            continue;
+        }
+        if (it.image == image) {
+            return 0;
+        }
+        const auto end = seen.begin() + static_cast<std::ptrdiff_t>(std::min(count, seen.size()));
+        if (std::find(seen.begin(), end, it.image) == end) {
+            if (count < seen.size()) {
+                seen[count] = it.image;
+            }
+            ++count;
+        }
+    }
+    if (count == 0) {
+        return 0;
     }
-    return serving == 0 ? 0 : static_cast<double>(others) / serving;
+    return MixCost + (count <= seen.size() ? FirstMixCost / static_cast<double>(count) : 0);
 }
 
 bool isQuiet(const workers::Worker &worker)
@@ -76,7 +93,7 @@
     }
     sum += coreShare(worker.freeRoom() - step.needs, worker);
     if (step.isLasting) {
-        sum += SameStepCost * worker.runsOfStep(demand.task) + OtherImageCost * otherImages(worker, demand.image);
+        sum += SameStepCost * worker.runsOfStep(demand.task) + mixCost(worker, demand.image);
     }
     return sum;
 }
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <functional>
+
 namespace monsoonspool::execution {
 
 namespace {
@@ -115,4 +118,65 @@
     }
 }
 
+// The overloaded grown days: small work that finds no worker, since it would disturb
+// serving tasks everywhere, once kept all larger work from being placed, and half of the
+// processors that were left over stood idle beside a long queue.
+TEST(Fleet, WorkThatDisturbsDoesNotHoldUpWorkThatDoesNot)
+{
+    ReadyFleet ready(1);
+    const WorkerId worker("w0");
+    auto step = [](std::string_view image, std::int64_t milliCores) {
+        auto made = plainStep();
+        made.image = image;
+        made.needs = {milliCores, 100, 0};
+        return made;
+    };
+    auto serving = step("serving", 16000);
+    serving.isLasting = true;
+    serving.tailTarget = 18ms;
+    auto heavy = step("heavy", 8000);
+    heavy.usesLeftover = true;
+    ready.submit(1, serving, Start);
+    ready.submit(2, heavy, Start);
+    auto now = Start;
+    auto orders = ready.fleet.plan(now, Wall);
+    ASSERT_EQ(orders.starts.size(), 2U);
+    for (const auto &it : orders.starts) {
+        ready.fleet.noteStart(it, ports::RunAnswer::Accepted, now);
+    }
+    const auto runOf = [&](std::uint64_t key) {
+        return std::ranges::find(orders.starts, key, [](const StartTask &it) { return it.task.job.value; })->run;
+    };
+    const ports::ListedRun servingRun{{{1}, 0, 0, 0}, runOf(1), {}, 100, 30};
+    const ports::ListedRun heavyRun{{{2}, 0, 0, 0}, runOf(2), {}, 50, 8000};
+    // The tail is high beside the heavy work, and low without it.
+    constexpr int Measurements = 40;
+    for (int n = 0; n < Measurements; ++n) {
+        now += 600ms;
+        ports::WorkerListing listing;
+        listing.running = {servingRun, heavyRun};
+        ready.list(worker, listing, now);
+    }
+    ports::WorkerListing ended;
+    ended.running = {servingRun};
+    ended.ended = {{1, heavyRun.task, heavyRun.run, jobs::RunEnd::Done, {}}};
+    for (int n = 0; n < Measurements; ++n) {
+        now += 600ms;
+        ended.running.front().level = 7;
+        ready.list(worker, ended, now);
+    }
+    ready.fleet.plan(now, Wall);
+
+    auto small = step("heavy", 1000);
+    small.usesLeftover = true;
+    auto light = step("light", 4000);
+    light.usesLeftover = true;
+    // Both are late, so that the smaller one goes first.
+    ready.submit(3, small, now - 1s);
+    ready.submit(4, light, now - 1s);
+    orders = ready.fleet.plan(now, Wall);
+    ASSERT_EQ(orders.starts.size(), 1U);
+    EXPECT_EQ(orders.starts.front().task.job.value, 4U);
+}
+
 } // namespace monsoonspool::execution
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -172,7 +172,8 @@
         "processorShare":0.1,"logLinesPerSecond":100,"stopGraceSeconds":6})";
     EXPECT_TRUE(decodeSettings(good).faults.empty());
     EXPECT_EQ(decodeSettings(good).settings.stopGrace, std::chrono::milliseconds(6000));
-    const auto spoiled = decodeSettings(R"({"name":"","storeAddress":"nowhere","processorShare":0,"logLinesPerSecond":0,"colour":"red"})");
+    const auto spoiled = decodeSettings(
+        R"({"name":"","storeAddress":"nowhere","processorShare":0,"logLinesPerSecond":0,"colour":"red"})");
     std::vector<std::string> keys;
     for (const auto &it : spoiled.faults) {
         keys.push_back(it.key);
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -108,6 +108,29 @@
     EXPECT_EQ(TightFit().choose(demand, both, Now), alike.get());
 }
 
+// The grown days start with lasting tasks of ten images on four fifths of all processors:
+// some must mix. Those that do go where images are mixed already, so that most workers
+// stay with one image and of use to leftover work.
+TEST(TightFit, MixesImagesWhereTheyAreMixedAlready)
+{
+    constexpr ImageNumber S3 = 7;
+    auto empty = makeWorker("a");
+    auto pure = makeWorker("b");
+    auto mixed = makeWorker("c");
+    pure->add(serving(1, S1));
+    mixed->add(serving(2, S1));
+    mixed->add(serving(3, S2));
+    jobs::StepSpec step;
+    step.needs = {6000, 1000, 0};
+    step.isLasting = true;
+    step.tailTarget = 18ms;
+    const TaskDemand demand{{{9}, 0, 0, 0}, &step, S3, Service.view(), {}, {}, nullptr};
+    std::vector<workers::Worker *> all = {empty.get(), pure.get(), mixed.get()};
+    EXPECT_EQ(TightFit().choose(demand, all, Now), empty.get());
+    std::vector<workers::Worker *> used = {pure.get(), mixed.get()};
+    EXPECT_EQ(TightFit().choose(demand, used, Now), mixed.get());
+}
+
 // Some workers fail all that they start, and are free again at once.
 TEST(TightFit, SendsATaskThatFailedElsewhere)
 {
