Leave workers that few images may use to the work that needs them

Only workers without serving tasks were kept for the picky.

Change: HarmlessRoom knows for each image how much of its harmless room is wanted; a worker costs more the scarcer its room is for another image.

--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -54,7 +54,9 @@
         d->regulate(*it, now, orders);
     }
     d->failedDemands.clear();
-    for (const auto &it : d->waitingSteps(now, wall)) {
+    const auto waiting = d->waitingSteps(now, wall);
+    d->updateHarmlessRoom(waiting, now);
+    for (const auto &it : waiting) {
         if (it.job->job.stepSpec(it.step).isGang) {
             d->placeGang(it, now, orders);
         } else {
@@ -66,6 +68,32 @@
     return orders;
 }
 
+void Fleet::Private::updateHarmlessRoom(std::span<const WaitingStep> waiting, TimePoint now)
+{
+    if (!harmlessRoom.isDue(now)) {
+        return;
+    }
+    std::vector<std::int64_t> demands;
+    const auto add = [&](scheduling::ImageNumber image, std::int64_t milliCores) {
+        demands.resize(std::max(demands.size(), image + 1));
+        demands[image] += milliCores;
+    };
+    for (const auto *worker : workers) {
+        for (const auto &run : worker->runs()) {
+            add(run.image, run.usesLeftover ? run.needs.milliCores : 0);
+        }
+    }
+    for (const auto &it : waiting) {
+        const auto &spec = it.job->job.stepSpec(it.step);
+        if (spec.usesLeftover) {
+            const auto &step = it.job->job.step(it.occurrence, it.step);
+            add(interference.numberOf(spec.image),
+                spec.needs.milliCores * (spec.count - step.doneCount - step.activeCount));
+        }
+    }
+    harmlessRoom.update(workers, interference, demands, now);
+}
+
 void Fleet::Private::noteLapses(TimePoint now)
 {
     if (!unheard.empty() && now >= formerLeasesEnd) {
@@ -349,6 +377,7 @@
     demand.service = policyOf(job).service.view();
     demand.preferredRack = preferredRack;
     demand.interference = isConcerned ? &interference : nullptr;
+    demand.harmlessRoom = &harmlessRoom;
     if (const auto it = job.avoided.find(task); it != job.avoided.end()) {
         demand.avoided = it->second;
     }
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -2,6 +2,7 @@
 
 #include "execution/fleet.h"
 #include "jobs/runtimeestimator.h"
+#include "scheduling/harmlessroom.h"
 #include "scheduling/interferencemodel.h"
 #include "scheduling/waitingorder.h"
 #include "scheduling/workerchooser.h"
@@ -94,6 +95,7 @@
     void noteLapses(TimePoint now);
     scheduling::Rank rankOf(TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall);
     bool isBlocked(const TrackedJob &job, TimePoint now) const;
+    void updateHarmlessRoom(std::span<const WaitingStep> waiting, TimePoint now);
     std::vector<WaitingStep> waitingSteps(TimePoint now, jobs::WallTime wall);
     void placeStep(const WaitingStep &waiting, TimePoint now, Orders &orders);
     void placeGang(const WaitingStep &waiting, TimePoint now, Orders &orders);
@@ -122,6 +124,7 @@
     bool isRosterChanged = false;
     jobs::RunTimeEstimator estimator;
     scheduling::InterferenceModel interference;
+    scheduling::HarmlessRoom harmlessRoom;
     std::unique_ptr<scheduling::WaitingOrder> waitingOrder;
     std::unique_ptr<scheduling::WorkerChooser> workerChooser;
     std::vector<FailedDemand> failedDemands; // of the present plan
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -15,7 +15,7 @@
 constexpr double SameStepCost = 0.2; // for each lasting task of the same step beside it
 constexpr double MixCost = 1; // for a lasting task beside lasting tasks of other images alone
 constexpr double FirstMixCost = 1; // besides, where these are of one image, and half of it where they are of two
-constexpr double QuietWorkerCost = 0.5; // for harmless work on a worker that others need because nobody serves there
+constexpr double ContentionCost = 2; // for leftover work on a worker whose room is scarce for other images
 constexpr double DisturbanceCost = 8; // for each target's worth by which a tail would leave the safe range
 // Work that would bring a serving task's mean tail above this part of its target waits
 // for another worker: load swings by half around its mean, a tail grows without bound
@@ -71,11 +71,6 @@
     return MixCost + (count <= seen.size() ? FirstMixCost / static_cast<double>(count) : 0);
 }
 
-bool isQuiet(const workers::Worker &worker)
-{
-    return std::ranges::none_of(worker.runs(), &workers::Run::isLasting);
-}
-
 double cost(const workers::Worker &worker, const TaskDemand &demand, double ratio)
 {
     const auto &step = *demand.step;
@@ -88,8 +83,9 @@
         sum += OtherRackCost;
     }
     if (step.usesLeftover) {
-        const bool isWasted = isQuiet(worker) && demand.interference == nullptr;
-        return sum - coreShare(worker.leftoverRoom(), worker) + (isWasted ? QuietWorkerCost : 0);
+        const double contention
+            = demand.harmlessRoom == nullptr ? 0 : demand.harmlessRoom->contention(worker, demand.image);
+        return sum - coreShare(worker.leftoverRoom(), worker) + ContentionCost * contention;
     }
     sum += coreShare(worker.freeRoom() - step.needs, worker);
     if (step.isLasting) {
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -2,6 +2,7 @@
 
 #include "jobs/jobspec.h"
 #include "jobs/taskid.h"
+#include "scheduling/harmlessroom.h"
 #include "scheduling/interferencemodel.h"
 #include "workers/worker.h"
 
@@ -20,6 +21,7 @@
     std::string_view preferredRack; // of the other members of a colocated gang; empty for any
     std::span<const WorkerId> avoided; // where runs of the task have failed or stood still
     const InterferenceModel *interference = nullptr; // nullptr if the task disturbs nobody and is not disturbed
+    const HarmlessRoom *harmlessRoom = nullptr; // for leftover work; nullptr if nothing is known of it
 };
 
 // Returns whether `worker` may run the task at all, room aside.
@@ -39,8 +41,8 @@
 // processors fit most tightly, so that wide tasks find room elsewhere, and some
 // workers stay free of serving tasks. The rack of the data goes first. Tasks that use
 // leftover processors go where most is left over and no serving task beside them would
-// miss its target; those that disturb nobody leave the workers without serving tasks
-// to those that do. Lasting tasks of one image go together, since each image is
+// miss its target; among those, work takes the workers that work of other images needs
+// least: with many images, most workers are of use to a few of them only. Lasting tasks of one image go together, since each image is
 // disturbed by other work: then most work finds workers where it disturbs nobody.
 // A task that failed somewhere goes elsewhere, since some workers fail all that they
 // start, and would burn all its attempts.
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -6,6 +6,7 @@
 #include "scheduling/paceregulator.h"
 #include "workers/workerclock.h"
 
+#include <bitset>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -14,6 +15,11 @@
 
 namespace monsoonspool::workers {
 
+// Images with numbers below this are told apart where it matters which work disturbs
+// whom; work of images beyond is placed without that knowledge.
+constexpr std::size_t MaxTrackedImages = 128;
+using ImageSet = std::bitset<MaxTrackedImages>;
+
 enum class RunState {
     Ordered, // the order is on its way
     Unsettled, // no answer: it may run, or start later
@@ -111,6 +117,15 @@
     {
         m_isStrained = isStrained;
     }
+    // The images whose work is known to disturb a serving task here.
+    const ImageSet &disturbers() const
+    {
+        return m_disturbers;
+    }
+    void setDisturbers(const ImageSet &disturbers)
+    {
+        m_disturbers = disturbers;
+    }
     // Returns whether a listing came in since the last call.
     bool takeMeasured()
     {
@@ -225,6 +240,7 @@
     TimePoint m_failedAt; // last
     int m_suspicion = 0;
     scheduling::PaceRegulator m_paceRegulator;
+    ImageSet m_disturbers;
     bool m_isListed = true;
     bool m_isRostered = false;
     bool m_isConfirmed = false;
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -208,6 +208,40 @@
     EXPECT_EQ(joined, 11U) << "all that is left over beside the tolerant one";
 }
 
+// The overloaded grown days: eighteen images wait, each harmless on a third of the workers.
+// Work that may run anywhere took the room that work of another image needed, which
+// then waited beside idle processors.
+TEST(TightFit, LeavesRoomThatIsScarceToTheWorkThatNeedsIt)
+{
+    const auto model = learnedModel();
+    auto sensitive = makeWorker("a");
+    auto tolerant = makeWorker("b");
+    sensitive->add(serving(1, S1));
+    sensitive->add(serving(2, S1));
+    tolerant->add(serving(3, S2));
+    std::vector<workers::Worker *> both = {sensitive.get(), tolerant.get()};
+    std::vector<std::int64_t> demands(4, 0);
+    demands[Heavy] = 40000;
+    demands[Light] = 4000;
+    HarmlessRoom room;
+    ASSERT_TRUE(room.isDue(Now));
+    room.update(both, model, demands, Now);
+    EXPECT_FALSE(room.isDue(Now + 1ms));
+    const double leftover = static_cast<double>(tolerant->leftoverMilliCores());
+    EXPECT_NEAR(room.contention(*tolerant, Light), 40000 / leftover, 1e-9);
+    EXPECT_EQ(room.contention(*sensitive, Light), 0) << "heavy work cannot use it";
+    EXPECT_LT(room.contention(*tolerant, Heavy), 0.2) << "its own demand does not count";
+
+    const auto light = leftoverStep();
+    TaskDemand demand{{{9}, 0, 0, 0}, &light, Light, Service.view(), {}, {}, nullptr};
+    EXPECT_EQ(TightFit().choose(demand, both, Now), tolerant.get()) << "where most is left over";
+    demand.harmlessRoom = &room;
+    EXPECT_EQ(TightFit().choose(demand, both, Now), sensitive.get());
+    demand.image = Heavy;
+    demand.interference = &model;
+    EXPECT_EQ(TightFit().choose(demand, both, Now), tolerant.get());
+}
+
 TEST(SafePace, KeepsTheTailBelowItsTarget)
 {
     const auto model = learnedModel();
