--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -10,9 +10,12 @@
 namespace {
 
 // How long a worker may wait for an end before it answers a renewal. Renewals also
-// bring measurements, which matter where serving tasks have neighbours.
+// bring measurements, which matter where serving tasks have neighbours: most where a
+// tail comes near its target or work is paced. A tail may be over its target for 4 s.
 constexpr Duration QuietWait = 1500ms;
-constexpr Duration ServingWait = 600ms;
+constexpr Duration ServingWait = 1000ms;
+constexpr Duration CloseWait = 600ms;
+constexpr double CloseRatio = 0.7;
 constexpr int FullPace = 100;
 // Measurements of a worker cover its last half second.
 constexpr Duration ObserveInterval = 500ms;
@@ -25,6 +28,18 @@
 // Differs from every pace, so that the next plan orders one.
 constexpr int UnknownPace = -1;
 
+Duration listingWait(const workers::Worker &worker)
+{
+    const bool isServing = std::ranges::any_of(worker.runs(), &workers::Run::isLasting)
+        && std::ranges::any_of(worker.runs(), &workers::Run::usesLeftover);
+    if (!isServing) {
+        return QuietWait;
+    }
+    const bool isPaced = std::ranges::any_of(
+        worker.runs(), [](const workers::Run &it) { return it.usesLeftover && it.pace != FullPace; });
+    return isPaced || worker.tailRatio() >= CloseRatio ? CloseWait : ServingWait;
+}
+
 } // namespace
 
 ports::LeaseOrder Fleet::leaseOrder(const WorkerId &id, TimePoint now)
@@ -42,9 +57,7 @@
         order.deadline = worker->nextDeadline(now);
     }
     if (worker->isConfirmed() && !worker->isSilent()) {
-        const bool isServing = std::ranges::any_of(worker->runs(), &workers::Run::isLasting)
-            && std::ranges::any_of(worker->runs(), &workers::Run::usesLeftover);
-        order.wait = isServing ? ServingWait : QuietWait;
+        order.wait = listingWait(*worker);
     }
     return order;
 }
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -206,6 +206,7 @@
         }
     }
     worker.setStrained(tails.worstRatio >= 1);
+    worker.setTailRatio(tails.worstRatio);
     if (!hasLeftover) {
         return;
     }
--- a/src/http/apiclient.cpp
+++ b/src/http/apiclient.cpp
@@ -149,6 +149,7 @@
     ConnectionPointer takeIdle();
     void connect(const ConnectionPointer &connection);
     void write(const ConnectionPointer &connection);
+    void awaitAnswer(const ConnectionPointer &connection);
     void onRead(const ConnectionPointer &connection, beast::error_code ec);
     void finish(const ConnectionPointer &connection, const ports::AsyncResult<ApiAnswer> &result, bool isReusable);
 
@@ -276,11 +277,24 @@
                 self->finish(connection, Failure{ErrorKind::StoreReplyLost, reasonOf(*connection, ec)}, false);
                 return;
             }
+            self->awaitAnswer(connection);
+        });
+}
+
+// Waits before it reads: an answer is never there yet, and the read that finds nothing
+// is a system call for each call.
+void ApiClient::Private::awaitAnswer(const ConnectionPointer &connection)
+{
+    connection->socket.async_wait(
+        Socket::wait_read, [self = shared_from_this(), connection](beast::error_code waitError) {
+            if (waitError) {
+                self->onRead(connection, waitError);
+                return;
+            }
             connection->parser.emplace();
             connection->parser->body_limit(MaxAnswerBytes);
-            bhttp::async_read(
-                connection->socket, connection->buffer, *connection->parser,
-                [self, connection](beast::error_code readError, std::size_t) { self->onRead(connection, readError); });
+            bhttp::async_read(connection->socket, connection->buffer, *connection->parser,
+                              [self, connection](beast::error_code ec, std::size_t) { self->onRead(connection, ec); });
         });
 }
 
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -117,6 +117,15 @@
     {
         m_isStrained = isStrained;
     }
+    // The greatest ratio of a serving task's tail to its target, as last measured.
+    double tailRatio() const
+    {
+        return m_tailRatio;
+    }
+    void setTailRatio(double tailRatio)
+    {
+        m_tailRatio = tailRatio;
+    }
     // The images whose work is known to disturb a serving task here.
     const ImageSet &disturbers() const
     {
@@ -241,6 +250,7 @@
     int m_suspicion = 0;
     scheduling::PaceRegulator m_paceRegulator;
     ImageSet m_disturbers;
+    double m_tailRatio = 0;
     bool m_isListed = true;
     bool m_isRostered = false;
     bool m_isConfirmed = false;
