Encode a job's payload once for all its starts

A profile of calls to workers over loopback (29.7 us a call on this machine) names the escaping of payloads first, 8% of both sides; the tasks of a job carry the same 1 to 4 KB.

--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -165,6 +165,22 @@
     EXPECT_EQ(kindOf([&] { return rows.decodeProgress("no cbor"); }), ErrorKind::MalformedMessage);
 }
 
+TEST(WireCodec, OrdersCarryThePayloadAsItWasHandedIn)
+{
+    for (const auto *payload : {"", "plain", "quote \" and \\ and \n", "\xc3\xa9"}) {
+        SCOPED_TRACE(payload);
+        const ports::RunOrder order{{7}, {{0x5c0e7a21d94b36f8}, 0, 1, 17}, 2, payload, "ck", "tk", 486000};
+        const auto json = codec::Json::parse(encodeRun(order, encodePayload(order.payload)));
+        EXPECT_EQ(json.at("spec").get<std::string>(), payload);
+        EXPECT_EQ(json.at("task").get<std::string>(), "5c0e7a21d94b36f8.0.1.17");
+        EXPECT_EQ(json.at("run").get<int>(), 2);
+        EXPECT_EQ(json.at("fence").get<int>(), 7);
+        EXPECT_EQ(json.at("deadlineMs").get<int>(), 486000);
+        EXPECT_EQ(json.at("lastCheckpoint").get<std::string>(), "ck");
+        EXPECT_EQ(json.at("ticket").get<std::string>(), "tk");
+    }
+}
+
 TEST(PlatformSettings, NameEveryFault)
 {
     const std::string good = R"({"name":"n","region":"r","failureDomain":"d","clientAddress":"10.0.0.1:1",
