Hand what was learned of interference to the next leader

Cause: a leader's model of which images disturb which died with it; a new one placed work for some ten seconds as if nothing disturbed anybody, and paced what it had placed.

Change: the leader writes what it believes each 5 s to a row of its own (a few KB), and a new one takes it as a few dozen measurements, which its own outweigh.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -212,6 +212,34 @@
     });
 }
 
+std::string CborJobs::encode(std::span<const scheduling::LearnedServing> learned) const
+{
+    Json all = Json::array();
+    for (const auto &one : learned) {
+        Json presses = Json::object();
+        for (const auto &it : one.presses) {
+            presses[it.image] = it.press;
+        }
+        all.push_back({{"image", one.image}, {"baseRate", one.baseRate}, {"presses", std::move(presses)}});
+    }
+    return writeCbor(all);
+}
+
+Result<std::vector<scheduling::LearnedServing>> CborJobs::decodeLearned(std::string_view value) const
+{
+    return decodeWith(value, [](const Json &json) {
+        std::vector<scheduling::LearnedServing> learned;
+        for (const auto &it : json) {
+            scheduling::LearnedServing one{it.at("image").get<std::string>(), it.at("baseRate").get<double>(), {}};
+            for (const auto &[image, press] : it.at("presses").items()) {
+                one.presses.push_back({image, press.get<double>()});
+            }
+            learned.push_back(std::move(one));
+        }
+        return learned;
+    });
+}
+
 std::string CborJobs::encode(std::span<const ports::WorkerEntry> roster) const
 {
     Json json = Json::array();
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -329,6 +329,16 @@
     }
 }
 
+std::vector<scheduling::LearnedServing> Fleet::learnedInterference() const
+{
+    return d->interference.learned();
+}
+
+void Fleet::restoreInterference(std::span<const scheduling::LearnedServing> learned)
+{
+    d->interference.restore(learned);
+}
+
 const FleetCounts &Fleet::counts() const
 {
     auto &counts = d->counts;
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -6,6 +6,7 @@
 #include "jobs/queuepolicy.h"
 #include "metrics/latencyhistogram.h"
 #include "ports/workerlink.h"
+#include "scheduling/interferencemodel.h"
 
 #include <map>
 #include <memory>
@@ -113,6 +114,10 @@
     // The worker may not have taken the pace; it is ordered again.
     void notePaceFailed(const PaceTask &order);
 
+    // What was learned of interference, for the next leader.
+    std::vector<scheduling::LearnedServing> learnedInterference() const;
+    void restoreInterference(std::span<const scheduling::LearnedServing> learned);
+
     // Decides what to start, stop and pace now.
     Orders plan(TimePoint now, jobs::WallTime wall);
 
--- a/src/execution/rowlayout.cpp
+++ b/src/execution/rowlayout.cpp
@@ -63,6 +63,11 @@
     return {std::string(RosterTable), {}, std::string(2 - std::min<std::size_t>(number.size(), 2), '0') + number};
 }
 
+ports::RowName learnedRow()
+{
+    return {std::string(LearnedTable), {}, std::string(LearnedKey)};
+}
+
 int rosterBucketOf(const WorkerId &worker)
 {
     return static_cast<int>(XXH64(worker.view().data(), worker.view().size(), 0) % RosterBuckets);
--- a/src/execution/rowlayout.h
+++ b/src/execution/rowlayout.h
@@ -19,6 +19,7 @@
 //   leader    ""     "leader"    at a claim, then each beat    by all hosts, as it changes
 //   roster    ""     "owner"     at a claim                    by the leader, as a condition
 //   roster    ""     00..15      before a new worker is used   by a host that claims
+//   learned   ""     "presses"   by the leader, each 5 s       by a new leader
 //
 // The roster is apart from the leader's row, which all hosts follow: a few hundred
 // workers that join would send each of their rows to every host.
@@ -30,6 +31,8 @@
 inline constexpr std::string_view LeaderKey = "leader";
 inline constexpr std::string_view RosterTable = "roster";
 inline constexpr std::string_view RosterOwnerKey = "owner";
+inline constexpr std::string_view LearnedTable = "learned";
+inline constexpr std::string_view LearnedKey = "presses";
 inline constexpr int RosterBuckets = 16; // a worker that joins writes a sixteenth of the roster
 inline constexpr char CancelSuffix = 'x';
 
@@ -49,6 +52,7 @@
 // Returns the row with the workers of one bucket.
 ports::RowName rosterRow(int bucket);
 int rosterBucketOf(const WorkerId &worker);
+ports::RowName learnedRow();
 
 // Returns the job that a row's key names, or nothing for a foreign key.
 std::optional<jobs::JobKey> jobOfKey(std::string_view key);
--- a/src/execution/tenure.cpp
+++ b/src/execution/tenure.cpp
@@ -1,5 +1,6 @@
 #include "execution/tenure.h"
 
+#include "execution/learnedkeeper.h"
 #include "execution/progresskeeper.h"
 #include "execution/rosterkeeper.h"
 #include "execution/rowlayout.h"
@@ -46,6 +47,7 @@
         const auto lastLease = std::chrono::duration_cast<Duration>(workers::RunLease * (1 + ports::MaxClockDrift));
         fleet.beginTenure(start.fence, start.claimVersion, rosterKeeper->entries(), now + lastLease + FormerLeaseSlack);
         fleet.setQueues(start.queues);
+        learnedKeeper.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
         progressKeeper.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
         workerKeeper.emplace(ports.workers, ports.scheduler, fleet,
                              WorkerKeeper::Hooks{[this] { requestPlan(); }, hooks.onFenced, hooks.mayDecide});
@@ -208,12 +210,14 @@
         workerKeeper->carryOut(fleet.plan(ports.scheduler.now(), ports.wallNow()));
         progressKeeper->poke();
         rosterKeeper->poke();
+        learnedKeeper->poke(ports.scheduler.now());
     }
 
     ExecutionPorts ports;
     Hooks hooks;
     Fleet fleet;
     std::optional<RosterKeeper> rosterKeeper;
+    std::optional<LearnedKeeper> learnedKeeper;
     std::optional<ProgressKeeper> progressKeeper;
     std::optional<WorkerKeeper> workerKeeper;
     std::optional<TableFollower> jobFollower;
@@ -239,6 +243,7 @@
     d->workerFollower.reset();
     d->workerKeeper.reset();
     d->progressKeeper.reset();
+    d->learnedKeeper.reset();
     d->rosterKeeper.reset();
 }
 
--- a/src/scheduling/interferencemodel.cpp
+++ b/src/scheduling/interferencemodel.cpp
@@ -15,6 +15,9 @@
 // Ridge penalty, in units of squared core share: a press needs a few dozen
 // measurements beside a tenth of a worker to be believed.
 constexpr double Ridge = 0.08;
+// A restored belief counts as so many measurements beside so large a part of a worker.
+constexpr double RestoredCount = 25;
+constexpr double RestoredShare = 0.2;
 constexpr int Sweeps = 12; // of coordinate descent; it starts from the last fit
 constexpr double MinShare = 0.002;
 // Presses below this part of the base are taken for noise: of pairs that do not
@@ -79,29 +82,78 @@
     if (tailMs <= 0) {
         return;
     }
-    auto it = m_servings.find(serving);
-    if (it == m_servings.end()) {
-        it = m_servings.emplace(serving, Serving()).first;
-        it->second.moments.assign(1, 0.0);
-        it->second.products.assign(1, 0.0);
-        it->second.weights.assign(1, 0.0);
-    }
-    auto &model = it->second;
+    auto &model = servingOf(serving);
     std::vector<std::pair<std::size_t, double>> features = {{0, 1.0}};
     for (const auto &neighbour : neighbours) {
         if (neighbour.coreShare > MinShare) {
             features.emplace_back(model.indexOf(neighbour.image), neighbour.coreShare);
         }
     }
-    const double y = 1 / tailMs;
-    const std::size_t n = model.size();
+    model.add(features, 1 / tailMs, 1);
+}
+
+InterferenceModel::Serving &InterferenceModel::servingOf(ImageNumber image)
+{
+    auto it = m_servings.find(image);
+    if (it == m_servings.end()) {
+        it = m_servings.emplace(image, Serving()).first;
+        it->second.moments.assign(1, 0.0);
+        it->second.products.assign(1, 0.0);
+        it->second.weights.assign(1, 0.0);
+    }
+    return it->second;
+}
+
+// Adds `weight` measurements of 1/tail `y` beside the neighbours that `features` names.
+void InterferenceModel::Serving::add(std::span<const std::pair<std::size_t, double>> features, double y, double weight)
+{
+    const std::size_t n = size();
     for (const auto &[a, x] : features) {
-        model.products[a] += x * y;
+        products[a] += weight * x * y;
         for (const auto &[b, z] : features) {
-            model.moments[a * n + b] += x * z;
+            moments[a * n + b] += weight * x * z;
+        }
+    }
+    count += weight;
+}
+
+std::vector<LearnedServing> InterferenceModel::learned() const
+{
+    std::vector<std::string_view> names(m_numbers.size());
+    for (const auto &[name, number] : m_numbers) {
+        names[number] = name;
+    }
+    std::vector<LearnedServing> all;
+    for (ImageNumber serving = 0; serving < m_answers.size(); ++serving) {
+        const auto &answers = m_answers[serving];
+        if (answers.baseRate <= 0) {
+            continue;
+        }
+        LearnedServing one{std::string(names[serving]), answers.baseRate, {}};
+        for (ImageNumber image = 0; image < answers.presses.size(); ++image) {
+            if (answers.presses[image] > 0) {
+                one.presses.push_back({std::string(names[image]), answers.presses[image]});
+            }
+        }
+        all.push_back(std::move(one));
+    }
+    return all;
+}
+
+// What was believed comes back as measurements that would have led to it.
+void InterferenceModel::restore(std::span<const LearnedServing> learned)
+{
+    for (const auto &one : learned) {
+        auto &model = servingOf(numberOf(one.image));
+        const std::pair<std::size_t, double> alone[] = {{0, 1.0}};
+        model.add(alone, one.baseRate, RestoredCount);
+        for (const auto &it : one.presses) {
+            const std::pair<std::size_t, double> beside[]
+                = {{0, 1.0}, {model.indexOf(numberOf(it.image)), RestoredShare}};
+            model.add(beside, one.baseRate - it.press * RestoredShare, RestoredCount);
         }
     }
-    ++model.count;
+    m_fittedAt = TimePoint(); // due at once
 }
 
 void InterferenceModel::fit(TimePoint now)
--- a/src/scheduling/interferencemodel.h
+++ b/src/scheduling/interferencemodel.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace monsoonspool::scheduling {
@@ -20,6 +21,19 @@
     double coreShare = 0; // of the worker's processors, as used
 };
 
+// What is known of one serving image, to be kept beyond the life of a scheduler.
+struct LearnedServing
+{
+    struct Press
+    {
+        std::string image;
+        double press = 0; // see InterferenceModel::press()
+    };
+    std::string image;
+    double baseRate = 0; // see InterferenceModel::baseRate()
+    std::vector<Press> presses; // of the images that disturb it
+};
+
 // Learns by how much work of each image lengthens the response times of serving
 // tasks of each image, since only a few pairs disturb each other and nobody
 // declares which.
@@ -50,6 +64,11 @@
     // while unknown.
     double baseRate(ImageNumber serving) const;
 
+    // Returns what is believed now.
+    std::vector<LearnedServing> learned() const;
+    // Takes what another scheduler believed for a few dozen measurements of its own.
+    void restore(std::span<const LearnedServing> learned);
+
 private:
     struct Serving
     {
@@ -64,9 +83,12 @@
             return images.size() + 1;
         }
         std::size_t indexOf(ImageNumber image);
+        void add(std::span<const std::pair<std::size_t, double>> features, double y, double weight);
         void fit();
         void fade(double factor);
     };
+    Serving &servingOf(ImageNumber image);
+
     // What a fit says of one serving image.
     struct Answers
     {
--- a/tests/execution/executionlooptest.cpp
+++ b/tests/execution/executionlooptest.cpp
@@ -416,6 +416,28 @@
     }
 }
 
+// What was learned of interference outlives its leader.
+TEST(ExecutionLoop, ALeaderTakesUpWhatTheFormerOneLearned)
+{
+    Cluster cluster;
+    const std::vector<scheduling::LearnedServing> learned = {{"serving", 0.145, {{"heavy", 0.4}}}};
+    cluster.put(learnedRow(), cluster.codec.encode(learned));
+    cluster.put({std::string(LearnedTable), "", "foreign"}, "unreadable");
+    cluster.scheduler.runFor(10s);
+    ASSERT_GE(cluster.leader(), 0);
+    const auto first = cluster.rows.rows.at(learnedRow()).version;
+    cluster.killHost(cluster.leader());
+    cluster.scheduler.runFor(15s);
+    ASSERT_GE(cluster.leader(), 0);
+    const auto &row = cluster.rows.rows.at(learnedRow());
+    EXPECT_GT(row.version, first) << "written by the second leader";
+    const auto decoded = cluster.codec.decodeLearned(row.value).value();
+    ASSERT_EQ(decoded.size(), 1U);
+    EXPECT_EQ(decoded.front().image, "serving");
+    ASSERT_EQ(decoded.front().presses.size(), 1U);
+    EXPECT_NEAR(decoded.front().presses.front().press, 0.4, 0.15);
+}
+
 struct FaultCase
 {
     const char *name;
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -91,6 +91,30 @@
     EXPECT_FALSE(model.disturbsAny(Light));
 }
 
+// A takeover under load: without what the former leader knew, work went where it
+// disturbs until it was all learned again.
+TEST(InterferenceModel, IsHandedToTheNextSchedulerAndStillLearns)
+{
+    const auto former = learnedModel();
+    InterferenceModel model;
+    model.numberOf("other"); // numbers differ between schedulers
+    model.restore(former.learned());
+    model.fit(Now);
+    const auto s1 = model.numberOf("s1");
+    const auto heavy = model.numberOf("heavy");
+    EXPECT_NEAR(model.press(s1, heavy), former.press(S1, Heavy), 0.2 * former.press(S1, Heavy));
+    EXPECT_NEAR(model.baseRate(s1), former.baseRate(S1), 0.1 * former.baseRate(S1));
+    EXPECT_EQ(model.press(s1, model.numberOf("light")), 0);
+    EXPECT_FALSE(model.disturbsAny(model.numberOf("light")));
+    // Interference has shifted meanwhile: heavy work, which comes and goes, disturbs no more.
+    for (int n = 0; n < 400; ++n) {
+        const double share = n % 2 == 0 ? 0 : 0.1 + 0.01 * (n % 10);
+        model.observe(s1, std::vector{Neighbour{heavy, share}}, 4 / (1 - 0.42 - 0.2 * std::sin(n * 0.3)));
+    }
+    model.fit(Now + 10s);
+    EXPECT_EQ(model.press(s1, heavy), 0);
+}
+
 // The worst days: many kinds of leftover work, each of which disturbs some image.
 // Before lasting tasks were kept together by image, every worker had one of each.
 TEST(TightFit, KeepsLastingTasksOfOneImageTogether)
