--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -205,7 +205,6 @@
             tails.longestOver = std::max(tails.longestOver, now - run.underAt);
         }
     }
-    worker.setStrained(tails.worstRatio >= 1);
     worker.setTailRatio(tails.worstRatio);
     if (!hasLeftover) {
         return;
--- a/src/http/apiclient.cpp
+++ b/src/http/apiclient.cpp
@@ -124,6 +124,16 @@
     bool m_isTicking = false;
 };
 
+// Returns whether the server has closed the connection, or sent what nobody asked for.
+bool hasEnded(Connection &connection)
+{
+    beast::error_code ec;
+    char byte = 0;
+    connection.socket.non_blocking(true, ec);
+    connection.socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec != asio::error::would_block;
+}
+
 std::string reasonOf(const Connection &connection, const beast::error_code &ec)
 {
     return connection.isTimedOut ? "no answer in time" : ec.message();
@@ -181,16 +191,6 @@
     d->startNext();
 }
 
-// Returns whether the server has closed the connection, or sent what nobody asked for.
-static bool hasEnded(Connection &connection)
-{
-    beast::error_code ec;
-    char byte = 0;
-    connection.socket.non_blocking(true, ec);
-    connection.socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-    return ec != asio::error::would_block;
-}
-
 // Drops idle connections that the server may have closed, so that a call is not
 // lost on one of them.
 ConnectionPointer ApiClient::Private::takeIdle()
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -111,11 +111,7 @@
     // Whether a serving task is over its target, so that no leftover work may join.
     bool isStrained() const
     {
-        return m_isStrained;
-    }
-    void setStrained(bool isStrained)
-    {
-        m_isStrained = isStrained;
+        return m_tailRatio >= 1;
     }
     // The greatest ratio of a serving task's tail to its target, as last measured.
     double tailRatio() const
@@ -256,7 +252,6 @@
     bool m_isConfirmed = false;
     bool m_isSilent = false;
     bool m_isMeasured = false;
-    bool m_isStrained = false;
 };
 
 } // namespace monsoonspool::workers
--- a/tests/execution/executionlooptest.cpp
+++ b/tests/execution/executionlooptest.cpp
@@ -359,8 +359,8 @@
 {
     Cluster cluster;
     cluster.scheduler.runFor(2s);
-    constexpr int Joining = 200;
-    for (int n = 0; n < Joining; ++n) {
+    constexpr int joiningWorkers = 200;
+    for (int n = 0; n < joiningWorkers; ++n) {
         WorkerEntry entry;
         entry.id = WorkerId("joining-" + std::to_string(n));
         entry.service = Service;
@@ -388,7 +388,7 @@
             stored += cluster.codec.decodeRoster(row->second.value).value().size();
         }
     }
-    EXPECT_EQ(stored, static_cast<std::size_t>(Joining + WorkerCount));
+    EXPECT_EQ(stored, static_cast<std::size_t>(joiningWorkers + WorkerCount));
 }
 
 // A leader that does not know yet of its successor must not let new workers in: the
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -150,8 +150,8 @@
     const ports::ListedRun servingRun{{{1}, 0, 0, 0}, runOf(1), {}, 100, 30};
     const ports::ListedRun heavyRun{{{2}, 0, 0, 0}, runOf(2), {}, 50, 8000};
     // The tail is high beside the heavy work, and low without it.
-    constexpr int Measurements = 40;
-    for (int n = 0; n < Measurements; ++n) {
+    constexpr int measurements = 40;
+    for (int n = 0; n < measurements; ++n) {
         now += 600ms;
         ports::WorkerListing listing;
         listing.running = {servingRun, heavyRun};
@@ -160,7 +160,7 @@
     ports::WorkerListing ended;
     ended.running = {servingRun};
     ended.ended = {{1, heavyRun.task, heavyRun.run, jobs::RunEnd::Done, {}}};
-    for (int n = 0; n < Measurements; ++n) {
+    for (int n = 0; n < measurements; ++n) {
         now += 600ms;
         ended.running.front().level = 7;
         ready.list(worker, ended, now);
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -137,7 +137,7 @@
 // stay with one image and of use to leftover work.
 TEST(TightFit, MixesImagesWhereTheyAreMixedAlready)
 {
-    constexpr ImageNumber S3 = 7;
+    constexpr ImageNumber third = 7;
     auto empty = makeWorker("a");
     auto pure = makeWorker("b");
     auto mixed = makeWorker("c");
@@ -148,7 +148,7 @@
     step.needs = {6000, 1000, 0};
     step.isLasting = true;
     step.tailTarget = 18ms;
-    const TaskDemand demand{{{9}, 0, 0, 0}, &step, S3, Service.view(), {}, {}, nullptr};
+    const TaskDemand demand{{{9}, 0, 0, 0}, &step, third, Service.view(), {}, {}, nullptr};
     std::vector<workers::Worker *> all = {empty.get(), pure.get(), mixed.get()};
     EXPECT_EQ(TightFit().choose(demand, all, Now), empty.get());
     std::vector<workers::Worker *> used = {pure.get(), mixed.get()};
@@ -182,7 +182,7 @@
     const TaskDemand demand{{{9}, 0, 0, 0}, &light, Light, Service.view(), {}, {}, nullptr};
     std::vector<workers::Worker *> one = {worker.get()};
     EXPECT_EQ(TightFit().choose(demand, one, Now), worker.get());
-    worker->setStrained(true);
+    worker->setTailRatio(1);
     EXPECT_EQ(TightFit().choose(demand, one, Now), nullptr);
 }
 
