Wrap a long comment, and correct the count in another

Found on reading the whole change once more; comments only. The question to a connection that was idle takes two system calls since it asks no longer for the bytes that are there.

--- a/src/execution/tenure.cpp
+++ b/src/execution/tenure.cpp
@@ -24,8 +24,9 @@
 constexpr Duration MaxPlanDelay = 60ms;
 // Plans at least so often, for what time alone brings.
 constexpr Duration PlanInterval = 150ms;
-// How long the store may hold a question for changes. A cancellation, or a worker that leaves, must be seen within 2 s even if the answer
-// that tells of it is lost: so late is the silence noticed, with the client's slack.
+// How long the store may hold a question for changes. A cancellation, or a worker that
+// leaves, must be seen within 2 s even if the answer that tells of it is lost: so late
+// is the silence noticed, with the client's slack.
 constexpr Duration FollowWait = 1s;
 // A former leader's last renewal may lie a little behind the claim.
 constexpr Duration FormerLeaseSlack = 1s;
--- a/src/http/apiclient.cpp
+++ b/src/http/apiclient.cpp
@@ -23,7 +23,7 @@
 // An idle connection is not used again after this time.
 constexpr std::chrono::milliseconds MaxIdle{5000};
 // A connection that was idle for longer is asked whether the server has closed it, which
-// costs three system calls.
+// costs two system calls.
 constexpr std::chrono::milliseconds MaxUnasked{500};
 // How late a time limit may be noticed. One timer for all calls: two timers for each
 // call cost more than the call's own system calls.
