Log what tells the causes of a task that ran twice apart

The logs could not tell how: a start named neither its leader nor whether workers of the former leader had reported; an end of a run whose job's row had not been read was dropped without a line; a conflict on a progress row, a restart of a worker, and a second run of a task left none.

No decision changes.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -1,6 +1,7 @@
 #include "execution/fleet.h"
 
 #include "execution/fleetstate.h"
+#include "jobs/names.h"
 
 #include <algorithm>
 #include <utility>
@@ -39,9 +40,10 @@
 Fleet::~Fleet() = default;
 
 void Fleet::beginTerm(Epoch fence, std::uint64_t claimVersion, std::span<const ports::WorkerEntry> roster,
-                      TimePoint formerLeasesEnd)
+                      TimePoint formerLeasesEnd, TimePoint now)
 {
     d->fence = fence;
+    d->termBeganAt = now;
     d->claimVersion = claimVersion;
     d->formerLeasesEnd = formerLeasesEnd;
     d->jobsByKey.clear();
@@ -106,12 +108,12 @@
     return *worker;
 }
 
-void Fleet::Private::eraseWorker(const WorkerId &id)
+void Fleet::Private::eraseWorker(const WorkerId &id, TimePoint now)
 {
     const auto it = workersById.find(id);
     std::erase(workers, it->second.get());
     workersById.erase(it);
-    markReported(id);
+    markReported(id, now);
     isRosterChanged = true;
 }
 
@@ -148,6 +150,23 @@
     }
 }
 
+void Fleet::applyForeignProgress(jobs::JobKey key, const jobs::JobProgress &progress, std::uint64_t version)
+{
+    const auto *job = d->findJob(key);
+    const auto before = job == nullptr ? 0 : job->job.doneCount();
+    restoreProgress(key, progress);
+    job = d->findJob(key);
+    const auto learned = job == nullptr ? 0 : job->job.doneCount() - before;
+    ++d->counts.progressConflicts;
+    d->counts.foreignDoneTasks += static_cast<std::uint64_t>(learned);
+    d->log.record("progress-conflict",
+                  {{"job", jobs::jobName(key)},
+                   {"version", version},
+                   {"claimVersion", d->claimVersion},
+                   {"state", jobs::jobStateName(progress.state)},
+                   {"foreignDone", learned}});
+}
+
 void Fleet::cancel(jobs::JobKey key)
 {
     auto *job = d->findJob(key);
@@ -185,7 +204,7 @@
     }
     worker->setListed(true);
     if (entry.startTimeMs > worker->entry().startTimeMs && worker->entry().startTimeMs != 0) {
-        d->handleRestart(*worker, entry.startTimeMs, now);
+        d->handleRestart(*worker, entry.startTimeMs, "entry", now);
     }
     if (entry.startTimeMs < worker->entry().startTimeMs) {
         return; // the row describes an earlier incarnation of the worker
@@ -200,7 +219,7 @@
     worker->setEntry(entry);
 }
 
-void Fleet::removeWorker(const WorkerId &id, TimePoint)
+void Fleet::removeWorker(const WorkerId &id, TimePoint now)
 {
     auto *worker = d->findWorker(id);
     if (worker == nullptr) {
@@ -209,7 +228,7 @@
     d->log.record("worker-unlisted", {{"worker", id.view()}, {"runs", worker->runCount()}});
     worker->setListed(false);
     if (worker->runCount() == 0 && !d->unreportedWorkers.contains(id)) {
-        d->eraseWorker(id);
+        d->eraseWorker(id, now);
     }
 }
 
@@ -311,9 +330,10 @@
     }
 }
 
-void Fleet::Private::markReported(const WorkerId &id)
+void Fleet::Private::markReported(const WorkerId &id, TimePoint now)
 {
     if (unreportedWorkers.erase(id) > 0 && unreportedWorkers.empty()) {
+        log.record("takeover-complete", {{"fence", fence.value}, {"afterMs", toMilliseconds(now - termBeganAt)}});
         dropFinishedJobs();
     }
 }
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -47,6 +47,12 @@
     std::uint64_t stopped = 0;
     std::uint64_t unansweredStarts = 0; // starts that got no reply
     std::uint64_t paces = 0;
+    std::uint64_t startsDuringTakeover = 0; // ordered while a worker of the former leader's roster had not reported
+    std::uint64_t endsOfUnknownJobs = 0; // listed by workers before this leader had read the job's row
+    std::uint64_t duplicateRuns = 0; // of tasks that were done or active elsewhere when a worker listed the run
+    std::uint64_t workerRestarts = 0; // of workers known to this leader
+    std::uint64_t progressConflicts = 0; // progress rows that somebody else had changed
+    std::uint64_t foreignDoneTasks = 0; // tasks that such a row showed as done and this leader took as open
     std::size_t waitingJobs = 0; // jobs of which no task has begun
     std::size_t silentWorkers = 0;
     metrics::LatencyHistogram firstStart; // from acceptance to the first start order
@@ -76,7 +82,7 @@
     // `claimVersion` may be running on any worker of `roster`, which the former leader
     // stored; the leases of these runs expire at `formerLeasesEnd` at the latest.
     void beginTerm(Epoch fence, std::uint64_t claimVersion, std::span<const ports::WorkerEntry> roster,
-                   TimePoint formerLeasesEnd);
+                   TimePoint formerLeasesEnd, TimePoint now);
     Epoch fence() const;
 
     void setQueues(std::span<const jobs::QueuePolicy> queues);
@@ -85,6 +91,8 @@
     void addJob(AcceptedJob job, TimePoint now, jobs::WallTime wall);
     // Applies the stored progress of a job.
     void restoreProgress(jobs::JobKey key, const jobs::JobProgress &progress);
+    // Applies the progress that another host stored while this leader had planned from its own.
+    void applyForeignProgress(jobs::JobKey key, const jobs::JobProgress &progress, std::uint64_t version);
     void cancel(jobs::JobKey key);
     const jobs::Job *find(jobs::JobKey key) const;
     // Returns the number of accepted jobs per queue of which no task has begun.
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -74,16 +74,16 @@
         if (listing.startTimeMs < worker->entry().startTimeMs) {
             return; // an answer of an earlier incarnation
         }
-        d->handleRestart(*worker, listing.startTimeMs, now);
+        d->handleRestart(*worker, listing.startTimeMs, "listing", now);
     }
     worker->noteContact(listing.clock, sentAt, now);
     d->applyEnds(*worker, listing, now);
     d->applyRunning(*worker, listing, sentAt, now);
     d->resolveUnlistedRuns(*worker, listing, sentAt, now);
     d->observeInterference(*worker, now);
-    d->markReported(id);
+    d->markReported(id, now);
     if (!worker->isListed() && worker->runCount() == 0) {
-        d->eraseWorker(id);
+        d->eraseWorker(id, now);
     }
 }
 
@@ -107,7 +107,8 @@
                    {{"task", jobs::taskName(it.task)},
                     {"run", it.run},
                     {"worker", worker.entry().id.view()},
-                    {"how", jobs::runEndName(it.outcome)}});
+                    {"how", jobs::runEndName(it.outcome)},
+                    {"number", it.number}});
         const auto *run = worker.find(it.task);
         if (run != nullptr && run->number == it.run) {
             if (it.outcome == jobs::RunEnd::Done) {
@@ -168,8 +169,17 @@
 {
     auto *job = findJob(task.job);
     if (job == nullptr || !job->job.contains(task)) {
+        ++counts.endsOfUnknownJobs;
+        log.record("end-of-unknown-job",
+                   {{"task", jobs::taskName(task)}, {"run", run}, {"how", jobs::runEndName(how)}});
         return;
     }
+    const auto otherRun = job->job.doneRun(task);
+    if (how == jobs::RunEnd::Done && otherRun && *otherRun != run) {
+        ++counts.duplicateRuns;
+        log.record("task-done-again",
+                   {{"task", jobs::taskName(task)}, {"run", run}, {"otherRun", *otherRun}, {"fence", fence.value}});
+    }
     const bool wasOpen = job->job.isOpen();
     if (job->job.noteRunEnd(task, run, how, checkpoint, policyOf(*job).maxAttempts, now)) {
         changedJobs.insert(task.job);
@@ -284,8 +294,21 @@
         // Its needs are unknown; it may need everything that is free.
         run.needs = worker.freeResources();
     }
+    const bool isDuplicate = isKnown && job->job.isOpen() && !isWanted;
+    if (isDuplicate) {
+        ++counts.duplicateRuns;
+        log.record("run-duplicate",
+                   {{"task", jobs::taskName(listed.task)},
+                    {"run", listed.run},
+                    {"worker", worker.entry().id.view()},
+                    {"fence", fence.value}});
+    }
     log.record(isWanted ? "run-adopted" : "run-unwanted",
-               {{"task", jobs::taskName(listed.task)}, {"run", listed.run}, {"worker", worker.entry().id.view()}});
+               {{"task", jobs::taskName(listed.task)},
+                {"run", listed.run},
+                {"worker", worker.entry().id.view()},
+                {"fence", fence.value},
+                {"isKnownJob", isKnown ? 1 : 0}});
     if (!isWanted) {
         run.state = workers::RunState::Stopping;
     }
@@ -365,11 +388,20 @@
     }
 }
 
-void Fleet::Private::handleRestart(workers::Worker &worker, std::int64_t startTimeMs, TimePoint now)
+void Fleet::Private::handleRestart(workers::Worker &worker, std::int64_t startTimeMs, std::string_view source,
+                                   TimePoint now)
 {
+    ++counts.workerRestarts;
+    log.record("worker-restarted",
+               {{"worker", worker.entry().id.view()},
+                {"source", source},
+                {"formerStartMs", worker.entry().startTimeMs},
+                {"startMs", startTimeMs},
+                {"acknowledgedEnd", worker.acknowledgedEnd()},
+                {"runs", worker.runCount()}});
     expireRuns(worker, now, "restarted");
     worker.restart(startTimeMs);
-    markReported(worker.entry().id);
+    markReported(worker.entry().id, now);
 }
 
 void Fleet::applyStartReply(const StartTask &order, ports::StartResult answer, TimePoint now)
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -67,6 +67,7 @@
         }
     }
     d->counts.starts += orders.starts.size();
+    d->counts.startsDuringTakeover += d->unreportedWorkers.empty() ? 0 : orders.starts.size();
     d->counts.paces += orders.paces.size();
     return orders;
 }
@@ -114,7 +115,7 @@
         }
     }
     for (const auto &it : gone) {
-        eraseWorker(it);
+        eraseWorker(it, now);
     }
 }
 
@@ -437,6 +438,9 @@
                {{"task", jobs::taskName(task)},
                 {"run", number},
                 {"worker", worker.entry().id.view()},
+                {"fence", fence.value},
+                {"jobVersion", job.version},
+                {"unreported", unreportedWorkers.size()},
                 {"waitedMs", toMilliseconds(now - job.job.acceptedAt())},
                 {"freeCores", worker.freeResources().milliCores}});
     orders.starts.push_back({worker.entry().id, task, number, checkpoint, {}, run.startDeadline});
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -60,7 +60,7 @@
     // Returns the run that an order refers to, or nullptr if it has ended.
     workers::Run *findRun(const WorkerId &id, const jobs::TaskId &task, jobs::RunNumber number);
     workers::Worker &addWorker(const ports::WorkerEntry &entry);
-    void eraseWorker(const WorkerId &id);
+    void eraseWorker(const WorkerId &id, TimePoint now);
 
     // Ends of runs.
     void endRun(workers::Worker &worker, const jobs::TaskId &task, jobs::RunEnd how, std::string_view checkpoint,
@@ -69,10 +69,11 @@
                   TimePoint now);
     void recordCompletion(workers::Worker &worker, const workers::Run &run, TimePoint now);
     void expireRuns(workers::Worker &worker, TimePoint now, std::string_view reason);
-    void handleRestart(workers::Worker &worker, std::int64_t startTimeMs, TimePoint now);
+    // `source` names what told of the restart, for the log.
+    void handleRestart(workers::Worker &worker, std::int64_t startTimeMs, std::string_view source, TimePoint now);
     void markBegun(jobs::JobKey key);
     void dropIfFinished(jobs::JobKey key);
-    void markReported(const WorkerId &id);
+    void markReported(const WorkerId &id, TimePoint now);
     void dropFinishedJobs();
 
     // Steps of applyListing().
@@ -116,6 +117,7 @@
     DecisionLog &log;
     Epoch fence;
     std::uint64_t claimVersion = 0;
+    TimePoint termBeganAt;
     TimePoint formerLeasesEnd;
     std::set<WorkerId> unreportedWorkers; // on the former leader's roster; have not reported their runs
     std::map<std::string, jobs::QueuePolicy, std::less<>> queues;
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -46,7 +46,8 @@
         rosterWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion,
                              start.roster, [this] { requestPlan(); });
         const auto lastLease = std::chrono::duration_cast<Duration>(workers::RunLease * (1 + ports::MaxClockDrift));
-        fleet.beginTerm(start.fence, start.claimVersion, rosterWriter->entries(), now + lastLease + FormerLeaseSlack);
+        fleet.beginTerm(start.fence, start.claimVersion, rosterWriter->entries(), now + lastLease + FormerLeaseSlack,
+                        now);
         fleet.setQueues(start.queues);
         interferencePersister.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
         progressWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
--- a/src/execution/progresswriter.cpp
+++ b/src/execution/progresswriter.cpp
@@ -92,6 +92,8 @@
                      const ports::AsyncResult<ports::CommitResult> &result)
     {
         if (result.isOk() && result.value().isApplied) {
+            log.record("progress-stored",
+                       {{"fence", fleet.fence().value}, {"version", result.value().version}, {"jobs", keys.size()}});
             for (const auto &[key, state] : states) {
                 versions[key] = result.value().version;
                 if (jobs::isFinal(state)) {
@@ -140,7 +142,7 @@
             handleFailure(
                 [&]() -> Result<void> {
                     BOOST_LEAF_AUTO(progress, codec.decodeProgress(row.value));
-                    fleet.restoreProgress(*key, progress);
+                    fleet.applyForeignProgress(*key, progress, row.version);
                     return {};
                 },
                 [&](const Failure &failure) {
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -87,6 +87,23 @@
     return mutableStep(id.occurrence, id.step).tasks[static_cast<std::size_t>(id.index)];
 }
 
+std::optional<RunNumber> Job::doneRun(const TaskId &id) const
+{
+    const bool isOpened = id.occurrence < static_cast<int>(m_occurrences.size());
+    return isOpened ? task(id).doneRun : std::nullopt;
+}
+
+int Job::doneCount() const
+{
+    int count = 0;
+    for (const auto &occurrence : m_occurrences) {
+        for (const auto &it : occurrence.steps) {
+            count += it.doneCount;
+        }
+    }
+    return count;
+}
+
 bool Job::isReady(int occurrence, int step) const
 {
     const auto &all = m_occurrences[static_cast<std::size_t>(occurrence)].steps;
@@ -174,6 +191,7 @@
         if (stepSpec(id.step).isLasting) {
             return false;
         }
+        task.doneRun = run;
         if (stepSpec(id.step).isGang) {
             for (auto &it : step.tasks) {
                 markDone(id.occurrence, id.step, it);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -40,6 +41,7 @@
 struct Task
 {
     bool isDone = false;
+    std::optional<RunNumber> doneRun; // the run that was done, if this scheduler has seen its end
     std::vector<RunNumber> failedRuns; // without duplicates, since an end may be listed repeatedly
     std::uint8_t activeRuns = 0; // runs that may be active on a worker
     RunNumber lastRun = 0;
@@ -132,6 +134,10 @@
     {
         return !isFinal(m_state);
     }
+    // Returns the run whose end as done was passed to noteRunEnd(), or nullopt if there was none.
+    std::optional<RunNumber> doneRun(const TaskId &id) const;
+    // Returns the number of tasks that are done, in all occurrences.
+    int doneCount() const;
     std::span<const Occurrence> occurrences() const
     {
         return m_occurrences;
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <functional>
+#include <string>
+#include <vector>
 
 namespace monsoonspool::execution {
 
@@ -14,12 +16,20 @@
 constexpr Resources TaskSize{2000, 1000, 0};
 const ServiceName Service("desk");
 
-class NullLog : public DecisionLog
+// Keeps the names of the recorded events.
+class EventLog : public DecisionLog
 {
 public:
-    void record(std::string_view, std::initializer_list<DecisionField>) override
+    void record(std::string_view event, std::initializer_list<DecisionField>) override
     {
+        events.emplace_back(event);
     }
+    bool contains(std::string_view event) const
+    {
+        return std::ranges::find(events, event) != events.end();
+    }
+
+    std::vector<std::string> events;
 };
 
 // A fleet whose workers have all confirmed the fence and can take tasks.
@@ -28,7 +38,7 @@
 public:
     explicit ReadyFleet(int workers)
     {
-        fleet.beginTerm({1}, 0, {}, Start);
+        fleet.beginTerm({1}, 0, {}, Start, Start);
         for (int n = 0; n < workers; ++n) {
             ports::WorkerEntry entry;
             entry.id = WorkerId("w" + std::to_string(n));
@@ -61,7 +71,7 @@
         fleet.addJob(std::move(job), now, Wall);
     }
 
-    NullLog log;
+    EventLog log;
     Fleet fleet{log};
 };
 
@@ -179,4 +189,50 @@
     EXPECT_EQ(orders.starts.front().task.job.value, 4U);
 }
 
+// A task that ran twice leaves a log line and a count, whatever caused it.
+TEST(Fleet, RecordsARunOfATaskThatIsActiveElsewhere)
+{
+    ReadyFleet ready(2);
+    auto &fleet = ready.fleet;
+    ready.submit(7, plainStep(), Start);
+    const auto orders = fleet.plan(Start + 1ms, Wall);
+    ASSERT_EQ(orders.starts.size(), 1U);
+    const auto &order = orders.starts.front();
+    fleet.applyStartReply(order, ports::StartResult::Accepted, Start + 2ms);
+    EXPECT_EQ(fleet.counts().duplicateRuns, 0U);
+    const WorkerId other(order.worker == WorkerId("w0") ? "w1" : "w0");
+    ports::WorkerListing listing;
+    listing.running.push_back({order.task, 1, {}, 50, 0});
+    ready.list(other, listing, Start + 10ms);
+    EXPECT_EQ(fleet.counts().duplicateRuns, 1U);
+    EXPECT_TRUE(ready.log.contains("run-duplicate"));
+}
+
+TEST(Fleet, RecordsATaskThatIsDoneAgain)
+{
+    ReadyFleet ready(2);
+    auto &fleet = ready.fleet;
+    auto step = plainStep();
+    step.count = 2; // keeps the job open
+    ready.submit(7, step, Start);
+    const jobs::TaskId task{{7}, 0, 0, 0};
+    for (const int n : {0, 1}) {
+        ports::WorkerListing listing;
+        listing.ended.push_back({1, task, n + 1, jobs::RunEnd::Done, {}});
+        ready.list(WorkerId("w" + std::to_string(n)), listing, Start + 10ms);
+    }
+    EXPECT_EQ(fleet.counts().duplicateRuns, 1U);
+    EXPECT_TRUE(ready.log.contains("task-done-again"));
+}
+
+TEST(Fleet, RecordsTheEndOfARunWhoseJobItHasNotRead)
+{
+    ReadyFleet ready(1);
+    ports::WorkerListing listing;
+    listing.ended.push_back({1, {{9}, 0, 0, 0}, 1, jobs::RunEnd::Done, {}});
+    ready.list(WorkerId("w0"), listing, Start + 10ms);
+    EXPECT_EQ(ready.fleet.counts().endsOfUnknownJobs, 1U);
+    EXPECT_TRUE(ready.log.contains("end-of-unknown-job"));
+}
+
 } // namespace monsoonspool::execution
