--- a/src/ports/memory/memorychangestore.cpp
+++ b/src/ports/memory/memorychangestore.cpp
@@ -65,7 +65,8 @@
 {
     const RowName begin{std::string(table), std::string(part), std::string(first)};
     callWithFault<RowPage>(
-        m_scheduler, m_faults.next("scan", ++m_calls, m_scheduler.now()), ErrorKind::StoreReplyLost,
+        m_scheduler, m_faults.next("scan " + std::string(table), ++m_calls, m_scheduler.now()),
+        ErrorKind::StoreReplyLost,
         [this, begin, last = std::string(last)] {
             RowPage page;
             page.version = m_rows.version;
@@ -87,7 +88,7 @@
 
 void MemoryChangeStore::changes(std::string_view table, std::uint64_t after, Duration wait, Handler<RowPage> handler)
 {
-    const auto fault = m_faults.next("changes", ++m_calls, m_scheduler.now());
+    const auto fault = m_faults.next("changes " + std::string(table), ++m_calls, m_scheduler.now());
     const auto until = m_scheduler.now() + wait;
     m_scheduler.runAfter(fault.delay,
                          [this, fault, table = std::string(table), after, until, handler = std::move(handler)] {
--- a/src/ports/memory/simulatedworkers.cpp
+++ b/src/ports/memory/simulatedworkers.cpp
@@ -243,7 +243,7 @@
 void MemoryWorkerLink::renew(const WorkerEntry &worker, const LeaseOrder &order, Handler<WorkerListing> handler)
 {
     // Simulates the long poll with a fixed delay, not with a wait for the next end.
-    auto fault = nextFault("renew");
+    auto fault = nextFault("renew " + worker.id.text());
     fault.delay += std::min(order.wait, Duration(50ms));
     deliverOrder<WorkerListing>(
         m_scheduler, fault, [this, id = worker.id, order] { return m_workers.renew(id, order); }, std::move(handler));
@@ -252,23 +252,24 @@
 void MemoryWorkerLink::start(const WorkerEntry &worker, const RunOrder &order, Handler<StartResult> handler)
 {
     deliverOrder<StartResult>(
-        m_scheduler, nextFault("start"), [this, id = worker.id, order] { return m_workers.start(id, order); },
-        std::move(handler));
+        m_scheduler, nextFault("start " + worker.id.text()),
+        [this, id = worker.id, order] { return m_workers.start(id, order); }, std::move(handler));
 }
 
 void MemoryWorkerLink::stop(const WorkerEntry &worker, Epoch fence, const jobs::TaskId &task, jobs::RunNumber run,
                             Handler<Done> handler)
 {
     deliverOrder<Done>(
-        m_scheduler, nextFault("stop"),
+        m_scheduler, nextFault("stop " + worker.id.text()),
         [this, id = worker.id, fence, task, run] { return m_workers.stop(id, fence, task, run); }, std::move(handler));
 }
 
-void MemoryWorkerLink::pace(const WorkerEntry &, Epoch, const jobs::TaskId &, jobs::RunNumber, int,
+void MemoryWorkerLink::pace(const WorkerEntry &worker, Epoch, const jobs::TaskId &, jobs::RunNumber, int,
                             Handler<Done> handler)
 {
     deliverOrder<Done>(
-        m_scheduler, nextFault("pace"), [] { return AsyncResult<Done>(Done{}); }, std::move(handler));
+        m_scheduler, nextFault("pace " + worker.id.text()), [] { return AsyncResult<Done>(Done{}); },
+        std::move(handler));
 }
 
 void MemoryWorkerLink::closeConnections(const WorkerId &)
