--- a/src/ports/faultplan.h
+++ b/src/ports/faultplan.h
@@ -10,9 +10,10 @@
 // A fault injected into one call of a test double.
 struct Fault
 {
-    Duration delay{0}; // before the effect and the reply
+    Duration delay{0}; // before the effect
     bool isRefused = false; // the call fails without an effect
     bool isReplyLost = false; // the call takes effect, but its reply is lost
+    Duration replyDelay{0}; // between the effect and the reply
 };
 
 // Chooses the fault for each call of a test double.
--- a/src/ports/memory/memorychangestore.cpp
+++ b/src/ports/memory/memorychangestore.cpp
@@ -3,6 +3,7 @@
 #include "ports/memory/faultycall.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace monsoonspool::ports::memory {
 
@@ -109,16 +110,16 @@
     }
     RowPage page;
     page.version = m_rows.version;
-    for (const auto &it : m_rows.history) {
-        if (it.version > after && it.name.table == table) {
-            page.rows.push_back(it);
-        }
-    }
+    const auto first = std::ranges::upper_bound(m_rows.history, after, {}, &StoredRow::version);
+    std::copy_if(first, m_rows.history.end(), std::back_inserter(page.rows),
+                 [&](const StoredRow &it) { return it.name.table == table; });
     if (!page.rows.empty() || m_scheduler.now() >= until) {
         handler(page);
         return;
     }
-    m_scheduler.runAfter(PollInterval, [this, table, after, until, handler] { poll(table, after, until, handler); });
+    m_scheduler.runAfter(PollInterval, [this, table, seen = page.version, until, handler] {
+        poll(table, seen, until, handler); // nothing has changed up to there
+    });
 }
 
 } // namespace monsoonspool::ports::memory
--- a/src/ports/memory/simulatedworkers.cpp
+++ b/src/ports/memory/simulatedworkers.cpp
@@ -3,34 +3,65 @@
 #include "jobs/names.h"
 
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 namespace monsoonspool::ports::memory {
 
+namespace {
+
+// The platform's limits: a longer lease is shortened, and one listing has at most this many ends.
+constexpr WorkerMillis MaxLease = 10000;
+constexpr std::size_t MaxListedEnds = 500;
+
+} // namespace
+
 SimulatedWorkers::SimulatedWorkers(Scheduler &scheduler, const TaskModel &model)
-    : m_scheduler(scheduler), m_model(model)
+    : m_scheduler(scheduler), m_model(model), m_checker(model)
 {
 }
 
-void SimulatedWorkers::addWorker(const WorkerEntry &entry)
+void SimulatedWorkers::addWorker(const WorkerEntry &entry, double clockRate)
 {
     auto &worker = m_workers[entry.id];
     worker.entry = entry;
+    worker.clockRate = clockRate;
     worker.upSince = m_scheduler.now();
 }
 
-void SimulatedWorkers::crash(const WorkerId &id)
+void SimulatedWorkers::endProcess(SimulatedWorker &worker, bool isSilent)
 {
-    auto &worker = m_workers.at(id);
+    advance(worker);
+    observe("process-ended", worker, {}, 0, {});
     worker.isUp = false;
+    worker.isSilent = isSilent;
     worker.runs.clear();
+    worker.ended.clear();
+    m_checker.noteProcessEnded(worker.entry.id);
+    for (const auto &it : std::exchange(worker.waiters, {})) {
+        if (!isSilent) {
+            it.handler(Failure{ErrorKind::StoreReplyLost, "the connection was reset"});
+        }
+    }
+}
+
+void SimulatedWorkers::crash(const WorkerId &id, bool isSilent)
+{
+    endProcess(m_workers.at(id), isSilent);
 }
 
 void SimulatedWorkers::restart(const WorkerId &id, std::int64_t startTimeMs)
 {
-    auto entry = m_workers.at(id).entry;
+    auto &former = m_workers.at(id);
+    endProcess(former, former.isSilent);
+    auto entry = former.entry;
+    const auto clockRate = former.clockRate;
+    const bool isDisconnected = former.isDisconnected;
     entry.startTimeMs = startTimeMs;
     m_workers[id] = SimulatedWorker();
-    addWorker(entry);
+    addWorker(entry, clockRate);
+    m_workers[id].isDisconnected = isDisconnected;
+    observe("process-started", m_workers[id], {}, 0, std::to_string(startTimeMs));
 }
 
 void SimulatedWorkers::setDisconnected(const WorkerId &id, bool isDisconnected)
@@ -38,6 +69,12 @@
     m_workers.at(id).isDisconnected = isDisconnected;
 }
 
+bool SimulatedWorkers::isAnswering(const WorkerId &id) const
+{
+    const auto &worker = m_workers.at(id);
+    return !worker.isDisconnected && (worker.isUp || !worker.isSilent);
+}
+
 std::optional<Failure> SimulatedWorkers::unreachable(const SimulatedWorker &worker) const
 {
     if (worker.isDisconnected) {
@@ -56,45 +93,105 @@
 
 WorkerMillis SimulatedWorkers::workerClock(const SimulatedWorker &worker) const
 {
-    return toMilliseconds(m_scheduler.now() - worker.upSince);
+    const auto elapsed = std::chrono::duration<double, std::milli>(m_scheduler.now() - worker.upSince);
+    return static_cast<WorkerMillis>(elapsed.count() * worker.clockRate);
 }
 
-void SimulatedWorkers::recordViolation(std::string rule, const jobs::TaskId &task, const WorkerId &worker)
+void SimulatedWorkers::observe(std::string_view event, const SimulatedWorker &worker, const jobs::TaskId &task,
+                               jobs::RunNumber run, std::string_view detail) const
 {
-    m_violations.push_back({std::move(rule), jobs::taskName(task) + " on " + worker.text()});
+    if (m_observer) {
+        m_observer(event, worker.entry.id, task, run, detail);
+    }
 }
 
 void SimulatedWorkers::endRun(SimulatedWorker &worker, const Run &run, jobs::RunEnd outcome)
 {
+    observe("ended", worker, run.task, run.number, jobs::runEndName(outcome));
+    m_checker.noteEnd(worker.entry.id, worker.nextEndNumber, run.task, run.number, outcome);
     worker.ended.push_back({worker.nextEndNumber++, run.task, run.number, outcome, {}});
     worker.highestEndedRun[run.task] = std::max(worker.highestEndedRun[run.task], run.number);
-    if (outcome == jobs::RunEnd::Done) {
-        m_doneTasks.insert(run.task);
+}
+
+void SimulatedWorkers::extendLease(SimulatedWorker &worker, WorkerMillis deadline)
+{
+    worker.deadline = std::max(worker.deadline, std::min(deadline, workerClock(worker) + MaxLease));
+}
+
+void SimulatedWorkers::advanceLater(const SimulatedWorker &worker, Duration delay)
+{
+    m_scheduler.runAfter(delay, [this, id = worker.entry.id, startTimeMs = worker.entry.startTimeMs] {
+        auto &it = m_workers.at(id);
+        if (it.isUp && it.entry.startTimeMs == startTimeMs) {
+            advance(it);
+        }
+    });
+}
+
+void SimulatedWorkers::advance(SimulatedWorker &worker)
+{
+    if (!worker.isUp) {
+        return;
+    }
+    const bool isLeaseExpired = workerClock(worker) > worker.deadline;
+    const auto now = m_scheduler.now();
+    std::vector<Run> ended;
+    std::erase_if(worker.runs, [&](const Run &it) {
+        const bool isEnded = isLeaseExpired || it.endsAt <= now;
+        if (isEnded) {
+            ended.push_back(it);
+        }
+        return isEnded;
+    });
+    for (const auto &it : ended) {
+        const auto outcome = it.isStopping ? jobs::RunEnd::Stopped
+            : isLeaseExpired               ? jobs::RunEnd::Lapsed
+            : it.fails                     ? jobs::RunEnd::Failed
+                                           : jobs::RunEnd::Done;
+        endRun(worker, it, outcome);
+    }
+    if (isLeaseExpired) {
+        m_checker.noteLeaseExpired(worker.entry.id);
     }
+    answerWaiters(worker);
 }
 
 void SimulatedWorkers::advance()
 {
     for (auto &[id, worker] : m_workers) {
-        const bool isLeaseExpired = workerClock(worker) > worker.deadline;
-        std::vector<Run> remaining;
-        for (const auto &it : worker.runs) {
-            if (isLeaseExpired) {
-                endRun(worker, it, jobs::RunEnd::Lapsed);
-            } else if (it.endsAt <= m_scheduler.now()) {
-                endRun(worker, it, it.fails ? jobs::RunEnd::Failed : jobs::RunEnd::Done);
-            } else {
-                remaining.push_back(it);
-            }
-        }
-        worker.runs = std::move(remaining);
+        advance(worker);
+    }
+}
+
+WorkerListing SimulatedWorkers::listing(const SimulatedWorker &worker) const
+{
+    WorkerListing listing;
+    listing.clock = workerClock(worker);
+    listing.startTimeMs = worker.entry.startTimeMs;
+    const auto count = std::min(worker.ended.size(), MaxListedEnds);
+    listing.ended.assign(worker.ended.begin(), worker.ended.begin() + static_cast<std::ptrdiff_t>(count));
+    for (const auto &it : worker.runs) {
+        const auto length = std::max(it.endsAt - it.startedAt, Duration(1ms));
+        const auto percent = (m_scheduler.now() - it.startedAt) * 100 / length;
+        listing.running.push_back({it.task, it.number, {}, static_cast<int>(percent), 0});
+    }
+    return listing;
+}
+
+void SimulatedWorkers::answerWaiters(SimulatedWorker &worker)
+{
+    if (worker.ended.empty()) {
+        return;
+    }
+    for (const auto &it : std::exchange(worker.waiters, {})) {
+        it.handler(listing(worker));
     }
 }
 
 AsyncResult<WorkerListing> SimulatedWorkers::renew(const WorkerId &id, const LeaseOrder &order)
 {
-    advance();
     auto &worker = m_workers.at(id);
+    advance(worker);
     if (const auto failure = unreachable(worker)) {
         return *failure;
     }
@@ -102,25 +199,36 @@
         return Failure{ErrorKind::StaleEpoch, id.text()};
     }
     worker.fence = order.fence;
-    worker.deadline = std::max(worker.deadline, order.deadline);
-    std::erase_if(worker.ended, [&](const ListedRunEnd &it) {
-        if (it.number > order.acknowledgedEnd) {
-            return false;
-        }
-        if (it.outcome == jobs::RunEnd::Done) {
-            m_acknowledgedDoneTasks.insert(it.task);
+    extendLease(worker, order.deadline);
+    const auto acknowledged
+        = std::erase_if(worker.ended, [&](const ListedRunEnd &it) { return it.number <= order.acknowledgedEnd; });
+    if (acknowledged > 0) {
+        observe("acknowledged", worker, {}, 0,
+                std::to_string(order.acknowledgedEnd) + " fence " + std::to_string(order.fence.value));
+    }
+    m_checker.noteAcknowledged(id, order.acknowledgedEnd);
+    return listing(worker);
+}
+
+void SimulatedWorkers::poll(const WorkerId &id, const LeaseOrder &order, Handler<WorkerListing> handler)
+{
+    const auto result = renew(id, order);
+    if (!result.isOk() || !result.value().ended.empty() || order.wait <= Duration(0)) {
+        handler(result);
+        return;
+    }
+    const auto number = m_nextWaiter++;
+    m_workers.at(id).waiters.push_back({number, std::move(handler)});
+    m_scheduler.runAfter(order.wait, [this, id, number] {
+        auto &worker = m_workers.at(id);
+        advance(worker);
+        const auto it = std::ranges::find(worker.waiters, number, &Waiter::number);
+        if (it != worker.waiters.end()) {
+            const auto waiting = std::move(it->handler);
+            worker.waiters.erase(it);
+            waiting(listing(worker));
         }
-        return true;
     });
-    WorkerListing listing;
-    listing.clock = workerClock(worker);
-    listing.startTimeMs = worker.entry.startTimeMs;
-    listing.ended = worker.ended;
-    for (const auto &it : worker.runs) {
-        const auto percent = (m_scheduler.now() - it.startedAt) * 100 / (it.endsAt - it.startedAt);
-        listing.running.push_back({it.task, it.number, {}, static_cast<int>(percent), 0});
-    }
-    return listing;
 }
 
 AsyncResult<StartResult> SimulatedWorkers::start(const WorkerId &id, const RunOrder &order)
@@ -142,6 +250,7 @@
     if (isRunning) {
         return StartResult::Accepted;
     }
+    extendLease(worker, order.deadline); // also by a start that is refused from here on
     const auto ended = worker.highestEndedRun.find(order.task);
     if (ended != worker.highestEndedRun.end() && order.run <= ended->second) {
         return StartResult::Superseded;
@@ -152,27 +261,21 @@
         totalNeeds += it.needs;
     }
     if (!worker.entry.capacity.contains(totalNeeds)) {
-        recordViolation("over capacity", order.task, id);
-    }
-    for (const auto &[other, it] : m_workers) {
-        if (std::ranges::any_of(it.runs, [&](const Run &run) { return run.task == order.task; })) {
-            recordViolation("runs twice", order.task, id);
-        }
-    }
-    if (m_acknowledgedDoneTasks.contains(order.task)) {
-        recordViolation("started after it was done", order.task, id);
+        m_checker.record("over capacity", order.task, id);
     }
+    observe("started", worker, order.task, order.run, std::to_string(order.fence.value));
+    m_checker.noteStart(id, order.task, order.run, m_scheduler.now());
     ++m_starts;
-    worker.deadline = std::max(worker.deadline, order.deadline);
     worker.runs.push_back({order.task, order.run, profile.needs, m_scheduler.now(), m_scheduler.now() + profile.runTime,
-                           profile.alwaysFails});
+                           profile.alwaysFails, false});
+    advanceLater(worker, profile.runTime);
     return StartResult::Accepted;
 }
 
 AsyncResult<Done> SimulatedWorkers::stop(const WorkerId &id, Epoch fence, const jobs::TaskId &task, jobs::RunNumber run)
 {
-    advance();
     auto &worker = m_workers.at(id);
+    advance(worker);
     if (const auto failure = unreachable(worker)) {
         return *failure;
     }
@@ -183,18 +286,15 @@
     worker.highestEndedRun[task] = std::max(worker.highestEndedRun[task], run);
     const auto it = std::ranges::find_if(
         worker.runs, [&](const Run &candidate) { return candidate.task == task && candidate.number == run; });
-    if (it != worker.runs.end()) {
-        endRun(worker, *it, jobs::RunEnd::Stopped);
-        worker.runs.erase(it);
+    if (it != worker.runs.end() && !it->isStopping) {
+        it->isStopping = true;
+        it->endsAt = m_scheduler.now() + m_stopGrace;
+        advanceLater(worker, m_stopGrace);
+        advance(worker);
     }
     return Done{};
 }
 
-int SimulatedWorkers::doneCount(jobs::JobKey job) const
-{
-    return static_cast<int>(std::ranges::count_if(m_doneTasks, [&](const jobs::TaskId &it) { return it.job == job; }));
-}
-
 int SimulatedWorkers::runningCount() const
 {
     int count = 0;
@@ -219,57 +319,70 @@
 // Time until a sender gives up waiting for an answer.
 constexpr Duration OrderTimeout = 700ms;
 
+} // namespace
+
 // Executes an order after the fault's delay and passes on the answer. If the order or its
-// answer is lost, the sender times out; the order may still be executed after that.
-template <typename T, typename F>
-void deliverOrder(Scheduler &scheduler, const Fault &fault, F effect, Handler<T> handler)
+// answer is lost or late, the sender times out; the order may still be executed after that.
+template <typename T>
+void MemoryWorkerLink::deliver(const Fault &fault, Duration timeout, const WorkerId &id,
+                               std::function<void(Handler<T>)> effect, Handler<T> handler)
 {
-    const bool isAnswered = !fault.isRefused && !fault.isReplyLost;
-    if (!fault.isRefused) {
-        scheduler.runAfter(fault.delay, [effect = std::move(effect), isAnswered, handler] {
-            const AsyncResult<T> result = effect();
-            if (isAnswered) {
-                handler(result);
-            }
-        });
-    }
-    if (!isAnswered) {
-        scheduler.runAfter(OrderTimeout, [handler] { handler(Failure{ErrorKind::StoreReplyLost, "no answer"}); });
+    const auto isAnswered = std::make_shared<bool>(false);
+    const Handler<T> once = [isAnswered, handler = std::move(handler)](const AsyncResult<T> &result) {
+        if (!std::exchange(*isAnswered, true)) {
+            handler(result);
+        }
+    };
+    m_scheduler.runAfter(timeout, [once] { once(Failure{ErrorKind::StoreReplyLost, "no answer"}); });
+    if (fault.isRefused) {
+        return;
     }
+    const Handler<T> reply = [this, id, once, fault](const AsyncResult<T> &result) {
+        if (fault.isReplyLost || !m_workers.isAnswering(id)) {
+            return;
+        }
+        m_scheduler.runAfter(fault.replyDelay, [once, result] { once(result); });
+    };
+    m_scheduler.runAfter(fault.delay, [this, id, effect = std::move(effect), reply] {
+        if (m_workers.isAnswering(id)) {
+            effect(reply);
+        }
+    });
 }
 
-} // namespace
-
 void MemoryWorkerLink::renew(const WorkerEntry &worker, const LeaseOrder &order, Handler<WorkerListing> handler)
 {
-    // Simulates the long poll with a fixed delay, not with a wait for the next end.
-    auto fault = nextFault("renew " + worker.id.text());
-    fault.delay += std::min(order.wait, Duration(50ms));
-    deliverOrder<WorkerListing>(
-        m_scheduler, fault, [this, id = worker.id, order] { return m_workers.renew(id, order); }, std::move(handler));
+    deliver<WorkerListing>(
+        nextFault("renew " + worker.id.text()), order.wait + OrderTimeout, worker.id,
+        [this, id = worker.id, order](Handler<WorkerListing> reply) { m_workers.poll(id, order, std::move(reply)); },
+        std::move(handler));
 }
 
 void MemoryWorkerLink::start(const WorkerEntry &worker, const RunOrder &order, Handler<StartResult> handler)
 {
-    deliverOrder<StartResult>(
-        m_scheduler, nextFault("start " + worker.id.text()),
-        [this, id = worker.id, order] { return m_workers.start(id, order); }, std::move(handler));
+    deliver<StartResult>(
+        nextFault("start " + worker.id.text()), OrderTimeout, worker.id,
+        [this, id = worker.id, order](const Handler<StartResult> &reply) { reply(m_workers.start(id, order)); },
+        std::move(handler));
 }
 
 void MemoryWorkerLink::stop(const WorkerEntry &worker, Epoch fence, const jobs::TaskId &task, jobs::RunNumber run,
                             Handler<Done> handler)
 {
-    deliverOrder<Done>(
-        m_scheduler, nextFault("stop " + worker.id.text()),
-        [this, id = worker.id, fence, task, run] { return m_workers.stop(id, fence, task, run); }, std::move(handler));
+    deliver<Done>(
+        nextFault("stop " + worker.id.text()), OrderTimeout, worker.id,
+        [this, id = worker.id, fence, task, run](const Handler<Done> &reply) {
+            reply(m_workers.stop(id, fence, task, run));
+        },
+        std::move(handler));
 }
 
 void MemoryWorkerLink::pace(const WorkerEntry &worker, Epoch, const jobs::TaskId &, jobs::RunNumber, int,
                             Handler<Done> handler)
 {
-    deliverOrder<Done>(
-        m_scheduler, nextFault("pace " + worker.id.text()), [] { return AsyncResult<Done>(Done{}); },
-        std::move(handler));
+    deliver<Done>(
+        nextFault("pace " + worker.id.text()), OrderTimeout, worker.id,
+        [](const Handler<Done> &reply) { reply(Done{}); }, std::move(handler));
 }
 
 void MemoryWorkerLink::closeConnections(const WorkerId &)
--- a/src/ports/memory/simulatedworkers.h
+++ b/src/ports/memory/simulatedworkers.h
@@ -1,70 +1,78 @@
 #pragma once
 
 #include "ports/faultplan.h"
+#include "ports/memory/runchecker.h"
+#include "ports/memory/taskmodel.h"
 #include "ports/scheduler.h"
 #include "ports/workerlink.h"
 
+#include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace monsoonspool::ports::memory {
 
-// Behaviour of a task when it runs alone on a healthy worker.
-struct TaskProfile
-{
-    Duration runTime{1s};
-    bool alwaysFails = false;
-    Resources needs;
-};
-
-// Provides the actual behaviour of tasks, which the scheduler under test does not know.
-class TaskModel
-{
-public:
-    virtual ~TaskModel() = default;
-    virtual TaskProfile profile(const jobs::TaskId &task) const = 0;
-};
-
-// A violation of an invariant, as observed by the workers.
-struct Violation
-{
-    std::string rule;
-    std::string detail;
-};
-
-// In-memory workers, shared by all hosts, that run tasks under leases and fences. They
-// record each violation of these invariants:
-//  - a task does not run twice at the same time,
-//  - a task does not start after its completion was acknowledged,
-//  - the tasks on a worker do not exceed its capacity.
+// In-memory workers, shared by all hosts, that run tasks under leases and fences. A
+// RunChecker observes their runs; tasks on a worker must not exceed its capacity.
 class SimulatedWorkers
 {
 public:
+    // Called with what workers do, for the analysis of failures.
+    using Observer = std::function<void(std::string_view event, const WorkerId &worker, const jobs::TaskId &task,
+                                        jobs::RunNumber run, std::string_view detail)>;
+
     SimulatedWorkers(Scheduler &scheduler, const TaskModel &model);
 
-    void addWorker(const WorkerEntry &entry);
-    // Loses all runs of the worker, which is unreachable until restart().
-    void crash(const WorkerId &id);
+    // The worker's clock advances `clockRate` times as fast as the scheduler's.
+    void addWorker(const WorkerEntry &entry, double clockRate = 1);
+    // Loses all runs of the worker, which is unreachable until restart(). Orders to a worker
+    // that crashed silently get no answer; otherwise they are refused.
+    void crash(const WorkerId &id, bool isSilent = false);
+    // Starts a new process under the same identifier, which knows nothing of the former one.
     void restart(const WorkerId &id, std::int64_t startTimeMs);
     // Disconnects or reconnects the worker. While disconnected it keeps running but receives no
     // orders.
     void setDisconnected(const WorkerId &id, bool isDisconnected);
+    // A run that is stopped ends after `grace`.
+    void setStopGrace(Duration grace)
+    {
+        m_stopGrace = grace;
+    }
+    void setObserver(Observer observer)
+    {
+        m_observer = std::move(observer);
+    }
+
+    // Returns whether the worker receives orders and answers them, be it with a refusal.
+    bool isAnswering(const WorkerId &id) const;
 
     AsyncResult<WorkerListing> renew(const WorkerId &id, const LeaseOrder &order);
+    // Answers once a run has ended or the order's wait is over.
+    void poll(const WorkerId &id, const LeaseOrder &order, Handler<WorkerListing> handler);
     AsyncResult<StartResult> start(const WorkerId &id, const RunOrder &order);
     AsyncResult<Done> stop(const WorkerId &id, Epoch fence, const jobs::TaskId &task, jobs::RunNumber run);
 
     // Ends the tasks that are finished by now, and those whose lease has expired.
     void advance();
 
+    RunChecker &checker()
+    {
+        return m_checker;
+    }
+    const RunChecker &checker() const
+    {
+        return m_checker;
+    }
     const std::vector<Violation> &violations() const
     {
-        return m_violations;
+        return m_checker.violations();
+    }
+    int doneCount(jobs::JobKey job) const
+    {
+        return m_checker.doneCount(job);
     }
-    int doneCount(jobs::JobKey job) const;
     int startCount() const
     {
         return m_starts;
@@ -81,37 +89,55 @@
         TimePoint startedAt;
         TimePoint endsAt;
         bool fails = false;
+        bool isStopping = false; // ends as stopped at endsAt
+    };
+    // A renewal that waits for a run to end.
+    struct Waiter
+    {
+        std::uint64_t number = 0;
+        Handler<WorkerListing> handler;
     };
     struct SimulatedWorker
     {
         WorkerEntry entry;
         Epoch fence;
         bool isUp = true;
+        bool isSilent = false;
         bool isDisconnected = false;
+        double clockRate = 1;
         TimePoint upSince;
         WorkerMillis deadline = 0;
         std::int64_t nextEndNumber = 1;
         std::vector<Run> runs;
         std::vector<ListedRunEnd> ended;
+        std::vector<Waiter> waiters;
         std::map<jobs::TaskId, jobs::RunNumber> highestEndedRun;
     };
 
     std::optional<Failure> unreachable(const SimulatedWorker &worker) const;
     WorkerMillis workerClock(const SimulatedWorker &worker) const;
+    void extendLease(SimulatedWorker &worker, WorkerMillis deadline);
+    void advance(SimulatedWorker &worker);
+    void advanceLater(const SimulatedWorker &worker, Duration delay);
     void endRun(SimulatedWorker &worker, const Run &run, jobs::RunEnd outcome);
-    void recordViolation(std::string rule, const jobs::TaskId &task, const WorkerId &worker);
+    WorkerListing listing(const SimulatedWorker &worker) const;
+    void answerWaiters(SimulatedWorker &worker);
+    void endProcess(SimulatedWorker &worker, bool isSilent);
+    void observe(std::string_view event, const SimulatedWorker &worker, const jobs::TaskId &task, jobs::RunNumber run,
+                 std::string_view detail) const;
 
     Scheduler &m_scheduler;
     const TaskModel &m_model;
+    RunChecker m_checker;
+    Observer m_observer;
     std::map<WorkerId, SimulatedWorker> m_workers;
-    std::set<jobs::TaskId> m_acknowledgedDoneTasks;
-    std::set<jobs::TaskId> m_doneTasks;
-    std::vector<Violation> m_violations;
+    Duration m_stopGrace{0};
+    std::uint64_t m_nextWaiter = 1;
     int m_starts = 0;
 };
 
 // One host's connection to the workers, with its own faults. A fault's delay applies to the
-// order; an order whose answer is lost is still executed.
+// order; an order whose answer is lost or late is still executed.
 class MemoryWorkerLink : public WorkerLink
 {
 public:
@@ -127,6 +153,9 @@
 
 private:
     Fault nextFault(std::string_view name);
+    template <typename T>
+    void deliver(const Fault &fault, Duration timeout, const WorkerId &id, std::function<void(Handler<T>)> effect,
+                 Handler<T> handler);
 
     SimulatedWorkers &m_workers;
     Scheduler &m_scheduler;
--- a/tests/execution/executionlooptest.cpp
+++ b/tests/execution/executionlooptest.cpp
@@ -363,16 +363,4 @@
                              return name;
                          });
 
-// Checks that the violation checker detects a task that runs on two workers.
-TEST(SimulatedWorkers, ReportATaskThatRunsOnTwoWorkers)
-{
-    Cluster cluster;
-    const RunOrder order{{1}, {{7}, 0, 0, 0}, 1, {}, {}, {}, 100000};
-    cluster.workers.start(WorkerId("w0"), order);
-    EXPECT_TRUE(cluster.workers.violations().empty());
-    cluster.workers.start(WorkerId("w1"), order);
-    ASSERT_EQ(cluster.workers.violations().size(), 1U);
-    EXPECT_EQ(cluster.workers.violations().front().rule, "runs twice");
-}
-
 } // namespace monsoonspool::execution
