Keep a former leader from starting jobs accepted after the claim

Cause: during its takeover a leader held back only jobs whose row was as old as its claim (version <= claimVersion). A former leader that does not know of the claim reads newer jobs from its feed as well, and may start their tasks on a worker that the new leader has not reached, while the new leader starts them elsewhere.

Fix: the accepting host stores in the job's row the fence of the leader row that it has read. A leader starts no task of a job with a higher fence than its own, and steps down. During its takeover it starts only jobs with its own fence; the others wait for the reports of all workers or the end of their leases. So of two leaders at most the later one starts a job at once, and any other job is started by the later one only when it knows what the former one has started.

The comparison of versions is dropped: a job with this leader's fence was stored after the claim, so the comparison of fences holds back every job that it held back. The version stays in the log.

Jobs of hosts that have read the claim start at once, as before; the first test checks it. The row grows by some 8 bytes.

Older builds ignore the added key, and rows without it count as fence 0. A leader of an older build starts newer jobs as before: beside one the fault remains until the update is through.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -129,6 +129,7 @@
         json["times"] = Json::array(
             {job.spec.occurrences, job.spec.firstDue.time_since_epoch().count(), job.spec.interval.count()});
     }
+    putUnlessDefault(json, "fence", job.knownFence.value, Epoch().value);
     return writeCbor(json);
 }
 
@@ -139,6 +140,7 @@
         job.policy = decodePolicy(json.at("policy"));
         job.spec.payload = json.at("payload").get<std::string>();
         job.acceptedAt = jobs::WallTime(std::chrono::milliseconds(json.at("acceptedAt").get<std::int64_t>()));
+        job.knownFence = {json.value("fence", Epoch().value)};
         for (const auto &it : json.at("steps")) {
             job.spec.steps.push_back(decodeStep(it));
         }
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -180,6 +180,9 @@
     void reconcileLeadership()
     {
         const auto now = ports.scheduler.now();
+        if (leadership.row()) {
+            requestHandler.recordFence(leadership.row()->fence);
+        }
         if (term && (!leadership.isLeader() || leadership.fence() != termFence)) {
             ports.log.record("leadership-lost", {{"fence", termFence.value}});
             term.reset();
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -23,7 +23,7 @@
 
 TrackedJob::TrackedJob(AcceptedJob accepted, TimePoint acceptedAt)
     : job(accepted.key, std::move(accepted.spec), accepted.policy.queue, acceptedAt),
-      acceptedPolicy(std::move(accepted.policy)), version(accepted.version)
+      acceptedPolicy(std::move(accepted.policy)), knownFence(accepted.knownFence), version(accepted.version)
 {
 }
 
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -23,6 +23,7 @@
     jobs::QueuePolicy policy; // at acceptance; applies if the queue is removed later
     jobs::JobSpec spec;
     jobs::WallTime acceptedAt; // on the clock of the accepting host
+    Epoch knownFence; // of the leader row that the accepting host had read; 0 if that is unknown
     std::uint64_t version = 0; // of the job's row
 };
 
@@ -67,6 +68,8 @@
 //    after that worker's lease has certainly expired,
 //  - after a takeover, no task that the former leader may have started is started
 //    before every worker has reported its runs or its lease has expired,
+//  - no task is started of a job whose accepting host knew of a later leader, which may
+//    start it without waiting for this one,
 //  - the end of a run is acknowledged only after its effects were stored.
 //
 // Not thread-safe: owned by the control thread.
@@ -78,9 +81,10 @@
     Fleet(const Fleet &) = delete;
     Fleet &operator=(const Fleet &) = delete;
 
-    // Clears all state and begins a leadership term with `fence`. Jobs accepted up to
-    // `claimVersion` may be running on any worker of `roster`, which the former leader
-    // stored; the leases of these runs expire at `formerLeasesEnd` at the latest.
+    // Clears all state and begins a leadership term with `fence`, claimed by the commit
+    // `claimVersion`. Jobs with a lower knownFence may be running on any worker of `roster`,
+    // which the former leader stored; the leases of these runs expire at `formerLeasesEnd`
+    // at the latest.
     void beginTerm(Epoch fence, std::uint64_t claimVersion, std::span<const ports::WorkerEntry> roster,
                    TimePoint formerLeasesEnd, TimePoint now);
     Epoch fence() const;
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -318,10 +318,14 @@
 }
 
 // Tasks that a former leader may have started wait until every worker on its roster has
-// reported its runs, or their leases have expired.
+// reported its runs, or their leases have expired. A former leader starts no task of a job
+// whose accepting host knew of this leader.
 bool Fleet::Private::isBlockedByTakeover(const TrackedJob &job, TimePoint now) const
 {
-    return !unreportedWorkers.empty() && job.version <= claimVersion && now < formerLeasesEnd;
+    if (job.knownFence > fence) {
+        return true;
+    }
+    return !unreportedWorkers.empty() && job.knownFence < fence && now < formerLeasesEnd;
 }
 
 scheduling::Rank Fleet::Private::rankOf(TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall)
@@ -439,6 +443,7 @@
                 {"run", number},
                 {"worker", worker.entry().id.view()},
                 {"fence", fence.value},
+                {"jobFence", job.knownFence.value},
                 {"jobVersion", job.version},
                 {"unreported", unreportedWorkers.size()},
                 {"waitedMs", toMilliseconds(now - job.job.acceptedAt())},
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -24,6 +24,7 @@
 
     jobs::Job job;
     jobs::QueuePolicy acceptedPolicy;
+    Epoch knownFence; // see AcceptedJob
     std::uint64_t version = 0;
     int activeRuns = 0; // on all workers
     bool isFinalStateStored = false;
--- a/src/execution/jobrequesthandler.cpp
+++ b/src/execution/jobrequesthandler.cpp
@@ -197,6 +197,7 @@
     const RowCodec &codec;
     DecisionLog &log;
     TimePoint lastContactAt;
+    Epoch fence; // of the leader row as last read
 };
 
 JobRequestHandler::JobRequestHandler(ports::ChangeStore &store, ports::Scheduler &scheduler, const RowCodec &codec,
@@ -212,9 +213,15 @@
     d->lastContactAt = now;
 }
 
+void JobRequestHandler::recordFence(Epoch fence)
+{
+    d->fence = fence;
+}
+
 void JobRequestHandler::submit(AcceptedJob job, TimePoint deadline, std::function<void(SubmitResult)> reply)
 {
     auto submission = std::make_shared<Private::Submission>();
+    job.knownFence = d->fence;
     submission->key = job.key;
     submission->commit.conditions.push_back({progressRow(job.key), 0});
     submission->commit.writes.push_back({jobRow(job.key), d->codec.encode(job)});
--- a/src/execution/jobrequesthandler.h
+++ b/src/execution/jobrequesthandler.h
@@ -43,6 +43,8 @@
     // Records that the store answered this host. After StoreContactTimeout without an
     // answer, requests fail immediately, so that clients try another host or retry later.
     void recordContact(TimePoint now);
+    // Records the fence of the leader row as read; jobs are stored with it.
+    void recordFence(Epoch fence);
 
     // Calls `reply` by `deadline` at the latest.
     void submit(AcceptedJob job, TimePoint deadline, std::function<void(SubmitResult)> reply);
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -130,6 +130,13 @@
                 BOOST_LEAF_AUTO(job, ports.codec.decodeJob(row.value));
                 job.key = key;
                 job.version = row.version;
+                if (job.knownFence > fleet.fence()) {
+                    ports.log.record("job-of-successor",
+                                     {{"job", jobs::jobName(key)},
+                                      {"jobFence", job.knownFence.value},
+                                      {"fence", fleet.fence().value}});
+                    hooks.onFenced();
+                }
                 progressWriter->recordVersion(key, row.version);
                 fleet.addJob(std::move(job), ports.scheduler.now(), ports.wallNow());
                 return {};
--- /dev/null
+++ b/tests/execution/takeovertest.cpp
@@ -0,0 +1,164 @@
+#include "execution/testcluster.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <string_view>
+
+// Two leaders at once: the former one does not know yet that another host has claimed.
+namespace monsoonspool::execution {
+
+using namespace testcluster;
+
+namespace {
+
+constexpr Fault Refused{2ms, true, false};
+
+// A cluster whose leader cannot learn of its successor: it reaches only the worker w0, which
+// no other host reaches, its writes are refused, and it does not receive the leader row. It
+// still reads the jobs.
+class SplitCluster : public Cluster
+{
+public:
+    void split()
+    {
+        former = leader();
+        for (int n = 0; n < HostCount; ++n) {
+            host(n).workerFaults.rule = [isFormer = n == former](std::string_view call, TimePoint) {
+                return call.ends_with("w0") != isFormer ? std::optional(Refused) : std::nullopt;
+            };
+        }
+        host(former).storeFaults.rule = [](std::string_view call, TimePoint) {
+            return call == "commit" || call == "changes leader" ? std::optional(Refused) : std::nullopt;
+        };
+    }
+
+    void heal()
+    {
+        for (auto &it : hosts) {
+            it->workerFaults.rule = {};
+            it->storeFaults.rule = {};
+        }
+    }
+
+    // Waits until another host leads and has read the stored state, and returns it.
+    int awaitSuccessor()
+    {
+        for (int step = 0; step < 4000; ++step) {
+            scheduler.runFor(1ms);
+            for (int n = 0; n < HostCount; ++n) {
+                if (n != former && host(n).loop->summary().isLoaded) {
+                    return n;
+                }
+            }
+        }
+        return -1;
+    }
+
+    // The host that is neither of the two.
+    int other(int successor) const
+    {
+        return HostCount - former - successor;
+    }
+
+    int former = -1;
+};
+
+} // namespace
+
+// Until all workers have reported, a leader starts only jobs whose host knew of its claim. A
+// host of an earlier release stores no fence.
+TEST(Takeover, StartsOnlyJobsThatNoOtherLeaderMayStart)
+{
+    struct Case
+    {
+        const char *name;
+        std::uint64_t knownFence;
+        std::size_t startsBefore; // all workers have reported
+        std::size_t startsAfter;
+    };
+    constexpr TimePoint start{1h};
+    constexpr std::uint64_t claimVersion = 10;
+    for (const auto &it : {Case{"not stored", 0, 0, 1}, Case{"former leader", 4, 0, 1}, Case{"this leader", 5, 1, 1},
+                           Case{"successor", 6, 0, 0}}) {
+        SCOPED_TRACE(it.name);
+        std::vector<WorkerEntry> roster(2);
+        NullLog log;
+        Fleet fleet(log);
+        for (std::size_t n = 0; n < roster.size(); ++n) {
+            roster[n].id = WorkerId("w" + std::to_string(n));
+            roster[n].service = Service;
+            roster[n].capacity = {16000, 32000, 0};
+            roster[n].startTimeMs = 1;
+        }
+        fleet.beginTerm({5}, claimVersion, roster, start + 7s, start);
+        const auto report = [&](const WorkerEntry &worker) {
+            WorkerListing listing;
+            listing.clock = 1000;
+            listing.startTimeMs = 1;
+            fleet.updateWorker(worker, start);
+            fleet.applyListing(worker.id, listing, start, start);
+        };
+        AcceptedJob job;
+        job.key = {7};
+        job.policy.service = Service;
+        job.spec.steps.resize(1);
+        job.spec.steps[0].needs = TaskSize;
+        job.knownFence = {it.knownFence};
+        job.version = claimVersion + 1;
+        fleet.addJob(job, start, {});
+        report(roster[0]);
+        const auto before = fleet.plan(start + 1ms, {}).starts.size();
+        EXPECT_EQ(before, it.startsBefore);
+        report(roster[1]);
+        EXPECT_EQ(before + fleet.plan(start + 2ms, {}).starts.size(), it.startsAfter);
+    }
+}
+
+// Guards against a task that runs on two workers: the former leader read the job's row from
+// its feed and started the tasks on the worker that the new leader had not reached.
+TEST(Takeover, AJobAcceptedAfterTheClaimStartsOnce)
+{
+    SplitCluster cluster;
+    cluster.scheduler.runFor(2s);
+    cluster.split();
+    ASSERT_GE(cluster.former, 0);
+    const int successor = cluster.awaitSuccessor();
+    ASSERT_GE(successor, 0);
+    cluster.submit(cluster.other(successor), 7);
+    cluster.scheduler.runFor(300ms);
+    EXPECT_EQ(cluster.answers[7], SubmitResult::Accepted);
+    EXPECT_EQ(cluster.workers.runningCount(), 3) << "the new leader starts it without waiting for w0";
+    cluster.scheduler.runFor(700ms);
+    cluster.heal();
+    cluster.scheduler.runFor(15s);
+    EXPECT_EQ(cluster.workers.doneCount({7}), TasksPerJob);
+    EXPECT_EQ(violationsOf(cluster), "");
+}
+
+// The same, with a job that its host sent to the store before it knew of the claim.
+TEST(Takeover, AJobStoredLateAfterTheClaimStartsOnce)
+{
+    SplitCluster cluster;
+    cluster.taskModel.overrides[{7}] = {3s, false, TaskSize};
+    cluster.scheduler.runFor(2s);
+    cluster.split();
+    ASSERT_GE(cluster.former, 0);
+    const int accepting = (cluster.former + 1) % HostCount;
+    cluster.host(accepting).storeFaults.rule = [](std::string_view call, TimePoint) {
+        return call == "commit" ? std::optional(Fault{2400ms, false, false}) : std::nullopt;
+    };
+    cluster.scheduler.runFor(500ms);
+    cluster.submit(accepting, 7);
+    const int successor = cluster.awaitSuccessor();
+    ASSERT_EQ(successor, cluster.other(accepting));
+    EXPECT_FALSE(cluster.answers.contains(7)) << "the job must be stored after the claim";
+    cluster.scheduler.runFor(1500ms);
+    EXPECT_EQ(cluster.answers[7], SubmitResult::Accepted);
+    cluster.heal();
+    cluster.scheduler.runFor(15s);
+    EXPECT_EQ(cluster.workers.doneCount({7}), TasksPerJob);
+    EXPECT_EQ(violationsOf(cluster), "");
+}
+
+} // namespace monsoonspool::execution
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -153,11 +153,16 @@
     job.spec.steps[1].after = {0};
     job.spec.steps[1].tailTarget = 18ms;
     job.spec.steps[1].isGang = true;
+    job.knownFence = {12};
     const auto decoded = valueOf([&] { return rows.decodeJob(rows.encode(job)); });
     EXPECT_EQ(decoded.policy.stretch, 1.5);
     EXPECT_EQ(decoded.spec.steps[1].after, std::vector<int>{0});
     EXPECT_EQ(decoded.spec.steps[1].tailTarget, std::optional<Duration>(18ms));
     EXPECT_TRUE(decoded.spec.steps[1].isGang);
+    EXPECT_EQ(decoded.knownFence, Epoch{12});
+    job.knownFence = {};
+    EXPECT_EQ(rows.encode(job).find("fence"), std::string::npos) << "rows of earlier releases have no such key";
+    EXPECT_EQ(valueOf([&] { return rows.decodeJob(rows.encode(job)); }).knownFence, Epoch{});
     jobs::JobProgress progress;
     progress.state = jobs::JobState::Running;
     progress.occurrences = {{jobs::StepProgress{"D.", {{1, {2, 3}}}}}};
