Refuse a former leader's writes of progress after the claim

Callers saw: a task started again after it was done (hypothesis 1b of docs/incidents/2026-12-05-task-ran-twice.md; whether it is what the users saw is not known).

Cause: a commit of progress depended only on the versions of the progress rows. A former leader could store an end after its successor had read the progress, and then acknowledge it to a worker that had not seen the new fence. The worker forgets an acknowledged end, so the successor saw neither the row nor the end, and started the task again.

Evidence: Takeover.* on the code before this commit, with a former leader that reaches only w0 and does not receive the leader row. In the first test the store performs its write of progress 2.5 s late; in the second the tasks end while its writes are refused, and it stores them in a retry:

(all 6 tasks)

With this commit but without the condition in ProgressWriter::commit both fail in the same way.

Fix: each claim writes one more row in each part of the progress table, and each commit of progress requires that row of a part that it writes to have the version of the leader's claim. A claim writes all of them at once, so one condition is enough also where a commit spans parts. A conflict on it means a successor: the leader steps down, and neither retries nor acknowledges. What a leader has stored before the claim, the successor reads after it.

Commits still gather jobs of all parts.

Cancelling hosts write progress rows without the condition. They acknowledge nothing to workers and add only the final state to the progress that they read, on the condition of its version; a leader that has not seen it gets a conflict on that row, and reads the row.

Cost: an entry in each commit of progress, four rows in each claim. A claim now spans five parts, so the store takes twice as long for it, and refuses it while one of the parts is not available; until then a leader could not read the jobs of that part either.

The new rows' key is no job's key, so older builds ignore them. A leader of an older build neither writes nor requires them: beside one the fault remains until the update is through, as before.

--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -244,6 +244,9 @@
             commit.conditions.push_back({std::move(it), row == rows.end() ? 0 : row->version});
         }
         commit.writes.push_back({rosterOwnerRow(), {}});
+        for (const auto &it : jobParts()) {
+            commit.writes.push_back({progressOwnerRow(it), {}});
+        }
         claimedRoster.assign(rows.begin(), rows.end());
         commitLeader(write, std::move(commit));
     }
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -50,7 +50,8 @@
                         now);
         fleet.setQueues(start.queues);
         interferencePersister.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
-        progressWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
+        progressWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion,
+                               hooks.onFenced);
         workerController.emplace(ports.workers, ports.scheduler, fleet,
                                  WorkerController::Hooks{[this] { requestPlan(); }, hooks.onFenced, hooks.mayDecide});
         jobWatcher.emplace(ports.store, ports.scheduler, ports.log, std::string(JobsTable), jobParts(), WatchTimeout,
--- a/src/execution/progresswriter.cpp
+++ b/src/execution/progresswriter.cpp
@@ -15,7 +15,7 @@
 constexpr Duration FirstRetry = 150ms;
 constexpr Duration MaxRetry = 1s;
 // The store accepts at most 100 entries per commit; each job needs a condition and a
-// write.
+// write, and the owner row a condition.
 constexpr std::size_t JobsPerCommit = 40;
 
 } // namespace
@@ -77,6 +77,7 @@
         if (commit.writes.empty()) {
             return;
         }
+        commit.conditions.push_back({progressOwnerRow(commit.writes.front().name.part), claimVersion});
         ++pendingCommits;
         store.commit(std::move(commit),
                      [self = shared_from_this(), keys = std::move(keys),
@@ -106,6 +107,11 @@
             for (const auto &it : keys) {
                 fleet.markChanged(it);
             }
+            if (result.isOk() && hasSuccessor(result.value().current)) {
+                log.record("progress-fenced", {{"fence", fleet.fence().value}, {"jobs", keys.size()}});
+                onFenced();
+                return;
+            }
             if (result.isOk()) {
                 applyCurrentRows(result.value().current);
             } else {
@@ -129,8 +135,16 @@
         schedule(BatchDelay);
     }
 
+    // Returns whether the rows that caused a conflict show a later claim.
+    bool hasSuccessor(std::span<const ports::StoredRow> rows) const
+    {
+        return std::ranges::any_of(rows, [&](const ports::StoredRow &it) {
+            return it.name.key == ProgressOwnerKey && (it.isRemoved || it.version != claimVersion);
+        });
+    }
+
     // Applies the rows that caused a conflict. They were written by a cancellation, a
-    // former leader, or a commit of this writer whose reply was lost.
+    // former leader of an earlier release, or a commit of this writer whose reply was lost.
     void applyCurrentRows(std::span<const ports::StoredRow> rows)
     {
         for (const auto &row : rows) {
@@ -163,6 +177,8 @@
     const RowCodec &codec;
     Fleet &fleet;
     DecisionLog &log;
+    std::uint64_t claimVersion = 0;
+    std::function<void()> onFenced;
     std::unordered_map<jobs::JobKey, std::uint64_t> versions;
     std::vector<EndCursor> cursors; // of the current round
     int pendingCommits = 0;
@@ -173,9 +189,12 @@
 };
 
 ProgressWriter::ProgressWriter(ports::ChangeStore &store, ports::Scheduler &scheduler, const RowCodec &codec,
-                               Fleet &fleet, DecisionLog &log)
+                               Fleet &fleet, DecisionLog &log, std::uint64_t claimVersion,
+                               std::function<void()> onFenced)
     : d(std::make_shared<Private>(store, scheduler, codec, fleet, log))
 {
+    d->claimVersion = claimVersion;
+    d->onFenced = std::move(onFenced);
 }
 
 ProgressWriter::~ProgressWriter()
--- a/src/execution/progresswriter.h
+++ b/src/execution/progresswriter.h
@@ -13,14 +13,17 @@
 // Persists the fleet's job progress in rounds: stores the progress of all changed jobs,
 // and only then acknowledges the run ends that changed it. Each row is written on the
 // condition that it has not changed since it was last read, so that neither a former
-// leader's write nor a cancellation is overwritten.
+// leader's write nor a cancellation is overwritten, and that no other host has claimed
+// leadership: a successor reads the progress once.
 //
 // Used only on the control thread.
 class ProgressWriter
 {
 public:
+    // `claimVersion` is the version of the claim's commit. Calls `onFenced` when a later
+    // claim has refused a write.
     ProgressWriter(ports::ChangeStore &store, ports::Scheduler &scheduler, const RowCodec &codec, Fleet &fleet,
-                   DecisionLog &log);
+                   DecisionLog &log, std::uint64_t claimVersion, std::function<void()> onFenced);
     ~ProgressWriter();
     ProgressWriter(const ProgressWriter &) = delete;
     ProgressWriter &operator=(const ProgressWriter &) = delete;
--- a/src/execution/rowlayout.cpp
+++ b/src/execution/rowlayout.cpp
@@ -47,6 +47,11 @@
     return {std::string(ProgressTable), partOf(job), jobs::jobName(job)};
 }
 
+ports::RowName progressOwnerRow(std::string_view part)
+{
+    return {std::string(ProgressTable), std::string(part), std::string(ProgressOwnerKey)};
+}
+
 ports::RowName leaderRow()
 {
     return {std::string(LeaderTable), {}, std::string(LeaderKey)};
--- a/src/execution/rowlayout.h
+++ b/src/execution/rowlayout.h
@@ -16,6 +16,7 @@
 //   jobs      0..3   ID + "x"    when a job is cancelled       by the leader, as it changes
 //   progress  0..3   ID          by the leader, as tasks end;  by any host that is asked
 //                                by any host that cancels
+//   progress  0..3   "owner"     at a claim                    as a write condition of the leader
 //   leader    ""     "leader"    at a claim and each renewal   by all hosts, as it changes
 //   roster    ""     "owner"     at a claim                    as a write condition of the leader
 //   roster    ""     00..15      before a new worker is used   by a host that claims
@@ -27,6 +28,7 @@
 
 inline constexpr std::string_view JobsTable = "jobs";
 inline constexpr std::string_view ProgressTable = "progress";
+inline constexpr std::string_view ProgressOwnerKey = "owner";
 inline constexpr std::string_view LeaderTable = "leader";
 inline constexpr std::string_view LeaderKey = "leader";
 inline constexpr std::string_view RosterTable = "roster";
@@ -45,6 +47,11 @@
 ports::RowName jobRow(jobs::JobKey job);
 ports::RowName cancelRow(jobs::JobKey job);
 ports::RowName progressRow(jobs::JobKey job);
+// Returns the row of a part that every claim writes. The leader's writes of progress are
+// conditional on its version, so that a former leader cannot store progress after a newer
+// claim. A claim writes the rows of all parts, so a commit over several parts needs only
+// the row of one of them.
+ports::RowName progressOwnerRow(std::string_view part);
 ports::RowName leaderRow();
 // Returns the row that every claim writes. Roster writes are conditional on its
 // version, so that a former leader cannot change the roster after a newer claim.
--- a/tests/execution/takeovertest.cpp
+++ b/tests/execution/takeovertest.cpp
@@ -161,4 +161,59 @@
     EXPECT_EQ(violationsOf(cluster), "");
 }
 
+// Guards against a task that starts again after it was done: the former leader stored its end
+// after the new leader had read the progress, and acknowledged it to the worker before that
+// had seen the new fence. The store performs the former leader's write late.
+TEST(Takeover, AnEndStoredAfterTheClaimIsNotAcknowledged)
+{
+    SplitCluster cluster;
+    cluster.scheduler.runFor(2s);
+    const auto renewed = cluster.rows.rows.at(leaderRow()).version;
+    while (cluster.rows.rows.at(leaderRow()).version == renewed) {
+        cluster.scheduler.runFor(1ms);
+    }
+    cluster.submit(0, 7);
+    cluster.scheduler.runFor(100ms);
+    EXPECT_EQ(cluster.workers.runningCount(), 3);
+    cluster.split();
+    ASSERT_GE(cluster.former, 0);
+    // The tasks end before the next renewal of the leader row is due.
+    cluster.host(cluster.former).storeFaults.rule = [commits = 0](std::string_view call, TimePoint) mutable {
+        if (call == "commit") {
+            return std::optional(++commits == 1 ? Fault{2500ms, false, false} : Refused);
+        }
+        return call == "changes leader" ? std::optional(Refused) : std::nullopt;
+    };
+    ASSERT_GE(cluster.awaitSuccessor(), 0);
+    EXPECT_TRUE(cluster.host(cluster.former).loop->summary().isLeader);
+    cluster.scheduler.runFor(1s);
+    EXPECT_FALSE(cluster.host(cluster.former).loop->summary().isLeader);
+    cluster.heal();
+    cluster.scheduler.runFor(15s);
+    EXPECT_EQ(cluster.workers.doneCount({7}), TasksPerJob);
+    EXPECT_EQ(violationsOf(cluster), "");
+}
+
+// The same, with a job that was stored after the claim and whose tasks the former leader started.
+TEST(Takeover, AnEndOfAJobStoredAfterTheClaimIsNotAcknowledged)
+{
+    SplitCluster cluster;
+    cluster.scheduler.runFor(2s);
+    cluster.split();
+    ASSERT_GE(cluster.former, 0);
+    const int accepting = (cluster.former + 1) % HostCount;
+    cluster.host(accepting).storeFaults.rule = [](std::string_view call, TimePoint) {
+        return call == "commit" ? std::optional(Fault{2400ms, false, false}) : std::nullopt;
+    };
+    cluster.scheduler.runFor(500ms);
+    cluster.submit(accepting, 7);
+    ASSERT_EQ(cluster.awaitSuccessor(), cluster.other(accepting));
+    cluster.scheduler.runFor(1500ms);
+    EXPECT_EQ(cluster.workers.doneCount({7}), 3) << "started by the former leader";
+    cluster.heal();
+    cluster.scheduler.runFor(15s);
+    EXPECT_EQ(cluster.workers.doneCount({7}), TasksPerJob);
+    EXPECT_EQ(violationsOf(cluster), "");
+}
+
 } // namespace monsoonspool::execution
