Do not resume a leadership term that has ended

Callers saw: nothing yet; found while checking that the version of a claim whose reply was lost is right, since writes of the roster and of progress depend on it.

Cause: a host that was no leader took any row that names its process as a claim of its own whose reply was lost. After a release that the store refused, or after an order was refused for its fence, the row can be a late renewal of the term that has ended. The host then began a second term with the same fence. Its claim version was the version of the renewal, so that no write of the roster or of progress could succeed, and it knew only the workers of the roster at the claim: it would have started tasks without waiting for runs of its first term on workers added since.

Evidence, on the code before this commit (Leadership.DoesNotResumeATermThatHasEnded, both cases):

Value of: a.isLeader() Actual: true a.claimVersion() Which is: 6 5U

Not shown by a run: that a task ran twice by it.

Fix: only a row with a higher fence than that of any term of this process is such a claim. Each claim raises the fence, and a renewal keeps it. A host whose row still names it claims again with a higher fence, as it did before in other cases, and reads the roster for it.

--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -47,8 +47,9 @@
     if (m_isLeader && !isOwn) {
         stepDown(now);
     }
-    if (isOwn && !m_isLeader && !m_isWriting) {
-        // A claim of this process took effect although its reply was lost.
+    if (isOwn && !m_isLeader && !m_isWriting && row->fence > m_fence) {
+        // A claim of this process took effect although its reply was lost. A row with the
+        // fence of an earlier term may be a renewal: that term is not resumed.
         m_isLeader = true;
         m_fence = row->fence;
         m_claimVersion = version;
--- a/tests/membership/leadershiptest.cpp
+++ b/tests/membership/leadershiptest.cpp
@@ -113,6 +113,34 @@
     EXPECT_EQ(a.fence(), Epoch{1});
 }
 
+// Guards against a second term with the fence of one that had ended: its claim version was
+// that of a renewal, and it did not know the workers that were added since the claim.
+TEST(Leadership, DoesNotResumeATermThatHasEnded)
+{
+    for (const bool isReleased : {true, false}) {
+        SCOPED_TRACE(isReleased ? "released" : "fenced");
+        Leadership a(A, 1, Start);
+        a.noteRow(std::nullopt, 0, Start);
+        const auto claim = a.dueWrite(0ms, Start + 1s);
+        a.noteWritten(*claim, 5, Start + 1s, Start + 1s);
+        EXPECT_EQ(a.claimVersion(), 5U);
+        const auto renewal = a.dueWrite(0ms, Start + 2s);
+        ASSERT_TRUE(renewal);
+        if (isReleased) {
+            a.release();
+        } else {
+            a.stepDown(Start + 2s);
+        }
+        a.noteFailed(Start + 3s); // the reply to the renewal was lost, and the release refused
+        a.noteRow(renewal->row, 6, Start + 3s);
+        EXPECT_FALSE(a.isLeader());
+        EXPECT_EQ(a.claimVersion(), 5U);
+        const auto next = a.dueWrite(0ms, Start + 4s);
+        ASSERT_TRUE(next);
+        EXPECT_EQ(next->row.fence, Epoch{2});
+    }
+}
+
 // With a few strong hosts among many weak ones, a strong host becomes leader even if it
 // starts last. Hosts with equal shares do not wait for each other.
 TEST(Leadership, IsClaimedByStrongHostsFirst)
