--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -50,7 +50,8 @@
                         now);
         fleet.setQueues(start.queues);
         interferencePersister.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
-        progressWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
+        progressWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion,
+                               hooks.onFenced);
         workerController.emplace(ports.workers, ports.scheduler, fleet,
                                  WorkerController::Hooks{[this] { requestPlan(); }, hooks.onFenced, hooks.mayDecide});
         jobWatcher.emplace(ports.store, ports.scheduler, ports.log, std::string(JobsTable), jobParts(), WatchTimeout,
@@ -130,6 +131,13 @@
                 BOOST_LEAF_AUTO(job, ports.codec.decodeJob(row.value));
                 job.key = key;
                 job.version = row.version;
+                if (job.knownFence > fleet.fence()) {
+                    ports.log.record("job-of-successor",
+                                     {{"job", jobs::jobName(key)},
+                                      {"jobFence", job.knownFence.value},
+                                      {"fence", fleet.fence().value}});
+                    hooks.onFenced();
+                }
                 progressWriter->recordVersion(key, row.version);
                 fleet.addJob(std::move(job), ports.scheduler.now(), ports.wallNow());
                 return {};
