Keep the end of a run whose job has not been read until it is read

Callers saw a task run twice. A run of a job that the leader has not read exists when a former leader, cut from its own row but not from the jobs, has started it: the successor's feed of jobs may lag for seconds. Fleet dropped the listed end as "end-of-unknown-job", and its number was acknowledged to the worker with the next round, so that nothing remembered it; when the row arrived, the task started again.

An end of a job that this term has not read is now kept, applied by addJob(), and neither it nor a later end of its worker is acknowledged until then. Jobs that were read and dropped, or cannot be decoded, count as read, so Fleet now holds what LeaderTerm::seenJobs held. An end whose job never comes would be listed for ever: the store's answers are linearizable and a run starts after its job was stored, so once a call of the jobs' feed that was sent after the listing has returned, the job is known or is nobody's (other systems' names, names that cannot be decoded).

A listed run of an unread job blocks the start of its task as before (addJob counts it); Fleet.DoesNotStartATaskThatRanBeforeItsJobWasRead shows it for both orders of row and end. The end of a restarted worker's former process still counts, but its number no longer holds anything back.

Cost: while an end is kept, its worker is asked every 30 to 150 ms, as during any delay of the progress write.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -47,6 +47,8 @@
     d->claimVersion = claimVersion;
     d->formerLeasesEnd = formerLeasesEnd;
     d->jobsByKey.clear();
+    d->readJobs.clear();
+    d->heldEnds.clear();
     d->workersById.clear();
     d->workers.clear();
     d->changedJobs.clear();
@@ -119,7 +121,7 @@
 
 void Fleet::addJob(AcceptedJob job, TimePoint now, jobs::WallTime wall)
 {
-    if (d->jobsByKey.contains(job.key)) {
+    if (!d->readJobs.insert(job.key).second) {
         return;
     }
     const auto key = job.key;
@@ -135,6 +137,31 @@
             }
         }
     }
+    d->applyHeldEnds(key, now);
+}
+
+void Fleet::addUnreadableJob(jobs::JobKey key)
+{
+    d->readJobs.insert(key);
+}
+
+bool Fleet::hasRead(jobs::JobKey key) const
+{
+    return d->readJobs.contains(key);
+}
+
+void Fleet::noteJobsRead(TimePoint time)
+{
+    for (auto &[key, ends] : d->heldEnds) {
+        std::erase_if(ends, [&](const HeldEnd &it) {
+            if (it.listedAt > time) {
+                return false;
+            }
+            d->release(it);
+            return true;
+        });
+    }
+    std::erase_if(d->heldEnds, [](const auto &it) { return it.second.empty(); });
 }
 
 void Fleet::restoreProgress(jobs::JobKey key, const jobs::JobProgress &progress)
@@ -293,8 +320,8 @@
 {
     std::vector<EndCursor> cursors;
     for (const auto *it : d->workers) {
-        if (it->processedEnd() > it->acknowledgedEnd()) {
-            cursors.push_back({it->entry().id, it->entry().startTimeMs, it->processedEnd()});
+        if (it->acknowledgeableEnd() > it->acknowledgedEnd()) {
+            cursors.push_back({it->entry().id, it->entry().startTimeMs, it->acknowledgeableEnd()});
         }
     }
     return cursors;
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -67,7 +67,7 @@
 //    after that worker's lease has certainly expired,
 //  - after a takeover, no task that the former leader may have started is started
 //    before every worker has reported its runs or its lease has expired,
-//  - the end of a run is acknowledged only after its effects were stored.
+//  - the end of a run is acknowledged only after its job was read and its effects were stored.
 //
 // Not thread-safe: owned by the control thread.
 class Fleet
@@ -87,8 +87,15 @@
 
     void setQueues(std::span<const jobs::QueuePolicy> queues);
 
-    // Jobs.
+    // Jobs. A job is added once in a term, even if it was dropped after its end.
     void addJob(AcceptedJob job, TimePoint now, jobs::WallTime wall);
+    // Records that a job's row was read and cannot be decoded.
+    void addUnreadableJob(jobs::JobKey key);
+    // Returns whether the job's row was read in this term.
+    bool hasRead(jobs::JobKey key) const;
+    // Records that all jobs stored before `time` have been read: what workers listed until then
+    // and that belongs to another job is not this system's.
+    void noteJobsRead(TimePoint time);
     // Applies the stored progress of a job.
     void restoreProgress(jobs::JobKey key, const jobs::JobProgress &progress);
     // Applies the progress that another host stored while this leader had planned from its own.
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -109,6 +109,10 @@
                     {"worker", worker.entry().id.view()},
                     {"how", jobs::runEndName(it.outcome)},
                     {"number", it.number}});
+        if (!readJobs.contains(it.task.job)) {
+            worker.holdEnd(it.number);
+            heldEnds[it.task.job].push_back({worker.entry().id, worker.entry().startTimeMs, now, it});
+        }
         const auto *run = worker.find(it.task);
         if (run != nullptr && run->number == it.run) {
             if (it.outcome == jobs::RunEnd::Done) {
@@ -193,6 +197,27 @@
     dropIfFinished(task.job);
 }
 
+void Fleet::Private::applyHeldEnds(jobs::JobKey key, TimePoint now)
+{
+    const auto node = heldEnds.extract(key);
+    if (node.empty()) {
+        return;
+    }
+    log.record("held-ends-applied", {{"job", jobs::jobName(key)}, {"ends", node.mapped().size()}});
+    for (const auto &it : node.mapped()) {
+        applyEnd(it.end.task, it.end.run, it.end.outcome, it.end.checkpoint, now);
+        release(it);
+    }
+}
+
+void Fleet::Private::release(const HeldEnd &held)
+{
+    auto *worker = findWorker(held.worker);
+    if (worker != nullptr && worker->entry().startTimeMs == held.startTimeMs) {
+        worker->releaseEnd(held.end.number);
+    }
+}
+
 void Fleet::Private::applyRunning(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint sentAt,
                                   TimePoint now)
 {
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace monsoonspool::execution {
@@ -39,6 +40,16 @@
     TimePoint rankedAt;
 };
 
+// The end of a run whose job has not been read. A former leader, which had read it, started
+// the run.
+struct HeldEnd
+{
+    WorkerId worker;
+    std::int64_t startTimeMs = 0; // identifies the worker's incarnation
+    TimePoint listedAt;
+    ports::ListedRunEnd end;
+};
+
 // A demand for which the current plan found no worker.
 struct UnplaceableDemand
 {
@@ -67,6 +78,8 @@
                 TimePoint now);
     void applyEnd(const jobs::TaskId &task, jobs::RunNumber run, jobs::RunEnd how, std::string_view checkpoint,
                   TimePoint now);
+    void applyHeldEnds(jobs::JobKey key, TimePoint now);
+    void release(const HeldEnd &held);
     void recordCompletion(workers::Worker &worker, const workers::Run &run, TimePoint now);
     void expireRuns(workers::Worker &worker, TimePoint now, std::string_view reason);
     // `source` names what told of the restart, for the log.
@@ -122,6 +135,8 @@
     std::set<WorkerId> unreportedWorkers; // on the former leader's roster; have not reported their runs
     std::map<std::string, jobs::QueuePolicy, std::less<>> queues;
     std::unordered_map<jobs::JobKey, std::unique_ptr<TrackedJob>> jobsByKey;
+    std::unordered_set<jobs::JobKey> readJobs; // in this term, including those that were dropped
+    std::map<jobs::JobKey, std::vector<HeldEnd>> heldEnds;
     std::map<WorkerId, std::unique_ptr<workers::Worker>> workersById;
     std::vector<workers::Worker *> workers; // the values of workersById, ordered by identifier
     std::set<jobs::JobKey> changedJobs;
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -55,7 +55,8 @@
                                  WorkerController::Hooks{[this] { requestPlan(); }, hooks.onFenced, hooks.mayDecide});
         jobWatcher.emplace(ports.store, ports.scheduler, ports.log, std::string(JobsTable), jobParts(), WatchTimeout,
                            TableWatcher::Hooks{[this](auto rows) { onJobSnapshot(rows); },
-                                               [this](auto rows) { onJobRows(rows); }, [](Duration) {}});
+                                               [this](auto rows) { onJobRows(rows); }, [](Duration) {},
+                                               [this](TimePoint time) { fleet.noteJobsRead(time); }});
     }
 
     void onJobSnapshot(std::span<const ports::StoredRow> rows)
@@ -116,7 +117,7 @@
             }
             if (isCancelKey(row.name.key)) {
                 fleet.cancel(*key);
-            } else if (seenJobs.insert(*key).second) {
+            } else if (!fleet.hasRead(*key)) {
                 onJobRow(*key, row);
             }
         }
@@ -135,6 +136,7 @@
                 return {};
             },
             [&](const Failure &failure) {
+                fleet.addUnreadableJob(key);
                 ports.log.record("row-unreadable", {{"key", row.name.key}, {"detail", failure.detail}});
             });
     }
@@ -224,7 +226,6 @@
     std::optional<TableWatcher> jobWatcher;
     std::optional<TableWatcher> progressReader;
     std::optional<TableWatcher> workerWatcher;
-    std::set<jobs::JobKey> seenJobs;
     bool isLoaded = false;
     bool isPlanScheduled = false;
     bool isClosed = false;
--- a/src/execution/tablewatcher.cpp
+++ b/src/execution/tablewatcher.cpp
@@ -24,6 +24,7 @@
         rows.clear();
         partIndex = 0;
         version = 0;
+        restartedAt = scheduler.now();
         scan({});
     }
 
@@ -63,14 +64,16 @@
         rows.clear();
         hooks.onSnapshot(snapshot);
         if (!isClosed) {
+            noteCaughtUp(restartedAt);
             watch();
         }
     }
 
     void watch()
     {
+        const auto sentAt = scheduler.now();
         store.changes(table, version, wait,
-                      [self = shared_from_this()](const ports::AsyncResult<ports::RowPage> &result) {
+                      [self = shared_from_this(), sentAt](const ports::AsyncResult<ports::RowPage> &result) {
                           if (self->isClosed) {
                               return;
                           }
@@ -93,11 +96,22 @@
                               self->hooks.onChanges(result.value().rows);
                           }
                           if (!self->isClosed) {
+                              if (!result.value().isTruncated) {
+                                  self->noteCaughtUp(sentAt);
+                              }
                               self->watch();
                           }
                       });
     }
 
+    // The store's answer contains all rows stored before the call was sent.
+    void noteCaughtUp(TimePoint time)
+    {
+        if (hooks.onCaughtUp) {
+            hooks.onCaughtUp(time);
+        }
+    }
+
     template <typename F>
     void retry(const Failure &failure, F again)
     {
@@ -131,6 +145,7 @@
     Hooks hooks;
     std::vector<ports::StoredRow> rows;
     std::size_t partIndex = 0;
+    TimePoint restartedAt;
     std::uint64_t version = 0;
     Duration retryPause = FirstRetry;
     bool isStoreLost = false;
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -8,6 +8,7 @@
 
 #include <bitset>
 #include <cstdint>
+#include <set>
 #include <span>
 #include <string>
 #include <utility>
@@ -214,6 +215,20 @@
     {
         m_processedEnd = number;
     }
+    // Keeps an end, and with it all later ones, from being acknowledged until releaseEnd().
+    void holdEnd(std::int64_t number)
+    {
+        m_heldEnds.insert(number);
+    }
+    void releaseEnd(std::int64_t number)
+    {
+        m_heldEnds.erase(number);
+    }
+    // Number of the last end that may be acknowledged once its effects are stored.
+    std::int64_t acknowledgeableEnd() const
+    {
+        return m_heldEnds.empty() ? m_processedEnd : *m_heldEnds.begin() - 1;
+    }
     std::int64_t acknowledgedEnd() const
     {
         return m_acknowledgedEnd;
@@ -245,6 +260,7 @@
     ports::WorkerMillis m_deadline = 0;
     std::int64_t m_processedEnd = 0;
     std::int64_t m_acknowledgedEnd = 0;
+    std::set<std::int64_t> m_heldEnds;
     TimePoint m_observedAt;
     TimePoint m_unschedulableUntil;
     TimePoint m_lastFailureAt;
--- a/tests/execution/executionlooptest.cpp
+++ b/tests/execution/executionlooptest.cpp
@@ -196,6 +196,45 @@
     EXPECT_NEAR(decoded.front().sensitivities.front().value, 0.4, 0.15);
 }
 
+// A former leader that still reads jobs starts one that its successor has not read yet. The
+// successor must not start the tasks again when it reads the job after their ends.
+TEST(ExecutionLoop, ATaskThatEndsBeforeItsJobIsReadRunsOnce)
+{
+    Cluster cluster;
+    cluster.scheduler.runFor(2s);
+    const int former = cluster.leader();
+    ASSERT_GE(former, 0);
+    // The former leader reads jobs, but cannot renew its row nor store progress.
+    cluster.host(former).storeFaults.rule = [](std::string_view call, TimePoint) {
+        return call == "commit" || call == "changes leader" ? std::optional(Fault{2ms, true, false}) : std::nullopt;
+    };
+    std::vector<int> others;
+    for (int n = 0; n < HostCount; ++n) {
+        if (n != former) {
+            others.push_back(n);
+            cluster.host(n).workerFaults.isCut = true;
+        }
+    }
+    cluster.scheduler.runFor(4s);
+    const auto successor
+        = std::ranges::find_if(others, [&](int n) { return cluster.host(n).loop->summary().isLoaded; });
+    ASSERT_NE(successor, others.end());
+    auto &host = cluster.host(*successor);
+    host.storeFaults.rule = [](std::string_view call, TimePoint) {
+        return call == "changes jobs" ? std::optional(Fault{2ms, true, false}) : std::nullopt;
+    };
+    cluster.scheduler.runFor(1100ms); // until the pending poll of the jobs is over
+    cluster.submit(*successor, 7);
+    cluster.scheduler.runFor(1s);
+    host.workerFaults.isCut = false;
+    cluster.scheduler.runFor(1s);
+    host.storeFaults.rule = nullptr;
+    cluster.scheduler.runFor(20s);
+    EXPECT_EQ(violationsOf(cluster), "");
+    EXPECT_EQ(cluster.workers.doneCount({7}), TasksPerJob);
+    EXPECT_EQ(cluster.workers.startCount(), TasksPerJob);
+}
+
 struct FaultCase
 {
     const char *name;
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -235,4 +235,112 @@
     EXPECT_TRUE(ready.log.contains("end-of-unknown-job"));
 }
 
+// Guards against a task that ran twice: the end of a run whose job this leader had not read
+// yet was dropped and acknowledged, and the task started again when the job was read.
+TEST(Fleet, AppliesTheEndOfARunWhenItReadsTheJob)
+{
+    ReadyFleet ready(1);
+    auto &fleet = ready.fleet;
+    auto step = plainStep();
+    step.count = 2; // keeps the job open
+    ready.submit(7, step, Start);
+    ports::WorkerListing listing;
+    listing.ended.push_back({1, {{7}, 0, 0, 0}, 1, jobs::RunEnd::Done, {}});
+    listing.ended.push_back({2, {{9}, 0, 0, 0}, 1, jobs::RunEnd::Done, {}});
+    listing.ended.push_back({3, {{7}, 0, 0, 1}, 1, jobs::RunEnd::Done, {}});
+    ready.list(WorkerId("w0"), listing, Start + 10ms);
+    EXPECT_EQ(fleet.find({7})->state(), jobs::JobState::Completed) << "later ends are applied";
+    ASSERT_EQ(fleet.endCursors().size(), 1U);
+    EXPECT_EQ(fleet.endCursors().front().lastEnd, 1);
+    fleet.consumeChangedJobs();
+
+    ready.submit(9, plainStep(), Start + 20ms);
+    EXPECT_TRUE(fleet.plan(Start + 20ms, Wall).starts.empty());
+    EXPECT_EQ(fleet.find({9})->state(), jobs::JobState::Completed);
+    EXPECT_EQ(fleet.consumeChangedJobs(), std::vector<jobs::JobKey>{{9}});
+    ASSERT_EQ(fleet.endCursors().size(), 1U);
+    EXPECT_EQ(fleet.endCursors().front().lastEnd, 3);
+}
+
+// An end that is never acknowledged would be listed for ever.
+TEST(Fleet, AcknowledgesTheEndsOfJobsThatItWillNotRead)
+{
+    struct Case
+    {
+        const char *name;
+        std::function<void(ReadyFleet &)> read;
+        std::size_t cursors;
+    };
+    for (const auto &it : {Case{"not read yet", [](ReadyFleet &) {}, 0},
+                           Case{"its row cannot be decoded", [](ReadyFleet &f) { f.fleet.addUnreadableJob({9}); }, 1},
+                           Case{"read, finished and dropped",
+                                [](ReadyFleet &f) {
+                                    f.submit(9, plainStep(), Start);
+                                    f.fleet.cancel({9});
+                                    EXPECT_EQ(f.fleet.find({9}), nullptr);
+                                },
+                                1}}) {
+        SCOPED_TRACE(it.name);
+        ReadyFleet ready(1);
+        it.read(ready);
+        ports::WorkerListing listing;
+        listing.ended.push_back({1, {{9}, 0, 0, 0}, 1, jobs::RunEnd::Done, {}});
+        ready.list(WorkerId("w0"), listing, Start + 10ms);
+        EXPECT_EQ(ready.fleet.endCursors().size(), it.cursors);
+        ready.fleet.noteJobsRead(Start + 9ms);
+        EXPECT_EQ(ready.fleet.endCursors().size(), it.cursors) << "its job may have been stored later";
+        ready.fleet.noteJobsRead(Start + 10ms);
+        EXPECT_EQ(ready.fleet.endCursors().size(), 1U);
+    }
+}
+
+// The end of a run counts although its worker has restarted since, but the numbers of the
+// former process do not hold back those of the new one.
+TEST(Fleet, ARestartedWorkerAcknowledgesItsOwnEnds)
+{
+    ReadyFleet ready(1);
+    auto &fleet = ready.fleet;
+    ports::WorkerListing listing;
+    listing.ended.push_back({1, {{9}, 0, 0, 0}, 1, jobs::RunEnd::Done, {}});
+    ready.list(WorkerId("w0"), listing, Start + 10ms);
+    auto step = plainStep();
+    step.count = 2; // keeps the job open
+    ready.submit(7, step, Start + 10ms);
+    listing.ended.front().task.job = {7};
+    listing.startTimeMs = 2;
+    listing.clock = 10;
+    fleet.applyListing(WorkerId("w0"), listing, Start + 20ms, Start + 20ms);
+    ASSERT_EQ(fleet.endCursors().size(), 1U);
+    EXPECT_EQ(fleet.endCursors().front().startTimeMs, 2);
+    EXPECT_EQ(fleet.endCursors().front().lastEnd, 1);
+    ready.submit(9, plainStep(), Start + 30ms);
+    EXPECT_EQ(fleet.find({9})->state(), jobs::JobState::Completed);
+    EXPECT_EQ(fleet.endCursors().front().lastEnd, 1);
+}
+
+// A run that the worker lists as running keeps its task from starting again, whether the
+// job is read before or after the run's end.
+TEST(Fleet, DoesNotStartATaskThatRanBeforeItsJobWasRead)
+{
+    for (const bool isEndedFirst : {false, true}) {
+        SCOPED_TRACE(isEndedFirst);
+        ReadyFleet ready(2);
+        auto &fleet = ready.fleet;
+        ports::WorkerListing running;
+        running.running.push_back({{{9}, 0, 0, 0}, 1, {}, 50, 0});
+        ready.list(WorkerId("w0"), running, Start + 10ms);
+        fleet.plan(Start + 10ms, Wall);
+        ports::WorkerListing ended;
+        ended.ended.push_back({1, {{9}, 0, 0, 0}, 1, jobs::RunEnd::Done, {}});
+        if (isEndedFirst) {
+            ready.list(WorkerId("w0"), ended, Start + 20ms);
+        }
+        ready.submit(9, plainStep(), Start + 30ms);
+        EXPECT_TRUE(fleet.plan(Start + 30ms, Wall).starts.empty());
+        ready.list(WorkerId("w0"), ended, Start + 40ms);
+        EXPECT_TRUE(fleet.plan(Start + 40ms, Wall).starts.empty());
+        EXPECT_EQ(fleet.find({9})->state(), jobs::JobState::Completed);
+    }
+}
+
 } // namespace monsoonspool::execution
