Take a silent worker's lease for expired only while no successor can exist

Callers saw a task run on two workers. A partition that leaves the leader with some workers on one side, and the store with the others on the other, makes two leaders for up to 12 s. The successor adopts the runs of the workers on its side and renews their leases. The former leader sees these workers as silent, lets their leases expire after 6 s by its own orders, and starts the tasks again on the workers that it reaches. Nothing fences it, since the successor does not reach those.

On the code before, ExecutionLoop.ALeaderThatMayHaveASuccessorDoesNotExpireLeases:

A lease bounds a run only while no other leader can extend it. A renewal of the leader row is conditional on the row's version, so one that succeeded proves that nobody had claimed when it was sent. Fleet now evaluates the expiry of leases, those of a former leader's included, at the time at which the last successful renewal was sent instead of now.

Cost: tasks of a lost worker start elsewhere up to 0.8 s later (the interval of renewals), and during an outage of the store only after it: the leader cannot tell an outage for all from its own.

--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -187,6 +187,9 @@
         if (leadership.isLeader() && !term) {
             beginTerm();
         }
+        if (term) {
+            term->noteRenewed(leadership.renewedAt());
+        }
         if (isStopping || !configuration) {
             return; // without a configuration this host could not place any task
         }
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -44,6 +44,7 @@
 {
     d->fence = fence;
     d->termBeganAt = now;
+    d->termRenewedAt = TimePoint::max();
     d->claimVersion = claimVersion;
     d->formerLeasesEnd = formerLeasesEnd;
     d->jobsByKey.clear();
@@ -62,6 +63,11 @@
     }
 }
 
+void Fleet::noteTermRenewed(TimePoint sentAt)
+{
+    d->termRenewedAt = sentAt;
+}
+
 Epoch Fleet::fence() const
 {
     return d->fence;
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -64,7 +64,7 @@
 // Invariants across jobs and workers:
 //  - a task runs on one worker at a time, unless speculative copies are allowed,
 //  - a run that may be active on an unreachable worker is started elsewhere only
-//    after that worker's lease has certainly expired,
+//    after that worker's lease has certainly expired before another leader could extend it,
 //  - after a takeover, no task that the former leader may have started is started
 //    before every worker has reported its runs or its lease has expired,
 //  - the end of a run is acknowledged only after its job was read and its effects were stored.
@@ -83,6 +83,9 @@
     // stored; the leases of these runs expire at `formerLeasesEnd` at the latest.
     void beginTerm(Epoch fence, std::uint64_t claimVersion, std::span<const ports::WorkerEntry> roster,
                    TimePoint formerLeasesEnd, TimePoint now);
+    // Records that the leadership was renewed by a write that was sent at `sentAt`. Later, a
+    // successor may have claimed it and extended leases.
+    void noteTermRenewed(TimePoint sentAt);
     Epoch fence() const;
 
     void setQueues(std::span<const jobs::QueuePolicy> queues);
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -100,14 +100,15 @@
 
 void Fleet::Private::expireLeases(TimePoint now)
 {
-    if (!unreportedWorkers.empty() && now >= formerLeasesEnd) {
+    const auto certain = soleLeaderTime(now);
+    if (!unreportedWorkers.empty() && certain >= formerLeasesEnd) {
         log.record("former-leases-over", {{"unheard", unreportedWorkers.size()}});
         unreportedWorkers.clear();
         dropFinishedJobs();
     }
     std::vector<WorkerId> gone;
     for (auto *it : workers) {
-        if (it->isSilent() && it->hasLapsed(now)) {
+        if (it->isSilent() && it->hasLapsed(certain)) {
             expireRuns(*it, now, "lease expired");
         }
         if (!it->isListed() && it->runCount() == 0 && !unreportedWorkers.contains(it->entry().id)) {
@@ -321,7 +322,12 @@
 // reported its runs, or their leases have expired.
 bool Fleet::Private::isBlockedByTakeover(const TrackedJob &job, TimePoint now) const
 {
-    return !unreportedWorkers.empty() && job.version <= claimVersion && now < formerLeasesEnd;
+    return !unreportedWorkers.empty() && job.version <= claimVersion && soleLeaderTime(now) < formerLeasesEnd;
+}
+
+TimePoint Fleet::Private::soleLeaderTime(TimePoint now) const
+{
+    return std::min(now, termRenewedAt);
 }
 
 scheduling::Rank Fleet::Private::rankOf(TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall)
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -111,6 +111,8 @@
     void expireLeases(TimePoint now);
     scheduling::Rank rankOf(TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall);
     bool isBlockedByTakeover(const TrackedJob &job, TimePoint now) const;
+    // Returns the latest time at which this leader certainly had no successor.
+    TimePoint soleLeaderTime(TimePoint now) const;
     void updateInterferenceFreeCapacity(std::span<const WaitingStep> waiting, TimePoint now);
     std::vector<WaitingStep> waitingSteps(TimePoint now, jobs::WallTime wall);
     void placeStep(const WaitingStep &waiting, TimePoint now, Orders &orders);
@@ -131,6 +133,7 @@
     Epoch fence;
     std::uint64_t claimVersion = 0;
     TimePoint termBeganAt;
+    TimePoint termRenewedAt;
     TimePoint formerLeasesEnd;
     std::set<WorkerId> unreportedWorkers; // on the former leader's roster; have not reported their runs
     std::map<std::string, jobs::QueuePolicy, std::less<>> queues;
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -255,6 +255,11 @@
     d->requestPlan();
 }
 
+void LeaderTerm::noteRenewed(TimePoint sentAt)
+{
+    d->fleet.noteTermRenewed(sentAt);
+}
+
 std::map<std::string, int> LeaderTerm::waitingCounts() const
 {
     return d->fleet.waitingCounts();
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -52,6 +52,8 @@
     LeaderTerm &operator=(const LeaderTerm &) = delete;
 
     void setQueues(std::span<const jobs::QueuePolicy> queues);
+    // Records that the leadership was renewed by a write that was sent at `sentAt`.
+    void noteRenewed(TimePoint sentAt);
     // Returns the number of jobs per queue that have not started; complete only once
     // isLoaded().
     std::map<std::string, int> waitingCounts() const;
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -81,6 +81,12 @@
     {
         return m_isLeader;
     }
+    // Returns when the last successful claim or renewal was sent. Until then no other host had
+    // claimed leadership since.
+    TimePoint renewedAt() const
+    {
+        return m_renewedAt;
+    }
     // Returns whether this host is the leader and may still decide.
     bool mayDecide(TimePoint now) const;
     const std::optional<LeaderRow> &row() const
--- a/tests/execution/executionlooptest.cpp
+++ b/tests/execution/executionlooptest.cpp
@@ -235,6 +235,31 @@
     EXPECT_EQ(cluster.workers.startCount(), TasksPerJob);
 }
 
+// A partition leaves the leader and some workers on one side. The successor renews the leases
+// of the other workers, so the leader must not take them for expired by its own orders.
+TEST(ExecutionLoop, ALeaderThatMayHaveASuccessorDoesNotExpireLeases)
+{
+    Cluster cluster;
+    cluster.taskModel.overrides[{7}] = {60s, false, TaskSize};
+    cluster.scheduler.runFor(2s);
+    const int former = cluster.leader();
+    ASSERT_GE(former, 0);
+    cluster.submit(former, 7);
+    cluster.scheduler.runFor(1s);
+    ASSERT_EQ(cluster.workers.runningCount(), 3);
+    cluster.host(former).storeFaults.isCut = true;
+    for (int n = 0; n < HostCount; ++n) {
+        cluster.host(n).workerFaults.rule = [isFormer = n == former](std::string_view call, TimePoint) {
+            const bool isBesideFormer = call.ends_with("w4") || call.ends_with("w5");
+            return isBesideFormer == isFormer ? std::nullopt : std::optional(Fault{2ms, true, false});
+        };
+    }
+    cluster.scheduler.runFor(30s);
+    EXPECT_EQ(violationsOf(cluster), "");
+    EXPECT_EQ(cluster.workers.startCount(), 3);
+    EXPECT_EQ(cluster.workers.runningCount(), 3);
+}
+
 struct FaultCase
 {
     const char *name;
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -343,4 +343,25 @@
     }
 }
 
+// A renewal of the leadership that was sent after a lease's end proves that no successor has
+// extended the lease.
+TEST(Fleet, StartsATaskElsewhereOnceItIsStillLeaderAfterTheLease)
+{
+    ReadyFleet ready(2);
+    auto &fleet = ready.fleet;
+    ready.submit(7, plainStep(), Start);
+    const auto orders = fleet.plan(Start, Wall);
+    ASSERT_EQ(orders.starts.size(), 1U);
+    const auto &worker = orders.starts.front().worker;
+    fleet.applyStartReply(orders.starts.front(), ports::StartResult::Accepted, Start);
+    fleet.leaseOrder(worker, Start);
+    fleet.markSilent(worker, Start + 1s);
+    fleet.noteTermRenewed(Start + 6s);
+    EXPECT_TRUE(fleet.plan(Start + 10s, Wall).starts.empty());
+    fleet.noteTermRenewed(Start + 6500ms);
+    const auto again = fleet.plan(Start + 10s, Wall);
+    ASSERT_EQ(again.starts.size(), 1U);
+    EXPECT_NE(again.starts.front().worker, worker);
+}
+
 } // namespace monsoonspool::execution
