Count a leader's term from its claim, also when the claim's reply is lost

A leader may decide for 12 s after its last renewal was sent, which is what other hosts may rely on. Where a claim's reply was lost, the host counted from the moment at which it read the row instead, which may be seconds later: other hosts have seen the claim, and may have claimed themselves.

On the code before, Leadership.ItsTermIsCountedFromTheClaimWhoseReplyWasLost (claimed at 1 s, read at 8 s):

a.renewedAt() Which is: 8-byte object <00-B6 0D-D7 00-00 00-00> Start + 1s Which is: 8-byte object <40-E6 A2-D6 00-00 00-00> a.mayDecide(Start + 1s + StoreOutageGracePeriod) Actual: true, expected false

The term now counts from the first attempt to claim with this fence: any of the attempts may be the one that took effect. Such a leader renews at once.

--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -52,7 +52,7 @@
         m_isLeader = true;
         m_fence = row->fence;
         m_claimVersion = version;
-        m_renewedAt = now;
+        m_renewedAt = m_claimedAt;
     }
 }
 
@@ -99,6 +99,10 @@
     write.row.fence = {m_row ? m_row->fence.value + 1 : 1};
     write.row.bestShare = m_row ? m_row->bestShare : 0;
     write.row.waiting = m_row ? m_row->waiting : std::map<std::string, int>();
+    if (write.row.fence != m_claimFence) {
+        m_claimFence = write.row.fence;
+        m_claimedAt = now;
+    }
     m_isWriting = true;
     return write;
 }
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -116,6 +116,8 @@
     bool m_isWriting = false;
     Epoch m_fence;
     std::uint64_t m_claimVersion = 0;
+    Epoch m_claimFence;
+    TimePoint m_claimedAt; // first attempt to claim with m_claimFence
     TimePoint m_renewedAt; // when the last successful renewal was sent
     TimePoint m_retryAt;
 };
--- a/tests/membership/leadershiptest.cpp
+++ b/tests/membership/leadershiptest.cpp
@@ -113,6 +113,24 @@
     EXPECT_EQ(a.fence(), Epoch{1});
 }
 
+// Other hosts may see the claim when it is made, and claim leadership themselves, long before
+// this host learns that it is the leader.
+TEST(Leadership, ItsTermIsCountedFromTheClaimWhoseReplyWasLost)
+{
+    Leadership a(A, 1, Start);
+    a.noteRow(std::nullopt, 0, Start);
+    const auto claim = a.dueWrite(0ms, Start + 1s);
+    a.noteFailed(Start + 2s);
+    const auto again = a.dueWrite(0ms, Start + 3s);
+    ASSERT_TRUE(again);
+    a.noteFailed(Start + 8s);
+    a.noteRow(claim->row, 5, Start + 8s);
+    EXPECT_TRUE(a.isLeader());
+    EXPECT_EQ(a.renewedAt(), Start + 1s);
+    EXPECT_TRUE(a.mayDecide(Start + 9s));
+    EXPECT_FALSE(a.mayDecide(Start + 1s + StoreOutageGracePeriod));
+}
+
 // With a few strong hosts among many weak ones, a strong host becomes leader even if it
 // starts last. Hosts with equal shares do not wait for each other.
 TEST(Leadership, IsClaimedByStrongHostsFirst)
