--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -100,14 +100,15 @@
 
 void Fleet::Private::expireLeases(TimePoint now)
 {
-    if (!unreportedWorkers.empty() && now >= formerLeasesEnd) {
+    const auto certain = soleLeaderTime(now);
+    if (!unreportedWorkers.empty() && certain >= formerLeasesEnd) {
         log.record("former-leases-over", {{"unheard", unreportedWorkers.size()}});
         unreportedWorkers.clear();
         dropFinishedJobs();
     }
     std::vector<WorkerId> gone;
     for (auto *it : workers) {
-        if (it->isSilent() && it->hasLapsed(now)) {
+        if (it->isSilent() && it->hasLapsed(certain)) {
             expireRuns(*it, now, "lease expired");
         }
         if (!it->isListed() && it->runCount() == 0 && !unreportedWorkers.contains(it->entry().id)) {
@@ -325,7 +326,12 @@
     if (job.knownFence > fence) {
         return true;
     }
-    return !unreportedWorkers.empty() && job.knownFence < fence && now < formerLeasesEnd;
+    return !unreportedWorkers.empty() && job.knownFence < fence && soleLeaderTime(now) < formerLeasesEnd;
+}
+
+TimePoint Fleet::Private::soleLeaderTime(TimePoint now) const
+{
+    return std::min(now, termRenewedAt);
 }
 
 scheduling::Rank Fleet::Private::rankOf(TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall)
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -56,7 +56,8 @@
                                  WorkerController::Hooks{[this] { requestPlan(); }, hooks.onFenced, hooks.mayDecide});
         jobWatcher.emplace(ports.store, ports.scheduler, ports.log, std::string(JobsTable), jobParts(), WatchTimeout,
                            TableWatcher::Hooks{[this](auto rows) { onJobSnapshot(rows); },
-                                               [this](auto rows) { onJobRows(rows); }, [](Duration) {}});
+                                               [this](auto rows) { onJobRows(rows); }, [](Duration) {},
+                                               [this](TimePoint time) { fleet.noteJobsRead(time); }});
     }
 
     void onJobSnapshot(std::span<const ports::StoredRow> rows)
@@ -117,7 +118,7 @@
             }
             if (isCancelKey(row.name.key)) {
                 fleet.cancel(*key);
-            } else if (seenJobs.insert(*key).second) {
+            } else if (!fleet.hasRead(*key)) {
                 onJobRow(*key, row);
             }
         }
@@ -143,6 +144,7 @@
                 return {};
             },
             [&](const Failure &failure) {
+                fleet.addUnreadableJob(key);
                 ports.log.record("row-unreadable", {{"key", row.name.key}, {"detail", failure.detail}});
             });
     }
@@ -232,7 +234,6 @@
     std::optional<TableWatcher> jobWatcher;
     std::optional<TableWatcher> progressReader;
     std::optional<TableWatcher> workerWatcher;
-    std::set<jobs::JobKey> seenJobs;
     bool isLoaded = false;
     bool isPlanScheduled = false;
     bool isClosed = false;
@@ -262,6 +263,11 @@
     d->requestPlan();
 }
 
+void LeaderTerm::noteRenewed(TimePoint sentAt)
+{
+    d->fleet.noteTermRenewed(sentAt);
+}
+
 std::map<std::string, int> LeaderTerm::waitingCounts() const
 {
     return d->fleet.waitingCounts();
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -81,6 +81,12 @@
     {
         return m_isLeader;
     }
+    // Returns when the last successful claim or renewal was sent. Until then no other host had
+    // claimed leadership since.
+    TimePoint renewedAt() const
+    {
+        return m_renewedAt;
+    }
     // Returns whether this host is the leader and may still decide.
     bool mayDecide(TimePoint now) const;
     const std::optional<LeaderRow> &row() const
@@ -110,6 +116,8 @@
     bool m_isWriting = false;
     Epoch m_fence;
     std::uint64_t m_claimVersion = 0;
+    Epoch m_claimFence;
+    TimePoint m_claimedAt; // first attempt to claim with m_claimFence
     TimePoint m_renewedAt; // when the last successful renewal was sent
     TimePoint m_retryAt;
 };
