End all leases with their leader's right to decide, and wait for that

Callers saw a task run on two workers. A partition that leaves the leader with some workers on one side, and the store on the other, lets the former leader go on deciding until 12 s after its last renewal, and renew leases of 6 s until then: runs beside it lasted up to 18 s. The successor started their tasks elsewhere 7.1 s after its claim, which may come 2.2 s after that renewal.

On the code before, ExecutionLoop.TheLeasesOfALeaderThatStillDecidesAreWaitedFor, with one successor and with one that dies after its claim:

- A leader grants no lease, by renewal or start, beyond the end of its term (12 s after the last renewal of its row was sent).
The deadline is the lower bound of the worker's clock at that time, so it has passed by then whatever the clock's rate and however old the sample is.
A start's deadline could exceed the moment of its sending by 4.9 s before (2.5 s validity, 2.3 s uncertainty of a sample that is a long poll of up to 2.2 s, 2% drift), less than a lease of 6.1 s.
- A successor waits until 12 s after it saw the row change last, by a clock that is 2% slow, plus the 1 s of before.
The row changed after the renewal was sent, and the first read of a row is a safe bound too.
No such wait for a leader that released the row (it stops before it sends the release) nor for an earlier process of the same host: then 7.1 s from the claim, as before.
For a term that is shorter than that of the leader before it, the row says how long earlier leaders may still decide.

A worker's former lease now counts from the first contact: near the end of a term the new leader may grant less than what a former leader granted.

Cost: with a worker that stays unreachable, tasks of jobs from before the claim wait until 13.2 s after the row's last change, about 11 s from the claim instead of 7.1 s, after a leader that was not known to have stopped. Runs end 12 s into an outage of the store instead of up to 18 s; towards the end leases are renewed more often, so that 10.5 s pass without harm (ExecutionLoop.RunsSurviveAStoreOutageWithinTheTerm). Nothing starts in the last 2.5 s of a term. During a rolling update, leaders of an older build still grant leases of 6 s until the end of their 12 s, and write rows without the field, which reads as 0.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -195,7 +195,8 @@
                       {"fence", row.fence.value},
                       {"beat", row.beat},
                       {"bestShare", row.bestShare},
-                      {"waiting", row.waiting}});
+                      {"waiting", row.waiting},
+                      {"formersDecideMs", toMilliseconds(row.formersDecideFor)}});
 }
 
 Result<membership::LeaderRow> CborJobs::decodeLeader(std::string_view value) const
@@ -208,6 +209,7 @@
         row.beat = json.at("beat").get<std::uint64_t>();
         row.bestShare = json.at("bestShare").get<double>();
         row.waiting = json.at("waiting").get<std::map<std::string, int>>();
+        row.formersDecideFor = std::chrono::milliseconds(json.value("formersDecideMs", std::int64_t(0)));
         return row;
     });
 }
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -188,7 +188,7 @@
             beginTerm();
         }
         if (term) {
-            term->noteRenewed(leadership.renewedAt());
+            term->noteRenewed(leadership.renewedAt(), leadership.decidesUntil());
         }
         if (isStopping || !configuration) {
             return; // without a configuration this host could not place any task
@@ -277,7 +277,8 @@
     {
         termFence = leadership.fence();
         termBeganAt = ports.scheduler.now();
-        LeaderTermStart start{termFence, leadership.claimVersion(), claimedRoster, queues()};
+        LeaderTermStart start{termFence, leadership.claimVersion(), claimedRoster, queues(),
+                              leadership.formersDecideUntil()};
         ports.log.record(
             "leadership-won",
             {{"fence", termFence.value}, {"claimVersion", start.claimVersion}, {"rosterRows", start.roster.size()}});
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -45,6 +45,7 @@
     d->fence = fence;
     d->termBeganAt = now;
     d->termRenewedAt = TimePoint::max();
+    d->termEnd = TimePoint::max();
     d->claimVersion = claimVersion;
     d->formerLeasesEnd = formerLeasesEnd;
     d->jobsByKey.clear();
@@ -63,9 +64,10 @@
     }
 }
 
-void Fleet::noteTermRenewed(TimePoint sentAt)
+void Fleet::noteTermRenewed(TimePoint sentAt, TimePoint termEnd)
 {
     d->termRenewedAt = sentAt;
+    d->termEnd = termEnd;
 }
 
 Epoch Fleet::fence() const
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -83,9 +83,10 @@
     // stored; the leases of these runs expire at `formerLeasesEnd` at the latest.
     void beginTerm(Epoch fence, std::uint64_t claimVersion, std::span<const ports::WorkerEntry> roster,
                    TimePoint formerLeasesEnd, TimePoint now);
-    // Records that the leadership was renewed by a write that was sent at `sentAt`. Later, a
-    // successor may have claimed it and extended leases.
-    void noteTermRenewed(TimePoint sentAt);
+    // Records that the leadership was renewed by a write that was sent at `sentAt`, and lasts
+    // until `termEnd`, when all leases must have ended. After `sentAt`, a successor may have
+    // claimed it and extended leases.
+    void noteTermRenewed(TimePoint sentAt, TimePoint termEnd);
     Epoch fence() const;
 
     void setQueues(std::span<const jobs::QueuePolicy> queues);
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -17,6 +17,9 @@
 constexpr Duration ServingWait = 1000ms;
 constexpr Duration NearTargetWait = 600ms;
 constexpr double NearTargetRatio = 0.7;
+// Near the end of the term, a renewal waits for this part of the remaining time at most: the
+// next one must reach the worker before its lease ends if the term is extended.
+constexpr int RenewalsPerTermEnd = 4;
 constexpr int FullPace = 100;
 // A worker's measurements cover its last 500 ms.
 constexpr Duration ObserveInterval = 500ms;
@@ -55,10 +58,10 @@
     if (!worker->isSilent()) {
         // The worker may carry out an order without its answer arriving. While it is
         // silent, no order may extend the lease that has to expire.
-        order.deadline = worker->nextDeadline(now);
+        order.deadline = worker->nextDeadline(now, d->termEnd);
     }
     if (worker->isConfirmed() && !worker->isSilent()) {
-        order.wait = listingWait(*worker);
+        order.wait = std::min(listingWait(*worker), (d->termEnd - now) / RenewalsPerTermEnd);
     }
     return order;
 }
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -345,6 +345,9 @@
 std::vector<Fleet::Private::WaitingStep> Fleet::Private::waitingSteps(TimePoint now, jobs::WallTime wall)
 {
     std::vector<WaitingStep> waiting;
+    if (termEnd - now < workers::StartValidity) {
+        return waiting; // the workers would reject the orders
+    }
     for (auto &[key, job] : jobsByKey) {
         if (!job->job.isOpen() || isBlockedByTakeover(*job, now)) {
             continue;
@@ -432,7 +435,7 @@
     applyStepSpec(run, spec);
     run.orderedAt = now;
     run.progressedAt = now;
-    run.startDeadline = worker.startDeadline(now);
+    run.startDeadline = worker.startDeadline(now, termEnd);
     worker.add(run);
     ++job.activeRuns;
     const auto checkpoint = job.job.task(task).checkpoint;
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -134,6 +134,7 @@
     std::uint64_t claimVersion = 0;
     TimePoint termBeganAt;
     TimePoint termRenewedAt;
+    TimePoint termEnd;
     TimePoint formerLeasesEnd;
     std::set<WorkerId> unreportedWorkers; // on the former leader's roster; have not reported their runs
     std::map<std::string, jobs::QueuePolicy, std::less<>> queues;
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -46,8 +46,10 @@
         rosterWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion,
                              start.roster, [this] { requestPlan(); });
         const auto lastLease = std::chrono::duration_cast<Duration>(workers::RunLease * (1 + ports::MaxClockDrift));
-        fleet.beginTerm(start.fence, start.claimVersion, rosterWriter->entries(), now + lastLease + FormerLeaseSlack,
-                        now);
+        // A leader that has stopped may have granted a lease just before the claim. The leases of
+        // one that has not end with its right to decide.
+        const auto formerLeasesEnd = std::max(now + lastLease, start.formersDecideUntil) + FormerLeaseSlack;
+        fleet.beginTerm(start.fence, start.claimVersion, rosterWriter->entries(), formerLeasesEnd, now);
         fleet.setQueues(start.queues);
         interferencePersister.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
         progressWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
@@ -255,9 +257,9 @@
     d->requestPlan();
 }
 
-void LeaderTerm::noteRenewed(TimePoint sentAt)
+void LeaderTerm::noteRenewed(TimePoint sentAt, TimePoint termEnd)
 {
-    d->fleet.noteTermRenewed(sentAt);
+    d->fleet.noteTermRenewed(sentAt, termEnd);
 }
 
 std::map<std::string, int> LeaderTerm::waitingCounts() const
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -31,6 +31,7 @@
     std::uint64_t claimVersion = 0;
     std::vector<ports::StoredRow> roster; // as stored by the former leader
     std::vector<jobs::QueuePolicy> queues;
+    TimePoint formersDecideUntil; // see membership::Leadership
 };
 
 // One leadership term of this host: loads the stored state, watches jobs and workers,
@@ -52,8 +53,9 @@
     LeaderTerm &operator=(const LeaderTerm &) = delete;
 
     void setQueues(std::span<const jobs::QueuePolicy> queues);
-    // Records that the leadership was renewed by a write that was sent at `sentAt`.
-    void noteRenewed(TimePoint sentAt);
+    // Records that the leadership was renewed by a write that was sent at `sentAt`, and lasts
+    // until `termEnd`.
+    void noteRenewed(TimePoint sentAt, TimePoint termEnd);
     // Returns the number of jobs per queue that have not started; complete only once
     // isLoaded().
     std::map<std::string, int> waitingCounts() const;
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -44,6 +44,12 @@
     m_version = version;
     m_changedAt = now;
     const bool isOwn = row && row->host == m_self && row->incarnation == m_incarnation;
+    if (row && !isOwn) {
+        // The row was written before `now`, and a renewal counts from when it was sent.
+        const bool isOtherHost = !row->host.isEmpty() && row->host != m_self;
+        const auto period = std::chrono::duration_cast<Duration>(StoreOutageGracePeriod * (1 + HostClockDrift));
+        m_formersDecideUntil = now + std::max(row->formersDecideFor, isOtherHost ? period : Duration(0));
+    }
     if (m_isLeader && !isOwn) {
         stepDown(now);
     }
@@ -75,6 +81,7 @@
         }
         Write write{m_version, *m_row, false};
         ++write.row.beat;
+        write.row.formersDecideFor = formersDecideFor(now);
         m_isWriting = true;
         return write;
     }
@@ -99,6 +106,7 @@
     write.row.fence = {m_row ? m_row->fence.value + 1 : 1};
     write.row.bestShare = m_row ? m_row->bestShare : 0;
     write.row.waiting = m_row ? m_row->waiting : std::map<std::string, int>();
+    write.row.formersDecideFor = formersDecideFor(now);
     if (write.row.fence != m_claimFence) {
         m_claimFence = write.row.fence;
         m_claimedAt = now;
@@ -150,7 +158,12 @@
 
 bool Leadership::mayDecide(TimePoint now) const
 {
-    return m_isLeader && now - m_renewedAt < StoreOutageGracePeriod;
+    return m_isLeader && now < decidesUntil();
+}
+
+Duration Leadership::formersDecideFor(TimePoint now) const
+{
+    return std::max(m_formersDecideUntil - now, Duration(0));
 }
 
 } // namespace monsoonspool::membership
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -20,6 +20,7 @@
     std::uint64_t beat = 0; // increases with each renewal
     double bestShare = 0; // the largest processor share of any leader so far
     std::map<std::string, int> waiting; // number of jobs that have not started, by queue
+    Duration formersDecideFor{0}; // from the writing of this row: how long earlier leaders may still decide
 };
 
 // Time without a renewal after which the leader is considered dead. A killed process
@@ -27,9 +28,10 @@
 constexpr Duration LeaderStaleAfter = 2200ms;
 constexpr Duration RenewInterval = 800ms;
 // How long a leader that cannot reach the store keeps deciding from its state in
-// memory. Runs on workers stay fenced whichever host claims meanwhile; the bound only
-// limits how long a worker that a successor cannot reach may be kept busy.
+// memory. A successor waits as long for workers that it cannot reach.
 constexpr Duration StoreOutageGracePeriod = 12s;
+// Maximum relative rate error between the clocks of two hosts.
+constexpr double HostClockDrift = 0.02;
 // After a longer gap in its own contact with the store, a host restarts the
 // measurement of the leader's silence.
 constexpr Duration MaxContactGap = 1s;
@@ -87,8 +89,19 @@
     {
         return m_renewedAt;
     }
+    // Returns until when this host may decide if it is the leader.
+    TimePoint decidesUntil() const
+    {
+        return m_renewedAt + StoreOutageGracePeriod;
+    }
     // Returns whether this host is the leader and may still decide.
     bool mayDecide(TimePoint now) const;
+    // Returns until when leaders before this host may decide at the latest. A leader that has
+    // released the row and an earlier run of this host have stopped.
+    TimePoint formersDecideUntil() const
+    {
+        return m_formersDecideUntil;
+    }
     const std::optional<LeaderRow> &row() const
     {
         return m_row;
@@ -103,6 +116,8 @@
     }
 
 private:
+    Duration formersDecideFor(TimePoint now) const;
+
     EntryHostId m_self;
     std::uint64_t m_incarnation;
     TimePoint m_startedAt;
@@ -119,6 +134,7 @@
     Epoch m_claimFence;
     TimePoint m_claimedAt; // first attempt to claim with m_claimFence
     TimePoint m_renewedAt; // when the last successful renewal was sent
+    TimePoint m_formersDecideUntil;
     TimePoint m_retryAt;
 };
 
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -138,20 +138,24 @@
 }
 
 // Computed from the lower bound of the worker's clock, so that the worker never keeps its
-// runs for longer than RunLease. Never lower than a deadline that was sent before.
-ports::WorkerMillis Worker::nextDeadline(TimePoint now)
+// runs for longer than RunLease. The worker ignores a deadline that is lower than an earlier
+// one.
+ports::WorkerMillis Worker::nextDeadline(TimePoint now, TimePoint termEnd)
 {
     if (!m_clock.isKnown()) {
         return 0;
     }
-    m_deadline = std::max<ports::WorkerMillis>(m_deadline, m_clock.earliest(now) + toMilliseconds(RunLease));
-    return m_deadline;
+    const auto deadline
+        = std::min<ports::WorkerMillis>(m_clock.earliest(now) + toMilliseconds(RunLease), m_clock.earliest(termEnd));
+    m_deadline = std::max(m_deadline, deadline);
+    return deadline;
 }
 
 // A successful start extends the lease of all runs on the worker.
-ports::WorkerMillis Worker::startDeadline(TimePoint now)
+ports::WorkerMillis Worker::startDeadline(TimePoint now, TimePoint termEnd)
 {
-    const ports::WorkerMillis deadline = m_clock.latest(now) + toMilliseconds(StartValidity);
+    const auto deadline
+        = std::min<ports::WorkerMillis>(m_clock.latest(now) + toMilliseconds(StartValidity), m_clock.earliest(termEnd));
     m_deadline = std::max(m_deadline, deadline);
     return deadline;
 }
@@ -168,6 +172,10 @@
 
 void Worker::noteContact(ports::WorkerMillis clock, TimePoint sentAt, TimePoint now)
 {
+    if (!m_clock.isKnown()) {
+        // A former leader's lease: it was granted before the worker confirmed this fence.
+        m_deadline = clock + toMilliseconds(RunLease);
+    }
     m_clock.note(clock, sentAt, now);
     m_isConfirmed = true;
     m_isSilent = false;
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -191,9 +191,9 @@
     void add(const Run &run);
     void remove(const jobs::TaskId &task);
 
-    // Leases, in terms of the worker's own clock.
-    ports::WorkerMillis nextDeadline(TimePoint now);
-    ports::WorkerMillis startDeadline(TimePoint now);
+    // Leases, in terms of the worker's own clock. They have certainly ended at `termEnd`.
+    ports::WorkerMillis nextDeadline(TimePoint now, TimePoint termEnd = TimePoint::max());
+    ports::WorkerMillis startDeadline(TimePoint now, TimePoint termEnd = TimePoint::max());
     bool hasLapsed(TimePoint now) const;
     bool isTooLateToStart(const Run &run, TimePoint now) const;
 
@@ -257,7 +257,7 @@
     Resources m_reserved; // by runs with cores of their own
     std::int64_t m_servingMilliCores = 0; // the part of m_reserved of lasting runs
     Resources m_leftoverReserved; // by runs on leftover cores, whose cores are scaled by pace
-    ports::WorkerMillis m_deadline = 0;
+    ports::WorkerMillis m_deadline = 0; // of all leases granted so far, by any leader
     std::int64_t m_processedEnd = 0;
     std::int64_t m_acknowledgedEnd = 0;
     std::set<std::int64_t> m_heldEnds;
--- a/tests/execution/executionlooptest.cpp
+++ b/tests/execution/executionlooptest.cpp
@@ -235,6 +235,73 @@
     EXPECT_EQ(cluster.workers.startCount(), TasksPerJob);
 }
 
+// A partition leaves the leader and some workers on one side, and the store on the other. The
+// leader renews their leases until it may no longer decide; successors must wait for that.
+TEST(ExecutionLoop, TheLeasesOfALeaderThatStillDecidesAreWaitedFor)
+{
+    struct Case
+    {
+        const char *name;
+        bool isKilled;
+        bool isRestarted;
+    };
+    for (const auto &it : {Case{"one successor", false, false}, Case{"the first successor dies", true, false},
+                           Case{"the first successor restarts", true, true}}) {
+        SCOPED_TRACE(it.name);
+        Cluster cluster;
+        cluster.taskModel.overrides[{7}] = {60s, false, TaskSize};
+        cluster.scheduler.runFor(2s);
+        const int former = cluster.leader();
+        ASSERT_GE(former, 0);
+        cluster.submit(former, 7);
+        cluster.scheduler.runFor(1s);
+        ASSERT_EQ(cluster.workers.runningCount(), 3);
+        cluster.host(former).storeFaults.isCut = true;
+        for (int n = 0; n < HostCount; ++n) {
+            cluster.host(n).workerFaults.rule = [isFormer = n == former](std::string_view call, TimePoint) {
+                const bool isBesideFormer = call.ends_with("w0") || call.ends_with("w1");
+                return isBesideFormer == isFormer ? std::nullopt : std::optional(Fault{2ms, true, false});
+            };
+        }
+        cluster.scheduler.runFor(4s);
+        for (int n = 0; n < HostCount; ++n) {
+            const bool isSuccessor = n != former && cluster.host(n).loop->summary().isLeader;
+            if (isSuccessor && it.isKilled) {
+                cluster.killHost(n);
+            }
+            if (isSuccessor && it.isRestarted) {
+                cluster.startHost(n);
+            }
+        }
+        cluster.scheduler.runFor(30s);
+        EXPECT_EQ(violationsOf(cluster), "");
+        EXPECT_EQ(cluster.workers.startCount(), 6) << "started once on each side";
+        EXPECT_EQ(cluster.workers.runningCount(), 3);
+    }
+}
+
+// Leases end with the term of their leader, so a term that is renewed just in time must not
+// end the runs.
+TEST(ExecutionLoop, RunsSurviveAStoreOutageWithinTheTerm)
+{
+    Cluster cluster;
+    cluster.taskModel.overrides[{7}] = {60s, false, TaskSize};
+    cluster.scheduler.runFor(2s);
+    cluster.submit(0, 7);
+    cluster.scheduler.runFor(1s);
+    for (const auto &it : cluster.hosts) {
+        it->storeFaults.isCut = true;
+    }
+    cluster.scheduler.runFor(10500ms);
+    for (const auto &it : cluster.hosts) {
+        it->storeFaults.isCut = false;
+    }
+    cluster.scheduler.runFor(20s);
+    EXPECT_EQ(violationsOf(cluster), "");
+    EXPECT_EQ(cluster.workers.startCount(), 3);
+    EXPECT_EQ(cluster.workers.runningCount(), 3);
+}
+
 // A partition leaves the leader and some workers on one side. The successor renews the leases
 // of the other workers, so the leader must not take them for expired by its own orders.
 TEST(ExecutionLoop, ALeaderThatMayHaveASuccessorDoesNotExpireLeases)
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -356,12 +356,33 @@
     fleet.applyStartReply(orders.starts.front(), ports::StartResult::Accepted, Start);
     fleet.leaseOrder(worker, Start);
     fleet.markSilent(worker, Start + 1s);
-    fleet.noteTermRenewed(Start + 6s);
+    fleet.noteTermRenewed(Start + 6s, Start + 18s);
     EXPECT_TRUE(fleet.plan(Start + 10s, Wall).starts.empty());
-    fleet.noteTermRenewed(Start + 6500ms);
+    fleet.noteTermRenewed(Start + 6500ms, Start + 18500ms);
     const auto again = fleet.plan(Start + 10s, Wall);
     ASSERT_EQ(again.starts.size(), 1U);
     EXPECT_NE(again.starts.front().worker, worker);
 }
 
+// Runs end with the term of their leader, unless it is renewed. Leases are renewed more often
+// towards its end, so that a late renewal of the term still saves the runs.
+TEST(Fleet, GrantsNothingBeyondItsTerm)
+{
+    ReadyFleet ready(1);
+    auto &fleet = ready.fleet;
+    const WorkerId worker("w0");
+    const auto startClock = 1000; // of the worker, at Start
+    fleet.noteTermRenewed(Start, Start + 12s);
+    EXPECT_EQ(fleet.leaseOrder(worker, Start).deadline, startClock + 6000);
+    const auto wait = fleet.leaseOrder(worker, Start).wait;
+    EXPECT_EQ(fleet.leaseOrder(worker, Start + 5s).wait, wait);
+    EXPECT_EQ(fleet.leaseOrder(worker, Start + 11s).deadline, startClock + 11'760);
+    EXPECT_EQ(fleet.leaseOrder(worker, Start + 11s).wait, 250ms);
+    ready.submit(7, plainStep(), Start);
+    EXPECT_TRUE(fleet.plan(Start + 10s, Wall).starts.empty()) << "the order may arrive after the term";
+    const auto starts = fleet.plan(Start + 9s, Wall).starts;
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_LE(starts.front().deadline, startClock + 11'760);
+}
+
 } // namespace monsoonspool::execution
--- a/tests/membership/leadershiptest.cpp
+++ b/tests/membership/leadershiptest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace monsoonspool::membership {
 
 namespace {
@@ -131,6 +133,46 @@
     EXPECT_FALSE(a.mayDecide(Start + 1s + StoreOutageGracePeriod));
 }
 
+// A claimant waits for the leases of every leader that may still decide, and no longer.
+TEST(Leadership, KnowsHowLongFormerLeadersMayDecide)
+{
+    const auto full = StoreOutageGracePeriod + StoreOutageGracePeriod / 50; // by a clock that is 2% slow
+    auto chained = rowOf(EntryHostId(), 1, 4);
+    chained.formersDecideFor = 7s;
+    auto ownChained = rowOf(A, 1, 4);
+    ownChained.formersDecideFor = 7s;
+    auto otherChained = rowOf(B, 1, 4);
+    otherChained.formersDecideFor = 7s;
+    struct Case
+    {
+        const char *name;
+        LeaderRow row;
+        Duration wait; // from when the row was read
+    };
+    for (const auto &it :
+         {Case{"another host", rowOf(B, 1, 4), full}, Case{"released", rowOf(EntryHostId(), 1, 4), 0s},
+          Case{"an earlier run of this host", rowOf(A, 1, 4), 0s}, Case{"released after a short term", chained, 7s},
+          Case{"an earlier run of this host with a short term", ownChained, 7s},
+          Case{"another host with a short term", otherChained, full}}) {
+        SCOPED_TRACE(it.name);
+        Leadership a(A, 2, Start);
+        a.noteStoreContact(Start);
+        a.noteRow(it.row, 9, Start);
+        EXPECT_EQ(a.formersDecideUntil(), Start + it.wait);
+        for (Duration d{0}; d <= 3s; d += 100ms) {
+            a.noteStoreContact(Start + d);
+        }
+        const auto claim = a.dueWrite(0ms, Start + 3s);
+        ASSERT_TRUE(claim);
+        EXPECT_EQ(claim->row.formersDecideFor, std::max(it.wait - 3s, Duration(0)));
+        a.noteWritten(*claim, 10, Start + 3s, Start + 4s);
+        EXPECT_EQ(a.formersDecideUntil(), Start + it.wait) << "its own claim changes nothing";
+        const auto renewal = a.dueWrite(0ms, Start + 5s);
+        ASSERT_TRUE(renewal);
+        EXPECT_EQ(renewal->row.formersDecideFor, std::max(it.wait - 5s, Duration(0)));
+    }
+}
+
 // With a few strong hosts among many weak ones, a strong host becomes leader even if it
 // starts last. Hosts with equal shares do not wait for each other.
 TEST(Leadership, IsClaimedByStrongHostsFirst)
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -165,6 +165,26 @@
     EXPECT_EQ(kindOf([&] { return rows.decodeProgress("no cbor"); }), ErrorKind::MalformedMessage);
 }
 
+// During a rolling update, both builds read the leader row.
+TEST(CborJobs, ReadsTheLeaderRowOfAnOlderBuild)
+{
+    const codec::CborJobs rows;
+    membership::LeaderRow row;
+    row.host = EntryHostId("h");
+    row.fence = {3};
+    row.formersDecideFor = 7s;
+    EXPECT_EQ(valueOf([&] { return rows.decodeLeader(rows.encode(row)); }).formersDecideFor, 7s);
+    const auto older = codec::writeCbor({{"host", "h"},
+                                         {"incarnation", 1},
+                                         {"fence", 3},
+                                         {"beat", 1},
+                                         {"bestShare", 1.0},
+                                         {"waiting", codec::Json::object()}});
+    const auto decoded = valueOf([&] { return rows.decodeLeader(older); });
+    EXPECT_EQ(decoded.fence, Epoch{3});
+    EXPECT_EQ(decoded.formersDecideFor, Duration(0));
+}
+
 TEST(WireCodec, RunOrdersPreserveThePayload)
 {
     for (const auto *payload : {"", "plain", "quote \" and \\ and \n", "\xc3\xa9"}) {
--- a/tests/workers/workertest.cpp
+++ b/tests/workers/workertest.cpp
@@ -70,6 +70,31 @@
     EXPECT_TRUE(worker.hasLapsed(Now + 6300ms));
 }
 
+// What a leader has granted ends, by the fastest estimate of the worker's clock, when the leader
+// may no longer decide: its successor waits no longer.
+TEST(Worker, NoLeaseOutlastsTheTermOfItsLeader)
+{
+    auto worker = makeWorker();
+    // The answer of a long poll: the clock was read at any time within 1.5 s.
+    worker.noteContact(10'000, Now, Now + 1500ms);
+    const auto sentAt = Now + 1500ms;
+    const auto termEnd = sentAt + 3s;
+    EXPECT_EQ(worker.nextDeadline(sentAt), 16'000);
+    EXPECT_EQ(worker.startDeadline(sentAt), 10'000 + 1530 + 2500);
+    EXPECT_EQ(worker.nextDeadline(sentAt, termEnd), 10'000 + 2940);
+    EXPECT_EQ(worker.startDeadline(sentAt, termEnd), 10'000 + 2940);
+}
+
+// A former leader's lease on the worker may last longer than what this leader may grant.
+TEST(Worker, AFormerLeadersLeaseIsWaitedFor)
+{
+    auto worker = makeWorker();
+    worker.noteContact(10'000, Now, Now);
+    EXPECT_EQ(worker.nextDeadline(Now, Now + 1s), 10'980);
+    EXPECT_FALSE(worker.hasLapsed(Now + 6100ms));
+    EXPECT_TRUE(worker.hasLapsed(Now + 6300ms));
+}
+
 TEST(Worker, ARestartedWorkerHoldsNothing)
 {
     auto worker = makeWorker();
