Take a restart of a worker from its listing only, not from its entry

Callers saw a task run twice: a worker restarted under its identifier, its new process accepted tasks, then its entry arrived, and the leader ended all runs of the worker and started the tasks elsewhere. A single entry with a start time that is too high made the leader do so for a worker that went on running, ignore its listings as those of an earlier process for ever, and renew its lease. At a takeover such an entry also counted as the worker's report.

Cause: Fleet::updateWorker() took a higher start time in an entry as proof of a restart. An entry tells nothing of the orders that have reached the new process, and another writer may have written it.

Fix: Worker keeps the start time of the process that listed its runs last, apart from the entry. Only a listing changes it and handles a restart. An entry with a later start keeps new tasks away until a listing confirms it or a later entry corrects it.

Cost: a restart is noticed when the new process answers a renewal, not when its entry arrives.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -195,7 +195,7 @@
     return counts;
 }
 
-void Fleet::updateWorker(const ports::WorkerEntry &entry, TimePoint now)
+void Fleet::updateWorker(const ports::WorkerEntry &entry, TimePoint)
 {
     auto *worker = d->findWorker(entry.id);
     if (worker == nullptr) {
@@ -203,12 +203,18 @@
         return;
     }
     worker->setListed(true);
-    if (entry.startTimeMs > worker->entry().startTimeMs && worker->entry().startTimeMs != 0) {
-        d->handleRestart(*worker, entry.startTimeMs, "entry", now);
-    }
-    if (entry.startTimeMs < worker->entry().startTimeMs) {
+    if (entry.startTimeMs < worker->startTimeMs()) {
         return; // the row describes an earlier incarnation of the worker
     }
+    const bool isRestartAnnounced = worker->startTimeMs() != 0 && entry.startTimeMs > worker->startTimeMs();
+    if (isRestartAnnounced && entry.startTimeMs != worker->entry().startTimeMs) {
+        // The row may be untrue, and the new process may have accepted orders already.
+        d->log.record("worker-restart-announced",
+                      {{"worker", entry.id.view()},
+                       {"formerStartMs", worker->startTimeMs()},
+                       {"startMs", entry.startTimeMs},
+                       {"runs", worker->runCount()}});
+    }
     if (entry.isDraining && !worker->entry().isDraining) {
         d->log.record("worker-draining",
                       {{"worker", entry.id.view()}, {"remainingMs", toMilliseconds(entry.remaining)}});
@@ -294,7 +300,7 @@
     std::vector<EndCursor> cursors;
     for (const auto *it : d->workers) {
         if (it->processedEnd() > it->acknowledgedEnd()) {
-            cursors.push_back({it->entry().id, it->entry().startTimeMs, it->processedEnd()});
+            cursors.push_back({it->entry().id, it->startTimeMs(), it->processedEnd()});
         }
     }
     return cursors;
@@ -304,7 +310,7 @@
 {
     for (const auto &it : cursors) {
         auto *worker = d->findWorker(it.worker);
-        if (worker != nullptr && worker->entry().startTimeMs == it.startTimeMs) {
+        if (worker != nullptr && worker->startTimeMs() == it.startTimeMs) {
             worker->acknowledge(it.lastEnd);
         }
     }
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -99,6 +99,8 @@
     std::map<std::string, int> waitingCounts() const;
 
     // Workers.
+    // Applies a row of the registry. A later start time ends no run; until the worker's listing
+    // confirms it, the worker gets no new tasks.
     void updateWorker(const ports::WorkerEntry &entry, TimePoint now);
     void removeWorker(const WorkerId &id, TimePoint now);
     std::vector<WorkerId> workerIds() const;
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -69,13 +69,14 @@
     if (worker == nullptr) {
         return;
     }
-    if (listing.startTimeMs != 0 && worker->entry().startTimeMs != 0
-        && listing.startTimeMs != worker->entry().startTimeMs) {
-        if (listing.startTimeMs < worker->entry().startTimeMs) {
-            return; // an answer of an earlier incarnation
-        }
-        d->handleRestart(*worker, listing.startTimeMs, "listing", now);
+    const auto startTimeMs = listing.startTimeMs != 0 ? listing.startTimeMs : worker->entry().startTimeMs;
+    if (startTimeMs < worker->startTimeMs()) {
+        return; // an answer of an earlier incarnation
+    }
+    if (worker->startTimeMs() != 0 && startTimeMs > worker->startTimeMs()) {
+        d->handleRestart(*worker, startTimeMs, now);
     }
+    worker->setStartTimeMs(startTimeMs);
     worker->noteContact(listing.clock, sentAt, now);
     d->applyEnds(*worker, listing, now);
     d->applyRunning(*worker, listing, sentAt, now);
@@ -388,20 +389,17 @@
     }
 }
 
-void Fleet::Private::handleRestart(workers::Worker &worker, std::int64_t startTimeMs, std::string_view source,
-                                   TimePoint now)
+void Fleet::Private::handleRestart(workers::Worker &worker, std::int64_t startTimeMs, TimePoint now)
 {
     ++counts.workerRestarts;
     log.record("worker-restarted",
                {{"worker", worker.entry().id.view()},
-                {"source", source},
-                {"formerStartMs", worker.entry().startTimeMs},
+                {"formerStartMs", worker.startTimeMs()},
                 {"startMs", startTimeMs},
                 {"acknowledgedEnd", worker.acknowledgedEnd()},
                 {"runs", worker.runCount()}});
     expireRuns(worker, now, "restarted");
     worker.restart(startTimeMs);
-    markReported(worker.entry().id, now);
 }
 
 void Fleet::applyStartReply(const StartTask &order, ports::StartResult answer, TimePoint now)
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -69,8 +69,7 @@
                   TimePoint now);
     void recordCompletion(workers::Worker &worker, const workers::Run &run, TimePoint now);
     void expireRuns(workers::Worker &worker, TimePoint now, std::string_view reason);
-    // `source` names what told of the restart, for the log.
-    void handleRestart(workers::Worker &worker, std::int64_t startTimeMs, std::string_view source, TimePoint now);
+    void handleRestart(workers::Worker &worker, std::int64_t startTimeMs, TimePoint now);
     void markBegun(jobs::JobKey key);
     void dropIfFinished(jobs::JobKey key);
     void markReported(const WorkerId &id, TimePoint now);
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -32,11 +32,10 @@
 
 void Worker::restart(std::int64_t startTimeMs)
 {
-    auto entry = std::move(m_entry);
-    entry.startTimeMs = startTimeMs;
     const bool isListed = m_isListed;
     const bool isRostered = m_isRostered;
-    *this = Worker(std::move(entry));
+    *this = Worker(std::move(m_entry));
+    m_startTimeMs = startTimeMs;
     m_isListed = isListed;
     m_isRostered = isRostered;
 }
@@ -47,6 +46,10 @@
         || now < m_unschedulableUntil) {
         return false;
     }
+    const bool isRestartAnnounced = m_startTimeMs != 0 && m_entry.startTimeMs > m_startTimeMs;
+    if (isRestartAnnounced) {
+        return false;
+    }
     if (!isSuspect() || now - m_lastFailureAt > SuspicionTimeout) {
         return true;
     }
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -69,7 +69,8 @@
 //  - the resources of all runs that may be active there never exceed its capacity,
 //  - a run is counted until the worker lists its end or its lease has certainly expired,
 //  - nothing is started there before the worker has confirmed this scheduler's fence and
-//    the stored roster, from which a new leader recovers, lists the worker.
+//    the stored roster, from which a new leader recovers, lists the worker,
+//  - only the worker's own listing shows that it has restarted.
 //
 // Not thread-safe: owned by the control thread.
 class Worker
@@ -81,8 +82,18 @@
     {
         return m_entry;
     }
-    // Replaces the entry by a newer one of the same worker process.
+    // Replaces the entry by a newer one.
     void setEntry(ports::WorkerEntry entry);
+    // Returns when the process whose listing was received last has started; 0 before the
+    // first listing. The entry may tell of a process that has not answered yet.
+    std::int64_t startTimeMs() const
+    {
+        return m_startTimeMs;
+    }
+    void setStartTimeMs(std::int64_t startTimeMs)
+    {
+        m_startTimeMs = startTimeMs;
+    }
     // Resets runs, leases and ends: a restarted worker runs nothing.
     void restart(std::int64_t startTimeMs);
 
@@ -237,6 +248,7 @@
     static constexpr int SuspectFailureCount = 2; // consecutive failures, of any tasks
 
     ports::WorkerEntry m_entry;
+    std::int64_t m_startTimeMs = 0;
     WorkerClock m_clock;
     std::vector<Run> m_runs;
     Resources m_reserved; // by runs with cores of their own
--- /dev/null
+++ b/tests/execution/workerrestarttest.cpp
@@ -0,0 +1,238 @@
+// Workers that start again under the identifier and address that they had.
+#include "testcluster.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace monsoonspool::execution {
+
+namespace {
+
+using namespace testcluster;
+
+constexpr TimePoint Start{1h};
+const jobs::WallTime Wall{};
+constexpr jobs::JobKey Key{7};
+const jobs::TaskId Task{Key, 0, 0, 0};
+const WorkerId First("w0");
+const WorkerId Second("w1");
+
+WorkerEntry entryOf(const WorkerId &id, std::int64_t startTimeMs)
+{
+    WorkerEntry entry;
+    entry.id = id;
+    entry.service = Service;
+    entry.capacity = {32000, 64000, 0};
+    entry.startTimeMs = startTimeMs;
+    return entry;
+}
+
+AcceptedJob oneTaskJob(std::uint64_t version)
+{
+    AcceptedJob job;
+    job.key = Key;
+    job.policy.queue = "plans";
+    job.policy.service = Service;
+    job.policy.maxAttempts = 3;
+    job.spec.steps.resize(1);
+    job.spec.steps.front().needs = TaskSize;
+    job.spec.steps.front().estimate = 1s;
+    job.version = version;
+    return job;
+}
+
+// A worker process's answer to a renewal that was sent and answered at the same time.
+struct Listing
+{
+    std::int64_t startTimeMs = 1;
+    WorkerMillis clock = 0;
+    std::vector<ListedRun> running;
+    std::vector<ListedRunEnd> ended;
+};
+
+// A fleet with one job of one task and workers that can take it.
+class FleetOfWorkers
+{
+public:
+    explicit FleetOfWorkers(std::vector<WorkerId> ids)
+    {
+        fleet.beginTerm({1}, 0, {}, Start, Start);
+        for (const auto &it : ids) {
+            fleet.updateWorker(entryOf(it, 1), Start);
+            list(it, {1, FormerUptime, {}, {}}, Start);
+        }
+        fleet.markRosterStored(fleet.roster());
+        fleet.addJob(oneTaskJob(1), Start, Wall);
+    }
+
+    void list(const WorkerId &id, const Listing &listing, TimePoint now)
+    {
+        list(id, listing, now, now);
+    }
+    void list(const WorkerId &id, const Listing &listing, TimePoint sentAt, TimePoint now)
+    {
+        fleet.applyListing(id, {listing.clock, listing.startTimeMs, listing.running, listing.ended}, sentAt, now);
+    }
+    // Orders the start of the task.
+    StartTask order(TimePoint now)
+    {
+        const auto orders = fleet.plan(now, Wall);
+        EXPECT_EQ(orders.starts.size(), 1U);
+        return orders.starts.empty() ? StartTask() : orders.starts.front();
+    }
+    // Orders the start of the task, which the worker accepts.
+    StartTask start(TimePoint now)
+    {
+        auto accepted = order(now);
+        fleet.applyStartReply(accepted, StartResult::Accepted, now);
+        return accepted;
+    }
+    std::size_t startsAt(TimePoint now)
+    {
+        return fleet.plan(now, Wall).starts.size();
+    }
+    bool isDone() const
+    {
+        const auto *job = fleet.find(Key);
+        return job != nullptr && job->state() == jobs::JobState::Completed;
+    }
+
+    // Time since the workers' start at Start, far above that of a process that has just started.
+    static constexpr WorkerMillis FormerUptime = 3'600'000;
+
+    NullLog log;
+    Fleet fleet{log};
+};
+
+} // namespace
+
+// Guards against taking an entry as proof that the worker's runs are over: a task that the new
+// process had accepted was started elsewhere at once.
+TEST(WorkerRestart, AnEntryEndsNoRun)
+{
+    FleetOfWorkers workers({First, Second});
+    const auto order = workers.start(Start + 1ms);
+    workers.fleet.updateWorker(entryOf(order.worker, 2), Start + 10ms);
+    EXPECT_EQ(workers.startsAt(Start + 10ms), 0U);
+    workers.list(order.worker, {2, 100, {{order.task, order.run, {}, 10, 0}}, {}}, Start + 20ms);
+    EXPECT_EQ(workers.startsAt(Start + 20ms), 0U);
+    workers.list(order.worker, {2, 500, {}, {{1, order.task, order.run, jobs::RunEnd::Done, {}}}}, Start + 400ms);
+    EXPECT_TRUE(workers.isDone());
+}
+
+// Guards against ignoring a worker that goes on running because an entry named a later start.
+TEST(WorkerRestart, AnUntrueEntryDoesNotHideTheWorker)
+{
+    FleetOfWorkers workers({First, Second});
+    const auto order = workers.start(Start + 1ms);
+    workers.fleet.updateWorker(entryOf(order.worker, 9), Start + 10ms);
+    workers.list(order.worker,
+                 {1, FleetOfWorkers::FormerUptime + 500, {}, {{1, order.task, order.run, jobs::RunEnd::Done, {}}}},
+                 Start + 500ms);
+    EXPECT_EQ(workers.startsAt(Start + 500ms), 0U);
+    EXPECT_TRUE(workers.isDone());
+}
+
+// Guards against starting tasks on a process that has not answered yet.
+TEST(WorkerRestart, AWorkerTakesNoTaskWhileOnlyItsEntryTellsOfAStart)
+{
+    for (const std::int64_t confirmed : {1, 2}) {
+        SCOPED_TRACE(confirmed);
+        FleetOfWorkers workers({First});
+        workers.fleet.updateWorker(entryOf(First, 2), Start + 10ms);
+        EXPECT_EQ(workers.startsAt(Start + 10ms), 0U);
+        if (confirmed == 1) {
+            workers.fleet.updateWorker(entryOf(First, 1), Start + 20ms);
+        } else {
+            workers.list(First, {2, 100, {}, {}}, Start + 20ms);
+        }
+        EXPECT_EQ(workers.startsAt(Start + 20ms), 1U);
+    }
+}
+
+// Guards against comparing the ends of a new process with the numbers of the former one, if
+// listings do not tell the start time.
+TEST(WorkerRestart, AListingWithoutAStartTimeIsOfTheProcessThatTheEntryNames)
+{
+    FleetOfWorkers workers({First});
+    const jobs::TaskId other{{8}, 0, 0, 0};
+    workers.list(First, {1, FleetOfWorkers::FormerUptime + 1, {}, {{5, other, 1, jobs::RunEnd::Done, {}}}}, Start);
+    const auto order = workers.start(Start + 1ms);
+    workers.fleet.updateWorker(entryOf(First, 2), Start + 10ms);
+    workers.list(First, {0, 500, {}, {{1, order.task, order.run, jobs::RunEnd::Done, {}}}}, Start + 500ms);
+    EXPECT_TRUE(workers.isDone());
+}
+
+// Guards against taking an entry as the worker's report to a new leader: tasks that the former
+// leader had started were started again before their worker had listed them.
+TEST(WorkerRestart, AnEntryIsNoReportToANewLeader)
+{
+    NullLog log;
+    Fleet fleet{log};
+    const std::vector<WorkerEntry> roster = {entryOf(First, 1), entryOf(Second, 1)};
+    fleet.beginTerm({2}, 10, roster, Start + 7s, Start);
+    fleet.addJob(oneTaskJob(5), Start, Wall);
+    for (const auto &it : roster) {
+        fleet.updateWorker(it, Start);
+    }
+    fleet.applyListing(First, {1000, 1, {}, {}}, Start, Start);
+    fleet.updateWorker(entryOf(Second, 2), Start + 10ms);
+    EXPECT_TRUE(fleet.plan(Start + 10ms, Wall).starts.empty());
+    fleet.applyListing(Second, {1000, 1, {{Task, 1, {}, 10, 0}}, {}}, Start + 20ms, Start + 20ms);
+    EXPECT_TRUE(fleet.plan(Start + 20ms, Wall).starts.empty());
+}
+
+namespace {
+
+// Restarts a worker while the leader's renewal is pending without an answer, so that orders on
+// other connections reach the new process before the leader hears of it.
+void restartUnnoticed(Cluster &cluster, const WorkerId &id, Duration unanswered)
+{
+    const auto until = cluster.scheduler.now() + unanswered;
+    const auto renewal = "renew " + id.text();
+    for (const auto &it : cluster.hosts) {
+        it->workerFaults.rule = [=](std::string_view call, TimePoint now) -> std::optional<Fault> {
+            return call == renewal && now < until ? std::optional(Fault{2ms, true, false}) : std::nullopt;
+        };
+    }
+    cluster.scheduler.runFor(60ms); // until the last answer of the former process has arrived
+    cluster.workers.restart(id, 2);
+}
+
+// Submits jobs that occupy most of each worker.
+void submitJobs(Cluster &cluster, std::uint64_t firstKey)
+{
+    for (int n = 0; n < 12; ++n) {
+        cluster.submit(n % HostCount, firstKey + static_cast<std::uint64_t>(n));
+    }
+}
+
+void expectAllDone(const Cluster &cluster)
+{
+    for (const auto &[id, answer] : cluster.answers) {
+        EXPECT_EQ(answer, SubmitResult::Accepted) << "job " << id;
+        EXPECT_EQ(cluster.workers.doneCount({id}), TasksPerJob) << "job " << id;
+    }
+    EXPECT_EQ(violationsOf(cluster), "");
+}
+
+} // namespace
+
+// Guards against starting elsewhere what the new process has accepted before its entry arrives.
+TEST(WorkerRestart, TasksOfANewProcessSurviveItsEntry)
+{
+    Cluster cluster;
+    cluster.scheduler.runFor(2s);
+    restartUnnoticed(cluster, First, 1s);
+    submitJobs(cluster, 1);
+    cluster.scheduler.runFor(200ms);
+    cluster.put({"workers", "", First.text()}, "ready");
+    cluster.scheduler.runFor(20s);
+    expectAllDone(cluster);
+}
+
+} // namespace monsoonspool::execution
