Accept a worker whose new process tells an earlier start time

Callers saw a task that no worker ran: a worker whose time of day had gone back restarted, and the leader ignored the new process for ever. Its runs never ended, their tasks were not started again, and the lease went on being renewed. At another address the process was never reached.

Cause: a listing or entry with a lower start time counted as one of an earlier process. Listings cannot be that: a worker has one renewal at a time, and the handler of one that timed out is not called again, so that each answer is of the same process as the one before it or of a later one.

Evidence, before the fix:

WorkerRestart.AProcessMayTellAnEarlierStartThanTheFormerOne workers.startsAt(Start + 1s) Which is: 0, expected 1 WorkerRestart.ASilentWorkerIsReachedAtTheAddressOfAnEarlierStart entryOf(First)->address is the former one, expected that of the entry

Fix: a listing with another start time is of a new process, whether it is lower or higher. An entry with a lower start time is still ignored while the worker answers, since it may be outdated; while the worker is silent it is applied, so that the leader tries the address.

Cost: an outdated entry that arrives while a worker is silent may replace a newer one until the worker's next heartbeat.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -203,7 +203,7 @@
         return;
     }
     worker->setListed(true);
-    if (entry.startTimeMs < worker->startTimeMs()) {
+    if (entry.startTimeMs < worker->startTimeMs() && !worker->isSilent()) {
         return; // the row describes an earlier incarnation of the worker
     }
     const bool isRestartAnnounced = worker->startTimeMs() != 0 && entry.startTimeMs > worker->startTimeMs();
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -115,7 +115,8 @@
     // Returns the next lease renewal for a worker. Its wait is zero until the worker has
     // confirmed the fence, and while the worker is silent.
     ports::LeaseOrder leaseOrder(const WorkerId &id, TimePoint now);
-    // Applies the listing with which a worker answered a renewal sent at `sentAt`.
+    // Applies the listing with which a worker answered a renewal sent at `sentAt`, after the
+    // answer to the renewal before it.
     void applyListing(const WorkerId &id, const ports::WorkerListing &listing, TimePoint sentAt, TimePoint now);
     void markSilent(const WorkerId &id, TimePoint now);
     void applyStartReply(const StartTask &order, ports::StartResult answer, TimePoint now);
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -70,10 +70,9 @@
         return;
     }
     const auto startTimeMs = listing.startTimeMs != 0 ? listing.startTimeMs : worker->entry().startTimeMs;
-    if (startTimeMs < worker->startTimeMs()) {
-        return; // an answer of an earlier incarnation
-    }
-    if (worker->startTimeMs() != 0 && startTimeMs > worker->startTimeMs()) {
+    // Renewals of a worker are sent one after another, so that another start time is that of a
+    // later process, also if its time of day is behind.
+    if (worker->startTimeMs() != 0 && startTimeMs != worker->startTimeMs()) {
         d->handleRestart(*worker, startTimeMs, now);
     }
     worker->setStartTimeMs(startTimeMs);
--- a/src/ports/workerlink.h
+++ b/src/ports/workerlink.h
@@ -34,7 +34,7 @@
     Resources capacity;
     bool isDraining = false;
     Duration remaining{0}; // while draining, a lower bound of the time until it leaves
-    std::int64_t startTimeMs = 0; // start of the current incarnation; higher after a restart
+    std::int64_t startTimeMs = 0; // start of the current incarnation; another one after a restart, usually higher
 
     bool operator==(const WorkerEntry &) const = default;
 };
--- a/tests/execution/workerrestarttest.cpp
+++ b/tests/execution/workerrestarttest.cpp
@@ -186,6 +186,33 @@
     EXPECT_TRUE(fleet.plan(Start + 20ms, Wall).starts.empty());
 }
 
+// Guards against ignoring a process whose time of day is behind that of the former one: its
+// runs never ended, and the leader went on renewing its lease.
+TEST(WorkerRestart, AProcessMayTellAnEarlierStartThanTheFormerOne)
+{
+    FleetOfWorkers workers({First});
+    workers.list(First, {9, 1000, {}, {}}, Start);
+    const auto order = workers.start(Start + 1ms);
+    workers.fleet.markSilent(First, Start + 700ms);
+    workers.list(First, {5, 100, {}, {}}, Start + 1s);
+    EXPECT_EQ(workers.startsAt(Start + 1s), 1U);
+    EXPECT_NE(workers.fleet.find(Key)->task(order.task).lastRun, order.run);
+}
+
+// Guards against never reaching such a process at another address.
+TEST(WorkerRestart, ASilentWorkerIsReachedAtTheAddressOfAnEarlierStart)
+{
+    FleetOfWorkers workers({First});
+    workers.list(First, {9, 1000, {}, {}}, Start);
+    auto moved = entryOf(First, 5);
+    moved.address = {"10.0.0.2", 80};
+    workers.fleet.updateWorker(moved, Start + 10ms);
+    EXPECT_NE(workers.fleet.entryOf(First)->address, moved.address) << "the former process answers: an outdated row";
+    workers.fleet.markSilent(First, Start + 700ms);
+    workers.fleet.updateWorker(moved, Start + 800ms);
+    EXPECT_EQ(workers.fleet.entryOf(First)->address, moved.address);
+}
+
 namespace {
 
 // Restarts a worker while the leader's renewal is pending without an answer, so that orders on
