Acknowledge no ends to a silent worker

Callers saw a task start again after it was done: a worker restarted under its identifier, its new process accepted a task on another connection while the renewal to the former process was pending, and finished it. The next renewal acknowledged the ends of the former process by their number, the new process forgot its own ends up to it, and the leader took the run, neither listed as running nor as ended, as stopped.

Cause: orders name the worker's identifier and not its process, and Fleet::leaseOrder() sent the number of the last acknowledged end of the former process before any listing had shown the restart.

Evidence, before the fix:

Fix: as long as a worker is silent, renewals acknowledge 0. The listing that ends the silence either is of the same process, and the numbers hold, or shows the restart, which resets them.

What remains: a renewal that is under way while the worker restarts. Sent to a process that has just answered, it reaches the new one only if that process starts, accepts and finishes a run within the pause between two renewals (150 ms at most) and a round trip, or if the renewal itself is carried out seconds later. The clock in a start's answer would show the restart, but not call back such a renewal.

Cost: a worker that was silent lists the ends again that it was about to forget, once.

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -51,10 +51,11 @@
     if (worker == nullptr) {
         return order;
     }
-    order.acknowledgedEnd = worker->acknowledgedEnd();
     if (!worker->isSilent()) {
         // The worker may carry out an order without its answer arriving. While it is
-        // silent, no order may extend the lease that has to expire.
+        // silent, no order may extend the lease that has to expire. It may also have
+        // restarted, so that its ends have other numbers.
+        order.acknowledgedEnd = worker->acknowledgedEnd();
         order.deadline = worker->nextDeadline(now);
     }
     if (worker->isConfirmed() && !worker->isSilent()) {
--- a/tests/execution/workerrestarttest.cpp
+++ b/tests/execution/workerrestarttest.cpp
@@ -262,4 +262,31 @@
     expectAllDone(cluster);
 }
 
+// Guards against acknowledging ends of the former process to the new one, which numbers its ends
+// anew: it then forgot ends that nobody had read, and their tasks ran again.
+TEST(WorkerRestart, ARenewalAfterSilenceAcknowledgesNothing)
+{
+    FleetOfWorkers workers({First});
+    const jobs::TaskId other{{8}, 0, 0, 0};
+    workers.list(First, {1, FleetOfWorkers::FormerUptime + 1, {}, {{5, other, 1, jobs::RunEnd::Done, {}}}}, Start);
+    workers.fleet.acknowledge(workers.fleet.endCursors());
+    EXPECT_EQ(workers.fleet.leaseOrder(First, Start + 1ms).acknowledgedEnd, 5);
+    workers.fleet.markSilent(First, Start + 700ms);
+    EXPECT_EQ(workers.fleet.leaseOrder(First, Start + 1s).acknowledgedEnd, 0);
+    workers.list(First, {1, FleetOfWorkers::FormerUptime + 1000, {}, {}}, Start + 1s);
+    EXPECT_EQ(workers.fleet.leaseOrder(First, Start + 1s).acknowledgedEnd, 5);
+}
+
+TEST(WorkerRestart, EndsThatNobodyHasReadAreKept)
+{
+    Cluster cluster;
+    cluster.scheduler.runFor(2s);
+    submitJobs(cluster, 1);
+    cluster.scheduler.runFor(10s);
+    restartUnnoticed(cluster, First, 900ms);
+    submitJobs(cluster, 101);
+    cluster.scheduler.runFor(20s);
+    expectAllDone(cluster);
+}
+
 } // namespace monsoonspool::execution
