Keep runs over a restart until the new process has listed or refused them

Callers saw a task run twice, or start again after it was done: a start got no answer, the worker restarted and listed nothing, the task was started elsewhere, and then the new process carried out the order. The same happened if the answer to a start overtook a listing that the new process had made before it accepted the run.

Cause: Fleet::handleRestart() ended all runs of the worker. An order names the worker's identifier only, so that the new process may carry it out; its deadline is a reading of the former clock, far in the future for the new one. An answer that arrived later found no run and was ignored.

Evidence, before the fix:

A run whose start was answered before the renewal was sent is over unless it is listed. One without an answer is stopped, and is over once the new process has confirmed the stop. A stop names the process that is to confirm it, so that a late answer of the former one does not count.

Cost: a task whose order had no answer waits for a stop and a listing, as after any order without an answer, instead of starting elsewhere at once.

What remains: an order that is carried out after the process that confirmed its stop, or whose clock had passed its deadline, has restarted again. A new process has no memory of it and no fence.

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -74,7 +74,7 @@
     // Renewals of a worker are sent one after another, so that another start time is that of a
     // later process, also if its time of day is behind.
     if (worker->startTimeMs() != 0 && startTimeMs != worker->startTimeMs()) {
-        d->handleRestart(*worker, startTimeMs, now);
+        d->handleRestart(*worker, startTimeMs);
     }
     worker->setStartTimeMs(startTimeMs);
     worker->noteContact(listing.clock, sentAt, now);
@@ -389,7 +389,7 @@
     }
 }
 
-void Fleet::Private::handleRestart(workers::Worker &worker, std::int64_t startTimeMs, TimePoint now)
+void Fleet::Private::handleRestart(workers::Worker &worker, std::int64_t startTimeMs)
 {
     ++counts.workerRestarts;
     log.record("worker-restarted",
@@ -398,8 +398,15 @@
                 {"startMs", startTimeMs},
                 {"acknowledgedEnd", worker.acknowledgedEnd()},
                 {"runs", worker.runCount()}});
-    expireRuns(worker, now, "restarted");
+    // The new process may have accepted any run whose order it can have received, and may still
+    // carry out an order without an answer. Its listing tells, and a stop that it confirms.
+    std::vector<workers::Run> runs(worker.runs().begin(), worker.runs().end());
     worker.restart(startTimeMs);
+    for (auto &it : runs) {
+        it.isStopSent = false;
+        it.isStopConfirmed = false;
+        worker.add(it);
+    }
 }
 
 void Fleet::applyStartReply(const StartTask &order, ports::StartResult answer, TimePoint now)
@@ -456,7 +463,7 @@
 void Fleet::confirmStop(const StopTask &order, TimePoint now)
 {
     auto *run = d->findRun(order.worker, order.task, order.run);
-    if (run != nullptr) {
+    if (run != nullptr && d->findWorker(order.worker)->startTimeMs() == order.startTimeMs) {
         run->isStopConfirmed = true;
         run->stopConfirmedAt = now;
     }
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -188,7 +188,7 @@
         if (isDue) {
             run.isStopSent = true;
             run.stopSentAt = now;
-            orders.stops.push_back({worker.entry().id, run.task, run.number});
+            orders.stops.push_back({worker.entry().id, run.task, run.number, worker.startTimeMs()});
         }
     }
 }
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -69,7 +69,8 @@
                   TimePoint now);
     void recordCompletion(workers::Worker &worker, const workers::Run &run, TimePoint now);
     void expireRuns(workers::Worker &worker, TimePoint now, std::string_view reason);
-    void handleRestart(workers::Worker &worker, std::int64_t startTimeMs, TimePoint now);
+    // Prepares a worker for the first listing of a new process, which resolves its runs.
+    void handleRestart(workers::Worker &worker, std::int64_t startTimeMs);
     void markBegun(jobs::JobKey key);
     void dropIfFinished(jobs::JobKey key);
     void markReported(const WorkerId &id, TimePoint now);
--- a/src/execution/orders.h
+++ b/src/execution/orders.h
@@ -4,6 +4,7 @@
 #include "jobs/taskid.h"
 #include "ports/workerlink.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,7 @@
     WorkerId worker;
     jobs::TaskId task;
     jobs::RunNumber run = 0;
+    std::int64_t startTimeMs = 0; // of the worker process that is to confirm the stop
 };
 
 struct PaceTask
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -94,7 +94,7 @@
     {
         m_startTimeMs = startTimeMs;
     }
-    // Resets runs, leases and ends: a restarted worker runs nothing.
+    // Resets runs, leases and ends: a restarted worker runs nothing of before.
     void restart(std::int64_t startTimeMs);
 
     // Returns whether the platform lists the worker.
--- a/tests/execution/workerrestarttest.cpp
+++ b/tests/execution/workerrestarttest.cpp
@@ -289,4 +289,100 @@
     expectAllDone(cluster);
 }
 
+// Guards against ending, at a restart, a run whose order the new process may still carry out.
+TEST(WorkerRestart, AnUnansweredOrderIsStoppedBeforeItsTaskRunsElsewhere)
+{
+    FleetOfWorkers workers({First, Second});
+    const auto order = workers.order(Start + 1ms);
+    workers.fleet.applyStartFailure(order, true, Start + 700ms);
+    workers.fleet.markSilent(order.worker, Start + 700ms);
+    workers.list(order.worker, {2, 100, {}, {}}, Start + 1s);
+    const auto orders = workers.fleet.plan(Start + 1s, Wall);
+    EXPECT_TRUE(orders.starts.empty());
+    ASSERT_EQ(orders.stops.size(), 1U);
+    EXPECT_EQ(orders.stops.front().run, order.run);
+    workers.list(order.worker, {2, 200, {}, {}}, Start + 1100ms);
+    EXPECT_EQ(workers.startsAt(Start + 1100ms), 0U);
+    workers.fleet.confirmStop(orders.stops.front(), Start + 1200ms);
+    workers.list(order.worker, {2, 400, {}, {}}, Start + 1300ms);
+    EXPECT_EQ(workers.startsAt(Start + 1300ms), 1U);
+}
+
+// Guards against ignoring an answer to a start that arrives after the restart was noticed.
+TEST(WorkerRestart, AnAnswerAfterTheRestartWasNoticedCounts)
+{
+    for (const bool isListed : {true, false}) {
+        SCOPED_TRACE(isListed ? "accepted by the new process" : "accepted by the former process");
+        FleetOfWorkers workers({First, Second});
+        const auto order = workers.order(Start + 1ms);
+        workers.list(order.worker, {2, 100, {}, {}}, Start + 10ms);
+        EXPECT_EQ(workers.startsAt(Start + 10ms), 0U);
+        workers.fleet.applyStartReply(order, StartResult::Accepted, Start + 20ms);
+        EXPECT_EQ(workers.startsAt(Start + 20ms), 0U);
+        Listing listing{2, 130, {}, {}};
+        if (isListed) {
+            listing.running.push_back({order.task, order.run, {}, 10, 0});
+        }
+        workers.list(order.worker, listing, Start + 40ms);
+        EXPECT_EQ(workers.startsAt(Start + 40ms), isListed ? 0U : 1U);
+    }
+}
+
+// Guards against ending a run that the new process accepted after it had listed its runs.
+TEST(WorkerRestart, AnAnswerMayOvertakeTheListingThatTellsOfTheRestart)
+{
+    FleetOfWorkers workers({First, Second});
+    const auto order = workers.order(Start + 1ms);
+    workers.fleet.applyStartReply(order, StartResult::Accepted, Start + 20ms);
+    workers.list(order.worker, {2, 100, {}, {}}, Start + 10ms, Start + 30ms);
+    EXPECT_EQ(workers.startsAt(Start + 30ms), 0U);
+    workers.list(order.worker, {2, 200, {{order.task, order.run, {}, 20, 0}}, {}}, Start + 110ms);
+    EXPECT_EQ(workers.startsAt(Start + 110ms), 0U);
+}
+
+// Guards against relying on a stop that the former process confirmed.
+TEST(WorkerRestart, AStopConfirmedByTheFormerProcessDoesNotBindTheNewOne)
+{
+    for (const bool isLate : {false, true}) {
+        SCOPED_TRACE(isLate ? "confirmed after the restart was noticed" : "confirmed before");
+        FleetOfWorkers workers({First, Second});
+        const auto order = workers.order(Start + 1ms);
+        workers.fleet.applyStartFailure(order, true, Start + 700ms);
+        workers.list(order.worker, {1, FleetOfWorkers::FormerUptime + 800, {}, {}}, Start + 800ms);
+        const auto orders = workers.fleet.plan(Start + 800ms, Wall);
+        ASSERT_EQ(orders.stops.size(), 1U);
+        if (!isLate) {
+            workers.fleet.confirmStop(orders.stops.front(), Start + 810ms);
+        }
+        workers.list(order.worker, {2, 100, {}, {}}, Start + 1s);
+        EXPECT_EQ(workers.fleet.plan(Start + 1s, Wall).stops.size(), 1U) << "the new process is told too";
+        if (isLate) {
+            workers.fleet.confirmStop(orders.stops.front(), Start + 1010ms);
+        }
+        workers.list(order.worker, {2, 200, {}, {}}, Start + 1100ms);
+        EXPECT_EQ(workers.startsAt(Start + 1100ms), 0U);
+    }
+}
+
+TEST(WorkerRestart, ADelayedOrderRunsItsTaskOnce)
+{
+    for (const auto delay : {Duration(300ms), Duration(1500ms)}) {
+        SCOPED_TRACE(toMilliseconds(delay));
+        Cluster cluster;
+        cluster.scheduler.runFor(2s);
+        const auto until = cluster.scheduler.now() + 40ms;
+        for (const auto &it : cluster.hosts) {
+            it->workerFaults.rule = [=](std::string_view call, TimePoint now) -> std::optional<Fault> {
+                const bool isDelayed = call == "start " + First.text() && now < until;
+                return isDelayed ? std::optional(Fault{delay, false, true}) : std::nullopt;
+            };
+        }
+        submitJobs(cluster, 1);
+        cluster.scheduler.runFor(40ms);
+        cluster.workers.restart(First, 2);
+        cluster.scheduler.runFor(20s);
+        expectAllDone(cluster);
+    }
+}
+
 } // namespace monsoonspool::execution
