Count with the longest lease after a restart

Callers saw a task run twice: a worker restarted, carried out a renewal or start whose deadline was a reading of the former clock, and was cut off after its first listing. Its lease lasted 10 s, and after 6 s the leader started its tasks elsewhere.

Cause: Worker::restart() forgot the deadlines that had been sent. On the clock of a new process they lie far ahead, so that it keeps its runs for as long as the platform allows.

Evidence, before the fix:

WorkerRestart.ADeadlineOfTheFormerClockGivesTheLongestLease workers.startsAt(Start + 9900ms) Which is: 1, expected 0

Fix: after a restart the lease is taken to end 10 s after the reading in the first listing, unless no deadline so late was sent. Renewals still ask for 6 s, which is what the next leader counts with, and are no longer raised to the latest deadline sent, since a worker never shortens its lease. Worker.ARestartedWorkerHoldsNothing passes the reading that restart() now takes; its checks are the same.

Cost: the tasks of a worker that goes silent within 4 s of a restart wait up to 4 s longer.

What remains: a worker that restarts, is given such a lease and is never heard again by the leader, or by the next one, may keep runs for up to 4 s after these leaders take its lease as expired.

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -74,7 +74,7 @@
     // Renewals of a worker are sent one after another, so that another start time is that of a
     // later process, also if its time of day is behind.
     if (worker->startTimeMs() != 0 && startTimeMs != worker->startTimeMs()) {
-        d->handleRestart(*worker, startTimeMs);
+        d->handleRestart(*worker, startTimeMs, listing.clock);
     }
     worker->setStartTimeMs(startTimeMs);
     worker->noteContact(listing.clock, sentAt, now);
@@ -389,7 +389,7 @@
     }
 }
 
-void Fleet::Private::handleRestart(workers::Worker &worker, std::int64_t startTimeMs)
+void Fleet::Private::handleRestart(workers::Worker &worker, std::int64_t startTimeMs, ports::WorkerMillis clock)
 {
     ++counts.workerRestarts;
     log.record("worker-restarted",
@@ -401,7 +401,7 @@
     // The new process may have accepted any run whose order it can have received, and may still
     // carry out an order without an answer. Its listing tells, and a stop that it confirms.
     std::vector<workers::Run> runs(worker.runs().begin(), worker.runs().end());
-    worker.restart(startTimeMs);
+    worker.restart(startTimeMs, clock);
     for (auto &it : runs) {
         it.isStopSent = false;
         it.isStopConfirmed = false;
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -30,12 +30,14 @@
     m_entry = std::move(entry);
 }
 
-void Worker::restart(std::int64_t startTimeMs)
+void Worker::restart(std::int64_t startTimeMs, ports::WorkerMillis clock)
 {
+    const auto deadline = std::min<ports::WorkerMillis>(m_deadline, clock + toMilliseconds(MaxRunLease));
     const bool isListed = m_isListed;
     const bool isRostered = m_isRostered;
     *this = Worker(std::move(m_entry));
     m_startTimeMs = startTimeMs;
+    m_deadline = deadline;
     m_isListed = isListed;
     m_isRostered = isRostered;
 }
@@ -140,15 +142,16 @@
     }
 }
 
-// Computed from the lower bound of the worker's clock, so that the worker never keeps its
-// runs for longer than RunLease. Never lower than a deadline that was sent before.
+// Computed from the lower bound of the worker's clock, so that no renewal makes the worker
+// keep its runs for longer than RunLease. A worker never shortens its lease.
 ports::WorkerMillis Worker::nextDeadline(TimePoint now)
 {
     if (!m_clock.isKnown()) {
         return 0;
     }
-    m_deadline = std::max<ports::WorkerMillis>(m_deadline, m_clock.earliest(now) + toMilliseconds(RunLease));
-    return m_deadline;
+    const ports::WorkerMillis deadline = m_clock.earliest(now) + toMilliseconds(RunLease);
+    m_deadline = std::max(m_deadline, deadline);
+    return deadline;
 }
 
 // A successful start extends the lease of all runs on the worker.
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -57,8 +57,10 @@
 
 // A worker keeps its runs for this time without a renewal from the scheduler. A new leader
 // must take over within it, and the tasks of an unreachable worker are started elsewhere
-// only after it. The platform allows 10 s.
+// only after it.
 constexpr Duration RunLease = 6s;
+// The platform shortens longer leases to this time.
+constexpr Duration MaxRunLease = 10s;
 // Validity of a start order: later the worker rejects it, so an unanswered order cannot
 // start its task any more.
 constexpr Duration StartValidity = 2500ms;
@@ -94,8 +96,10 @@
     {
         m_startTimeMs = startTimeMs;
     }
-    // Resets runs, leases and ends: a restarted worker runs nothing of before.
-    void restart(std::int64_t startTimeMs);
+    // Resets runs and ends: a restarted worker runs nothing of before. Of the orders sent to the
+    // former process it may have carried out some, and `clock` is a reading of its own: their
+    // deadlines, which lie far ahead on it, may have given it the longest lease.
+    void restart(std::int64_t startTimeMs, ports::WorkerMillis clock);
 
     // Returns whether the platform lists the worker.
     bool isListed() const
--- a/tests/execution/workerrestarttest.cpp
+++ b/tests/execution/workerrestarttest.cpp
@@ -364,6 +364,21 @@
     }
 }
 
+// Guards against taking a lease as expired that the new process was given by a deadline of the
+// former clock. The platform shortens it to 10 s.
+TEST(WorkerRestart, ADeadlineOfTheFormerClockGivesTheLongestLease)
+{
+    FleetOfWorkers workers({First, Second});
+    workers.fleet.leaseOrder(First, Start); // reaches the new process
+    workers.fleet.leaseOrder(Second, Start);
+    const auto order = workers.start(Start + 1ms);
+    workers.list(order.worker, {2, 100, {{order.task, order.run, {}, 5, 0}}, {}}, Start + 100ms);
+    EXPECT_EQ(workers.fleet.leaseOrder(order.worker, Start + 100ms).deadline, 6100) << "renewals prolong it no further";
+    workers.fleet.markSilent(order.worker, Start + 800ms);
+    EXPECT_EQ(workers.startsAt(Start + 9900ms), 0U);
+    EXPECT_EQ(workers.startsAt(Start + 10500ms), 1U);
+}
+
 TEST(WorkerRestart, ADelayedOrderRunsItsTaskOnce)
 {
     for (const auto delay : {Duration(300ms), Duration(1500ms)}) {
--- a/tests/workers/workertest.cpp
+++ b/tests/workers/workertest.cpp
@@ -76,7 +76,7 @@
     worker.noteContact(10'000, Now, Now);
     worker.add(makeRun(1, 20000, false, true));
     worker.setProcessedEnd(9);
-    worker.restart(2);
+    worker.restart(2, 100);
     EXPECT_EQ(worker.runCount(), 0);
     EXPECT_EQ(worker.processedEnd(), 0);
     EXPECT_FALSE(worker.isConfirmed());
