--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -114,6 +114,8 @@
     std::map<std::string, int> waitingCounts() const;
 
     // Workers.
+    // Applies a row of the registry. A later start time ends no run; until the worker's listing
+    // confirms it, the worker gets no new tasks.
     void updateWorker(const ports::WorkerEntry &entry, TimePoint now);
     void removeWorker(const WorkerId &id, TimePoint now);
     std::vector<WorkerId> workerIds() const;
@@ -126,9 +128,11 @@
     void markRosterStored(std::span<const ports::WorkerEntry> roster);
     const ports::WorkerEntry *entryOf(const WorkerId &id) const;
     // Returns the next lease renewal for a worker. Its wait is zero until the worker has
-    // confirmed the fence, and while the worker is silent.
+    // confirmed the fence, and while the worker is silent. To a silent worker it acknowledges no
+    // end and extends no lease.
     ports::LeaseOrder leaseOrder(const WorkerId &id, TimePoint now);
-    // Applies the listing with which a worker answered a renewal sent at `sentAt`.
+    // Applies the listing with which a worker answered a renewal sent at `sentAt`, after the
+    // answer to the renewal before it.
     void applyListing(const WorkerId &id, const ports::WorkerListing &listing, TimePoint sentAt, TimePoint now);
     void markSilent(const WorkerId &id, TimePoint now);
     void applyStartReply(const StartTask &order, ports::StartResult answer, TimePoint now);
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -54,10 +54,11 @@
     if (worker == nullptr) {
         return order;
     }
-    order.acknowledgedEnd = worker->acknowledgedEnd();
     if (!worker->isSilent()) {
         // The worker may carry out an order without its answer arriving. While it is
-        // silent, no order may extend the lease that has to expire.
+        // silent, no order may extend the lease that has to expire. It may also have
+        // restarted, so that its ends have other numbers.
+        order.acknowledgedEnd = worker->acknowledgedEnd();
         order.deadline = worker->nextDeadline(now, d->termEnd);
     }
     if (worker->isConfirmed() && !worker->isSilent()) {
@@ -72,13 +73,13 @@
     if (worker == nullptr) {
         return;
     }
-    if (listing.startTimeMs != 0 && worker->entry().startTimeMs != 0
-        && listing.startTimeMs != worker->entry().startTimeMs) {
-        if (listing.startTimeMs < worker->entry().startTimeMs) {
-            return; // an answer of an earlier incarnation
-        }
-        d->handleRestart(*worker, listing.startTimeMs, "listing", now);
+    const auto startTimeMs = listing.startTimeMs != 0 ? listing.startTimeMs : worker->entry().startTimeMs;
+    // Renewals of a worker are sent one after another, so that another start time is that of a
+    // later process, also if its time of day is behind.
+    if (worker->startTimeMs() != 0 && startTimeMs != worker->startTimeMs()) {
+        d->handleRestart(*worker, startTimeMs, listing.clock);
     }
+    worker->setStartTimeMs(startTimeMs);
     worker->noteContact(listing.clock, sentAt, now);
     d->applyEnds(*worker, listing, now);
     d->applyRunning(*worker, listing, sentAt, now);
@@ -114,7 +115,7 @@
                     {"number", it.number}});
         if (!readJobs.contains(it.task.job)) {
             worker.holdEnd(it.number);
-            heldEnds[it.task.job].push_back({worker.entry().id, worker.entry().startTimeMs, now, it});
+            heldEnds[it.task.job].push_back({worker.entry().id, worker.startTimeMs(), now, it});
         }
         const auto *run = worker.find(it.task);
         if (run != nullptr && run->number == it.run) {
@@ -216,7 +217,7 @@
 void Fleet::Private::release(const HeldEnd &held)
 {
     auto *worker = findWorker(held.worker);
-    if (worker != nullptr && worker->entry().startTimeMs == held.startTimeMs) {
+    if (worker != nullptr && worker->startTimeMs() == held.startTimeMs) {
         worker->releaseEnd(held.end.number);
     }
 }
@@ -416,20 +417,24 @@
     }
 }
 
-void Fleet::Private::handleRestart(workers::Worker &worker, std::int64_t startTimeMs, std::string_view source,
-                                   TimePoint now)
+void Fleet::Private::handleRestart(workers::Worker &worker, std::int64_t startTimeMs, ports::WorkerMillis clock)
 {
     ++counts.workerRestarts;
     log.record("worker-restarted",
                {{"worker", worker.entry().id.view()},
-                {"source", source},
-                {"formerStartMs", worker.entry().startTimeMs},
+                {"formerStartMs", worker.startTimeMs()},
                 {"startMs", startTimeMs},
                 {"acknowledgedEnd", worker.acknowledgedEnd()},
                 {"runs", worker.runCount()}});
-    expireRuns(worker, now, "restarted");
-    worker.restart(startTimeMs);
-    markReported(worker.entry().id, now);
+    // The new process may have accepted any run whose order it can have received, and may still
+    // carry out an order without an answer. Its listing tells, and a stop that it confirms.
+    std::vector<workers::Run> runs(worker.runs().begin(), worker.runs().end());
+    worker.restart(startTimeMs, clock);
+    for (auto &it : runs) {
+        it.isStopSent = false;
+        it.isStopConfirmed = false;
+        worker.add(it);
+    }
 }
 
 void Fleet::applyStartReply(const StartTask &order, ports::StartResult answer, TimePoint now)
@@ -486,7 +491,7 @@
 void Fleet::confirmStop(const StopTask &order, TimePoint now)
 {
     auto *run = d->findRun(order.worker, order.task, order.run);
-    if (run != nullptr) {
+    if (run != nullptr && d->findWorker(order.worker)->startTimeMs() == order.startTimeMs) {
         run->isStopConfirmed = true;
         run->stopConfirmedAt = now;
     }
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -30,13 +30,14 @@
     m_entry = std::move(entry);
 }
 
-void Worker::restart(std::int64_t startTimeMs)
+void Worker::restart(std::int64_t startTimeMs, ports::WorkerMillis clock)
 {
-    auto entry = std::move(m_entry);
-    entry.startTimeMs = startTimeMs;
+    const auto deadline = std::min<ports::WorkerMillis>(m_deadline, clock + toMilliseconds(MaxRunLease));
     const bool isListed = m_isListed;
     const bool isRostered = m_isRostered;
-    *this = Worker(std::move(entry));
+    *this = Worker(std::move(m_entry));
+    m_startTimeMs = startTimeMs;
+    m_deadline = deadline;
     m_isListed = isListed;
     m_isRostered = isRostered;
 }
@@ -47,6 +48,10 @@
         || now < m_unschedulableUntil) {
         return false;
     }
+    const bool isRestartAnnounced = m_startTimeMs != 0 && m_entry.startTimeMs > m_startTimeMs;
+    if (isRestartAnnounced) {
+        return false;
+    }
     if (!isSuspect() || now - m_lastFailureAt > SuspicionTimeout) {
         return true;
     }
@@ -137,9 +142,8 @@
     }
 }
 
-// Computed from the lower bound of the worker's clock, so that the worker never keeps its
-// runs for longer than RunLease. The worker ignores a deadline that is lower than an earlier
-// one.
+// Computed from the lower bound of the worker's clock, so that no renewal makes the worker
+// keep its runs for longer than RunLease. A worker never shortens its lease.
 ports::WorkerMillis Worker::nextDeadline(TimePoint now, TimePoint termEnd)
 {
     if (!m_clock.isKnown()) {
@@ -174,7 +178,7 @@
 {
     if (!m_clock.isKnown()) {
         // A former leader's lease: it was granted before the worker confirmed this fence.
-        m_deadline = clock + toMilliseconds(RunLease);
+        m_deadline = std::max<ports::WorkerMillis>(m_deadline, clock + toMilliseconds(RunLease));
     }
     m_clock.note(clock, sentAt, now);
     m_isConfirmed = true;
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -58,8 +58,10 @@
 
 // A worker keeps its runs for this time without a renewal from the scheduler. A new leader
 // must take over within it, and the tasks of an unreachable worker are started elsewhere
-// only after it. The platform allows 10 s.
+// only after it.
 constexpr Duration RunLease = 6s;
+// The platform shortens longer leases to this time.
+constexpr Duration MaxRunLease = 10s;
 // Validity of a start order: later the worker rejects it, so an unanswered order cannot
 // start its task any more.
 constexpr Duration StartValidity = 2500ms;
@@ -70,7 +72,8 @@
 //  - the resources of all runs that may be active there never exceed its capacity,
 //  - a run is counted until the worker lists its end or its lease has certainly expired,
 //  - nothing is started there before the worker has confirmed this scheduler's fence and
-//    the stored roster, from which a new leader recovers, lists the worker.
+//    the stored roster, from which a new leader recovers, lists the worker,
+//  - only the worker's own listing shows that it has restarted.
 //
 // Not thread-safe: owned by the control thread.
 class Worker
@@ -82,10 +85,22 @@
     {
         return m_entry;
     }
-    // Replaces the entry by a newer one of the same worker process.
+    // Replaces the entry by a newer one.
     void setEntry(ports::WorkerEntry entry);
-    // Resets runs, leases and ends: a restarted worker runs nothing.
-    void restart(std::int64_t startTimeMs);
+    // Returns when the process whose listing was received last has started; 0 before the
+    // first listing. The entry may tell of a process that has not answered yet.
+    std::int64_t startTimeMs() const
+    {
+        return m_startTimeMs;
+    }
+    void setStartTimeMs(std::int64_t startTimeMs)
+    {
+        m_startTimeMs = startTimeMs;
+    }
+    // Resets runs and ends: a restarted worker runs nothing of before. Of the orders sent to the
+    // former process it may have carried out some, and `clock` is a reading of its own: their
+    // deadlines, which lie far ahead on it, may have given it the longest lease.
+    void restart(std::int64_t startTimeMs, ports::WorkerMillis clock);
 
     // Returns whether the platform lists the worker.
     bool isListed() const
@@ -252,6 +267,7 @@
     static constexpr int SuspectFailureCount = 2; // consecutive failures, of any tasks
 
     ports::WorkerEntry m_entry;
+    std::int64_t m_startTimeMs = 0;
     WorkerClock m_clock;
     std::vector<Run> m_runs;
     Resources m_reserved; // by runs with cores of their own
