Do not take leases as expired that a successor may have renewed

Callers saw: a task started again after it was done.

Cause: a leader decides for up to 12 s after its last renewal, and took the lease of a silent worker as expired 6 s after its own last contact. A successor, which may claim after 2.2 s, may reach that worker, renew the lease and acknowledge the end of the run. The former leader then started the task again on a worker that the successor had not reached.

Evidence, on the code before this commit (Takeover.ALeaseThatTheSuccessorMayHaveRenewedHasNotExpired):

Fix: a lease, of this leader or of the former one, counts as expired only if it ended before the last write of the leader row that was applied was sent. Until then no other host had claimed, so nobody had renewed it. A claim whose reply was lost confirms nothing until the next renewal.

Cost: tasks of a lost worker start elsewhere at the first renewal (every 0.8 s) after the lease ends. A takeover with an unreachable worker ends up to a renewal later. While the store is away, tasks of lost workers wait.

--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -284,9 +284,10 @@
         ports.log.record(
             "leadership-won",
             {{"fence", termFence.value}, {"claimVersion", start.claimVersion}, {"rosterRows", start.roster.size()}});
-        term.emplace(
-            ports, std::move(start),
-            LeaderTerm::Hooks{[this] { onFenced(); }, [this] { return leadership.mayDecide(ports.scheduler.now()); }});
+        term.emplace(ports, std::move(start),
+                     LeaderTerm::Hooks{[this] { onFenced(); },
+                                       [this] { return leadership.mayDecide(ports.scheduler.now()); },
+                                       [this] { return leadership.confirmedAt(); }});
     }
 
     // Called from inside the term, which must not be destroyed before the call returns.
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -46,6 +46,7 @@
     d->termBeganAt = now;
     d->claimVersion = claimVersion;
     d->formerLeasesEnd = formerLeasesEnd;
+    d->confirmedAt = {};
     d->jobsByKey.clear();
     d->workersById.clear();
     d->workers.clear();
@@ -65,6 +66,11 @@
     return d->fence;
 }
 
+void Fleet::confirmLeadership(TimePoint at)
+{
+    d->confirmedAt = at;
+}
+
 void Fleet::setQueues(std::span<const jobs::QueuePolicy> queues)
 {
     // Removed queues keep their policy for their remaining jobs.
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -88,6 +88,9 @@
     void beginTerm(Epoch fence, std::uint64_t claimVersion, std::span<const ports::WorkerEntry> roster,
                    TimePoint formerLeasesEnd, TimePoint now);
     Epoch fence() const;
+    // Records that no other host had claimed leadership before `at`. Only leases that ended
+    // before it have certainly expired, since a successor may renew the others.
+    void confirmLeadership(TimePoint at);
 
     void setQueues(std::span<const jobs::QueuePolicy> queues);
 
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -100,14 +100,14 @@
 
 void Fleet::Private::expireLeases(TimePoint now)
 {
-    if (!unreportedWorkers.empty() && now >= formerLeasesEnd) {
+    if (!unreportedWorkers.empty() && confirmedAt >= formerLeasesEnd) {
         log.record("former-leases-over", {{"unheard", unreportedWorkers.size()}});
         unreportedWorkers.clear();
         dropFinishedJobs();
     }
     std::vector<WorkerId> gone;
     for (auto *it : workers) {
-        if (it->isSilent() && it->hasLapsed(now)) {
+        if (it->isSilent() && it->hasLapsed(confirmedAt)) {
             expireRuns(*it, now, "lease expired");
         }
         if (!it->isListed() && it->runCount() == 0 && !unreportedWorkers.contains(it->entry().id)) {
@@ -320,12 +320,12 @@
 // Tasks that a former leader may have started wait until every worker on its roster has
 // reported its runs, or their leases have expired. A former leader starts no task of a job
 // whose accepting host knew of this leader.
-bool Fleet::Private::isBlockedByTakeover(const TrackedJob &job, TimePoint now) const
+bool Fleet::Private::isBlockedByTakeover(const TrackedJob &job) const
 {
     if (job.knownFence > fence) {
         return true;
     }
-    return !unreportedWorkers.empty() && job.knownFence < fence && now < formerLeasesEnd;
+    return !unreportedWorkers.empty() && job.knownFence < fence;
 }
 
 scheduling::Rank Fleet::Private::rankOf(TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall)
@@ -344,7 +344,7 @@
 {
     std::vector<WaitingStep> waiting;
     for (auto &[key, job] : jobsByKey) {
-        if (!job->job.isOpen() || isBlockedByTakeover(*job, now)) {
+        if (!job->job.isOpen() || isBlockedByTakeover(*job)) {
             continue;
         }
         if (job->job.spec().isTimed()) {
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -98,7 +98,7 @@
     scheduling::RankInput outlook(const TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall) const;
     void expireLeases(TimePoint now);
     scheduling::Rank rankOf(TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall);
-    bool isBlockedByTakeover(const TrackedJob &job, TimePoint now) const;
+    bool isBlockedByTakeover(const TrackedJob &job) const;
     void updateInterferenceFreeCapacity(std::span<const WaitingStep> waiting, TimePoint now);
     std::vector<WaitingStep> waitingSteps(TimePoint now, jobs::WallTime wall);
     void placeStep(const WaitingStep &waiting, TimePoint now, Orders &orders);
@@ -120,6 +120,7 @@
     std::uint64_t claimVersion = 0;
     TimePoint termBeganAt;
     TimePoint formerLeasesEnd;
+    TimePoint confirmedAt; // see confirmLeadership()
     std::set<WorkerId> unreportedWorkers; // on the former leader's roster; have not reported their runs
     std::map<std::string, jobs::QueuePolicy, std::less<>> queues;
     std::unordered_map<jobs::JobKey, std::unique_ptr<TrackedJob>> jobsByKey;
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -216,6 +216,7 @@
         if (!isLoaded || !hooks.mayDecide()) {
             return;
         }
+        fleet.confirmLeadership(hooks.confirmedAt());
         workerController->dispatch(fleet.plan(ports.scheduler.now(), ports.wallNow()));
         progressWriter->requestWrite();
         rosterWriter->requestWrite();
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -44,6 +44,7 @@
     {
         std::function<void()> onFenced; // another host has a higher fence
         std::function<bool()> mayDecide;
+        std::function<TimePoint()> confirmedAt; // see Leadership::confirmedAt()
     };
 
     LeaderTerm(ExecutionPorts ports, LeaderTermStart start, Hooks hooks);
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -54,6 +54,7 @@
         m_fence = row->fence;
         m_claimVersion = version;
         m_renewedAt = now;
+        m_confirmedAt = {}; // the row may have been read long before `now`
     }
 }
 
@@ -132,6 +133,7 @@
     m_version = version;
     m_changedAt = now;
     m_renewedAt = sentAt;
+    m_confirmedAt = sentAt;
     if (write.isClaim) {
         m_isLeader = true;
         m_fence = write.row.fence;
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -83,6 +83,12 @@
     }
     // Returns whether this host is the leader and may still decide.
     bool mayDecide(TimePoint now) const;
+    // Returns a time at which this leader's row was certainly in force: no other host had
+    // claimed leadership before.
+    TimePoint confirmedAt() const
+    {
+        return m_confirmedAt;
+    }
     const std::optional<LeaderRow> &row() const
     {
         return m_row;
@@ -111,6 +117,7 @@
     Epoch m_fence;
     std::uint64_t m_claimVersion = 0;
     TimePoint m_renewedAt; // when the last successful renewal was sent
+    TimePoint m_confirmedAt; // see confirmedAt()
     TimePoint m_retryAt;
 };
 
--- a/tests/execution/takeovertest.cpp
+++ b/tests/execution/takeovertest.cpp
@@ -1,4 +1,5 @@
 #include "execution/testcluster.h"
+#include "workers/worker.h"
 
 #include <gtest/gtest.h>
 
@@ -14,18 +15,21 @@
 
 constexpr Fault Refused{2ms, true, false};
 
-// A cluster whose leader cannot learn of its successor: it reaches only the worker w0, which
-// no other host reaches, its writes are refused, and it does not receive the leader row. It
-// still reads the jobs.
+// A cluster whose leader cannot learn of its successor: no worker is reached by it and by
+// another host, its writes are refused, and it does not receive the leader row. It still
+// reads the jobs.
 class SplitCluster : public Cluster
 {
 public:
-    void split()
+    // The worker w0 is reached either by the leader or by the other hosts; the other workers
+    // the other way round.
+    void split(bool leaderReachesW0 = true)
     {
         former = leader();
         for (int n = 0; n < HostCount; ++n) {
-            host(n).workerFaults.rule = [isFormer = n == former](std::string_view call, TimePoint) {
-                return call.ends_with("w0") != isFormer ? std::optional(Refused) : std::nullopt;
+            const bool reachesW0 = (n == former) == leaderReachesW0;
+            host(n).workerFaults.rule = [reachesW0](std::string_view call, TimePoint) {
+                return call.ends_with("w0") != reachesW0 ? std::optional(Refused) : std::nullopt;
             };
         }
         host(former).storeFaults.rule = [](std::string_view call, TimePoint) {
@@ -216,4 +220,26 @@
     EXPECT_EQ(violationsOf(cluster), "");
 }
 
+// Guards against a task that starts again after it was done: the former leader did not reach
+// its worker, took its lease as expired and started it elsewhere, although the new leader had
+// renewed the lease and acknowledged the end.
+TEST(Takeover, ALeaseThatTheSuccessorMayHaveRenewedHasNotExpired)
+{
+    SplitCluster cluster;
+    cluster.taskModel.overrides[{7}] = {1s, false, TaskSize};
+    cluster.scheduler.runFor(2s);
+    cluster.submit(0, 7);
+    cluster.scheduler.runFor(100ms);
+    EXPECT_EQ(cluster.workers.runningCount(), 3);
+    cluster.split(false);
+    ASSERT_GE(cluster.former, 0);
+    ASSERT_GE(cluster.awaitSuccessor(), 0);
+    cluster.scheduler.runFor(workers::RunLease - 1s);
+    EXPECT_TRUE(cluster.host(cluster.former).loop->summary().isLeader);
+    cluster.heal();
+    cluster.scheduler.runFor(15s);
+    EXPECT_EQ(cluster.workers.doneCount({7}), TasksPerJob);
+    EXPECT_EQ(violationsOf(cluster), "");
+}
+
 } // namespace monsoonspool::execution
--- a/tests/membership/leadershiptest.cpp
+++ b/tests/membership/leadershiptest.cpp
@@ -111,6 +111,11 @@
     a.noteRow(claim->row, 5, Start + 2s);
     EXPECT_TRUE(a.isLeader());
     EXPECT_EQ(a.fence(), Epoch{1});
+    EXPECT_EQ(a.confirmedAt(), TimePoint()) << "the row may have been read long ago";
+    const auto renewal = a.dueWrite(0ms, Start + 3s);
+    ASSERT_TRUE(renewal);
+    a.noteWritten(*renewal, 6, Start + 3s, Start + 4s);
+    EXPECT_EQ(a.confirmedAt(), Start + 3s);
 }
 
 // Guards against a second term with the fence of one that had ended: its claim version was
