--- a/tests/execution/workerrestarttest.cpp
+++ b/tests/execution/workerrestarttest.cpp
@@ -268,6 +268,9 @@
 {
     FleetOfWorkers workers({First});
     const jobs::TaskId other{{8}, 0, 0, 0};
+    auto job = oneTaskJob(2);
+    job.key = other.job;
+    workers.fleet.addJob(std::move(job), Start, Wall); // the end of an unread job is not acknowledged
     workers.list(First, {1, FleetOfWorkers::FormerUptime + 1, {}, {{5, other, 1, jobs::RunEnd::Done, {}}}}, Start);
     workers.fleet.acknowledge(workers.fleet.endCursors());
     EXPECT_EQ(workers.fleet.leaseOrder(First, Start + 1ms).acknowledgedEnd, 5);
