Let the test of a late job row use a host that does not know of the successor

A job is to be read by the former leader and started there. If the host that accepts it names the leader that it knows of, a former leader may decline the job; a host that has not learned of the claim keeps the test meaningful.

--- a/tests/execution/executionlooptest.cpp
+++ b/tests/execution/executionlooptest.cpp
@@ -204,31 +204,29 @@
     cluster.scheduler.runFor(2s);
     const int former = cluster.leader();
     ASSERT_GE(former, 0);
-    // The former leader reads jobs, but cannot renew its row nor store progress.
-    cluster.host(former).storeFaults.rule = [](std::string_view call, TimePoint) {
-        return call == "commit" || call == "changes leader" ? std::optional(Fault{2ms, true, false}) : std::nullopt;
+    const int successor = (former + 1) % HostCount;
+    const int other = (former + 2) % HostCount;
+    // The former leader reads jobs, but cannot renew its row nor store progress. The other host,
+    // which accepts the job, does not know of the successor either.
+    const auto refuse = [&](int n, std::vector<std::string_view> calls) {
+        cluster.host(n).storeFaults.rule = [calls = std::move(calls)](std::string_view call, TimePoint) {
+            return std::ranges::find(calls, call) != calls.end() ? std::optional(Fault{2ms, true, false})
+                                                                 : std::nullopt;
+        };
     };
-    std::vector<int> others;
-    for (int n = 0; n < HostCount; ++n) {
-        if (n != former) {
-            others.push_back(n);
-            cluster.host(n).workerFaults.isCut = true;
-        }
-    }
+    refuse(former, {"commit", "changes leader"});
+    refuse(other, {"commit", "changes leader"});
+    cluster.host(successor).workerFaults.isCut = true;
     cluster.scheduler.runFor(4s);
-    const auto successor
-        = std::ranges::find_if(others, [&](int n) { return cluster.host(n).loop->summary().isLoaded; });
-    ASSERT_NE(successor, others.end());
-    auto &host = cluster.host(*successor);
-    host.storeFaults.rule = [](std::string_view call, TimePoint) {
-        return call == "changes jobs" ? std::optional(Fault{2ms, true, false}) : std::nullopt;
-    };
+    ASSERT_TRUE(cluster.host(successor).loop->summary().isLoaded);
+    refuse(successor, {"changes jobs"});
     cluster.scheduler.runFor(1100ms); // until the pending poll of the jobs is over
-    cluster.submit(*successor, 7);
+    refuse(other, {});
+    cluster.submit(other, 7);
     cluster.scheduler.runFor(1s);
-    host.workerFaults.isCut = false;
+    cluster.host(successor).workerFaults.isCut = false;
     cluster.scheduler.runFor(1s);
-    host.storeFaults.rule = nullptr;
+    refuse(successor, {});
     cluster.scheduler.runFor(20s);
     EXPECT_EQ(violationsOf(cluster), "");
     EXPECT_EQ(cluster.workers.doneCount({7}), TasksPerJob);
