Do not lower a worker's known lease at its first contact

The first contact sets the end of the lease that a former leader may have granted. Nothing is known before it today, so nothing changes; a worker whose clock is forgotten while its runs are kept must keep the later end.

--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -174,7 +174,7 @@
 {
     if (!m_clock.isKnown()) {
         // A former leader's lease: it was granted before the worker confirmed this fence.
-        m_deadline = clock + toMilliseconds(RunLease);
+        m_deadline = std::max<ports::WorkerMillis>(m_deadline, clock + toMilliseconds(RunLease));
     }
     m_clock.note(clock, sentAt, now);
     m_isConfirmed = true;
