Conclude nothing about a run from a list of ends that may be cut

A worker lists at most 500 unacknowledged ends at a time. The fleet took a run that was neither running nor among them as stopped, and started its task again, although it may have been done; and a worker that listed so many ends to a new leader counted as having reported, which released tasks that a former leader had started there. Ends pile up like this during an outage of the store, in which none is acknowledged.

The codec now marks a listing with 500 ends or more. Its ends and running runs are applied; runs that it does not contain stay, the worker stays unreported, and it is not dropped. Once ends are acknowledged, the next listing has the rest.

Cost: with that many ends, runs that are truly gone are resolved only after the progress is stored again. A listing of exactly 500 counts as cut.

Also writes a number of an older test without a narrowing conversion, which clang rejects.

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -82,8 +82,13 @@
     worker->noteContact(listing.clock, sentAt, now);
     d->applyEnds(*worker, listing, now);
     d->applyRunning(*worker, listing, sentAt, now);
-    d->resolveUnlistedRuns(*worker, listing, sentAt, now);
+    if (!listing.isTruncated) {
+        d->resolveUnlistedRuns(*worker, listing, sentAt, now);
+    }
     d->observeInterference(*worker, now);
+    if (listing.isTruncated) {
+        return; // any other run of this worker may have ended as well
+    }
     d->markReported(id, now);
     if (!worker->isListed() && worker->runCount() == 0) {
         d->eraseWorker(id, now);
@@ -343,8 +348,8 @@
     worker.add(run);
 }
 
-// Resolves runs that the worker does not list although it answered after they were
-// ordered.
+// Resolves runs that the worker lists neither as running nor as ended although it answered
+// after they were ordered.
 void Fleet::Private::resolveUnlistedRuns(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint sentAt,
                                          TimePoint now)
 {
--- a/src/ports/workerlink.h
+++ b/src/ports/workerlink.h
@@ -75,6 +75,7 @@
     std::int64_t startTimeMs = 0; // 0 if the answer does not contain it
     std::vector<ListedRun> running;
     std::vector<ListedRunEnd> ended;
+    bool isTruncated = false; // more ends may follow the last one
 };
 
 // A request to a worker to start a run.
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -218,7 +218,7 @@
     const jobs::TaskId task{{7}, 0, 0, 0};
     for (const int n : {0, 1}) {
         ports::WorkerListing listing;
-        listing.ended.push_back({1, task, n + 1, jobs::RunEnd::Done, {}});
+        listing.ended.push_back({1, task, static_cast<jobs::RunNumber>(n) + 1, jobs::RunEnd::Done, {}});
         ready.list(WorkerId("w" + std::to_string(n)), listing, Start + 10ms);
     }
     EXPECT_EQ(fleet.counts().duplicateRuns, 1U);
@@ -385,4 +385,61 @@
     EXPECT_LE(starts.front().deadline, startClock + 11'760);
 }
 
+// A worker lists a limited number of ends at a time. While the list is cut, a run that is
+// neither listed as running nor as ended may have been done.
+TEST(Fleet, ACutListOfEndsProvesNothingOfOtherRuns)
+{
+    ReadyFleet ready(2);
+    auto &fleet = ready.fleet;
+    ready.submit(7, plainStep(), Start);
+    const auto orders = fleet.plan(Start, Wall);
+    ASSERT_EQ(orders.starts.size(), 1U);
+    const auto &order = orders.starts.front();
+    fleet.applyStartReply(order, ports::StartResult::Accepted, Start + 1ms);
+    ports::WorkerListing listing;
+    listing.ended.push_back({1, {{9}, 0, 0, 0}, 1, jobs::RunEnd::Done, {}});
+    listing.isTruncated = true;
+    ready.list(order.worker, listing, Start + 10ms);
+    EXPECT_TRUE(fleet.plan(Start + 10ms, Wall).starts.empty());
+    listing.ended.front() = {2, order.task, order.run, jobs::RunEnd::Done, {}};
+    listing.isTruncated = false;
+    ready.list(order.worker, listing, Start + 20ms);
+    EXPECT_TRUE(fleet.plan(Start + 20ms, Wall).starts.empty());
+    EXPECT_EQ(fleet.find({7})->state(), jobs::JobState::Completed);
+}
+
+// The same at a takeover: the worker has reported only once its whole list was read.
+TEST(Fleet, AWorkerHasReportedOnceItsWholeListIsRead)
+{
+    EventLog log;
+    Fleet fleet(log);
+    ports::WorkerEntry entry;
+    entry.id = WorkerId("w0");
+    entry.service = Service;
+    entry.capacity = {32000, 64000, 0};
+    entry.startTimeMs = 1;
+    fleet.beginTerm({2}, 10, std::vector{entry}, Start + 7s, Start);
+    fleet.updateWorker(entry, Start);
+    AcceptedJob job;
+    job.key = {7};
+    job.policy.service = Service;
+    job.policy.maxAttempts = 3;
+    job.spec.steps.push_back(plainStep());
+    job.version = 7;
+    fleet.addJob(std::move(job), Start, Wall);
+    ports::WorkerListing listing;
+    listing.startTimeMs = 1;
+    listing.clock = 1000;
+    listing.isTruncated = true;
+    fleet.applyListing(entry.id, listing, Start, Start);
+    EXPECT_TRUE(fleet.plan(Start, Wall).starts.empty());
+    fleet.removeWorker(entry.id, Start);
+    fleet.applyListing(entry.id, listing, Start, Start);
+    EXPECT_NE(fleet.entryOf(entry.id), nullptr) << "no longer registered, but its ends are not all known";
+    fleet.updateWorker(entry, Start);
+    listing.isTruncated = false;
+    fleet.applyListing(entry.id, listing, Start + 1s, Start + 1s);
+    EXPECT_EQ(fleet.plan(Start + 1s, Wall).starts.size(), 1U);
+}
+
 } // namespace monsoonspool::execution
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -87,6 +87,20 @@
     EXPECT_EQ(kindOf([] { return decodeListing("{}"); }), ErrorKind::MalformedMessage);
 }
 
+// A worker lists at most 500 ends at a time.
+TEST(WireCodec, RecognizesACutListOfEnds)
+{
+    for (const int count : {0, 499, 500}) {
+        SCOPED_TRACE(count);
+        codec::Json json = {{"clockMs", 1}, {"running", codec::Json::array()}, {"ended", codec::Json::array()}};
+        for (int n = 1; n <= count; ++n) {
+            json["ended"].push_back({n, "5c0e7a21d94b36f8.0.1." + std::to_string(n), 1, "done", ""});
+        }
+        const auto listing = valueOf([&] { return decodeListing(codec::writeJson(json)); });
+        EXPECT_EQ(listing.isTruncated, count == 500);
+    }
+}
+
 TEST(WireCodec, RejectsInvalidWorkerEntries)
 {
     const std::string valid = R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","born":5,
