--- a/src/ports/workerlink.h
+++ b/src/ports/workerlink.h
@@ -7,6 +7,7 @@
 #include "ports/asyncresult.h"
 #include "ports/hostlist.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -68,6 +69,9 @@
     Duration wait{0}; // long poll: maximum time the worker may wait for a run to end before it answers
 };
 
+// A listing contains the first ends that are not acknowledged, at most so many.
+constexpr std::size_t MaxListedEnds = 500;
+
 // A worker's answer to a lease renewal.
 struct WorkerListing
 {
--- a/tests/execution/workerrestarttest.cpp
+++ b/tests/execution/workerrestarttest.cpp
@@ -1,4 +1,4 @@
-// Workers that start again under the identifier and address that they had.
+// Workers that start again under the identifier and address that they had, and incomplete listings.
 #include "testcluster.h"
 
 #include <gtest/gtest.h>
@@ -379,6 +379,24 @@
     EXPECT_EQ(workers.startsAt(Start + 10500ms), 1U);
 }
 
+// Guards against taking a run as stopped whose end is not among the listed ones yet: workers list
+// the first 500 ends that are not acknowledged.
+TEST(WorkerListing, ARunMayHaveEndedAfterTheLastListedEnd)
+{
+    FleetOfWorkers workers({First});
+    const auto order = workers.start(Start + 1ms);
+    Listing listing{1, FleetOfWorkers::FormerUptime + 1000, {}, {}};
+    for (int n = 0; n < static_cast<int>(MaxListedEnds); ++n) {
+        listing.ended.push_back({n + 1, {{8}, 0, 0, n}, 1, jobs::RunEnd::Done, {}});
+    }
+    workers.list(First, listing, Start + 1s);
+    EXPECT_EQ(workers.startsAt(Start + 1s), 0U);
+    workers.list(First,
+                 {1, FleetOfWorkers::FormerUptime + 1100, {}, {{501, order.task, order.run, jobs::RunEnd::Done, {}}}},
+                 Start + 1100ms);
+    EXPECT_TRUE(workers.isDone());
+}
+
 TEST(WorkerRestart, ADelayedOrderRunsItsTaskOnce)
 {
     for (const auto delay : {Duration(300ms), Duration(1500ms)}) {
