--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -354,9 +354,6 @@
 void Fleet::Private::resolveUnlistedRuns(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint sentAt,
                                          TimePoint now)
 {
-    if (listing.ended.size() >= ports::MaxListedEnds) {
-        return; // a later listing may contain their ends
-    }
     std::vector<jobs::TaskId> gone;
     for (auto &run : worker.runs()) {
         const bool isListed = std::ranges::any_of(
--- a/src/ports/memory/simulatedworkers.cpp
+++ b/src/ports/memory/simulatedworkers.cpp
@@ -169,6 +169,7 @@
     listing.clock = workerClock(worker);
     listing.startTimeMs = worker.entry.startTimeMs;
     const auto count = std::min(worker.ended.size(), MaxListedEnds);
+    listing.isTruncated = count < worker.ended.size();
     listing.ended.assign(worker.ended.begin(), worker.ended.begin() + static_cast<std::ptrdiff_t>(count));
     for (const auto &it : worker.runs) {
         const auto length = std::max(it.endsAt - it.startedAt, Duration(1ms));
--- a/src/ports/workerlink.h
+++ b/src/ports/workerlink.h
@@ -69,9 +69,6 @@
     Duration wait{0}; // long poll: maximum time the worker may wait for a run to end before it answers
 };
 
-// A listing contains the first ends that are not acknowledged, at most so many.
-constexpr std::size_t MaxListedEnds = 500;
-
 // A worker's answer to a lease renewal.
 struct WorkerListing
 {
--- a/tests/execution/workerrestarttest.cpp
+++ b/tests/execution/workerrestarttest.cpp
@@ -52,6 +52,7 @@
     WorkerMillis clock = 0;
     std::vector<ListedRun> running;
     std::vector<ListedRunEnd> ended;
+    bool isTruncated = false;
 };
 
 // A fleet with one job of one task and workers that can take it.
@@ -75,7 +76,8 @@
     }
     void list(const WorkerId &id, const Listing &listing, TimePoint sentAt, TimePoint now)
     {
-        fleet.applyListing(id, {listing.clock, listing.startTimeMs, listing.running, listing.ended}, sentAt, now);
+        fleet.applyListing(
+            id, {listing.clock, listing.startTimeMs, listing.running, listing.ended, listing.isTruncated}, sentAt, now);
     }
     // Orders the start of the task.
     StartTask order(TimePoint now)
@@ -389,7 +391,9 @@
     FleetOfWorkers workers({First});
     const auto order = workers.start(Start + 1ms);
     Listing listing{1, FleetOfWorkers::FormerUptime + 1000, {}, {}};
-    for (int n = 0; n < static_cast<int>(MaxListedEnds); ++n) {
+    listing.isTruncated = true;
+    constexpr int listedEnds = 500;
+    for (int n = 0; n < listedEnds; ++n) {
         listing.ended.push_back({n + 1, {{8}, 0, 0, n}, 1, jobs::RunEnd::Done, {}});
     }
     workers.list(First, listing, Start + 1s);
