--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::size_t MaxDescriptionBytes = 200;
+
 // Returns whether `text` nests deeper than MaxJsonDepth, without parsing it into a
 // tree. Ignores brackets in strings.
 bool exceedsMaxDepth(std::string_view text)
@@ -48,13 +50,6 @@
     return deepest + 1;
 }
 
-// Removes the JSON library's prefix, such as "[json.exception.parse_error.101] ".
-std::string withoutExceptionPrefix(std::string_view what)
-{
-    const auto end = what.find("] ");
-    return std::string(end == std::string_view::npos ? what : what.substr(end + 2));
-}
-
 Result<Json> parseBounded(std::string_view text, ErrorKind kind)
 {
     if (exceedsMaxDepth(text)) {
@@ -63,12 +58,22 @@
     try {
         return Json::parse(text);
     } catch (const Json::exception &e) {
-        return fail(kind, withoutExceptionPrefix(e.what()));
+        return fail(kind, describe(e));
     }
 }
 
 } // namespace
 
+std::string describe(const Json::exception &e)
+{
+    std::string_view what = e.what();
+    const auto end = what.find("] "); // of a prefix such as "[json.exception.parse_error.101] "
+    if (end != std::string_view::npos) {
+        what.remove_prefix(end + 2);
+    }
+    return std::string(what.substr(0, MaxDescriptionBytes));
+}
+
 Result<Json> parseJson(std::string_view text, ErrorKind kind)
 {
     if (text.size() > MaxJsonBytes) {
@@ -111,7 +116,7 @@
         }
         return json;
     } catch (const Json::exception &e) {
-        return fail(ErrorKind::MalformedMessage, withoutExceptionPrefix(e.what()));
+        return fail(ErrorKind::MalformedMessage, describe(e));
     }
 }
 
--- a/src/codec/json.h
+++ b/src/codec/json.h
@@ -15,6 +15,10 @@
 constexpr int MaxJsonDepth = 32;
 constexpr std::size_t MaxJsonBytes = 4 * 1024 * 1024;
 
+// Returns what the JSON library reports, without its prefix and cut to a length that fits
+// a log line: the library quotes the text that it cannot parse.
+std::string describe(const Json::exception &e);
+
 // Parses `text`. Fails with `kind` if it is not JSON, is deeper than
 // MaxJsonDepth, longer than MaxJsonBytes, or not UTF-8.
 Result<Json> parseJson(std::string_view text, ErrorKind kind = ErrorKind::MalformedMessage);
