--- a/tests/platform/oddentriestest.cpp
+++ b/tests/platform/oddentriestest.cpp
@@ -233,6 +233,36 @@
     }
 }
 
+// A page holds many rows, and a watcher asks for the same page until it can be decoded.
+TEST(OddEntries, AnUndecodableValueDoesNotHideTheRowsBesideIt)
+{
+    const auto pageWith = [](const std::string &table, const std::string &value) {
+        const auto row = [&](const std::string &key, const std::string &text) {
+            return R"({"table":")" + table + R"(","part":"","key":")" + key + R"(","ver":5,"value":)" + text + "}";
+        };
+        return R"({"ver":9,"rows":[)" + row("w0", "\"AP8h\"") + "," + row("w1", value) + "," + row("w2", "\"AP8h\"")
+            + "]}";
+    };
+    for (const auto *value : {"\"not base64\"", "\"AP8\"", "\"AP8h=\"", "\"\\u00e9\\u00e9\"", "7", "null", "[]"}) {
+        SCOPED_TRACE(value);
+        handleFailure(
+            [&]() -> Result<void> {
+                BOOST_LEAF_AUTO(page, decodeRowPage(pageWith("servers", value)));
+                EXPECT_EQ(page.version, 9U);
+                EXPECT_EQ(page.rows.size(), 3U);
+                EXPECT_EQ(page.rows.back().value, std::string("\0\xff!", 3));
+                EXPECT_TRUE(rejectionOf("w1", page.rows[1].value));
+                return {};
+            },
+            [](const Failure &failure) { ADD_FAILURE() << failure.detail; });
+    }
+    // Skipping a row that the system itself stored would lose what it says.
+    const auto isDecoded = handleFailure(
+        [&]() -> Result<bool> { return decodeRowPage(pageWith("progress", "\"not base64\"")).has_value(); },
+        [](const Failure &) { return false; });
+    EXPECT_FALSE(isDecoded);
+}
+
 // Values at the edge of what is allowed, and fields that are not read.
 TEST(OddEntries, EntriesOfRealWorkersAreDecoded)
 {
