--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -107,6 +107,44 @@
     EXPECT_EQ(kindOf([] { return decodeWorkerEntry("i-1", "\x01\xff"); }), ErrorKind::MalformedMessage);
 }
 
+// Numbers outside their range must not become others: 4294967297 is 1 in an int.
+TEST(WireCodec, RejectsJobsWithNumbersOutOfRange)
+{
+    const std::string step = R"({"count":4,"cpu":500,"memMb":256,"gpu":1,"estimateMs":900,"targetMs":20,
+        "antiAffinity":1,"bestEffort":1,"after":[0]})";
+    const std::string times = R"("repeatCount":3,"firstRunMs":1700000000000,"intervalMs":5000)";
+    const auto decode = [](const std::string &changedStep, const std::string &changedTimes) {
+        return kindOf([&] {
+            return decodeJobSpec(R"({"spec":"text","steps":[{"cpu":1},)" + changedStep + "]," + changedTimes + "}");
+        });
+    };
+    ASSERT_EQ(decode(step, times), ErrorKind::Internal) << "the unchanged job is valid";
+    const auto replaceNumber = [](std::string text, const std::string &field, const std::string &value) {
+        const auto begin = text.find("\"" + field + "\":") + field.size() + 3;
+        return text.replace(begin, std::min(text.find(',', begin), text.find('}', begin)) - begin, value);
+    };
+    const auto odd = {"-1", "-1e300", "1e300", "18446744073709551615", "9223372036854775807", "true", "null", "\"1\""};
+    for (const auto *field : {"count", "cpu", "memMb", "gpu", "estimateMs", "targetMs", "antiAffinity", "bestEffort"}) {
+        for (const auto *value : odd) {
+            EXPECT_EQ(decode(replaceNumber(step, field, value), times), ErrorKind::InvalidJob) << field << " " << value;
+        }
+    }
+    for (const auto *field : {"repeatCount", "firstRunMs", "intervalMs"}) {
+        for (const auto *value : odd) {
+            EXPECT_EQ(decode(step, replaceNumber(times, field, value)), ErrorKind::InvalidJob) << field << " " << value;
+        }
+    }
+    for (const auto *field : {"count", "antiAffinity", "bestEffort"}) {
+        for (const auto *value : {"4294967297", "1.5"}) {
+            EXPECT_EQ(decode(replaceNumber(step, field, value), times), ErrorKind::InvalidJob) << field << " " << value;
+        }
+    }
+    EXPECT_EQ(decode(step, replaceNumber(times, "repeatCount", "4294967297")), ErrorKind::InvalidJob);
+    for (const auto *value : {"[4294967296]", "[-1]", "[0.5]", "[1e300]", "[true]", "7", "{\"a\":0}"}) {
+        EXPECT_EQ(decode(R"({"after":)" + std::string(value) + "}", times), ErrorKind::InvalidJob) << value;
+    }
+}
+
 TEST(WireCodec, MarksCommitsThatSpanParts)
 {
     ports::Commit commit;
