--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -145,6 +145,37 @@
     }
 }
 
+TEST(WireCodec, RejectsListingsWithNumbersOutOfRange)
+{
+    const auto listingWith = [](const std::string &clock, const std::string &born, const std::string &run,
+                                const std::string &number, const std::string &percent, const std::string &level) {
+        return R"({"clockMs":)" + clock + R"(,"born":)" + born + R"(,"running":[["5c0e7a21d94b36f8.0.1.17",)" + run
+            + R"(,"c",)" + percent + "," + level + R"(]],"ended":[[)" + number
+            + R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
+    };
+    EXPECT_EQ(kindOf([&] { return decodeListing(listingWith("5.5", "17", "2", "58", "41.5", "12.5")); }),
+              ErrorKind::Internal);
+    for (const auto *odd : {"-1", "-1e300", "1e300", "18446744073709551615", "true", "null", "\"1\""}) {
+        for (const auto &it :
+             {listingWith(odd, "17", "2", "58", "41", "12"), listingWith("5", odd, "2", "58", "41", "12"),
+              listingWith("5", "17", odd, "58", "41", "12"), listingWith("5", "17", "2", odd, "41", "12")}) {
+            EXPECT_EQ(kindOf([&] { return decodeListing(it); }), ErrorKind::MalformedMessage) << it;
+        }
+    }
+    // Measurements are cut to what they can mean, so that the worker's runs stay known.
+    for (const auto *odd : {"-1", "-1e300", "1e300", "18446744073709551615"}) {
+        const auto listing = valueOf([&] { return decodeListing(listingWith("5", "17", "2", "58", odd, odd)); });
+        ASSERT_EQ(listing.running.size(), 1U);
+        EXPECT_GE(listing.running[0].percent, 0) << odd;
+        EXPECT_LE(listing.running[0].percent, 100) << odd;
+        EXPECT_GE(listing.running[0].level, 0) << odd;
+        EXPECT_LE(listing.running[0].level, 1'000'000'000) << odd;
+    }
+    for (const auto *it : {"5c0e7a21d94b36f8.-1.1.17", "5c0e7a21d94b36f8.0.-1.17", "5c0e7a21d94b36f8.0.1.-17"}) {
+        EXPECT_FALSE(decodeTaskName(it)) << it;
+    }
+}
+
 TEST(WireCodec, MarksCommitsThatSpanParts)
 {
     ports::Commit commit;
