--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -176,6 +176,28 @@
     }
 }
 
+TEST(WireCodec, RejectsConfigurationsWithNumbersOutOfRange)
+{
+    const auto configurationWith = [](const std::string &field, const std::string &value) {
+        const auto number = [&](const std::string &name, const std::string &usual) {
+            return "\"" + name + "\":" + (name == field ? value : usual);
+        };
+        return "{" + number("version", "7") + R"(,"routes":[{"name":"a","host":"h","pathPrefix":"/x/","service":"s",)"
+            + number("timeoutMs", "3000") + "," + number("targetLatencyMs", "400") + "," + number("priority", "1") + ","
+            + number("maxAttempts", "4") + "," + number("stretch", "1.5") + R"(,"advice":{)" + number("decideMs", "5")
+            + "," + number("perItemMs", "0.5") + "," + number("validityMs", "60000") + "}}]}";
+    };
+    EXPECT_EQ(kindOf([&] { return decodeConfiguration(configurationWith("", "")); }), ErrorKind::Internal);
+    for (const auto *field : {"version", "timeoutMs", "targetLatencyMs", "priority", "maxAttempts", "stretch",
+                              "decideMs", "perItemMs", "validityMs"}) {
+        for (const auto *odd : {"-1", "-1e300", "1e300", "18446744073709551615", "true", "null", "\"1\""}) {
+            EXPECT_EQ(kindOf([&] { return decodeConfiguration(configurationWith(field, odd)); }),
+                      ErrorKind::InvalidDocument)
+                << field << " " << odd;
+        }
+    }
+}
+
 TEST(WireCodec, MarksCommitsThatSpanParts)
 {
     ports::Commit commit;
