--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -121,6 +121,97 @@
     EXPECT_EQ(kindOf([] { return decodeWorkerEntry("i-1", "\x01\xff"); }), ErrorKind::MalformedMessage);
 }
 
+// Numbers outside their range must not become others: 4294967297 is 1 in an int.
+TEST(WireCodec, RejectsJobsWithNumbersOutOfRange)
+{
+    const std::string step = R"({"count":4,"cpu":500,"memMb":256,"gpu":1,"estimateMs":900,"targetMs":20,
+        "antiAffinity":1,"bestEffort":1,"after":[0]})";
+    const std::string times = R"("repeatCount":3,"firstRunMs":1700000000000,"intervalMs":5000)";
+    const auto decode = [](const std::string &changedStep, const std::string &changedTimes) {
+        return kindOf([&] {
+            return decodeJobSpec(R"({"spec":"text","steps":[{"cpu":1},)" + changedStep + "]," + changedTimes + "}");
+        });
+    };
+    ASSERT_EQ(decode(step, times), ErrorKind::Internal) << "the unchanged job is valid";
+    const auto replaceNumber = [](std::string text, const std::string &field, const std::string &value) {
+        const auto begin = text.find("\"" + field + "\":") + field.size() + 3;
+        return text.replace(begin, std::min(text.find(',', begin), text.find('}', begin)) - begin, value);
+    };
+    const auto odd = {"-1", "-1e300", "1e300", "18446744073709551615", "9223372036854775807", "true", "null", "\"1\""};
+    for (const auto *field : {"count", "cpu", "memMb", "gpu", "estimateMs", "targetMs", "antiAffinity", "bestEffort"}) {
+        for (const auto *value : odd) {
+            EXPECT_EQ(decode(replaceNumber(step, field, value), times), ErrorKind::InvalidJob) << field << " " << value;
+        }
+    }
+    for (const auto *field : {"repeatCount", "firstRunMs", "intervalMs"}) {
+        for (const auto *value : odd) {
+            EXPECT_EQ(decode(step, replaceNumber(times, field, value)), ErrorKind::InvalidJob) << field << " " << value;
+        }
+    }
+    for (const auto *field : {"count", "antiAffinity", "bestEffort"}) {
+        for (const auto *value : {"4294967297", "1.5"}) {
+            EXPECT_EQ(decode(replaceNumber(step, field, value), times), ErrorKind::InvalidJob) << field << " " << value;
+        }
+    }
+    EXPECT_EQ(decode(step, replaceNumber(times, "repeatCount", "4294967297")), ErrorKind::InvalidJob);
+    for (const auto *value : {"[4294967296]", "[-1]", "[0.5]", "[1e300]", "[true]", "7", "{\"a\":0}"}) {
+        EXPECT_EQ(decode(R"({"after":)" + std::string(value) + "}", times), ErrorKind::InvalidJob) << value;
+    }
+}
+
+TEST(WireCodec, RejectsListingsWithNumbersOutOfRange)
+{
+    const auto listingWith = [](const std::string &clock, const std::string &born, const std::string &run,
+                                const std::string &number, const std::string &percent, const std::string &level) {
+        return R"({"clockMs":)" + clock + R"(,"born":)" + born + R"(,"running":[["5c0e7a21d94b36f8.0.1.17",)" + run
+            + R"(,"c",)" + percent + "," + level + R"(]],"ended":[[)" + number
+            + R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
+    };
+    EXPECT_EQ(kindOf([&] { return decodeListing(listingWith("5.5", "17", "2", "58", "41.5", "12.5")); }),
+              ErrorKind::Internal);
+    for (const auto *odd : {"-1", "-1e300", "1e300", "18446744073709551615", "true", "null", "\"1\""}) {
+        for (const auto &it :
+             {listingWith(odd, "17", "2", "58", "41", "12"), listingWith("5", odd, "2", "58", "41", "12"),
+              listingWith("5", "17", odd, "58", "41", "12"), listingWith("5", "17", "2", odd, "41", "12")}) {
+            EXPECT_EQ(kindOf([&] { return decodeListing(it); }), ErrorKind::MalformedMessage) << it;
+        }
+    }
+    // Measurements are cut to what they can mean, so that the worker's runs stay known.
+    for (const auto *odd : {"-1", "-1e300", "1e300", "18446744073709551615"}) {
+        const auto listing = valueOf([&] { return decodeListing(listingWith("5", "17", "2", "58", odd, odd)); });
+        ASSERT_EQ(listing.running.size(), 1U);
+        EXPECT_GE(listing.running[0].percent, 0) << odd;
+        EXPECT_LE(listing.running[0].percent, 100) << odd;
+        EXPECT_GE(listing.running[0].level, 0) << odd;
+        EXPECT_LE(listing.running[0].level, 1'000'000'000) << odd;
+    }
+    for (const auto *it : {"5c0e7a21d94b36f8.-1.1.17", "5c0e7a21d94b36f8.0.-1.17", "5c0e7a21d94b36f8.0.1.-17"}) {
+        EXPECT_FALSE(decodeTaskName(it)) << it;
+    }
+}
+
+TEST(WireCodec, RejectsConfigurationsWithNumbersOutOfRange)
+{
+    const auto configurationWith = [](const std::string &field, const std::string &value) {
+        const auto number = [&](const std::string &name, const std::string &usual) {
+            return "\"" + name + "\":" + (name == field ? value : usual);
+        };
+        return "{" + number("version", "7") + R"(,"routes":[{"name":"a","host":"h","pathPrefix":"/x/","service":"s",)"
+            + number("timeoutMs", "3000") + "," + number("targetLatencyMs", "400") + "," + number("priority", "1") + ","
+            + number("maxAttempts", "4") + "," + number("stretch", "1.5") + R"(,"advice":{)" + number("decideMs", "5")
+            + "," + number("perItemMs", "0.5") + "," + number("validityMs", "60000") + "}}]}";
+    };
+    EXPECT_EQ(kindOf([&] { return decodeConfiguration(configurationWith("", "")); }), ErrorKind::Internal);
+    for (const auto *field : {"version", "timeoutMs", "targetLatencyMs", "priority", "maxAttempts", "stretch",
+                              "decideMs", "perItemMs", "validityMs"}) {
+        for (const auto *odd : {"-1", "-1e300", "1e300", "18446744073709551615", "true", "null", "\"1\""}) {
+            EXPECT_EQ(kindOf([&] { return decodeConfiguration(configurationWith(field, odd)); }),
+                      ErrorKind::InvalidDocument)
+                << field << " " << odd;
+        }
+    }
+}
+
 TEST(WireCodec, MarksCommitsThatSpanParts)
 {
     ports::Commit commit;
