Check that a worker which was forgotten returns without a history

Guards the case that the registry drops a worker and lists it again, with the same process or a new one: ends that are on their way to be acknowledged do not count for a new process, and tasks run once.

--- a/tests/execution/workerrestarttest.cpp
+++ b/tests/execution/workerrestarttest.cpp
@@ -397,6 +397,48 @@
     EXPECT_TRUE(workers.isDone());
 }
 
+// A worker that the leader has forgotten and that returns is a new one: numbers of ends that were
+// on their way to be acknowledged do not count for its next process.
+TEST(WorkerRestart, AForgottenWorkerReturnsWithoutAHistory)
+{
+    FleetOfWorkers workers({First, Second});
+    const jobs::TaskId other{{8}, 0, 0, 0};
+    workers.list(First, {1, FleetOfWorkers::FormerUptime + 1, {}, {{5, other, 1, jobs::RunEnd::Done, {}}}}, Start);
+    const auto cursors = workers.fleet.endCursors();
+    ASSERT_EQ(cursors.size(), 1U);
+    workers.fleet.removeWorker(First, Start + 1ms);
+    EXPECT_EQ(workers.fleet.entryOf(First), nullptr);
+    workers.fleet.updateWorker(entryOf(First, 2), Start + 2ms);
+    workers.fleet.acknowledge(cursors);
+    EXPECT_EQ(workers.fleet.leaseOrder(First, Start + 3ms).acknowledgedEnd, 0);
+    workers.list(First, {2, 100, {}, {}}, Start + 10ms);
+    workers.fleet.acknowledge(cursors);
+    EXPECT_EQ(workers.fleet.leaseOrder(First, Start + 20ms).acknowledgedEnd, 0);
+}
+
+TEST(WorkerRestart, TasksRunOnceOnAWorkerThatIsUnlistedAndReturns)
+{
+    for (const bool isRestarted : {false, true}) {
+        for (const auto away : {Duration(100ms), Duration(600ms), Duration(2s)}) {
+            SCOPED_TRACE(std::to_string(toMilliseconds(away)) + (isRestarted ? " ms, restarted" : " ms"));
+            Cluster cluster;
+            cluster.scheduler.runFor(2s);
+            submitJobs(cluster, 1);
+            cluster.scheduler.runFor(200ms);
+            const RowName row{"workers", "", First.text()};
+            cluster.rows.apply({{}, {}, {row}});
+            if (isRestarted) {
+                cluster.workers.restart(First, 2);
+            }
+            cluster.scheduler.runFor(away);
+            cluster.put(row, "ready");
+            submitJobs(cluster, 101);
+            cluster.scheduler.runFor(20s);
+            expectAllDone(cluster);
+        }
+    }
+}
+
 TEST(WorkerRestart, ADelayedOrderRunsItsTaskOnce)
 {
     for (const auto delay : {Duration(300ms), Duration(1500ms)}) {
