--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -176,6 +176,19 @@
     }
 }
 
+// The end must be counted, so that it is acknowledged, and must not end another task.
+TEST(WireCodec, AnEndOfAForeignTaskIsOfNoJob)
+{
+    const auto listing
+        = valueOf([] { return decodeListing(R"({"clockMs":5,"running":[],"ended":[[58,"foreign",1,"done",""]]})"); });
+    ASSERT_EQ(listing.ended.size(), 1U);
+    EXPECT_EQ(listing.ended[0].number, 58);
+    jobs::JobSpec spec;
+    spec.steps.resize(1);
+    const jobs::Job job({0}, spec, "q", TimePoint());
+    EXPECT_FALSE(listing.ended[0].task.job == job.key() && job.contains(listing.ended[0].task));
+}
+
 TEST(WireCodec, RejectsConfigurationsWithNumbersOutOfRange)
 {
     const auto configurationWith = [](const std::string &field, const std::string &value) {
