Keep a worker on the roster until the ends of its runs are stored

Cause: a worker whose entry had disappeared from the platform's list (it was alive, and silent to the store only) was forgotten as soon as its last run had ended, and left the stored roster, although the leader could not store that end. The next leader did not wait for the worker, read no end, and started the task again; the worker's listing came later.

Before the fix:

Fleet.AWorkerStaysOnTheRosterUntilItsEndsAreStored fleet.roster().size() Which is: 0, expected 1

Fix: one rule, Fleet::Private::mayForget(), in place of three conditions: no runs, reported, unlisted, and every end that was applied is stored.

WorkerRestart.AForgottenWorkerReturnsWithoutAHistory forgot a worker with an end that was not stored, which no longer happens; it now stores the end first and checks the same after that.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -118,6 +118,14 @@
     return *worker;
 }
 
+// A new leader waits only for the workers on the roster, so a worker stays there until its
+// runs have ended and the ends are stored.
+bool Fleet::Private::mayForget(const workers::Worker &worker) const
+{
+    return !worker.isListed() && worker.runCount() == 0 && worker.acknowledgedEnd() >= worker.processedEnd()
+        && !unreportedWorkers.contains(worker.entry().id);
+}
+
 void Fleet::Private::eraseWorker(const WorkerId &id, TimePoint now)
 {
     const auto it = workersById.find(id);
@@ -268,7 +276,7 @@
     }
     d->log.record("worker-unlisted", {{"worker", id.view()}, {"runs", worker->runCount()}});
     worker->setListed(false);
-    if (worker->runCount() == 0 && !d->unreportedWorkers.contains(id)) {
+    if (d->mayForget(*worker)) {
         d->eraseWorker(id, now);
     }
 }
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -91,7 +91,7 @@
         return; // any other run of this worker may have ended as well
     }
     d->markReported(id, now);
-    if (!worker->isListed() && worker->runCount() == 0) {
+    if (d->mayForget(*worker)) {
         d->eraseWorker(id, now);
     }
 }
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -111,7 +111,7 @@
         if (it->isSilent() && it->hasLapsed(certain)) {
             expireRuns(*it, now, "lease expired");
         }
-        if (!it->isListed() && it->runCount() == 0 && !unreportedWorkers.contains(it->entry().id)) {
+        if (mayForget(*it)) {
             gone.push_back(it->entry().id);
         }
     }
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -72,6 +72,7 @@
     // Returns the run that an order refers to, or nullptr if it has ended.
     workers::Run *findRun(const WorkerId &id, const jobs::TaskId &task, jobs::RunNumber number);
     workers::Worker &addWorker(const ports::WorkerEntry &entry);
+    bool mayForget(const workers::Worker &worker) const;
     void eraseWorker(const WorkerId &id, TimePoint now);
 
     // Ends of runs.
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -442,4 +442,27 @@
     EXPECT_EQ(fleet.plan(Start + 1s, Wall).starts.size(), 1U);
 }
 
+// Guards against a takeover that does not wait for a worker with an end that was never stored: the
+// worker had left the platform's list, and with it the roster, once its last run had ended.
+TEST(Fleet, AWorkerStaysOnTheRosterUntilItsEndsAreStored)
+{
+    ReadyFleet ready(1);
+    auto &fleet = ready.fleet;
+    const WorkerId id("w0");
+    ready.submit(7, plainStep(), Start);
+    const auto orders = fleet.plan(Start + 1ms, Wall);
+    ASSERT_EQ(orders.starts.size(), 1U);
+    fleet.applyStartReply(orders.starts.front(), ports::StartResult::Accepted, Start + 2ms);
+    fleet.removeWorker(id, Start + 100ms);
+    ports::WorkerListing listing;
+    listing.ended.push_back({1, orders.starts.front().task, orders.starts.front().run, jobs::RunEnd::Done, {}});
+    ready.list(id, listing, Start + 1s);
+    fleet.plan(Start + 2s, Wall);
+    fleet.removeWorker(id, Start + 2s);
+    EXPECT_EQ(fleet.roster().size(), 1U);
+    fleet.acknowledge(fleet.endCursors()); // stored
+    fleet.plan(Start + 3s, Wall);
+    EXPECT_TRUE(fleet.roster().empty());
+}
+
 } // namespace monsoonspool::execution
--- a/tests/execution/workerrestarttest.cpp
+++ b/tests/execution/workerrestarttest.cpp
@@ -410,9 +410,13 @@
 {
     FleetOfWorkers workers({First, Second});
     const jobs::TaskId other{{8}, 0, 0, 0};
+    auto job = oneTaskJob(2);
+    job.key = other.job;
+    workers.fleet.addJob(std::move(job), Start, Wall);
     workers.list(First, {1, FleetOfWorkers::FormerUptime + 1, {}, {{5, other, 1, jobs::RunEnd::Done, {}}}}, Start);
     const auto cursors = workers.fleet.endCursors();
     ASSERT_EQ(cursors.size(), 1U);
+    workers.fleet.acknowledge(cursors); // otherwise the worker is not forgotten
     workers.fleet.removeWorker(First, Start + 1ms);
     EXPECT_EQ(workers.fleet.entryOf(First), nullptr);
     workers.fleet.updateWorker(entryOf(First, 2), Start + 2ms);
