Acknowledge no ends while a worker's entry announces a restart

A renewal that was sent after the entry of the new process had arrived still carried the number of the last acknowledged end of the former process, and the new process dropped its own ends.

Evidence, before the fix (WorkerRestart.ARenewalAfterAnAnnouncedRestartAcknowledgesNothing):

workers.fleet.leaseOrder(First, Start + 20ms).acknowledgedEnd Which is: 5, expected 0

Fix: as for a silent worker, such a renewal acknowledges 0. If the entry was untrue, the worker lists its ends once more. A renewal that is under way before the entry arrives is not reached by this.

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -56,11 +56,13 @@
     }
     if (!worker->isSilent()) {
         // The worker may carry out an order without its answer arriving. While it is
-        // silent, no order may extend the lease that has to expire. It may also have
-        // restarted, so that its ends have other numbers.
-        order.acknowledgedEnd = worker->acknowledgedEnd();
+        // silent, no order may extend the lease that has to expire.
         order.deadline = worker->nextDeadline(now, d->termEnd);
     }
+    if (!worker->isSilent() && !worker->isRestartAnnounced()) {
+        // Otherwise it may have restarted, so that its ends have other numbers.
+        order.acknowledgedEnd = worker->acknowledgedEnd();
+    }
     if (worker->isConfirmed() && !worker->isSilent()) {
         order.wait = std::min(listingWait(*worker), (d->termEnd - now) / RenewalsPerTermEnd);
     }
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -48,8 +48,7 @@
         || now < m_unschedulableUntil) {
         return false;
     }
-    const bool isRestartAnnounced = m_startTimeMs != 0 && m_entry.startTimeMs > m_startTimeMs;
-    if (isRestartAnnounced) {
+    if (isRestartAnnounced()) {
         return false;
     }
     if (!isSuspect() || now - m_lastFailureAt > SuspicionTimeout) {
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -93,6 +93,11 @@
     {
         return m_startTimeMs;
     }
+    // Returns whether the entry tells of a later process than the last listing.
+    bool isRestartAnnounced() const
+    {
+        return m_startTimeMs != 0 && m_entry.startTimeMs > m_startTimeMs;
+    }
     void setStartTimeMs(std::int64_t startTimeMs)
     {
         m_startTimeMs = startTimeMs;
--- a/tests/execution/workerrestarttest.cpp
+++ b/tests/execution/workerrestarttest.cpp
@@ -282,6 +282,21 @@
     EXPECT_EQ(workers.fleet.leaseOrder(First, Start + 1s).acknowledgedEnd, 5);
 }
 
+TEST(WorkerRestart, ARenewalAfterAnAnnouncedRestartAcknowledgesNothing)
+{
+    FleetOfWorkers workers({First});
+    const jobs::TaskId other{{8}, 0, 0, 0};
+    auto job = oneTaskJob(2);
+    job.key = other.job;
+    workers.fleet.addJob(std::move(job), Start, Wall);
+    workers.list(First, {1, FleetOfWorkers::FormerUptime + 1, {}, {{5, other, 1, jobs::RunEnd::Done, {}}}}, Start);
+    workers.fleet.acknowledge(workers.fleet.endCursors());
+    workers.fleet.updateWorker(entryOf(First, 2), Start + 10ms);
+    EXPECT_EQ(workers.fleet.leaseOrder(First, Start + 20ms).acknowledgedEnd, 0);
+    workers.fleet.updateWorker(entryOf(First, 1), Start + 30ms); // the entry was untrue
+    EXPECT_EQ(workers.fleet.leaseOrder(First, Start + 40ms).acknowledgedEnd, 5);
+}
+
 TEST(WorkerRestart, EndsThatNobodyHasReadAreKept)
 {
     Cluster cluster;
