Place nothing on a restarted worker before the leadership was renewed

Callers saw: nothing yet; found by the review of the incident's fixes. A task runs on two workers.

Cause: workers keep the fence in memory only, so that a restarted one obeys a former leader until its successor reaches it. The former leader reads the restart from the worker's listing and starts tasks there that its successor runs elsewhere. A worker that has never been used is safe, since it has to be on the stored roster first, which a former leader cannot change; a restarted one is on it already.

Evidence, before the fix (WorkerRestart.ARestartedWorkerTakesNoTaskOfAFormerLeader):

Fix: after a restart a worker takes no task until a renewal of the leader's row that was sent after the listing has succeeded, which no former leader can bring about.

Cost: up to 0.8 s after each restart. Not closed: a leader whose first listing of its term from a worker is that of a restarted process; waiting there would delay every takeover by up to 0.8 s.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -68,6 +68,9 @@
 {
     d->termRenewedAt = sentAt;
     d->termEnd = termEnd;
+    for (auto *it : d->workers) {
+        it->noteTermRenewed(sentAt);
+    }
 }
 
 Epoch Fleet::fence() const
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -79,7 +79,7 @@
     // Renewals of a worker are sent one after another, so that another start time is that of a
     // later process, also if its time of day is behind.
     if (worker->startTimeMs() != 0 && startTimeMs != worker->startTimeMs()) {
-        d->handleRestart(*worker, startTimeMs, listing.clock);
+        d->handleRestart(*worker, startTimeMs, listing.clock, now);
     }
     worker->setStartTimeMs(startTimeMs);
     worker->noteContact(listing.clock, sentAt, now);
@@ -424,7 +424,8 @@
     }
 }
 
-void Fleet::Private::handleRestart(workers::Worker &worker, std::int64_t startTimeMs, ports::WorkerMillis clock)
+void Fleet::Private::handleRestart(workers::Worker &worker, std::int64_t startTimeMs, ports::WorkerMillis clock,
+                                   TimePoint now)
 {
     ++counts.workerRestarts;
     log.record("worker-restarted",
@@ -437,6 +438,10 @@
     // carry out an order without an answer. Its listing tells, and a stop that it confirms.
     std::vector<workers::Run> runs(worker.runs().begin(), worker.runs().end());
     worker.restart(startTimeMs, clock);
+    if (soleLeaderTime(now) < now) {
+        // The new process has seen no fence, and would obey this leader also if it has a successor.
+        worker.awaitTermRenewal(now);
+    }
     for (auto &it : runs) {
         it.isStopSent = false;
         it.isStopConfirmed = false;
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -85,7 +85,7 @@
     void recordCompletion(workers::Worker &worker, const workers::Run &run, TimePoint now);
     void expireRuns(workers::Worker &worker, TimePoint now, std::string_view reason);
     // Prepares a worker for the first listing of a new process, which resolves its runs.
-    void handleRestart(workers::Worker &worker, std::int64_t startTimeMs, ports::WorkerMillis clock);
+    void handleRestart(workers::Worker &worker, std::int64_t startTimeMs, ports::WorkerMillis clock, TimePoint now);
     void markBegun(jobs::JobKey key);
     void dropIfFinished(jobs::JobKey key);
     void markReported(const WorkerId &id, TimePoint now);
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -48,7 +48,7 @@
         || now < m_unschedulableUntil) {
         return false;
     }
-    if (isRestartAnnounced()) {
+    if (isRestartAnnounced() || m_awaitsTermRenewalSince) {
         return false;
     }
     if (!isSuspect() || now - m_lastFailureAt > SuspicionTimeout) {
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -8,6 +8,7 @@
 
 #include <bitset>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -169,6 +170,17 @@
         m_isListed = isListed;
     }
 
+    // Keeps new tasks away until the leadership was renewed by a write sent after `now`.
+    void awaitTermRenewal(TimePoint now)
+    {
+        m_awaitsTermRenewalSince = now;
+    }
+    void noteTermRenewed(TimePoint sentAt)
+    {
+        if (m_awaitsTermRenewalSince && sentAt > *m_awaitsTermRenewalSince) {
+            m_awaitsTermRenewalSince.reset();
+        }
+    }
     // Returns whether new tasks may be placed on the worker.
     bool isSchedulable(TimePoint now) const;
     bool isConfirmed() const
@@ -284,6 +296,7 @@
     std::set<std::int64_t> m_heldEnds;
     TimePoint m_observedAt;
     TimePoint m_unschedulableUntil;
+    std::optional<TimePoint> m_awaitsTermRenewalSince;
     TimePoint m_lastFailureAt;
     int m_consecutiveFailures = 0;
     scheduling::PaceRegulator m_paceRegulator;
--- a/tests/execution/workerrestarttest.cpp
+++ b/tests/execution/workerrestarttest.cpp
@@ -486,4 +486,38 @@
     }
 }
 
+// Guards against a former leader that starts tasks on a restarted worker, which has forgotten the
+// fence of the successor: the successor runs them elsewhere.
+TEST(WorkerRestart, ARestartedWorkerTakesNoTaskOfAFormerLeader)
+{
+    Cluster cluster;
+    cluster.taskModel.overrides[{7}] = {60s, false, TaskSize};
+    cluster.scheduler.runFor(2s);
+    const int former = cluster.leader();
+    ASSERT_GE(former, 0);
+    cluster.host(former).workerFaults.isCut = true;
+    cluster.scheduler.runFor(5s);
+    cluster.submit((former + 1) % HostCount, 7);
+    cluster.scheduler.runFor(300ms); // the leader reads the job
+    cluster.host(former).storeFaults.isCut = true;
+    cluster.scheduler.runFor(4s);
+    EXPECT_EQ(cluster.workers.runningCount(), 3) << "started by the successor";
+    const WorkerId restarted("w5");
+    for (int n = 0; n < HostCount; ++n) {
+        const bool reachesRestarted = n == former;
+        cluster.host(n).workerFaults.isCut = false;
+        cluster.host(n).workerFaults.rule = [=](std::string_view call, TimePoint) {
+            return call.ends_with("w5") == reachesRestarted ? std::nullopt : std::optional(Fault{2ms, true, false});
+        };
+    }
+    cluster.workers.restart(restarted, 5000);
+    cluster.scheduler.runFor(1500ms);
+    for (auto &it : cluster.hosts) {
+        it->workerFaults.rule = {};
+        it->storeFaults.isCut = false;
+    }
+    cluster.scheduler.runFor(20s);
+    EXPECT_EQ(violationsOf(cluster), "");
+}
+
 } // namespace monsoonspool::execution
