Wait for a worker that answers with cut lists of ends during a takeover

Callers saw: nothing yet; found by the review. With more than 500 ends that are not stored, a task that is done could start again.

Cause: when the former leader's leases were over, a new leader stopped waiting for every worker that had not reported, also for one that answers, whose lease it renews itself, and whose ends are listed in parts.

Evidence, before the fix (Fleet.AWorkerThatAnswersWithCutListsIsWaitedFor):

fleet.plan(now, Wall).starts.empty() Actual: false, expected true, at 7000 ms

Fix: only workers that never confirmed this leader's fence, or whose lease of this leader has expired too, are no longer waited for.

--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -102,9 +102,17 @@
 {
     const auto certain = soleLeaderTime(now);
     if (!unreportedWorkers.empty() && certain >= formerLeasesEnd) {
-        log.record("former-leases-over", {{"unheard", unreportedWorkers.size()}});
-        unreportedWorkers.clear();
-        dropFinishedJobs();
+        // A worker that answers has a lease of this leader; its list of ends is cut.
+        const auto unheard = std::erase_if(unreportedWorkers, [&](const WorkerId &id) {
+            const auto *worker = findWorker(id);
+            return worker == nullptr || !worker->isConfirmed() || (worker->isSilent() && worker->hasLapsed(certain));
+        });
+        if (unheard > 0) {
+            log.record("former-leases-over", {{"unheard", unheard}});
+        }
+        if (unreportedWorkers.empty()) {
+            dropFinishedJobs();
+        }
     }
     std::vector<WorkerId> gone;
     for (auto *it : workers) {
@@ -321,12 +329,12 @@
 // Tasks that a former leader may have started wait until every worker on its roster has
 // reported its runs, or their leases have expired. A former leader starts no task of a job
 // whose accepting host knew of this leader.
-bool Fleet::Private::isBlockedByTakeover(const TrackedJob &job, TimePoint now) const
+bool Fleet::Private::isBlockedByTakeover(const TrackedJob &job) const
 {
     if (job.knownFence > fence) {
         return true;
     }
-    return !unreportedWorkers.empty() && job.knownFence < fence && soleLeaderTime(now) < formerLeasesEnd;
+    return !unreportedWorkers.empty() && job.knownFence < fence;
 }
 
 TimePoint Fleet::Private::soleLeaderTime(TimePoint now) const
@@ -353,7 +361,7 @@
         return waiting; // the workers would reject the orders
     }
     for (auto &[key, job] : jobsByKey) {
-        if (!job->job.isOpen() || isBlockedByTakeover(*job, now)) {
+        if (!job->job.isOpen() || isBlockedByTakeover(*job)) {
             continue;
         }
         if (job->job.spec().isTimed()) {
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -112,7 +112,7 @@
     scheduling::RankInput outlook(const TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall) const;
     void expireLeases(TimePoint now);
     scheduling::Rank rankOf(TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall);
-    bool isBlockedByTakeover(const TrackedJob &job, TimePoint now) const;
+    bool isBlockedByTakeover(const TrackedJob &job) const;
     // Returns the latest time at which this leader certainly had no successor.
     TimePoint soleLeaderTime(TimePoint now) const;
     void updateInterferenceFreeCapacity(std::span<const WaitingStep> waiting, TimePoint now);
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -465,4 +465,35 @@
     EXPECT_TRUE(fleet.roster().empty());
 }
 
+// Guards against taking the former leader's leases as over on a worker whose lease this leader
+// renews, and whose list of ends is cut.
+TEST(Fleet, AWorkerThatAnswersWithCutListsIsWaitedFor)
+{
+    EventLog log;
+    Fleet fleet(log);
+    ports::WorkerEntry entry;
+    entry.id = WorkerId("w0");
+    entry.service = Service;
+    entry.capacity = {32000, 64000, 0};
+    entry.startTimeMs = 1;
+    fleet.beginTerm({2}, 10, std::vector{entry}, Start + 7s, Start);
+    fleet.updateWorker(entry, Start);
+    AcceptedJob job;
+    job.key = {7};
+    job.policy.service = Service;
+    job.policy.maxAttempts = 3;
+    job.spec.steps.push_back(plainStep());
+    fleet.addJob(std::move(job), Start, Wall);
+    ports::WorkerListing listing;
+    listing.startTimeMs = 1;
+    listing.isTruncated = true;
+    for (auto now = Start; now < Start + 8s; now += 100ms) {
+        listing.clock = toMilliseconds(now - Start) + 1000;
+        fleet.noteTermRenewed(now, now + 12s);
+        fleet.leaseOrder(entry.id, now);
+        fleet.applyListing(entry.id, listing, now, now);
+        ASSERT_TRUE(fleet.plan(now, Wall).starts.empty()) << toMilliseconds(now - Start) << " ms";
+    }
+}
+
 } // namespace monsoonspool::execution
