Do not resume ownership of a partition on a late reply to a renewal

After a peer had announced the next owner of a partition, a reply to the former owner's renewal made it the owner again, with its old epoch, until it read the row. Its log commits and acknowledgements are fenced, so no double run is known to come of it; it answered views and renewed leases.

Evidence, before the fix (Ownership.IsNotResumedByALateReplyToARenewal):

ownership.ownedEpoch(Partition) Actual: true, expected: false ownership.mayDecide(Partition, Start + 5s) Actual: true, expected: false

Fix: a written row with a lower epoch than the known one changes only the known version.

--- a/src/membership/ownership.cpp
+++ b/src/membership/ownership.cpp
@@ -133,6 +133,10 @@
         if (version <= partition.version) {
             continue; // a newer row has been read meanwhile
         }
+        if (write.row.epoch < partition.row.epoch) {
+            partition.version = version; // a peer has announced the next owner meanwhile
+            continue;
+        }
         const bool hadOwnerBefore = partition.hasRow;
         const bool wasOwned = partition.isOwned;
         partition.isKnown = true;
--- a/tests/membership/ownershiptest.cpp
+++ b/tests/membership/ownershiptest.cpp
@@ -190,6 +190,24 @@
     EXPECT_EQ(a.ownership.ownedEpoch(Partition), Epoch{2});
     EXPECT_EQ(a.ownership.dueRenewals(Start + 5s).front().expectedVersion, 9U);
 }
+// Guards against a former owner that believes in its ownership again: the reply to its renewal
+// arrives after a peer has announced the successor.
+TEST(Ownership, IsNotResumedByALateReplyToARenewal)
+{
+    Owner owner(A);
+    auto &ownership = owner.ownership;
+    ownership.noteRow(Partition, std::nullopt, 0, Start);
+    const auto claims = ownership.dueClaims(candidates(), bothHosts(), Start + 2s);
+    ASSERT_EQ(claims.size(), 1U);
+    ownership.noteWritten(claims, 5, Start + 2s, Start + 2s);
+    const auto renewals = ownership.dueRenewals(Start + 3s);
+    ASSERT_EQ(renewals.size(), 1U);
+    ownership.noteOwner(Partition, B, Epoch{2});
+    ASSERT_FALSE(ownership.ownedEpoch(Partition));
+    ownership.noteWritten(renewals, 6, Start + 3s, Start + 5s);
+    EXPECT_FALSE(ownership.ownedEpoch(Partition));
+    EXPECT_FALSE(ownership.mayDecide(Partition, Start + 5s));
+}
 
 TEST(Rendezvous, MovesOnlyPartitionsThatRankTheLostHostFirst)
 {
