--- a/tests/membership/ownershiptest.cpp
+++ b/tests/membership/ownershiptest.cpp
@@ -190,6 +190,7 @@
     EXPECT_EQ(a.ownership.ownedEpoch(Partition), Epoch{2});
     EXPECT_EQ(a.ownership.dueRenewals(Start + 5s).front().expectedVersion, 9U);
 }
+
 // Guards against a former owner that believes in its ownership again: the reply to its renewal
 // arrives after a peer has announced the successor.
 TEST(Ownership, IsNotResumedByALateReplyToARenewal)
