--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -128,8 +128,9 @@
     void markRosterStored(std::span<const ports::WorkerEntry> roster);
     const ports::WorkerEntry *entryOf(const WorkerId &id) const;
     // Returns the next lease renewal for a worker. Its wait is zero until the worker has
-    // confirmed the fence, and while the worker is silent. To a silent worker it acknowledges no
-    // end and extends no lease.
+    // confirmed the fence, and while the worker is silent. It extends no lease of a silent
+    // worker, and acknowledges no end to a worker that is silent or whose entry announces a
+    // restart.
     ports::LeaseOrder leaseOrder(const WorkerId &id, TimePoint now);
     // Applies the listing with which a worker answered a renewal sent at `sentAt`, after the
     // answer to the renewal before it.
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -83,6 +83,33 @@
     return step;
 }
 
+// A new leader's fleet with one job, which the former leader may have started on the one worker
+// of its roster. The former leader's leases end after 7 s.
+class TakeoverFleet
+{
+public:
+    TakeoverFleet()
+    {
+        entry.id = WorkerId("w0");
+        entry.service = Service;
+        entry.capacity = {32000, 64000, 0};
+        entry.startTimeMs = 1;
+        fleet.beginTerm({2}, 10, std::vector{entry}, Start + 7s, Start);
+        fleet.updateWorker(entry, Start);
+        AcceptedJob job;
+        job.key = {7};
+        job.policy.service = Service;
+        job.policy.maxAttempts = 3;
+        job.spec.steps.push_back(plainStep());
+        job.version = 7;
+        fleet.addJob(std::move(job), Start, Wall);
+    }
+
+    EventLog log;
+    Fleet fleet{log};
+    ports::WorkerEntry entry;
+};
+
 } // namespace
 
 // Guards against counting a start order that a worker refused or did not answer as a
@@ -411,22 +438,9 @@
 // The same at a takeover: the worker has reported only once its whole list was read.
 TEST(Fleet, AWorkerHasReportedOnceItsWholeListIsRead)
 {
-    EventLog log;
-    Fleet fleet(log);
-    ports::WorkerEntry entry;
-    entry.id = WorkerId("w0");
-    entry.service = Service;
-    entry.capacity = {32000, 64000, 0};
-    entry.startTimeMs = 1;
-    fleet.beginTerm({2}, 10, std::vector{entry}, Start + 7s, Start);
-    fleet.updateWorker(entry, Start);
-    AcceptedJob job;
-    job.key = {7};
-    job.policy.service = Service;
-    job.policy.maxAttempts = 3;
-    job.spec.steps.push_back(plainStep());
-    job.version = 7;
-    fleet.addJob(std::move(job), Start, Wall);
+    TakeoverFleet takeover;
+    auto &fleet = takeover.fleet;
+    const auto &entry = takeover.entry;
     ports::WorkerListing listing;
     listing.startTimeMs = 1;
     listing.clock = 1000;
@@ -469,21 +483,9 @@
 // renews, and whose list of ends is cut.
 TEST(Fleet, AWorkerThatAnswersWithCutListsIsWaitedFor)
 {
-    EventLog log;
-    Fleet fleet(log);
-    ports::WorkerEntry entry;
-    entry.id = WorkerId("w0");
-    entry.service = Service;
-    entry.capacity = {32000, 64000, 0};
-    entry.startTimeMs = 1;
-    fleet.beginTerm({2}, 10, std::vector{entry}, Start + 7s, Start);
-    fleet.updateWorker(entry, Start);
-    AcceptedJob job;
-    job.key = {7};
-    job.policy.service = Service;
-    job.policy.maxAttempts = 3;
-    job.spec.steps.push_back(plainStep());
-    fleet.addJob(std::move(job), Start, Wall);
+    TakeoverFleet takeover;
+    auto &fleet = takeover.fleet;
+    const auto &entry = takeover.entry;
     ports::WorkerListing listing;
     listing.startTimeMs = 1;
     listing.isTruncated = true;
