Test workers whose capacity shrinks and grows while they run

A platform's worker may report another capacity at any time. No start may bring it over what it reports, runs that are being stopped still count, and a worker that has shrunk counts after `contactMs` and one beat.

The simulated workers can change their capacity; a start may exceed it only up to a capacity that the worker had within a given time.

- Worker: a table of capacities above, at and below what is reserved, per resource, and back again.
- Fleet: a table of changes times the states of the run that holds the resources (order under way, unanswered, running, stop under way, stop confirmed), for plain and leftover work and gangs.
No change stops a run.
- Takeover: the new leader reads the entries up to 2.5 s later than it begins, with a roster from before the change.

--- a/src/ports/memory/simulatedworkers.cpp
+++ b/src/ports/memory/simulatedworkers.cpp
@@ -64,6 +64,22 @@
     observe("process-started", m_workers[id], {}, 0, std::to_string(startTimeMs));
 }
 
+void SimulatedWorkers::setCapacity(const WorkerId &id, const Resources &capacity)
+{
+    auto &worker = m_workers.at(id);
+    worker.formerCapacities.push_back({worker.entry.capacity, m_scheduler.now()});
+    worker.entry.capacity = capacity;
+}
+
+bool SimulatedWorkers::mayHold(const SimulatedWorker &worker, const Resources &needs) const
+{
+    const auto recently = m_scheduler.now() - m_capacityNotice;
+    return worker.entry.capacity.contains(needs)
+        || std::ranges::any_of(worker.formerCapacities, [&](const FormerCapacity &it) {
+               return it.until >= recently && it.capacity.contains(needs);
+           });
+}
+
 void SimulatedWorkers::setDisconnected(const WorkerId &id, bool isDisconnected)
 {
     m_workers.at(id).isDisconnected = isDisconnected;
@@ -261,7 +277,7 @@
     for (const auto &it : worker.runs) {
         totalNeeds += it.needs;
     }
-    if (!worker.entry.capacity.contains(totalNeeds)) {
+    if (!mayHold(worker, totalNeeds)) {
         m_checker.record("over capacity", order.task, id);
     }
     observe("started", worker, order.task, order.run, std::to_string(order.fence.value));
--- a/src/ports/memory/simulatedworkers.h
+++ b/src/ports/memory/simulatedworkers.h
@@ -15,7 +15,7 @@
 namespace monsoonspool::ports::memory {
 
 // In-memory workers, shared by all hosts, that run tasks under leases and fences. A
-// RunChecker observes their runs; tasks on a worker must not exceed its capacity.
+// RunChecker observes their runs; no start may bring a worker over its capacity.
 class SimulatedWorkers
 {
 public:
@@ -35,6 +35,13 @@
     // Disconnects or reconnects the worker. While disconnected it keeps running but receives no
     // orders.
     void setDisconnected(const WorkerId &id, bool isDisconnected);
+    // Changes the worker's capacity. Its runs go on.
+    void setCapacity(const WorkerId &id, const Resources &capacity);
+    // A start may still bring a worker up to a capacity that it had until `delay` ago.
+    void setCapacityNotice(Duration delay)
+    {
+        m_capacityNotice = delay;
+    }
     // A run that is stopped ends after `grace`.
     void setStopGrace(Duration grace)
     {
@@ -97,9 +104,15 @@
         std::uint64_t number = 0;
         Handler<WorkerListing> handler;
     };
+    struct FormerCapacity
+    {
+        Resources capacity;
+        TimePoint until;
+    };
     struct SimulatedWorker
     {
         WorkerEntry entry;
+        std::vector<FormerCapacity> formerCapacities;
         Epoch fence;
         bool isUp = true;
         bool isSilent = false;
@@ -120,6 +133,8 @@
     void advance(SimulatedWorker &worker);
     void advanceLater(const SimulatedWorker &worker, Duration delay);
     void endRun(SimulatedWorker &worker, const Run &run, jobs::RunEnd outcome);
+    // Returns whether a start may bring the worker to `needs`.
+    bool mayHold(const SimulatedWorker &worker, const Resources &needs) const;
     WorkerListing listing(const SimulatedWorker &worker) const;
     void answerWaiters(SimulatedWorker &worker);
     void endProcess(SimulatedWorker &worker, bool isSilent);
@@ -132,6 +147,7 @@
     Observer m_observer;
     std::map<WorkerId, SimulatedWorker> m_workers;
     Duration m_stopGrace{0};
+    Duration m_capacityNotice{0};
     std::uint64_t m_nextWaiter = 1;
     int m_starts = 0;
 };
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -59,6 +59,13 @@
         fleet.applyListing(id, listing, now, now);
     }
 
+    void setCapacity(const WorkerId &id, const Resources &capacity, TimePoint now)
+    {
+        auto entry = *fleet.entryOf(id);
+        entry.capacity = capacity;
+        fleet.updateWorker(entry, now);
+    }
+
     void submit(std::uint64_t key, const jobs::StepSpec &step, TimePoint now)
     {
         AcceptedJob job;
@@ -498,4 +505,97 @@
     }
 }
 
+namespace {
+
+// What has become of the order of a run when the capacity of its worker changes.
+struct HeldRun
+{
+    const char *name;
+    std::function<void(ReadyFleet &, const StartTask &)> outcome;
+};
+
+std::vector<HeldRun> heldRuns()
+{
+    const auto accept = [](ReadyFleet &ready, const StartTask &order) {
+        ready.fleet.applyStartReply(order, ports::StartResult::Accepted, Start + 1ms);
+    };
+    return {
+        {"its order is under way", [](ReadyFleet &, const StartTask &) {}},
+        {"its order got no answer",
+         [](ReadyFleet &ready, const StartTask &order) { ready.fleet.applyStartFailure(order, true, Start + 1ms); }},
+        {"it runs", accept},
+        {"its stop is under way",
+         [accept](ReadyFleet &ready, const StartTask &order) {
+             accept(ready, order);
+             ready.fleet.cancel(order.task.job);
+             EXPECT_EQ(ready.fleet.plan(Start + 2ms, Wall).stops.size(), 1U);
+         }},
+        {"its stop is confirmed, and its end not listed", [accept](ReadyFleet &ready, const StartTask &order) {
+             accept(ready, order);
+             ready.fleet.cancel(order.task.job);
+             const auto orders = ready.fleet.plan(Start + 2ms, Wall);
+             ASSERT_EQ(orders.stops.size(), 1U);
+             ready.fleet.confirmStop(orders.stops.front(), Start + 3ms);
+         }}};
+}
+
+} // namespace
+
+// A worker of 32 cores, 64000 MiB and 4 accelerators holds a run of 16 cores, 4000 MiB and
+// 2 accelerators. Whatever has become of its order, it counts, and no change of the capacity
+// stops it.
+TEST(Fleet, StartsNothingOverACapacityThatHasShrunk)
+{
+    constexpr Resources full{32000, 64000, 4};
+    constexpr Resources held{16000, 4000, 2};
+    const auto stepOf = [](const Resources &needs, int count, bool usesLeftover) {
+        auto step = plainStep();
+        step.needs = needs;
+        step.count = count;
+        step.isGang = count > 1;
+        step.usesLeftover = usesLeftover;
+        return step;
+    };
+    struct Case
+    {
+        const char *name;
+        Resources capacity;
+        jobs::StepSpec step;
+        std::size_t starts;
+    };
+    const std::vector<Case> cases
+        = {{"unchanged", full, stepOf({16000, 1000, 0}, 1, false), 1},
+           {"cores for one task", {18000, 64000, 4}, stepOf({2000, 1000, 0}, 1, false), 1},
+           {"one milli-core less", {17999, 64000, 4}, stepOf({2000, 1000, 0}, 1, false), 0},
+           {"fewer cores than are held", {8000, 64000, 4}, stepOf({1, 1, 0}, 1, false), 0},
+           {"the same, leftover work", {8000, 64000, 4}, stepOf({1, 1, 0}, 1, true), 0},
+           {"less memory than is held", {32000, 3000, 4}, stepOf({1, 1, 0}, 1, false), 0},
+           {"the same, leftover work", {32000, 3000, 4}, stepOf({1, 1, 0}, 1, true), 0},
+           {"fewer accelerators than are held", {32000, 64000, 1}, stepOf({1, 1, 1}, 1, false), 0},
+           {"cores for two of three members of a gang", {20000, 64000, 4}, stepOf({2000, 1, 0}, 3, false), 0},
+           {"cores for a gang", {22000, 64000, 4}, stepOf({2000, 1, 0}, 3, false), 3},
+           {"memory for two of three members", {32000, 6000, 4}, stepOf({1, 1000, 0}, 3, true), 0}};
+    for (const auto &it : cases) {
+        for (const auto &run : heldRuns()) {
+            SCOPED_TRACE(std::string(it.name) + "; " + run.name);
+            const WorkerId id("w0");
+            ReadyFleet ready(1);
+            ready.setCapacity(id, full, Start);
+            ready.submit(1, stepOf(held, 1, false), Start);
+            const auto orders = ready.fleet.plan(Start, Wall);
+            ASSERT_EQ(orders.starts.size(), 1U);
+            run.outcome(ready, orders.starts.front());
+            ready.setCapacity(id, it.capacity, Start + 10ms);
+            ready.submit(2, it.step, Start + 10ms);
+            const auto shrunk = ready.fleet.plan(Start + 10ms, Wall);
+            EXPECT_EQ(shrunk.starts.size(), it.starts);
+            EXPECT_TRUE(shrunk.stops.empty());
+            ready.setCapacity(id, full, Start + 20ms);
+            const auto grown = ready.fleet.plan(Start + 20ms, Wall);
+            EXPECT_EQ(shrunk.starts.size() + grown.starts.size(), static_cast<std::size_t>(it.step.count));
+            EXPECT_TRUE(grown.stops.empty());
+        }
+    }
+}
+
 } // namespace monsoonspool::execution
--- a/tests/execution/takeovertest.cpp
+++ b/tests/execution/takeovertest.cpp
@@ -271,4 +271,41 @@
     }
 }
 
+// The roster has the capacities of the time when it was stored, and a new leader reads the entries
+// later than its workers answer.
+TEST(Takeover, StartsNothingByTheCapacitiesOfTheRoster)
+{
+    for (const auto delay : {2ms, 500ms, 2500ms}) {
+        SCOPED_TRACE(toMilliseconds(delay));
+        Cluster cluster;
+        cluster.workers.setCapacityNotice(20ms);
+        cluster.taskModel.overrides[{1}] = {6s, false, TaskSize};
+        cluster.scheduler.runFor(2s);
+        const int former = cluster.leader();
+        ASSERT_GE(former, 0);
+        cluster.submit(former, 1);
+        cluster.scheduler.runFor(300ms);
+        for (int n = 0; n < WorkerCount; ++n) {
+            // The first one holds less than it runs, the last one takes one task.
+            const auto milliCores = n + 1 < WorkerCount ? TaskSize.milliCores - 1 : TaskSize.milliCores;
+            cluster.setCapacity(WorkerId("w" + std::to_string(n)), {milliCores, 32000, 0});
+        }
+        cluster.scheduler.runFor(300ms);
+        for (const auto &it : cluster.hosts) {
+            it->storeFaults.rule = [delay](std::string_view call, TimePoint) {
+                return call == "scan workers" ? std::optional(Fault{delay, false, false}) : std::nullopt;
+            };
+        }
+        cluster.killHost(former);
+        for (std::uint64_t key = 2; key < 6; ++key) {
+            cluster.submit((former + 1) % HostCount, key);
+        }
+        cluster.scheduler.runFor(60s); // 28 s of tasks one after another, and the takeover
+        EXPECT_EQ(violationsOf(cluster), "");
+        for (std::uint64_t key = 1; key < 6; ++key) {
+            EXPECT_EQ(cluster.workers.doneCount({key}), TasksPerJob) << "one at a time on the last worker";
+        }
+    }
+}
+
 } // namespace monsoonspool::execution
--- a/tests/execution/testcluster.h
+++ b/tests/execution/testcluster.h
@@ -15,7 +15,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 // Hosts, a store and workers in virtual time, for the tests of job execution.
@@ -45,6 +47,10 @@
     }
 };
 
+// An entry of a worker with this and three numbers has that capacity, also after it has changed
+// again; other entries have the worker's present capacity.
+inline constexpr std::string_view CapacityPrefix = "capacity ";
+
 // Decodes the rows that this test writes. The value of a configuration is its version.
 class TestRegistry : public Registry
 {
@@ -80,6 +86,11 @@
         }
         auto entry = m_workers.entry(WorkerId(key));
         entry.isDraining = value == "draining";
+        if (value.starts_with(CapacityPrefix)) {
+            std::istringstream text(std::string(value.substr(CapacityPrefix.size())));
+            auto &capacity = entry.capacity;
+            text >> capacity.milliCores >> capacity.memoryMiB >> capacity.accelerators;
+        }
         return entry;
     }
 
@@ -205,6 +216,15 @@
         rows.apply({{}, {{name, std::move(value)}}, {}});
     }
 
+    // Changes a worker's capacity and its entry.
+    void setCapacity(const WorkerId &id, const Resources &capacity)
+    {
+        workers.setCapacity(id, capacity);
+        std::ostringstream text;
+        text << CapacityPrefix << capacity.milliCores << ' ' << capacity.memoryMiB << ' ' << capacity.accelerators;
+        put({"workers", "", id.text()}, text.str());
+    }
+
     void submit(int host, std::uint64_t key)
     {
         AcceptedJob job;
--- a/tests/workers/workertest.cpp
+++ b/tests/workers/workertest.cpp
@@ -58,6 +58,51 @@
     EXPECT_EQ(worker.freeResources(), worker.entry().capacity);
 }
 
+// A worker holds lasting work of 20 cores and leftover work of 4 cores, 1000 MiB each, while its
+// capacity changes. Nothing fits where a resource is exceeded, and all of it when it has grown again.
+TEST(Worker, CountsRoomWhileItsCapacityChanges)
+{
+    struct Case
+    {
+        const char *name;
+        Resources capacity;
+        Resources free;
+        bool fitsOwn; // a task of 2 cores and 1000 MiB
+        bool fitsLeftover;
+    };
+    for (const auto &it :
+         {Case{"as at the start", {32000, 128000, 0}, {12000, 126000, 0}, true, true},
+          Case{"cores for one more task", {22000, 128000, 0}, {2000, 126000, 0}, true, true},
+          Case{"cores for less than one more task", {21999, 128000, 0}, {1999, 126000, 0}, false, true},
+          Case{"the cores that are reserved", {20000, 128000, 0}, {0, 126000, 0}, false, true},
+          Case{"fewer cores than are reserved", {8000, 128000, 0}, {-12000, 126000, 0}, false, false},
+          Case{"no cores", {0, 128000, 0}, {-20000, 126000, 0}, false, false},
+          Case{"memory for one more task", {32000, 3000, 0}, {12000, 1000, 0}, true, true},
+          Case{"the memory that is reserved", {32000, 2000, 0}, {12000, 0, 0}, false, false},
+          Case{"less memory than is reserved", {32000, 500, 0}, {12000, -1500, 0}, false, false},
+          Case{"more of all", {64000, 256000, 2}, {44000, 254000, 2}, true, true}}) {
+        SCOPED_TRACE(it.name);
+        auto worker = makeWorker();
+        const auto before = worker.entry();
+        worker.add(makeRun(1, 20000, false, true));
+        worker.add(makeRun(2, 4000, true, false));
+        auto entry = before;
+        entry.capacity = it.capacity;
+        worker.setEntry(entry);
+        EXPECT_EQ(worker.freeResources(), it.free);
+        EXPECT_EQ(worker.fits({2000, 1000, 0}, false), it.fitsOwn);
+        EXPECT_EQ(worker.fits({2000, 1000, 0}, true), it.fitsLeftover);
+        EXPECT_EQ(worker.runCount(), 2);
+        worker.setEntry(before);
+        EXPECT_EQ(worker.freeResources(), (Resources{12000, 126000, 0}));
+        entry.capacity = it.capacity;
+        worker.setEntry(entry);
+        worker.remove({{1}, 0, 0, 0});
+        worker.remove({{2}, 0, 0, 0});
+        EXPECT_EQ(worker.freeResources(), it.capacity);
+    }
+}
+
 // The worker's clock may run 2% slow. A lease must not be considered expired before it has
 // expired on the slowest permitted clock, or a task would run twice.
 TEST(Worker, ALeaseLapsesByTheSlowestClock)
