A run of unknown needs uses all that its worker has free

What callers may see (LIMIT): a start brings a worker over its capacity.

Cause: a worker may list a run whose job this leader has not read, or has dropped. Its needs are unknown, and it was added with what was free when it was first listed. That is a bound only while the capacity stays the same. On a worker that has shrunk, less is free than the run may use, or the amount is negative and was subtracted from what is reserved; when another run ended or the capacity grew again, the difference was taken as free.

Fix: the run is marked instead, and while one is on the worker nothing counts as unreserved there. Such runs are stopped, so that this lasts until their end is listed, as before.

The test failed before in two of its four cases:

fleettest.cpp:643: Failure Value of: fleet.plan(Start + 40ms, Wall).starts.empty() Actual: false Expected: true Google Test trace: shrunk to less than the known run (and the same for: the same, then grown again)

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -327,8 +327,7 @@
         }
         ++job->activeRuns;
     } else {
-        // Its needs are unknown; it may need everything that is free.
-        run.needs = worker.freeResources();
+        run.areNeedsKnown = false;
     }
     const bool isDuplicate = isKnown && job->job.isOpen() && !isWanted;
     if (isDuplicate) {
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -58,9 +58,20 @@
     return std::ranges::none_of(m_runs, [&](const Run &it) { return it.orderedAt > m_lastFailureAt; });
 }
 
+Resources Worker::unreservedResources() const
+{
+    auto unreserved = m_entry.capacity - m_reserved;
+    if (m_runsOfUnknownNeeds > 0) {
+        for (auto *it : {&unreserved.milliCores, &unreserved.memoryMiB, &unreserved.accelerators}) {
+            *it = std::min<std::int64_t>(*it, 0);
+        }
+    }
+    return unreserved;
+}
+
 Resources Worker::freeResources() const
 {
-    auto available = m_entry.capacity - m_reserved;
+    auto available = unreservedResources();
     available.memoryMiB -= m_leftoverReserved.memoryMiB;
     available.accelerators -= m_leftoverReserved.accelerators;
     return available;
@@ -68,7 +79,7 @@
 
 Resources Worker::leftoverCapacity() const
 {
-    auto capacity = m_entry.capacity - m_reserved;
+    auto capacity = unreservedResources();
     capacity.milliCores
         += static_cast<std::int64_t>(static_cast<double>(m_servingMilliCores) * (1 - MeanServingUtilization));
     return capacity;
@@ -128,6 +139,7 @@
 {
     m_runs.push_back(run);
     m_servingMilliCores += run.isLasting ? run.needs.milliCores : 0;
+    m_runsOfUnknownNeeds += run.areNeedsKnown ? 0 : 1;
     (run.usesLeftover ? m_leftoverReserved : m_reserved) += reservedBy(run);
 }
 
@@ -137,6 +149,7 @@
     if (it != m_runs.end()) {
         (it->usesLeftover ? m_leftoverReserved : m_reserved) -= reservedBy(*it);
         m_servingMilliCores -= it->isLasting ? it->needs.milliCores : 0;
+        m_runsOfUnknownNeeds -= it->areNeedsKnown ? 0 : 1;
         m_runs.erase(it);
     }
 }
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -35,6 +35,7 @@
     jobs::TaskId task;
     jobs::RunNumber number = 0;
     Resources needs;
+    bool areNeedsKnown = true;
     scheduling::ImageNumber image = 0;
     bool usesLeftover = false;
     bool isLasting = false;
@@ -188,7 +189,8 @@
         return m_isConfirmed;
     }
 
-    // Returns the resources available to tasks with cores of their own.
+    // Returns the resources available to tasks with cores of their own. Negative where the
+    // capacity has shrunk to less than what is reserved.
     Resources freeResources() const;
     // Returns the resources available to tasks on leftover cores: unreserved ones, and
     // cores that serving tasks reserve and do not use.
@@ -279,6 +281,7 @@
     }
 
 private:
+    Resources unreservedResources() const;
     Resources leftoverCapacity() const;
 
     static constexpr int SuspectFailureCount = 2; // consecutive failures, of any tasks
@@ -289,6 +292,7 @@
     std::vector<Run> m_runs;
     Resources m_reserved; // by runs with cores of their own
     std::int64_t m_servingMilliCores = 0; // the part of m_reserved of lasting runs
+    int m_runsOfUnknownNeeds = 0; // each may use everything that no other run reserves
     Resources m_leftoverReserved; // by runs on leftover cores, whose cores are scaled by pace
     ports::WorkerMillis m_deadline = 0; // of all leases granted so far, by any leader
     std::int64_t m_processedEnd = 0;
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -598,4 +598,54 @@
     }
 }
 
+// The needs of a run whose job is unknown are unknown as well. What is free when it is first listed
+// is no bound of them where the capacity changes: starts brought such workers over it.
+TEST(Fleet, StartsNothingBesideARunOfUnknownNeeds)
+{
+    struct Case
+    {
+        const char *name;
+        bool holdsKnownRun; // of 16 cores, which ends
+        Resources whenListed;
+        Resources later;
+    };
+    constexpr Resources full{32000, 64000, 0};
+    const WorkerId id("w0");
+    for (const auto &it :
+         {Case{"unchanged", false, full, full}, Case{"shrunk, then grown again", false, {4000, 64000, 0}, full},
+          Case{"shrunk to less than the known run", true, {10000, 64000, 0}, {10000, 64000, 0}},
+          Case{"the same, then grown again", true, {10000, 64000, 0}, full}}) {
+        SCOPED_TRACE(it.name);
+        ReadyFleet ready(1);
+        auto &fleet = ready.fleet;
+        ports::WorkerListing listing;
+        if (it.holdsKnownRun) {
+            auto known = plainStep();
+            known.needs = {16000, 1000, 0};
+            ready.submit(1, known, Start);
+            const auto orders = fleet.plan(Start, Wall);
+            ASSERT_EQ(orders.starts.size(), 1U);
+            fleet.applyStartReply(orders.starts.front(), ports::StartResult::Accepted, Start + 1ms);
+            listing.ended.push_back({1, orders.starts.front().task, orders.starts.front().run, jobs::RunEnd::Done, {}});
+        }
+        ready.setCapacity(id, it.whenListed, Start + 10ms);
+        ports::WorkerListing first;
+        const ports::ListedRun unknown{{{99}, 0, 0, 0}, 1, {}, 50, 0};
+        first.running.push_back(unknown);
+        if (it.holdsKnownRun) {
+            first.running.push_back({listing.ended.front().task, listing.ended.front().run, {}, 50, 0});
+        }
+        ready.list(id, first, Start + 20ms);
+        listing.running.push_back(unknown);
+        ready.list(id, listing, Start + 30ms);
+        ready.setCapacity(id, it.later, Start + 40ms);
+        ready.submit(2, plainStep(), Start + 40ms);
+        EXPECT_TRUE(fleet.plan(Start + 40ms, Wall).starts.empty());
+        listing.running.clear();
+        listing.ended.push_back({2, unknown.task, unknown.run, jobs::RunEnd::Stopped, {}});
+        ready.list(id, listing, Start + 50ms);
+        EXPECT_EQ(fleet.plan(Start + 50ms, Wall).starts.size(), 1U);
+    }
+}
+
 } // namespace monsoonspool::execution
