Take the capacity from an entry that is newer than the roster

What callers may see (LIMIT): in the seconds after a change of leader, a start brings a worker over a capacity that its entry has told for long.

Cause: a new leader begins with the entries in the roster, which is not stored again when a capacity changes. If the worker has restarted and answers before its new process has written its entry, the entry of the former process is dropped as outdated. The entry of the roster, of the same former process or an earlier one, stays in force although it is older still.

Fix: the capacity belongs to the machine; it is taken from such an entry, unless the one in force is of a later process. Nothing else is taken, as before: the former process's address or drain says nothing of the present one.

The test failed before:

fleettest.cpp:678: Failure Value of: fleet.plan(Start + 10ms, Wall).starts.empty() Actual: false Expected: true

The worker has a run in that test. One without runs or ends is forgotten when it answers before it is listed, and begins again with its entry.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -250,7 +250,12 @@
     }
     worker->setListed(true);
     if (entry.startTimeMs < worker->startTimeMs() && !worker->isSilent()) {
-        return; // the row describes an earlier incarnation of the worker
+        // The row describes an earlier incarnation of the worker. Until the present one has
+        // written its own, this is the last known capacity of their machine.
+        if (entry.startTimeMs >= worker->entry().startTimeMs) {
+            worker->setCapacity(entry.capacity);
+        }
+        return;
     }
     const bool isRestartAnnounced = worker->startTimeMs() != 0 && entry.startTimeMs > worker->startTimeMs();
     if (isRestartAnnounced && entry.startTimeMs != worker->entry().startTimeMs) {
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -89,6 +89,11 @@
     }
     // Replaces the entry by a newer one.
     void setEntry(ports::WorkerEntry entry);
+    // Replaces only the capacity in the entry.
+    void setCapacity(const Resources &capacity)
+    {
+        m_entry.capacity = capacity;
+    }
     // Returns when the process whose listing was received last has started; 0 before the
     // first listing. The entry may tell of a process that has not answered yet.
     std::int64_t startTimeMs() const
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -648,4 +648,38 @@
     }
 }
 
+// The capacity in the roster, from which a new leader begins, may be older than the one in the
+// entry of the process before the present one.
+TEST(Fleet, StartsNothingByTheCapacityOfTheRoster)
+{
+    EventLog log;
+    Fleet fleet{log};
+    ports::WorkerEntry entry;
+    entry.id = WorkerId("w0");
+    entry.service = Service;
+    entry.capacity = {32000, 64000, 0};
+    entry.startTimeMs = 1;
+    fleet.beginTerm({2}, 10, std::vector{entry}, Start + 7s, Start);
+    AcceptedJob job;
+    job.key = {7};
+    job.policy.service = Service;
+    job.policy.maxAttempts = 3;
+    job.spec.steps.push_back(plainStep());
+    job.spec.steps.front().count = 2;
+    job.version = 7;
+    fleet.addJob(std::move(job), Start, Wall);
+    ports::WorkerListing listing;
+    listing.startTimeMs = 5; // restarted, and has not written its entry yet
+    listing.clock = 1000;
+    listing.running.push_back({{{7}, 0, 0, 0}, 1, {}, 50, 0});
+    fleet.applyListing(entry.id, listing, Start, Start);
+    entry.capacity.milliCores = 2 * TaskSize.milliCores - 1; // room for one of the two tasks
+    fleet.updateWorker(entry, Start + 10ms);
+    EXPECT_TRUE(fleet.plan(Start + 10ms, Wall).starts.empty());
+    entry.startTimeMs = 5;
+    entry.capacity.milliCores = 2 * TaskSize.milliCores;
+    fleet.updateWorker(entry, Start + 20ms);
+    EXPECT_EQ(fleet.plan(Start + 20ms, Wall).starts.size(), 1U);
+}
+
 } // namespace monsoonspool::execution
