A gang that is too large for the workers blocks no other work

Cause: while a gang is being placed, its members reserve resources, and the member that finds no worker marks its needs as unplaceable for the rest of the plan. The reservations are undone, the mark stayed. Each plan thus kept all work of the same size or larger that ranks after the gang waiting. That gives a gang its turn when other runs end; a gang that does not fit even workers on which nothing runs, as it may be once they have shrunk, blocked that work until they grew again.

Fix: the marks are undone with the reservations if the gang would not fit workers on which nothing else ran. A gang that would keeps its turn, which the second test checks (it passed before).

The test failed before:

fleettest.cpp:699: Failure Expected equality of these values: orders.starts.size() Which is: 0 1U

--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -4,6 +4,7 @@
 #include "scheduling/tailforecast.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace monsoonspool::execution {
 
@@ -39,6 +40,18 @@
 // Smaller changes of pace, in percent, are not worth a call.
 constexpr int MinPaceChange = 8;
 
+// Returns how often `needs` fit into `capacity`.
+std::int64_t timesContained(const Resources &capacity, const Resources &needs)
+{
+    auto times = std::numeric_limits<std::int64_t>::max();
+    for (const auto member : {&Resources::milliCores, &Resources::memoryMiB, &Resources::accelerators}) {
+        if (needs.*member > 0) {
+            times = std::min(times, capacity.*member / needs.*member);
+        }
+    }
+    return times;
+}
+
 double seconds(Duration d)
 {
     return std::chrono::duration<double>(d).count();
@@ -486,8 +499,28 @@
     }
 }
 
+// Returns whether all members of a gang would fit if nothing else ran.
+bool Fleet::Private::fitsIdleWorkers(const WaitingStep &waiting, TimePoint now) const
+{
+    const auto &job = waiting.job->job;
+    const auto &spec = job.stepSpec(waiting.step);
+    scheduling::TaskDemand demand;
+    demand.task = {job.key(), waiting.occurrence, waiting.step, 0};
+    demand.step = &spec;
+    demand.service = policyOf(*waiting.job).service.view();
+    std::int64_t members = 0;
+    for (const auto *it : workers) {
+        if (scheduling::isEligible(*it, demand, now)) {
+            const auto most = spec.maxPerWorker == 0 ? spec.count : spec.maxPerWorker;
+            members += std::min<std::int64_t>(timesContained(it->entry().capacity, spec.needs), most);
+        }
+    }
+    return members >= spec.count;
+}
+
 // Starts all members of a gang or none, so that no member occupies a worker while it
-// waits for the others.
+// waits for the others. Work of the same size that ranks below it waits as well, unless the gang is
+// too large for the workers that there are.
 void Fleet::Private::placeGang(const WaitingStep &waiting, TimePoint now, Orders &orders)
 {
     auto &job = *waiting.job;
@@ -500,6 +533,7 @@
         }
         number = std::max(number, nextRun(it));
     }
+    const auto unplaceableWithoutGang = unplaceableDemands;
     std::vector<workers::Worker *> chosen;
     std::string_view rack;
     for (int n = 0; n < spec.count; ++n) {
@@ -520,6 +554,9 @@
         chosen[n]->remove({job.job.key(), waiting.occurrence, waiting.step, static_cast<int>(n)});
     }
     if (static_cast<int>(chosen.size()) < spec.count) {
+        if (!chosen.empty() && !fitsIdleWorkers(waiting, now)) {
+            unplaceableDemands = unplaceableWithoutGang;
+        }
         return;
     }
     for (int n = 0; n < spec.count; ++n) {
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -118,6 +118,7 @@
     void updateInterferenceFreeCapacity(std::span<const WaitingStep> waiting, TimePoint now);
     std::vector<WaitingStep> waitingSteps(TimePoint now, jobs::WallTime wall);
     void placeStep(const WaitingStep &waiting, TimePoint now, Orders &orders);
+    bool fitsIdleWorkers(const WaitingStep &waiting, TimePoint now) const;
     void placeGang(const WaitingStep &waiting, TimePoint now, Orders &orders);
     workers::Worker *chooseWorker(const TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
                                   TimePoint now);
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -682,4 +682,40 @@
     EXPECT_EQ(fleet.plan(Start + 20ms, Wall).starts.size(), 1U);
 }
 
+// Guards against idle workers: a gang that no longer fits kept all work of its members' size from
+// being placed.
+TEST(Fleet, AGangThatDoesNotFitDoesNotBlockOtherWork)
+{
+    ReadyFleet ready(2);
+    for (const char *id : {"w0", "w1"}) {
+        ready.setCapacity(WorkerId(id), {8000, 64000, 0}, Start);
+    }
+    auto gang = plainStep();
+    gang.isGang = true;
+    gang.count = 9; // there is room for 8
+    ready.submit(1, gang, Start);
+    ready.submit(2, plainStep(), Start); // ranks after the gang
+    const auto orders = ready.fleet.plan(Start, Wall);
+    ASSERT_EQ(orders.starts.size(), 1U);
+    EXPECT_EQ(orders.starts.front().task.job.value, 2U);
+}
+
+// A gang that would fit if less ran keeps such work waiting, so that it gets its turn.
+TEST(Fleet, AGangThatFitsIdleWorkersKeepsOtherWorkWaiting)
+{
+    ReadyFleet ready(1);
+    auto half = plainStep();
+    half.needs = {16000, 1000, 0};
+    ready.submit(1, half, Start);
+    const auto first = ready.fleet.plan(Start, Wall);
+    ASSERT_EQ(first.starts.size(), 1U);
+    ready.fleet.applyStartReply(first.starts.front(), ports::StartResult::Accepted, Start);
+    auto gang = half;
+    gang.isGang = true;
+    gang.count = 2;
+    ready.submit(2, gang, Start);
+    ready.submit(3, half, Start); // ranks after the gang
+    EXPECT_TRUE(ready.fleet.plan(Start, Wall).starts.empty());
+}
+
 } // namespace monsoonspool::execution
