Learn no interference from cores that the worker does not have

What callers may see (HARM): serving tasks over their targets beside work that was known to interfere, for minutes after a worker has shrunk and grown again.

Cause: an observation has the share of the worker's cores that leftover work used in the last half second. The share is of the present capacity. After the capacity has shrunk, the same figures are several times the worker's cores. In the regression such an observation weighs with the square of its share, and tells that many cores did little harm; half of its weight goes in 30 s.

Fix: measurements in which leftover work uses more cores than the worker has are not learned from.

The test failed before, with capacities of 4000, 1000 and 1 milli-cores for two measurements:

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -24,6 +24,8 @@
 // A worker's measurements cover its last 500 ms.
 constexpr Duration ObserveInterval = 500ms;
 constexpr double MaxObservedRatio = 2;
+// Leftover work cannot use more of a worker's cores, but figures are rough.
+constexpr double MaxUsedShare = 1.1;
 // A task that is over its target when first seen is assumed to have been so for this
 // long, which is about how long a change of leader takes.
 constexpr Duration AssumedOverTargetTime = 1500ms;
@@ -271,11 +273,16 @@
     }
     worker.setObservedAt(now);
     std::vector<scheduling::Neighbour> neighbours;
+    double usedShare = 0;
     for (const auto &it : worker.runs()) {
         if (it.usesLeftover) {
             neighbours.push_back({it.image, scheduling::usedShare(worker, it)});
+            usedShare += neighbours.back().coreShare;
         }
     }
+    if (usedShare > MaxUsedShare) {
+        return; // measured before the worker's capacity shrank
+    }
     for (const auto &it : worker.runs()) {
         const bool isServing = it.isLasting && it.tailTarget > Duration(0) && it.percent == FullPace;
         if (isServing) {
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -718,4 +718,59 @@
     EXPECT_TRUE(ready.fleet.plan(Start, Wall).starts.empty());
 }
 
+// Guards against a model of interference that is spoilt for minutes: the cores that leftover work
+// used before its worker shrank counted as many times the worker's cores.
+TEST(Fleet, MeasurementsFromBeforeAWorkerShrankAreNotLearnedFrom)
+{
+    for (const std::int64_t shrunk : {4000, 1000, 1}) {
+        SCOPED_TRACE(shrunk);
+        const WorkerId id("w0");
+        ReadyFleet ready(1);
+        auto serving = plainStep();
+        serving.image = "serving";
+        serving.needs = {16000, 100, 0};
+        serving.isLasting = true;
+        serving.tailTarget = 18ms;
+        auto heavy = plainStep();
+        heavy.image = "heavy";
+        heavy.needs = {8000, 100, 0};
+        heavy.usesLeftover = true;
+        ready.submit(1, serving, Start);
+        ready.submit(2, heavy, Start);
+        const auto orders = ready.fleet.plan(Start, Wall);
+        ASSERT_EQ(orders.starts.size(), 2U);
+        ports::WorkerListing listing;
+        for (const auto &it : orders.starts) {
+            ready.fleet.applyStartReply(it, ports::StartResult::Accepted, Start);
+            listing.running.push_back({it.task, it.run, {}, it.task.job.value == 1 ? 100 : 50, 0});
+        }
+        auto now = Start;
+        // The tail latency is high while the heavy work uses its cores.
+        const auto measure = [&](int count, std::int64_t heavyMilliCores, std::int64_t tailMs) {
+            for (int n = 0; n < count; ++n) {
+                now += 600ms;
+                for (auto &it : listing.running) {
+                    it.level = it.task.job.value == 1 ? tailMs : heavyMilliCores;
+                }
+                ready.list(id, listing, now);
+            }
+        };
+        const auto sensitivity = [&] {
+            const auto learned = ready.fleet.learnedInterference();
+            return learned.empty() || learned.front().sensitivities.empty()
+                ? 0
+                : learned.front().sensitivities.front().value;
+        };
+        measure(40, 0, 7);
+        measure(40, 8000, 30);
+        const double before = sensitivity();
+        ASSERT_GT(before, 0.1);
+        ready.setCapacity(id, {shrunk, 64000, 0}, now);
+        measure(2, 8000, 30);
+        ready.setCapacity(id, {32000, 64000, 0}, now);
+        measure(4, 8000, 30);
+        EXPECT_NEAR(sensitivity(), before, before / 10);
+    }
+}
+
 } // namespace monsoonspool::execution
