A shrunk worker takes no leftover cores from the others' sum

Cause: the sum of the leftover cores that are free of interference for an image included workers that have shrunk to less than what their serving tasks reserve, with negative amounts. Contention was overestimated, and with it the cost of workers that other images need. It affects the choice among workers that have room, no limit.

The test failed before, for capacities of 4000 and 0 milli-cores:

--- a/src/scheduling/interferencefreecapacity.cpp
+++ b/src/scheduling/interferencefreecapacity.cpp
@@ -47,8 +47,10 @@
             interferingImages |= *interfering;
         }
         worker->setInterferingImages(interferingImages);
+        // Negative if the worker's capacity has shrunk to less than what its tasks reserve.
+        const auto leftover = std::max<std::int64_t>(worker->leftoverMilliCores(), 0);
         for (ImageNumber image = 0; image < images; ++image) {
-            capacities[image] += interferingImages.test(image) ? 0 : worker->leftoverMilliCores();
+            capacities[image] += interferingImages.test(image) ? 0 : leftover;
         }
     }
     m_demandRatios.clear();
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -268,6 +268,29 @@
     EXPECT_EQ(BestFit().choose(demand, both, Now), tolerant.get());
 }
 
+// What a shrunk worker lacks is not taken from the leftover cores of another one.
+TEST(InterferenceFreeCapacity, AShrunkWorkerAddsNothing)
+{
+    const auto model = learnedModel();
+    std::vector<std::int64_t> demands(4, 0);
+    demands[Heavy] = 8000;
+    for (const std::int64_t milliCores : {16000, 4000, 0}) {
+        SCOPED_TRACE(milliCores);
+        auto shrunk = makeWorker("a");
+        auto other = makeWorker("b");
+        shrunk->add(serving(1, S2));
+        shrunk->add(serving(2, S2));
+        auto entry = shrunk->entry();
+        entry.capacity.milliCores = milliCores;
+        shrunk->setEntry(entry);
+        std::vector<workers::Worker *> both = {shrunk.get(), other.get()};
+        InterferenceFreeCapacity capacity;
+        capacity.update(both, model, demands, Now);
+        const auto leftover = std::max<std::int64_t>(shrunk->leftoverMilliCores(), 0) + other->leftoverMilliCores();
+        EXPECT_NEAR(capacity.contention(*other, Light), 8000 / static_cast<double>(leftover), 1e-9);
+    }
+}
+
 TEST(SafePace, KeepsTheTailBelowItsTarget)
 {
     const auto model = learnedModel();
