--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -59,6 +59,13 @@
         fleet.applyListing(id, listing, now, now);
     }
 
+    void setCapacity(const WorkerId &id, const Resources &capacity, TimePoint now)
+    {
+        auto entry = *fleet.entryOf(id);
+        entry.capacity = capacity;
+        fleet.updateWorker(entry, now);
+    }
+
     void submit(std::uint64_t key, const jobs::StepSpec &step, TimePoint now)
     {
         AcceptedJob job;
@@ -498,4 +505,272 @@
     }
 }
 
+namespace {
+
+// What has become of the order of a run when the capacity of its worker changes.
+struct HeldRun
+{
+    const char *name;
+    std::function<void(ReadyFleet &, const StartTask &)> outcome;
+};
+
+std::vector<HeldRun> heldRuns()
+{
+    const auto accept = [](ReadyFleet &ready, const StartTask &order) {
+        ready.fleet.applyStartReply(order, ports::StartResult::Accepted, Start + 1ms);
+    };
+    return {
+        {"its order is under way", [](ReadyFleet &, const StartTask &) {}},
+        {"its order got no answer",
+         [](ReadyFleet &ready, const StartTask &order) { ready.fleet.applyStartFailure(order, true, Start + 1ms); }},
+        {"it runs", accept},
+        {"its stop is under way",
+         [accept](ReadyFleet &ready, const StartTask &order) {
+             accept(ready, order);
+             ready.fleet.cancel(order.task.job);
+             EXPECT_EQ(ready.fleet.plan(Start + 2ms, Wall).stops.size(), 1U);
+         }},
+        {"its stop is confirmed, and its end not listed", [accept](ReadyFleet &ready, const StartTask &order) {
+             accept(ready, order);
+             ready.fleet.cancel(order.task.job);
+             const auto orders = ready.fleet.plan(Start + 2ms, Wall);
+             ASSERT_EQ(orders.stops.size(), 1U);
+             ready.fleet.confirmStop(orders.stops.front(), Start + 3ms);
+         }}};
+}
+
+} // namespace
+
+// A worker of 32 cores, 64000 MiB and 4 accelerators holds a run of 16 cores, 4000 MiB and
+// 2 accelerators. Whatever has become of its order, it counts, and no change of the capacity
+// stops it.
+TEST(Fleet, StartsNothingOverACapacityThatHasShrunk)
+{
+    constexpr Resources full{32000, 64000, 4};
+    constexpr Resources held{16000, 4000, 2};
+    const auto stepOf = [](const Resources &needs, int count, bool usesLeftover) {
+        auto step = plainStep();
+        step.needs = needs;
+        step.count = count;
+        step.isGang = count > 1;
+        step.usesLeftover = usesLeftover;
+        return step;
+    };
+    struct Case
+    {
+        const char *name;
+        Resources capacity;
+        jobs::StepSpec step;
+        std::size_t starts;
+    };
+    const std::vector<Case> cases
+        = {{"unchanged", full, stepOf({16000, 1000, 0}, 1, false), 1},
+           {"cores for one task", {18000, 64000, 4}, stepOf({2000, 1000, 0}, 1, false), 1},
+           {"one milli-core less", {17999, 64000, 4}, stepOf({2000, 1000, 0}, 1, false), 0},
+           {"fewer cores than are held", {8000, 64000, 4}, stepOf({1, 1, 0}, 1, false), 0},
+           {"the same, leftover work", {8000, 64000, 4}, stepOf({1, 1, 0}, 1, true), 0},
+           {"less memory than is held", {32000, 3000, 4}, stepOf({1, 1, 0}, 1, false), 0},
+           {"the same, leftover work", {32000, 3000, 4}, stepOf({1, 1, 0}, 1, true), 0},
+           {"fewer accelerators than are held", {32000, 64000, 1}, stepOf({1, 1, 1}, 1, false), 0},
+           {"cores for two of three members of a gang", {20000, 64000, 4}, stepOf({2000, 1, 0}, 3, false), 0},
+           {"cores for a gang", {22000, 64000, 4}, stepOf({2000, 1, 0}, 3, false), 3},
+           {"memory for two of three members", {32000, 6000, 4}, stepOf({1, 1000, 0}, 3, true), 0}};
+    for (const auto &it : cases) {
+        for (const auto &run : heldRuns()) {
+            SCOPED_TRACE(std::string(it.name) + "; " + run.name);
+            const WorkerId id("w0");
+            ReadyFleet ready(1);
+            ready.setCapacity(id, full, Start);
+            ready.submit(1, stepOf(held, 1, false), Start);
+            const auto orders = ready.fleet.plan(Start, Wall);
+            ASSERT_EQ(orders.starts.size(), 1U);
+            run.outcome(ready, orders.starts.front());
+            ready.setCapacity(id, it.capacity, Start + 10ms);
+            ready.submit(2, it.step, Start + 10ms);
+            const auto shrunk = ready.fleet.plan(Start + 10ms, Wall);
+            EXPECT_EQ(shrunk.starts.size(), it.starts);
+            EXPECT_TRUE(shrunk.stops.empty());
+            ready.setCapacity(id, full, Start + 20ms);
+            const auto grown = ready.fleet.plan(Start + 20ms, Wall);
+            EXPECT_EQ(shrunk.starts.size() + grown.starts.size(), static_cast<std::size_t>(it.step.count));
+            EXPECT_TRUE(grown.stops.empty());
+        }
+    }
+}
+
+// The needs of a run whose job is unknown are unknown as well. What is free when it is first listed
+// is no bound of them where the capacity changes: starts brought such workers over it.
+TEST(Fleet, StartsNothingBesideARunOfUnknownNeeds)
+{
+    struct Case
+    {
+        const char *name;
+        bool holdsKnownRun; // of 16 cores, which ends
+        Resources whenListed;
+        Resources later;
+    };
+    constexpr Resources full{32000, 64000, 0};
+    const WorkerId id("w0");
+    for (const auto &it :
+         {Case{"unchanged", false, full, full}, Case{"shrunk, then grown again", false, {4000, 64000, 0}, full},
+          Case{"shrunk to less than the known run", true, {10000, 64000, 0}, {10000, 64000, 0}},
+          Case{"the same, then grown again", true, {10000, 64000, 0}, full}}) {
+        SCOPED_TRACE(it.name);
+        ReadyFleet ready(1);
+        auto &fleet = ready.fleet;
+        ports::WorkerListing listing;
+        if (it.holdsKnownRun) {
+            auto known = plainStep();
+            known.needs = {16000, 1000, 0};
+            ready.submit(1, known, Start);
+            const auto orders = fleet.plan(Start, Wall);
+            ASSERT_EQ(orders.starts.size(), 1U);
+            fleet.applyStartReply(orders.starts.front(), ports::StartResult::Accepted, Start + 1ms);
+            listing.ended.push_back({1, orders.starts.front().task, orders.starts.front().run, jobs::RunEnd::Done, {}});
+        }
+        ready.setCapacity(id, it.whenListed, Start + 10ms);
+        ports::WorkerListing first;
+        const ports::ListedRun unknown{{{99}, 0, 0, 0}, 1, {}, 50, 0};
+        first.running.push_back(unknown);
+        if (it.holdsKnownRun) {
+            first.running.push_back({listing.ended.front().task, listing.ended.front().run, {}, 50, 0});
+        }
+        ready.list(id, first, Start + 20ms);
+        listing.running.push_back(unknown);
+        ready.list(id, listing, Start + 30ms);
+        ready.setCapacity(id, it.later, Start + 40ms);
+        ready.submit(2, plainStep(), Start + 40ms);
+        EXPECT_TRUE(fleet.plan(Start + 40ms, Wall).starts.empty());
+        listing.running.clear();
+        listing.ended.push_back({2, unknown.task, unknown.run, jobs::RunEnd::Stopped, {}});
+        ready.list(id, listing, Start + 50ms);
+        EXPECT_EQ(fleet.plan(Start + 50ms, Wall).starts.size(), 1U);
+    }
+}
+
+// The capacity in the roster, from which a new leader begins, may be older than the one in the
+// entry of the process before the present one.
+TEST(Fleet, StartsNothingByTheCapacityOfTheRoster)
+{
+    EventLog log;
+    Fleet fleet{log};
+    ports::WorkerEntry entry;
+    entry.id = WorkerId("w0");
+    entry.service = Service;
+    entry.capacity = {32000, 64000, 0};
+    entry.startTimeMs = 1;
+    fleet.beginTerm({2}, 10, std::vector{entry}, Start + 7s, Start);
+    AcceptedJob job;
+    job.key = {7};
+    job.policy.service = Service;
+    job.policy.maxAttempts = 3;
+    job.spec.steps.push_back(plainStep());
+    job.spec.steps.front().count = 2;
+    job.version = 7;
+    fleet.addJob(std::move(job), Start, Wall);
+    ports::WorkerListing listing;
+    listing.startTimeMs = 5; // restarted, and has not written its entry yet
+    listing.clock = 1000;
+    listing.running.push_back({{{7}, 0, 0, 0}, 1, {}, 50, 0});
+    fleet.applyListing(entry.id, listing, Start, Start);
+    entry.capacity.milliCores = 2 * TaskSize.milliCores - 1; // room for one of the two tasks
+    fleet.updateWorker(entry, Start + 10ms);
+    EXPECT_TRUE(fleet.plan(Start + 10ms, Wall).starts.empty());
+    entry.startTimeMs = 5;
+    entry.capacity.milliCores = 2 * TaskSize.milliCores;
+    fleet.updateWorker(entry, Start + 20ms);
+    EXPECT_EQ(fleet.plan(Start + 20ms, Wall).starts.size(), 1U);
+}
+
+// Guards against idle workers: a gang that no longer fits kept all work of its members' size from
+// being placed.
+TEST(Fleet, AGangThatDoesNotFitDoesNotBlockOtherWork)
+{
+    ReadyFleet ready(2);
+    for (const char *id : {"w0", "w1"}) {
+        ready.setCapacity(WorkerId(id), {8000, 64000, 0}, Start);
+    }
+    auto gang = plainStep();
+    gang.isGang = true;
+    gang.count = 9; // there is room for 8
+    ready.submit(1, gang, Start);
+    ready.submit(2, plainStep(), Start); // ranks after the gang
+    const auto orders = ready.fleet.plan(Start, Wall);
+    ASSERT_EQ(orders.starts.size(), 1U);
+    EXPECT_EQ(orders.starts.front().task.job.value, 2U);
+}
+
+// A gang that would fit if less ran keeps such work waiting, so that it gets its turn.
+TEST(Fleet, AGangThatFitsIdleWorkersKeepsOtherWorkWaiting)
+{
+    ReadyFleet ready(1);
+    auto half = plainStep();
+    half.needs = {16000, 1000, 0};
+    ready.submit(1, half, Start);
+    const auto first = ready.fleet.plan(Start, Wall);
+    ASSERT_EQ(first.starts.size(), 1U);
+    ready.fleet.applyStartReply(first.starts.front(), ports::StartResult::Accepted, Start);
+    auto gang = half;
+    gang.isGang = true;
+    gang.count = 2;
+    ready.submit(2, gang, Start);
+    ready.submit(3, half, Start); // ranks after the gang
+    EXPECT_TRUE(ready.fleet.plan(Start, Wall).starts.empty());
+}
+
+// Guards against a model of interference that is spoilt for minutes: the cores that leftover work
+// used before its worker shrank counted as many times the worker's cores.
+TEST(Fleet, MeasurementsFromBeforeAWorkerShrankAreNotLearnedFrom)
+{
+    for (const std::int64_t shrunk : {4000, 1000, 1}) {
+        SCOPED_TRACE(shrunk);
+        const WorkerId id("w0");
+        ReadyFleet ready(1);
+        auto serving = plainStep();
+        serving.image = "serving";
+        serving.needs = {16000, 100, 0};
+        serving.isLasting = true;
+        serving.tailTarget = 18ms;
+        auto heavy = plainStep();
+        heavy.image = "heavy";
+        heavy.needs = {8000, 100, 0};
+        heavy.usesLeftover = true;
+        ready.submit(1, serving, Start);
+        ready.submit(2, heavy, Start);
+        const auto orders = ready.fleet.plan(Start, Wall);
+        ASSERT_EQ(orders.starts.size(), 2U);
+        ports::WorkerListing listing;
+        for (const auto &it : orders.starts) {
+            ready.fleet.applyStartReply(it, ports::StartResult::Accepted, Start);
+            listing.running.push_back({it.task, it.run, {}, it.task.job.value == 1 ? 100 : 50, 0});
+        }
+        auto now = Start;
+        // The tail latency is high while the heavy work uses its cores.
+        const auto measure = [&](int count, std::int64_t heavyMilliCores, std::int64_t tailMs) {
+            for (int n = 0; n < count; ++n) {
+                now += 600ms;
+                for (auto &it : listing.running) {
+                    it.level = it.task.job.value == 1 ? tailMs : heavyMilliCores;
+                }
+                ready.list(id, listing, now);
+            }
+        };
+        const auto sensitivity = [&] {
+            const auto learned = ready.fleet.learnedInterference();
+            return learned.empty() || learned.front().sensitivities.empty()
+                ? 0
+                : learned.front().sensitivities.front().value;
+        };
+        measure(40, 0, 7);
+        measure(40, 8000, 30);
+        const double before = sensitivity();
+        ASSERT_GT(before, 0.1);
+        ready.setCapacity(id, {shrunk, 64000, 0}, now);
+        measure(2, 8000, 30);
+        ready.setCapacity(id, {32000, 64000, 0}, now);
+        measure(4, 8000, 30);
+        EXPECT_NEAR(sensitivity(), before, before / 10);
+    }
+}
+
 } // namespace monsoonspool::execution
