Log how long the tasks of a lost worker ran nowhere, and whether it had announced its departure

worker-lost now has silentMs, isDraining and isListed, worker-silent has isDraining, and worker-draining has the runs at that time. It is also logged for a worker that a new leader first reads as draining, which left no line before.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -245,6 +245,10 @@
 {
     auto *worker = d->findWorker(entry.id);
     if (worker == nullptr) {
+        if (entry.isDraining) {
+            d->log.record("worker-draining",
+                          {{"worker", entry.id.view()}, {"remainingMs", toMilliseconds(entry.remaining)}, {"runs", 0}});
+        }
         d->addWorker(entry);
         return;
     }
@@ -263,7 +267,9 @@
     }
     if (entry.isDraining && !worker->entry().isDraining) {
         d->log.record("worker-draining",
-                      {{"worker", entry.id.view()}, {"remainingMs", toMilliseconds(entry.remaining)}});
+                      {{"worker", entry.id.view()},
+                       {"remainingMs", toMilliseconds(entry.remaining)},
+                       {"runs", worker->runCount()}});
     }
     if (entry.address != worker->entry().address) {
         d->isRosterChanged = true;
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -102,7 +102,9 @@
 {
     auto *worker = d->findWorker(id);
     if (worker != nullptr && !worker->isSilent()) {
-        d->log.record("worker-silent", {{"worker", id.view()}, {"runs", worker->runCount()}});
+        d->log.record(
+            "worker-silent",
+            {{"worker", id.view()}, {"runs", worker->runCount()}, {"isDraining", worker->entry().isDraining ? 1 : 0}});
         worker->noteSilence(now);
     }
 }
@@ -417,7 +419,13 @@
         tasks.push_back(it.task);
     }
     if (!tasks.empty()) {
-        log.record("worker-lost", {{"worker", worker.entry().id.view()}, {"runs", tasks.size()}, {"reason", reason}});
+        log.record("worker-lost",
+                   {{"worker", worker.entry().id.view()},
+                    {"runs", tasks.size()},
+                    {"reason", reason},
+                    {"silentMs", toMilliseconds(now - worker.silentSince())},
+                    {"isDraining", worker.entry().isDraining ? 1 : 0},
+                    {"isListed", worker.isListed() ? 1 : 0}});
     }
     for (const auto &it : tasks) {
         endRun(worker, it, jobs::RunEnd::Lapsed, {}, now);
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -185,8 +185,11 @@
     m_hasNewListing = true;
 }
 
-void Worker::noteSilence(TimePoint)
+void Worker::noteSilence(TimePoint now)
 {
+    if (!m_isSilent) {
+        m_silentSince = now;
+    }
     m_isSilent = true;
 }
 
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -236,6 +236,11 @@
     {
         return m_isSilent;
     }
+    // Returns when the worker became silent; meaningful only while it is.
+    TimePoint silentSince() const
+    {
+        return m_silentSince;
+    }
 
     // Numbers of the last end that was processed and of the last one that the worker need
     // not list again.
@@ -294,6 +299,7 @@
     std::int64_t m_processedEnd = 0;
     std::int64_t m_acknowledgedEnd = 0;
     std::set<std::int64_t> m_heldEnds;
+    TimePoint m_silentSince;
     TimePoint m_observedAt;
     TimePoint m_unschedulableUntil;
     std::optional<TimePoint> m_awaitsTermRenewalSince;
