Treat an announced departure as a point in time, of the process that announced it

A draining worker's entry says for how long it stays at least, counted from when the entry was written. The leader compared the expected run times with this value as if it were always current, so that until the next entry (1.5 s apart, and none while the store is down) a checkpointed task that could no longer end stayed on the worker and was lost with it. An entry of a former process, or of one that has not answered yet, moved the tasks of the present one.

Worker::departure() is the time of receipt plus the remaining time. Of several entries the earliest result holds, because each was received some time after it was written and the same one may be received again; only an entry that tells of more time than the one before it postpones the departure, and one that is no longer draining withdraws it.

Safety: the departure only decides which runs are stopped, and a task starts elsewhere after the listed end or the lease, as before.

On the code before, Fleet.ATaskIsMovedOnceItCannotEndBeforeTheDeparture fails in five of its eight cases: no stop with "no other entry", "the same entry again" and "a later entry, received late" (0 stops instead of 1), and a stop with "announced by a process that has not answered" and "announced by a former process" (1 instead of 0).

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -57,7 +57,7 @@
     d->unreportedWorkers.clear();
     d->isRosterChanged = false;
     for (const auto &it : roster) {
-        auto &worker = d->addWorker(it);
+        auto &worker = d->addWorker(it, now);
         worker.setListed(false);
         worker.setRostered();
         d->unreportedWorkers.insert(it.id);
@@ -111,10 +111,10 @@
     return run != nullptr && run->number == number ? run : nullptr;
 }
 
-workers::Worker &Fleet::Private::addWorker(const ports::WorkerEntry &entry)
+workers::Worker &Fleet::Private::addWorker(const ports::WorkerEntry &entry, TimePoint now)
 {
     auto &worker = workersById[entry.id];
-    worker = std::make_unique<workers::Worker>(entry);
+    worker = std::make_unique<workers::Worker>(entry, now);
     const auto idOf = [](const workers::Worker *it) -> const WorkerId & { return it->entry().id; };
     workers.insert(std::ranges::lower_bound(workers, entry.id, {}, idOf), worker.get());
     isRosterChanged = true;
@@ -241,7 +241,7 @@
     return counts;
 }
 
-void Fleet::updateWorker(const ports::WorkerEntry &entry, TimePoint)
+void Fleet::updateWorker(const ports::WorkerEntry &entry, TimePoint now)
 {
     auto *worker = d->findWorker(entry.id);
     if (worker == nullptr) {
@@ -249,7 +249,7 @@
             d->log.record("worker-draining",
                           {{"worker", entry.id.view()}, {"remainingMs", toMilliseconds(entry.remaining)}, {"runs", 0}});
         }
-        d->addWorker(entry);
+        d->addWorker(entry, now);
         return;
     }
     worker->setListed(true);
@@ -274,7 +274,7 @@
     if (entry.address != worker->entry().address) {
         d->isRosterChanged = true;
     }
-    worker->setEntry(entry);
+    worker->setEntry(entry, now);
 }
 
 void Fleet::removeWorker(const WorkerId &id, TimePoint now)
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -133,7 +133,8 @@
 // time.
 void Fleet::Private::drainWorker(workers::Worker &worker, TimePoint now)
 {
-    if (!worker.entry().isDraining) {
+    const auto departure = worker.departure();
+    if (!departure) {
         return;
     }
     for (auto &run : worker.runs()) {
@@ -145,7 +146,7 @@
         const auto &spec = job->job.stepSpec(run.task.step);
         const auto left = job->expectedRunTimes[static_cast<std::size_t>(run.task.step)] * (FullPercent - run.percent)
             / FullPercent;
-        const bool isLost = left + DrainMargin > worker.entry().remaining;
+        const bool isLost = left + DrainMargin > *departure - now;
         if (spec.isLasting || (spec.hasCheckpoints && isLost)) {
             requestStop(run);
         }
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -71,7 +71,7 @@
     workers::Worker *findWorker(const WorkerId &id);
     // Returns the run that an order refers to, or nullptr if it has ended.
     workers::Run *findRun(const WorkerId &id, const jobs::TaskId &task, jobs::RunNumber number);
-    workers::Worker &addWorker(const ports::WorkerEntry &entry);
+    workers::Worker &addWorker(const ports::WorkerEntry &entry, TimePoint now);
     bool mayForget(const workers::Worker &worker) const;
     void eraseWorker(const WorkerId &id, TimePoint now);
 
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -21,21 +21,41 @@
 
 } // namespace
 
-Worker::Worker(ports::WorkerEntry entry) : m_entry(std::move(entry))
+Worker::Worker(ports::WorkerEntry entry, TimePoint now) : m_entry(std::move(entry))
 {
+    if (m_entry.isDraining) {
+        m_departure = now + m_entry.remaining;
+    }
 }
 
-void Worker::setEntry(ports::WorkerEntry entry)
+// An entry is received some time after it was written, and the same one may be received again,
+// so that of several estimates the earliest is the best one.
+void Worker::setEntry(ports::WorkerEntry entry, TimePoint now)
 {
+    const bool isExtended = entry.startTimeMs != m_entry.startTimeMs || entry.remaining > m_entry.remaining;
+    const auto departure = now + entry.remaining;
+    if (!entry.isDraining) {
+        m_departure.reset();
+    } else if (!m_departure || isExtended || departure < *m_departure) {
+        m_departure = departure;
+    }
     m_entry = std::move(entry);
 }
 
+std::optional<TimePoint> Worker::departure() const
+{
+    const bool isOfOtherProcess = m_startTimeMs != 0 && m_entry.startTimeMs != m_startTimeMs;
+    return isOfOtherProcess ? std::nullopt : m_departure;
+}
+
 void Worker::restart(std::int64_t startTimeMs, ports::WorkerMillis clock)
 {
     const auto deadline = std::min<ports::WorkerMillis>(m_deadline, clock + toMilliseconds(MaxRunLease));
     const bool isListed = m_isListed;
     const bool isRostered = m_isRostered;
-    *this = Worker(std::move(m_entry));
+    const auto departure = m_departure;
+    *this = Worker(std::move(m_entry), {});
+    m_departure = departure;
     m_startTimeMs = startTimeMs;
     m_deadline = deadline;
     m_isListed = isListed;
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -80,14 +80,18 @@
 class Worker
 {
 public:
-    explicit Worker(ports::WorkerEntry entry);
+    // `now` is when the entry was received.
+    Worker(ports::WorkerEntry entry, TimePoint now);
 
     const ports::WorkerEntry &entry() const
     {
         return m_entry;
     }
-    // Replaces the entry by a newer one.
-    void setEntry(ports::WorkerEntry entry);
+    // Replaces the entry by a newer one, received at `now`.
+    void setEntry(ports::WorkerEntry entry, TimePoint now);
+    // Returns when the process that answers leaves at the earliest, or nothing unless it has
+    // announced that it drains.
+    std::optional<TimePoint> departure() const;
     // Returns when the process whose listing was received last has started; 0 before the
     // first listing. The entry may tell of a process that has not answered yet.
     std::int64_t startTimeMs() const
@@ -290,6 +294,7 @@
 
     ports::WorkerEntry m_entry;
     std::int64_t m_startTimeMs = 0;
+    std::optional<TimePoint> m_departure; // announced by m_entry
     WorkerClock m_clock;
     std::vector<Run> m_runs;
     Resources m_reserved; // by runs with cores of their own
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -498,4 +498,90 @@
     }
 }
 
+namespace {
+
+// A fleet with a task that runs on a worker, of which it expects two more seconds.
+class DrainingFleet : public ReadyFleet
+{
+public:
+    explicit DrainingFleet(bool hasCheckpoints) : ReadyFleet(2)
+    {
+        auto step = plainStep();
+        step.estimate = 2s;
+        step.hasCheckpoints = hasCheckpoints;
+        submit(7, step, Start);
+        order = fleet.plan(Start, Wall).starts.at(0);
+        entry = *fleet.entryOf(order.worker);
+    }
+    void accept(TimePoint now)
+    {
+        fleet.applyStartReply(order, ports::StartResult::Accepted, now);
+    }
+    void update(bool isDraining, Duration remaining, TimePoint now)
+    {
+        entry.isDraining = isDraining;
+        entry.remaining = remaining;
+        fleet.updateWorker(entry, now);
+    }
+    // The worker lists the task as running.
+    void listRun(int percent, TimePoint now)
+    {
+        ports::WorkerListing listing;
+        listing.running.push_back({order.task, order.run, {}, percent, 0});
+        list(order.worker, listing, now);
+    }
+
+    StartTask order;
+    ports::WorkerEntry entry;
+};
+
+} // namespace
+
+// Guards against comparing a task with the time that was left when the entry was written.
+TEST(Fleet, ATaskIsMovedOnceItCannotEndBeforeTheDeparture)
+{
+    struct Case
+    {
+        const char *name;
+        std::function<void(DrainingFleet &)> after; // the announcement of 3 s at Start
+        bool isMoved; // at Start + 1 s
+    };
+    for (const auto &it :
+         {Case{"no other entry", [](DrainingFleet &) {}, true},
+          Case{"the same entry again", [](DrainingFleet &f) { f.update(true, 3s, Start + 900ms); }, true},
+          Case{"a later entry, received late", [](DrainingFleet &f) { f.update(true, 2700ms, Start + 900ms); }, true},
+          Case{"stays longer", [](DrainingFleet &f) { f.update(true, 5s, Start + 900ms); }, false},
+          Case{"withdrawn", [](DrainingFleet &f) { f.update(false, 0s, Start + 900ms); }, false},
+          Case{"withdrawn and announced again",
+               [](DrainingFleet &f) {
+                   f.update(false, 0s, Start + 800ms);
+                   f.update(true, 3s, Start + 900ms);
+               },
+               false},
+          Case{"announced by a process that has not answered",
+               [](DrainingFleet &f) {
+                   f.entry.startTimeMs = 2;
+                   f.update(true, 0s, Start + 900ms);
+               },
+               false},
+          Case{"announced by a former process",
+               [](DrainingFleet &f) {
+                   f.update(false, 0s, Start + 700ms);
+                   f.fleet.markSilent(f.entry.id, Start + 800ms);
+                   f.entry.startTimeMs = 0;
+                   f.update(true, 0s, Start + 900ms);
+               },
+               false}}) {
+        SCOPED_TRACE(it.name);
+        DrainingFleet draining(true);
+        draining.accept(Start);
+        draining.update(true, 3s, Start);
+        draining.listRun(0, Start + 1ms);
+        EXPECT_TRUE(draining.fleet.plan(Start + 1ms, Wall).stops.empty());
+        it.after(draining);
+        draining.listRun(0, Start + 1s);
+        EXPECT_EQ(draining.fleet.plan(Start + 1s, Wall).stops.size(), it.isMoved ? 1U : 0U);
+    }
+}
+
 } // namespace monsoonspool::execution
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -25,7 +25,7 @@
     entry.service = Service;
     entry.capacity = {Capacity, 128000, 0};
     entry.rack = "r1";
-    auto worker = std::make_unique<workers::Worker>(entry);
+    auto worker = std::make_unique<workers::Worker>(entry, TimePoint());
     worker->setRostered();
     worker->noteContact(0, Now, Now);
     return worker;
--- a/tests/workers/workertest.cpp
+++ b/tests/workers/workertest.cpp
@@ -14,7 +14,7 @@
     entry.id = WorkerId("w");
     entry.capacity = {32000, 128000, 0};
     entry.startTimeMs = 1;
-    Worker worker(entry);
+    Worker worker(entry, Now);
     worker.setRostered();
     return worker;
 }
