--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -425,6 +425,7 @@
                     {"reason", reason},
                     {"silentMs", toMilliseconds(now - worker.silentSince())},
                     {"isDraining", worker.entry().isDraining ? 1 : 0},
+                    {"departedMs", worker.departure() ? toMilliseconds(now - *worker.departure()) : 0},
                     {"isListed", worker.isListed() ? 1 : 0}});
     }
     for (const auto &it : tasks) {
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -584,4 +584,35 @@
     }
 }
 
+// Guards against leaving runs on a draining worker because their start was not yet confirmed.
+TEST(Fleet, RunsThatAreNotConfirmedLeaveADrainingWorkerToo)
+{
+    struct Case
+    {
+        const char *name;
+        std::function<void(DrainingFleet &)> outcome;
+    };
+    for (const auto &it :
+         {Case{"ordered", [](DrainingFleet &) {}},
+          Case{"unanswered", [](DrainingFleet &f) { f.fleet.applyStartFailure(f.order, true, Start + 1ms); }},
+          Case{"accepted", [](DrainingFleet &f) { f.accept(Start + 1ms); }},
+          Case{"listed", [](DrainingFleet &f) { f.listRun(0, Start + 1ms); }}}) {
+        SCOPED_TRACE(it.name);
+        DrainingFleet draining(false);
+        auto &fleet = draining.fleet;
+        it.outcome(draining);
+        draining.update(true, 1s, Start + 2ms);
+        const auto stops = fleet.plan(Start + 2ms, Wall).stops;
+        ASSERT_EQ(stops.size(), 1U);
+        EXPECT_TRUE(fleet.plan(Start + 3ms, Wall).starts.empty()) << "it may still run";
+        fleet.confirmStop(stops.front(), Start + 4ms);
+        draining.list(draining.entry.id, {}, Start + 5ms);
+        const auto starts = fleet.plan(Start + 5ms, Wall).starts;
+        ASSERT_EQ(starts.size(), 1U);
+        EXPECT_NE(starts.front().worker, draining.entry.id);
+        fleet.applyStartReply(draining.order, ports::StartResult::Superseded, Start + 6ms);
+        EXPECT_TRUE(fleet.plan(Start + 6ms, Wall).starts.empty()) << "the late answer ends nothing";
+    }
+}
+
 } // namespace monsoonspool::execution
--- a/tests/execution/testcluster.h
+++ b/tests/execution/testcluster.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 // Hosts, a store and workers in virtual time, for the tests of job execution.
@@ -45,7 +46,10 @@
     }
 };
 
-// Decodes the rows that this test writes. The value of a configuration is its version.
+inline constexpr std::string_view Draining = "draining";
+
+// Decodes the rows that this test writes. The value of a configuration is its version, that of a
+// worker its state; after "draining" may follow the remaining time in milliseconds.
 class TestRegistry : public Registry
 {
 public:
@@ -79,7 +83,10 @@
             return fail(ErrorKind::MalformedMessage, "not an entry");
         }
         auto entry = m_workers.entry(WorkerId(key));
-        entry.isDraining = value == "draining";
+        entry.isDraining = value.starts_with(Draining);
+        if (entry.isDraining && value.size() > Draining.size()) {
+            entry.remaining = std::chrono::milliseconds(std::stoi(std::string(value.substr(Draining.size()))));
+        }
         return entry;
     }
 
