Grant a draining worker no lease far beyond its departure

What is lost with a worker starts elsewhere once its lease has certainly expired. The leases of a draining worker were renewed for the whole 6 s until it left, so that its tasks ran nowhere for that long although the leader knew when it would leave.

A lease now ends with the announced departure, but lasts at least DepartingRunLease = 3 s, the time for which a job may have nothing running. A worker that stays longer than it said keeps its runs by renewals of 3 s. A draining worker waits 500 ms at most before it answers a renewal: one that fails after a further 700 ms is repeated 300 ms later, 2 s after the last one that was answered was sent. A lease that lapses on a draining worker breaks no availability bound.

Safety: the leader waits for the longest lease that it has granted, also that of before the announcement (Fleet.TheLeaseBeforeTheAnnouncementIsWaitedFor), and a worker never shortens one. Shorter leases only end runs sooner.

With less notice than 6 s, what was granted before the announcement still has to be waited for: a worker that leaves 1 s after its announcement leaves up to 5 s.

On the code before, Fleet.TheLeasesOfADrainingWorkerEndSoonAfterItsDeparture fails: "leaves soon": deadline 18000 instead of 17000, and no start after the shorter lease.

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -17,6 +17,8 @@
 constexpr Duration ServingWait = 1000ms;
 constexpr Duration NearTargetWait = 600ms;
 constexpr double NearTargetRatio = 0.7;
+// The leases of a draining worker are short, and its progress decides which tasks are moved.
+constexpr Duration DrainingWait = 500ms;
 // Near the end of the term, a renewal waits for this part of the remaining time at most: the
 // next one must reach the worker before its lease ends if the term is extended.
 constexpr int RenewalsPerTermEnd = 4;
@@ -34,6 +36,9 @@
 
 Duration listingWait(const workers::Worker &worker)
 {
+    if (worker.departure()) {
+        return DrainingWait;
+    }
     const bool isServing = std::ranges::any_of(worker.runs(), &workers::Run::isLasting)
         && std::ranges::any_of(worker.runs(), &workers::Run::usesLeftover);
     if (!isServing) {
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -162,14 +162,16 @@
 }
 
 // Computed from the lower bound of the worker's clock, so that no renewal makes the worker
-// keep its runs for longer than RunLease. A worker never shortens its lease.
+// keep its runs for longer than its lease. A worker never shortens its lease.
 ports::WorkerMillis Worker::nextDeadline(TimePoint now, TimePoint termEnd)
 {
     if (!m_clock.isKnown()) {
         return 0;
     }
+    const auto leaving = departure();
+    const auto lease = leaving ? std::clamp<Duration>(*leaving - now, DepartingRunLease, RunLease) : RunLease;
     const auto deadline
-        = std::min<ports::WorkerMillis>(m_clock.earliest(now) + toMilliseconds(RunLease), m_clock.earliest(termEnd));
+        = std::min<ports::WorkerMillis>(m_clock.earliest(now) + toMilliseconds(lease), m_clock.earliest(termEnd));
     m_deadline = std::max(m_deadline, deadline);
     return deadline;
 }
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -61,6 +61,9 @@
 // must take over within it, and the tasks of an unreachable worker are started elsewhere
 // only after it.
 constexpr Duration RunLease = 6s;
+// The lease of a worker that is about to leave, or has stayed longer than it announced. A
+// renewal may fail and be repeated before it ends.
+constexpr Duration DepartingRunLease = 3s;
 // The platform shortens longer leases to this time.
 constexpr Duration MaxRunLease = 10s;
 // Validity of a start order: later the worker rejects it, so an unanswered order cannot
@@ -227,7 +230,8 @@
     void add(const Run &run);
     void remove(const jobs::TaskId &task);
 
-    // Leases, in terms of the worker's own clock. They have certainly ended at `termEnd`.
+    // Leases, in terms of the worker's own clock. They have certainly ended at `termEnd`. A worker
+    // that drains gets none beyond its departure, except for DepartingRunLease.
     ports::WorkerMillis nextDeadline(TimePoint now, TimePoint termEnd = TimePoint::max());
     ports::WorkerMillis startDeadline(TimePoint now, TimePoint termEnd = TimePoint::max());
     bool hasLapsed(TimePoint now) const;
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -615,4 +615,75 @@
     }
 }
 
+// Guards against waiting for leases that were extended up to a worker's departure: what is lost
+// with it starts elsewhere only after them.
+TEST(Fleet, TheLeasesOfADrainingWorkerEndSoonAfterItsDeparture)
+{
+    // A former leader's lease, up to 6 s from the first contact, has ended by then.
+    constexpr TimePoint announcedAt = Start + 10s;
+    struct Case
+    {
+        const char *name;
+        bool isDraining;
+        Duration remaining; // announced at announcedAt
+        Duration renewedAfter;
+        Duration lease;
+    };
+    for (const auto &it :
+         {Case{"not draining", false, 0s, 1s, 6s}, Case{"leaves much later", true, 20s, 1s, 6s},
+          Case{"leaves soon", true, 6s, 1s, 5s}, Case{"leaves before the next renewals", true, 2s, 1s, 3s},
+          Case{"stays longer than announced", true, 2s, 4s, 3s}}) {
+        SCOPED_TRACE(it.name);
+        DrainingFleet draining(false);
+        auto &fleet = draining.fleet;
+        const auto &id = draining.entry.id;
+        draining.accept(Start);
+        draining.update(it.isDraining, it.remaining, announcedAt);
+        const auto now = announcedAt + it.renewedAfter;
+        draining.listRun(10, now);
+        const auto order = fleet.leaseOrder(id, now);
+        EXPECT_EQ(order.deadline, 1000 + toMilliseconds(now - Start + it.lease));
+        // The next renewal may fail, up to 1 s after its wait, and be repeated before the lease ends.
+        EXPECT_TRUE(!it.isDraining || 2 * (order.wait + 1s) <= it.lease);
+        fleet.markSilent(id, now + 100ms);
+        EXPECT_TRUE(fleet.plan(now + it.lease, Wall).starts.empty()) << "it may still run";
+        const auto starts = fleet.plan(now + it.lease * 102 / 100 + 100ms, Wall).starts;
+        ASSERT_EQ(starts.size(), 1U);
+        EXPECT_NE(starts.front().worker, id);
+    }
+}
+
+// A shorter lease does not shorten the one that was granted before the announcement.
+TEST(Fleet, TheLeaseBeforeTheAnnouncementIsWaitedFor)
+{
+    DrainingFleet draining(false);
+    auto &fleet = draining.fleet;
+    draining.accept(Start);
+    fleet.leaseOrder(draining.entry.id, Start);
+    draining.update(true, 500ms, Start + 1ms);
+    fleet.leaseOrder(draining.entry.id, Start + 1ms);
+    fleet.markSilent(draining.entry.id, Start + 500ms);
+    EXPECT_TRUE(fleet.plan(Start + 6s, Wall).starts.empty());
+    EXPECT_EQ(fleet.plan(Start + 6300ms, Wall).starts.size(), 1U);
+}
+
+// A worker that withdraws its announcement gets tasks and whole leases as before.
+TEST(Fleet, AWorkerThatNoLongerDrainsIsUsedAsBefore)
+{
+    DrainingFleet draining(false);
+    auto &fleet = draining.fleet;
+    const auto &id = draining.entry.id;
+    draining.accept(Start);
+    draining.update(true, 10s, Start);
+    draining.listRun(10, Start + 1s);
+    draining.update(false, 0s, Start + 1s);
+    EXPECT_EQ(fleet.leaseOrder(id, Start + 1s).deadline, 1000 + 1000 + 6000);
+    EXPECT_TRUE(fleet.plan(Start + 1s, Wall).stops.empty());
+    auto step = plainStep();
+    step.count = 2;
+    step.maxPerWorker = 1;
+    draining.submit(8, step, Start + 1s);
+    EXPECT_EQ(fleet.plan(Start + 1s, Wall).starts.size(), 2U) << "one on each worker";
+}
+
 } // namespace monsoonspool::execution
