--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -17,6 +17,8 @@
 constexpr Duration ServingWait = 1000ms;
 constexpr Duration NearTargetWait = 600ms;
 constexpr double NearTargetRatio = 0.7;
+// The leases of a draining worker are short, and its progress decides which tasks are moved.
+constexpr Duration DrainingWait = 500ms;
 // Near the end of the term, a renewal waits for this part of the remaining time at most: the
 // next one must reach the worker before its lease ends if the term is extended.
 constexpr int RenewalsPerTermEnd = 4;
@@ -36,6 +38,9 @@
 
 Duration listingWait(const workers::Worker &worker)
 {
+    if (worker.departure()) {
+        return DrainingWait;
+    }
     const bool isServing = std::ranges::any_of(worker.runs(), &workers::Run::isLasting)
         && std::ranges::any_of(worker.runs(), &workers::Run::usesLeftover);
     if (!isServing) {
@@ -104,7 +109,9 @@
 {
     auto *worker = d->findWorker(id);
     if (worker != nullptr && !worker->isSilent()) {
-        d->log.record("worker-silent", {{"worker", id.view()}, {"runs", worker->runCount()}});
+        d->log.record(
+            "worker-silent",
+            {{"worker", id.view()}, {"runs", worker->runCount()}, {"isDraining", worker->entry().isDraining ? 1 : 0}});
         worker->noteSilence(now);
     }
 }
@@ -423,7 +430,14 @@
         tasks.push_back(it.task);
     }
     if (!tasks.empty()) {
-        log.record("worker-lost", {{"worker", worker.entry().id.view()}, {"runs", tasks.size()}, {"reason", reason}});
+        log.record("worker-lost",
+                   {{"worker", worker.entry().id.view()},
+                    {"runs", tasks.size()},
+                    {"reason", reason},
+                    {"silentMs", toMilliseconds(now - worker.silentSince())},
+                    {"isDraining", worker.entry().isDraining ? 1 : 0},
+                    {"departedMs", worker.departure() ? toMilliseconds(now - *worker.departure()) : 0},
+                    {"isListed", worker.isListed() ? 1 : 0}});
     }
     for (const auto &it : tasks) {
         endRun(worker, it, jobs::RunEnd::Lapsed, {}, now);
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -21,21 +21,41 @@
 
 } // namespace
 
-Worker::Worker(ports::WorkerEntry entry) : m_entry(std::move(entry))
+Worker::Worker(ports::WorkerEntry entry, TimePoint now) : m_entry(std::move(entry))
 {
+    if (m_entry.isDraining) {
+        m_departure = now + m_entry.remaining;
+    }
 }
 
-void Worker::setEntry(ports::WorkerEntry entry)
+// An entry is received some time after it was written, and the same one may be received again,
+// so that of several estimates the earliest is the best one.
+void Worker::setEntry(ports::WorkerEntry entry, TimePoint now)
 {
+    const bool isExtended = entry.startTimeMs != m_entry.startTimeMs || entry.remaining > m_entry.remaining;
+    const auto departure = now + entry.remaining;
+    if (!entry.isDraining) {
+        m_departure.reset();
+    } else if (!m_departure || isExtended || departure < *m_departure) {
+        m_departure = departure;
+    }
     m_entry = std::move(entry);
 }
 
+std::optional<TimePoint> Worker::departure() const
+{
+    const bool isOfOtherProcess = m_startTimeMs != 0 && m_entry.startTimeMs != m_startTimeMs;
+    return isOfOtherProcess ? std::nullopt : m_departure;
+}
+
 void Worker::restart(std::int64_t startTimeMs, ports::WorkerMillis clock)
 {
     const auto deadline = std::min<ports::WorkerMillis>(m_deadline, clock + toMilliseconds(MaxRunLease));
     const bool isListed = m_isListed;
     const bool isRostered = m_isRostered;
-    *this = Worker(std::move(m_entry));
+    const auto departure = m_departure;
+    *this = Worker(std::move(m_entry), {});
+    m_departure = departure;
     m_startTimeMs = startTimeMs;
     m_deadline = deadline;
     m_isListed = isListed;
@@ -155,14 +175,16 @@
 }
 
 // Computed from the lower bound of the worker's clock, so that no renewal makes the worker
-// keep its runs for longer than RunLease. A worker never shortens its lease.
+// keep its runs for longer than its lease. A worker never shortens its lease.
 ports::WorkerMillis Worker::nextDeadline(TimePoint now, TimePoint termEnd)
 {
     if (!m_clock.isKnown()) {
         return 0;
     }
+    const auto leaving = departure();
+    const auto lease = leaving ? std::clamp<Duration>(*leaving - now, DepartingRunLease, RunLease) : RunLease;
     const auto deadline
-        = std::min<ports::WorkerMillis>(m_clock.earliest(now) + toMilliseconds(RunLease), m_clock.earliest(termEnd));
+        = std::min<ports::WorkerMillis>(m_clock.earliest(now) + toMilliseconds(lease), m_clock.earliest(termEnd));
     m_deadline = std::max(m_deadline, deadline);
     return deadline;
 }
@@ -198,8 +220,11 @@
     m_hasNewListing = true;
 }
 
-void Worker::noteSilence(TimePoint)
+void Worker::noteSilence(TimePoint now)
 {
+    if (!m_isSilent) {
+        m_silentSince = now;
+    }
     m_isSilent = true;
 }
 
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -62,6 +62,9 @@
 // must take over within it, and the tasks of an unreachable worker are started elsewhere
 // only after it.
 constexpr Duration RunLease = 6s;
+// The lease of a worker that is about to leave, or has stayed longer than it announced. A
+// renewal may fail and be repeated before it ends.
+constexpr Duration DepartingRunLease = 3s;
 // The platform shortens longer leases to this time.
 constexpr Duration MaxRunLease = 10s;
 // Validity of a start order: later the worker rejects it, so an unanswered order cannot
@@ -81,19 +84,23 @@
 class Worker
 {
 public:
-    explicit Worker(ports::WorkerEntry entry);
+    // `now` is when the entry was received.
+    Worker(ports::WorkerEntry entry, TimePoint now);
 
     const ports::WorkerEntry &entry() const
     {
         return m_entry;
     }
-    // Replaces the entry by a newer one.
-    void setEntry(ports::WorkerEntry entry);
+    // Replaces the entry by a newer one, received at `now`.
+    void setEntry(ports::WorkerEntry entry, TimePoint now);
     // Replaces only the capacity in the entry.
     void setCapacity(const Resources &capacity)
     {
         m_entry.capacity = capacity;
     }
+    // Returns when the process that answers leaves at the earliest, or nothing unless it has
+    // announced that it drains.
+    std::optional<TimePoint> departure() const;
     // Returns when the process whose listing was received last has started; 0 before the
     // first listing. The entry may tell of a process that has not answered yet.
     std::int64_t startTimeMs() const
@@ -230,7 +237,8 @@
     void add(const Run &run);
     void remove(const jobs::TaskId &task);
 
-    // Leases, in terms of the worker's own clock. They have certainly ended at `termEnd`.
+    // Leases, in terms of the worker's own clock. They have certainly ended at `termEnd`. A worker
+    // that drains gets none beyond its departure, except for DepartingRunLease.
     ports::WorkerMillis nextDeadline(TimePoint now, TimePoint termEnd = TimePoint::max());
     ports::WorkerMillis startDeadline(TimePoint now, TimePoint termEnd = TimePoint::max());
     bool hasLapsed(TimePoint now) const;
@@ -243,6 +251,11 @@
     {
         return m_isSilent;
     }
+    // Returns when the worker became silent; meaningful only while it is.
+    TimePoint silentSince() const
+    {
+        return m_silentSince;
+    }
 
     // Numbers of the last end that was processed and of the last one that the worker need
     // not list again.
@@ -293,6 +306,7 @@
 
     ports::WorkerEntry m_entry;
     std::int64_t m_startTimeMs = 0;
+    std::optional<TimePoint> m_departure; // announced by m_entry
     WorkerClock m_clock;
     std::vector<Run> m_runs;
     Resources m_reserved; // by runs with cores of their own
@@ -303,6 +317,7 @@
     std::int64_t m_processedEnd = 0;
     std::int64_t m_acknowledgedEnd = 0;
     std::set<std::int64_t> m_heldEnds;
+    TimePoint m_silentSince;
     TimePoint m_observedAt;
     TimePoint m_unschedulableUntil;
     std::optional<TimePoint> m_awaitsTermRenewalSince;
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -773,4 +773,192 @@
     }
 }
 
+namespace {
+
+// A fleet with a task that runs on a worker, of which it expects two more seconds.
+class DrainingFleet : public ReadyFleet
+{
+public:
+    explicit DrainingFleet(bool hasCheckpoints) : ReadyFleet(2)
+    {
+        auto step = plainStep();
+        step.estimate = 2s;
+        step.hasCheckpoints = hasCheckpoints;
+        submit(7, step, Start);
+        order = fleet.plan(Start, Wall).starts.at(0);
+        entry = *fleet.entryOf(order.worker);
+    }
+    void accept(TimePoint now)
+    {
+        fleet.applyStartReply(order, ports::StartResult::Accepted, now);
+    }
+    void update(bool isDraining, Duration remaining, TimePoint now)
+    {
+        entry.isDraining = isDraining;
+        entry.remaining = remaining;
+        fleet.updateWorker(entry, now);
+    }
+    // The worker lists the task as running.
+    void listRun(int percent, TimePoint now)
+    {
+        ports::WorkerListing listing;
+        listing.running.push_back({order.task, order.run, {}, percent, 0});
+        list(order.worker, listing, now);
+    }
+
+    StartTask order;
+    ports::WorkerEntry entry;
+};
+
+} // namespace
+
+// Guards against comparing a task with the time that was left when the entry was written.
+TEST(Fleet, ATaskIsMovedOnceItCannotEndBeforeTheDeparture)
+{
+    struct Case
+    {
+        const char *name;
+        std::function<void(DrainingFleet &)> after; // the announcement of 3 s at Start
+        bool isMoved; // at Start + 1 s
+    };
+    for (const auto &it :
+         {Case{"no other entry", [](DrainingFleet &) {}, true},
+          Case{"the same entry again", [](DrainingFleet &f) { f.update(true, 3s, Start + 900ms); }, true},
+          Case{"a later entry, received late", [](DrainingFleet &f) { f.update(true, 2700ms, Start + 900ms); }, true},
+          Case{"stays longer", [](DrainingFleet &f) { f.update(true, 5s, Start + 900ms); }, false},
+          Case{"withdrawn", [](DrainingFleet &f) { f.update(false, 0s, Start + 900ms); }, false},
+          Case{"withdrawn and announced again",
+               [](DrainingFleet &f) {
+                   f.update(false, 0s, Start + 800ms);
+                   f.update(true, 3s, Start + 900ms);
+               },
+               false},
+          Case{"announced by a process that has not answered",
+               [](DrainingFleet &f) {
+                   f.entry.startTimeMs = 2;
+                   f.update(true, 0s, Start + 900ms);
+               },
+               false},
+          Case{"announced by a former process",
+               [](DrainingFleet &f) {
+                   f.update(false, 0s, Start + 700ms);
+                   f.fleet.markSilent(f.entry.id, Start + 800ms);
+                   f.entry.startTimeMs = 0;
+                   f.update(true, 0s, Start + 900ms);
+               },
+               false}}) {
+        SCOPED_TRACE(it.name);
+        DrainingFleet draining(true);
+        draining.accept(Start);
+        draining.update(true, 3s, Start);
+        draining.listRun(0, Start + 1ms);
+        EXPECT_TRUE(draining.fleet.plan(Start + 1ms, Wall).stops.empty());
+        it.after(draining);
+        draining.listRun(0, Start + 1s);
+        EXPECT_EQ(draining.fleet.plan(Start + 1s, Wall).stops.size(), it.isMoved ? 1U : 0U);
+    }
+}
+
+// Guards against leaving runs on a draining worker because their start was not yet confirmed.
+TEST(Fleet, RunsThatAreNotConfirmedLeaveADrainingWorkerToo)
+{
+    struct Case
+    {
+        const char *name;
+        std::function<void(DrainingFleet &)> outcome;
+    };
+    for (const auto &it :
+         {Case{"ordered", [](DrainingFleet &) {}},
+          Case{"unanswered", [](DrainingFleet &f) { f.fleet.applyStartFailure(f.order, true, Start + 1ms); }},
+          Case{"accepted", [](DrainingFleet &f) { f.accept(Start + 1ms); }},
+          Case{"listed", [](DrainingFleet &f) { f.listRun(0, Start + 1ms); }}}) {
+        SCOPED_TRACE(it.name);
+        DrainingFleet draining(false);
+        auto &fleet = draining.fleet;
+        it.outcome(draining);
+        draining.update(true, 1s, Start + 2ms);
+        const auto stops = fleet.plan(Start + 2ms, Wall).stops;
+        ASSERT_EQ(stops.size(), 1U);
+        EXPECT_TRUE(fleet.plan(Start + 3ms, Wall).starts.empty()) << "it may still run";
+        fleet.confirmStop(stops.front(), Start + 4ms);
+        draining.list(draining.entry.id, {}, Start + 5ms);
+        const auto starts = fleet.plan(Start + 5ms, Wall).starts;
+        ASSERT_EQ(starts.size(), 1U);
+        EXPECT_NE(starts.front().worker, draining.entry.id);
+        fleet.applyStartReply(draining.order, ports::StartResult::Superseded, Start + 6ms);
+        EXPECT_TRUE(fleet.plan(Start + 6ms, Wall).starts.empty()) << "the late answer ends nothing";
+    }
+}
+
+// Guards against waiting for leases that were extended up to a worker's departure: what is lost
+// with it starts elsewhere only after them.
+TEST(Fleet, TheLeasesOfADrainingWorkerEndSoonAfterItsDeparture)
+{
+    // A former leader's lease, up to 6 s from the first contact, has ended by then.
+    constexpr TimePoint announcedAt = Start + 10s;
+    struct Case
+    {
+        const char *name;
+        bool isDraining;
+        Duration remaining; // announced at announcedAt
+        Duration renewedAfter;
+        Duration lease;
+    };
+    for (const auto &it :
+         {Case{"not draining", false, 0s, 1s, 6s}, Case{"leaves much later", true, 20s, 1s, 6s},
+          Case{"leaves soon", true, 6s, 1s, 5s}, Case{"leaves before the next renewals", true, 2s, 1s, 3s},
+          Case{"stays longer than announced", true, 2s, 4s, 3s}}) {
+        SCOPED_TRACE(it.name);
+        DrainingFleet draining(false);
+        auto &fleet = draining.fleet;
+        const auto &id = draining.entry.id;
+        draining.accept(Start);
+        draining.update(it.isDraining, it.remaining, announcedAt);
+        const auto now = announcedAt + it.renewedAfter;
+        draining.listRun(10, now);
+        const auto order = fleet.leaseOrder(id, now);
+        EXPECT_EQ(order.deadline, 1000 + toMilliseconds(now - Start + it.lease));
+        // The next renewal may fail, up to 1 s after its wait, and be repeated before the lease ends.
+        EXPECT_TRUE(!it.isDraining || 2 * (order.wait + 1s) <= it.lease);
+        fleet.markSilent(id, now + 100ms);
+        EXPECT_TRUE(fleet.plan(now + it.lease, Wall).starts.empty()) << "it may still run";
+        const auto starts = fleet.plan(now + it.lease * 102 / 100 + 100ms, Wall).starts;
+        ASSERT_EQ(starts.size(), 1U);
+        EXPECT_NE(starts.front().worker, id);
+    }
+}
+
+// A shorter lease does not shorten the one that was granted before the announcement.
+TEST(Fleet, TheLeaseBeforeTheAnnouncementIsWaitedFor)
+{
+    DrainingFleet draining(false);
+    auto &fleet = draining.fleet;
+    draining.accept(Start);
+    fleet.leaseOrder(draining.entry.id, Start);
+    draining.update(true, 500ms, Start + 1ms);
+    fleet.leaseOrder(draining.entry.id, Start + 1ms);
+    fleet.markSilent(draining.entry.id, Start + 500ms);
+    EXPECT_TRUE(fleet.plan(Start + 6s, Wall).starts.empty());
+    EXPECT_EQ(fleet.plan(Start + 6300ms, Wall).starts.size(), 1U);
+}
+
+// A worker that withdraws its announcement gets tasks and whole leases as before.
+TEST(Fleet, AWorkerThatNoLongerDrainsIsUsedAsBefore)
+{
+    DrainingFleet draining(false);
+    auto &fleet = draining.fleet;
+    const auto &id = draining.entry.id;
+    draining.accept(Start);
+    draining.update(true, 10s, Start);
+    draining.listRun(10, Start + 1s);
+    draining.update(false, 0s, Start + 1s);
+    EXPECT_EQ(fleet.leaseOrder(id, Start + 1s).deadline, 1000 + 1000 + 6000);
+    EXPECT_TRUE(fleet.plan(Start + 1s, Wall).stops.empty());
+    auto step = plainStep();
+    step.count = 2;
+    step.maxPerWorker = 1;
+    draining.submit(8, step, Start + 1s);
+    EXPECT_EQ(fleet.plan(Start + 1s, Wall).starts.size(), 2U) << "one on each worker";
+}
+
 } // namespace monsoonspool::execution
--- a/tests/execution/testcluster.h
+++ b/tests/execution/testcluster.h
@@ -50,8 +50,10 @@
 // An entry of a worker with this and three numbers has that capacity, also after it has changed
 // again; other entries have the worker's present capacity.
 inline constexpr std::string_view CapacityPrefix = "capacity ";
+inline constexpr std::string_view Draining = "draining";
 
-// Decodes the rows that this test writes. The value of a configuration is its version.
+// Decodes the rows that this test writes. The value of a configuration is its version, that of a
+// worker its capacity or state; after "draining" may follow the remaining time in milliseconds.
 class TestRegistry : public Registry
 {
 public:
@@ -85,12 +87,15 @@
             return fail(ErrorKind::MalformedMessage, "not an entry");
         }
         auto entry = m_workers.entry(WorkerId(key));
-        entry.isDraining = value == "draining";
         if (value.starts_with(CapacityPrefix)) {
             std::istringstream text(std::string(value.substr(CapacityPrefix.size())));
             auto &capacity = entry.capacity;
             text >> capacity.milliCores >> capacity.memoryMiB >> capacity.accelerators;
         }
+        entry.isDraining = value.starts_with(Draining);
+        if (entry.isDraining && value.size() > Draining.size()) {
+            entry.remaining = std::chrono::milliseconds(std::stoi(std::string(value.substr(Draining.size()))));
+        }
         return entry;
     }
 
