--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -282,7 +282,7 @@
         shrunk->add(serving(2, S2));
         auto entry = shrunk->entry();
         entry.capacity.milliCores = milliCores;
-        shrunk->setEntry(entry);
+        shrunk->setEntry(entry, TimePoint());
         std::vector<workers::Worker *> both = {shrunk.get(), other.get()};
         InterferenceFreeCapacity capacity;
         capacity.update(both, model, demands, Now);
--- a/tests/workers/workertest.cpp
+++ b/tests/workers/workertest.cpp
@@ -88,15 +88,15 @@
         worker.add(makeRun(2, 4000, true, false));
         auto entry = before;
         entry.capacity = it.capacity;
-        worker.setEntry(entry);
+        worker.setEntry(entry, Now);
         EXPECT_EQ(worker.freeResources(), it.free);
         EXPECT_EQ(worker.fits({2000, 1000, 0}, false), it.fitsOwn);
         EXPECT_EQ(worker.fits({2000, 1000, 0}, true), it.fitsLeftover);
         EXPECT_EQ(worker.runCount(), 2);
-        worker.setEntry(before);
+        worker.setEntry(before, Now);
         EXPECT_EQ(worker.freeResources(), (Resources{12000, 126000, 0}));
         entry.capacity = it.capacity;
-        worker.setEntry(entry);
+        worker.setEntry(entry, Now);
         worker.remove({{1}, 0, 0, 0});
         worker.remove({{2}, 0, 0, 0});
         EXPECT_EQ(worker.freeResources(), it.capacity);
