Start no tasks while the workers' entries were read too long ago

Cause: the leader acts on its copy of the workers' table whatever its age. Nothing ties the right to start a task to the time of that reading.

The watcher of the table now reports when it has caught up, and the fleet starts nothing once that is 2 s ago; stops, leases and ends go on. The poll of this table waits 0.7 s instead of 1 s, since an answer without changes shows only what was stored before the poll. starts-suspended and starts-resumed say when.

ExecutionLoop.NoTaskStartsOnWorkersWhoseEntriesAreNotRead fails on: startCount() is 6 instead of 0. With the change the 24 tests of ExecutionLoop and ExecutionFaults pass; the other tests were not run.

Not traced: a feed page that is not complete may count as caught up, and orders may wait in the client's queue.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -169,6 +169,11 @@
     return d->readJobs.contains(key);
 }
 
+void Fleet::noteWorkersRead(TimePoint time)
+{
+    d->workersReadAt = time;
+}
+
 void Fleet::noteJobsRead(TimePoint time)
 {
     for (auto &[key, ends] : d->heldEnds) {
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -104,6 +104,9 @@
     // Records that all jobs stored before `time` have been read: what workers listed until then
     // and that belongs to another job is not this system's.
     void noteJobsRead(TimePoint time);
+    // Records that all entries of workers stored before `time` have been read. No tasks are
+    // started once this is too long ago, since workers may have announced that they leave.
+    void noteWorkersRead(TimePoint time);
     // Applies the stored progress of a job.
     void restoreProgress(jobs::JobKey key, const jobs::JobProgress &progress);
     // Applies the progress that another host stored while this leader had planned from its own.
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -25,6 +25,10 @@
 // all earlier leaders.
 constexpr jobs::RunNumber RunNumbersPerTerm = 1000;
 
+// No tasks are started when the entries of the workers were read longer ago than this. A
+// worker that leaves must get no task 2.5 s after its announcement; an order takes up to
+// 0.5 s to reach it.
+constexpr Duration MaxWorkersAge = 2s;
 constexpr int FullPace = 100;
 constexpr int FullPercent = 100;
 // A run at this pace in percent or more that makes no progress for StuckTime is stuck.
@@ -56,6 +60,9 @@
         d->stopUnwantedRuns(*it, now, orders);
         d->adjustPaces(*it, now, orders);
     }
+    if (!d->areWorkersCurrent(now)) {
+        return orders;
+    }
     d->unplaceableDemands.clear();
     const auto waiting = d->waitingSteps(now, wall);
     d->updateInterferenceFreeCapacity(waiting, now);
@@ -72,6 +79,18 @@
     return orders;
 }
 
+// Returns whether the entries of the workers were read recently enough to start tasks.
+bool Fleet::Private::areWorkersCurrent(TimePoint now)
+{
+    const bool isCurrent = !workersReadAt || now - *workersReadAt <= MaxWorkersAge;
+    if (isCurrent == areStartsSuspended) {
+        areStartsSuspended = !isCurrent;
+        log.record(isCurrent ? "starts-resumed" : "starts-suspended",
+                   {{"workersReadMsAgo", workersReadAt ? toMilliseconds(now - *workersReadAt) : 0}});
+    }
+    return isCurrent;
+}
+
 void Fleet::Private::updateInterferenceFreeCapacity(std::span<const WaitingStep> waiting, TimePoint now)
 {
     if (!interferenceFreeCapacity.isDue(now)) {
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -28,6 +28,8 @@
 // within 2 s even if the answer that reports it is lost, which is noticed only after
 // this timeout and the client's slack.
 constexpr Duration WatchTimeout = 1s;
+// Shorter, as an answer without changes shows only what was stored before the poll was sent.
+constexpr Duration WorkersWatchTimeout = 700ms;
 // A former leader's last lease renewal may arrive shortly after the claim.
 constexpr Duration FormerLeaseSlack = 1s;
 
@@ -85,9 +87,10 @@
                           {"openJobs", fleet.counts().openJobs},
                           {"workers", fleet.counts().workers}});
         workerWatcher.emplace(ports.store, ports.scheduler, ports.log, ports.registry.workersTable(),
-                              std::vector<std::string>{std::string()}, WatchTimeout,
+                              std::vector<std::string>{std::string()}, WorkersWatchTimeout,
                               TableWatcher::Hooks{[this](auto entries) { onWorkerSnapshot(entries); },
-                                                  [this](auto entries) { onWorkerRows(entries); }, [](Duration) {}});
+                                                  [this](auto entries) { onWorkerRows(entries); }, [](Duration) {},
+                                                  [this](TimePoint time) { fleet.noteWorkersRead(time); }});
         workerController->trackWorkers();
         tick();
         ports.scheduler.runAfter(Duration(0), [self = shared_from_this()] { self->progressReader.reset(); });
--- a/tests/execution/executionlooptest.cpp
+++ b/tests/execution/executionlooptest.cpp
@@ -233,6 +233,35 @@
     EXPECT_EQ(cluster.workers.startCount(), TasksPerJob);
 }
 
+// A leader that no longer reads the workers' entries starts tasks on workers that are leaving.
+TEST(ExecutionLoop, NoTaskStartsOnWorkersWhoseEntriesAreNotRead)
+{
+    Cluster cluster;
+    cluster.scheduler.runFor(2s);
+    const int leader = cluster.leader();
+    ASSERT_GE(leader, 0);
+    cluster.host(leader).storeFaults.rule = [](std::string_view call, TimePoint) {
+        return call == "changes workers" || call == "scan workers" ? std::optional(Fault{2ms, true, false})
+                                                                   : std::nullopt;
+    };
+    cluster.scheduler.runFor(1s); // until the pending poll is over
+    for (int n = 0; n < WorkerCount; ++n) {
+        cluster.put({"workers", "", "w" + std::to_string(n)}, "draining");
+    }
+    cluster.scheduler.runFor(2500ms);
+    cluster.submit(leader, 7);
+    cluster.scheduler.runFor(3s);
+    ASSERT_EQ(cluster.leader(), leader);
+    EXPECT_EQ(cluster.answers[7], SubmitResult::Accepted);
+    EXPECT_EQ(cluster.workers.startCount(), 0);
+
+    cluster.host(leader).storeFaults.rule = {};
+    cluster.put({"workers", "", "w0"}, "ready");
+    cluster.scheduler.runFor(6s);
+    EXPECT_EQ(violationsOf(cluster), "");
+    EXPECT_EQ(cluster.workers.doneCount({7}), TasksPerJob);
+}
+
 // A partition leaves the leader and some workers on one side, and the store on the other. The
 // leader renews their leases until it may no longer decide; successors must wait for that.
 TEST(ExecutionLoop, TheLeasesOfALeaderThatStillDecidesAreWaitedFor)
