A start order is valid no longer than the entries it was decided by

An order stayed valid for 2.5 s from the plan, whatever the age of the entries, and an overloaded leader sends and reads late.

Each start order now expires 2.3 s after the entries were read, on the worker's own clock, so that the worker refuses it however late it arrives.

While the store answers nothing, starts go on, as before the limit: workers cannot announce a departure then either. That holds only while this host handles its events in time; otherwise answers of the store may wait unread (MaxTickDelay).

Fleet.StartsTasksOnlyByEntriesThatWereReadRecently has the cases.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -56,6 +56,8 @@
     d->changedJobs.clear();
     d->unreportedWorkers.clear();
     d->isRosterChanged = false;
+    d->workersReadAt.reset();
+    d->delayedAt.reset();
     for (const auto &it : roster) {
         auto &worker = d->addWorker(it);
         worker.setListed(false);
@@ -174,6 +176,11 @@
     d->workersReadAt = time;
 }
 
+void Fleet::noteDelayed(TimePoint now)
+{
+    d->delayedAt = now;
+}
+
 void Fleet::noteJobsRead(TimePoint time)
 {
     for (auto &[key, ends] : d->heldEnds) {
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -104,9 +104,12 @@
     // Records that all jobs stored before `time` have been read: what workers listed until then
     // and that belongs to another job is not this system's.
     void noteJobsRead(TimePoint time);
-    // Records that all entries of workers stored before `time` have been read. No tasks are
-    // started once this is too long ago, since workers may have announced that they leave.
+    // Records that all entries of workers stored before `time` have been read. While the store
+    // answers other calls, no task starts once this is too long ago, since workers may have
+    // announced that they leave.
     void noteWorkersRead(TimePoint time);
+    // Records that this host handles events late, so that answers of the store may wait unread.
+    void noteDelayed(TimePoint now);
     // Applies the stored progress of a job.
     void restoreProgress(jobs::JobKey key, const jobs::JobProgress &progress);
     // Applies the progress that another host stored while this leader had planned from its own.
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -25,10 +25,17 @@
 // all earlier leaders.
 constexpr jobs::RunNumber RunNumbersPerTerm = 1000;
 
-// No tasks are started when the entries of the workers were read longer ago than this. A
-// worker that leaves must get no task 2.5 s after its announcement; an order takes up to
-// 0.5 s to reach it.
-constexpr Duration MaxWorkersAge = 2s;
+// A task starts within this time after the entries of the workers were read. The platform
+// allows no start on a worker 2.5 s after its entry has announced that it leaves.
+constexpr Duration MaxEntryAge = 2300ms;
+// Shortest validity of a start order that is worth sending.
+constexpr Duration MinStartValidity = 300ms;
+// The store answers if a renewal of the leadership was sent this long after the last poll that
+// was answered: polls take less.
+constexpr Duration MaxPollTime = 1s;
+// Events are taken as being handled late for this time after one that was.
+constexpr Duration DelayMemory = 3s;
+
 constexpr int FullPace = 100;
 constexpr int FullPercent = 100;
 // A run at this pace in percent or more that makes no progress for StuckTime is stuck.
@@ -60,7 +67,7 @@
         d->stopUnwantedRuns(*it, now, orders);
         d->adjustPaces(*it, now, orders);
     }
-    if (!d->areWorkersCurrent(now)) {
+    if (!d->mayStartTasks(now)) {
         return orders;
     }
     d->unplaceableDemands.clear();
@@ -79,16 +86,28 @@
     return orders;
 }
 
-// Returns whether the entries of the workers were read recently enough to start tasks.
-bool Fleet::Private::areWorkersCurrent(TimePoint now)
+// Returns until when tasks may start on the workers, by what their entries tell. While the store
+// answers nothing, workers cannot announce that they leave either.
+TimePoint Fleet::Private::entriesUsableUntil(TimePoint now) const
+{
+    if (!workersReadAt) {
+        return TimePoint::max();
+    }
+    const auto storeAnsweredAt = termRenewedAt == TimePoint::max() ? termBeganAt : termRenewedAt;
+    const bool isDelayed = delayedAt && now - *delayedAt < DelayMemory;
+    const bool isStoreSilent = !isDelayed && storeAnsweredAt - *workersReadAt <= MaxPollTime;
+    return isStoreSilent ? TimePoint::max() : *workersReadAt + MaxEntryAge;
+}
+
+bool Fleet::Private::mayStartTasks(TimePoint now)
 {
-    const bool isCurrent = !workersReadAt || now - *workersReadAt <= MaxWorkersAge;
-    if (isCurrent == areStartsSuspended) {
-        areStartsSuspended = !isCurrent;
-        log.record(isCurrent ? "starts-resumed" : "starts-suspended",
-                   {{"workersReadMsAgo", workersReadAt ? toMilliseconds(now - *workersReadAt) : 0}});
+    const bool mayStart = entriesUsableUntil(now) - now >= MinStartValidity;
+    if (mayStart == areStartsSuspended) {
+        areStartsSuspended = !mayStart;
+        log.record(mayStart ? "starts-resumed" : "starts-suspended",
+                   {{"workersReadMsAgo", toMilliseconds(now - workersReadAt.value_or(now))}});
     }
-    return isCurrent;
+    return mayStart;
 }
 
 void Fleet::Private::updateInterferenceFreeCapacity(std::span<const WaitingStep> waiting, TimePoint now)
@@ -466,7 +485,7 @@
     applyStepSpec(run, spec);
     run.orderedAt = now;
     run.progressedAt = now;
-    run.startDeadline = worker.startDeadline(now, termEnd);
+    run.startDeadline = worker.startDeadline(now, std::min(termEnd, entriesUsableUntil(now)));
     worker.add(run);
     ++job.activeRuns;
     const auto checkpoint = job.job.task(task).checkpoint;
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -124,7 +124,8 @@
     void orderStart(TrackedJob &job, const jobs::TaskId &task, workers::Worker &worker, jobs::RunNumber run,
                     TimePoint now, Orders &orders);
     void stopUnwantedRuns(workers::Worker &worker, TimePoint now, Orders &orders);
-    bool areWorkersCurrent(TimePoint now);
+    TimePoint entriesUsableUntil(TimePoint now) const;
+    bool mayStartTasks(TimePoint now);
     void drainWorker(workers::Worker &worker, TimePoint now);
     void stopStuckRuns(workers::Worker &worker, TimePoint now);
     void adjustPaces(workers::Worker &worker, TimePoint now, Orders &orders);
@@ -149,6 +150,7 @@
     std::set<jobs::JobKey> changedJobs;
     bool isRosterChanged = false;
     std::optional<TimePoint> workersReadAt; // all entries stored before this time have been read
+    std::optional<TimePoint> delayedAt; // last time that events were handled late
     bool areStartsSuspended = false; // since the entries were read too long ago
     jobs::RunTimeEstimator estimator;
     scheduling::InterferenceModel interference;
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -30,6 +30,8 @@
 constexpr Duration WatchTimeout = 1s;
 // Shorter, as an answer without changes shows only what was stored before the poll was sent.
 constexpr Duration WorkersWatchTimeout = 700ms;
+// A tick that is later than this tells that events are handled late.
+constexpr Duration MaxTickDelay = 300ms;
 // A former leader's last lease renewal may arrive shortly after the claim.
 constexpr Duration FormerLeaseSlack = 1s;
 
@@ -195,8 +197,13 @@
 
     void tick()
     {
-        ports.scheduler.runAfter(PlanInterval, [self = shared_from_this()] {
+        const auto dueAt = ports.scheduler.now() + PlanInterval;
+        ports.scheduler.runAfter(PlanInterval, [self = shared_from_this(), dueAt] {
             if (!self->isClosed) {
+                const auto now = self->ports.scheduler.now();
+                if (now - dueAt > MaxTickDelay) {
+                    self->fleet.noteDelayed(now);
+                }
                 self->plan();
                 self->tick();
             }
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -498,4 +499,44 @@
     }
 }
 
+// Guards against starts on workers that have announced, more than 2.5 s before, that they leave,
+// by a leader that reads their entries late or not at all while the store answers its other calls.
+TEST(Fleet, StartsTasksOnlyByEntriesThatWereReadRecently)
+{
+    struct Case
+    {
+        const char *name;
+        Duration readAgo;
+        Duration renewedAgo;
+        std::optional<Duration> delayedAgo;
+        std::size_t starts;
+        bool isDeadlineBounded;
+    };
+    for (const auto &it :
+         {Case{"read just now", 0s, 0s, std::nullopt, 1, false},
+          Case{"read in time", 1500ms, 0s, std::nullopt, 1, true},
+          Case{"read too long ago", 2500ms, 0s, std::nullopt, 0, true},
+          Case{"the store is silent", 6s, 5500ms, std::nullopt, 1, false},
+          Case{"this host is late", 6s, 5500ms, 1s, 0, true}, Case{"this host was late", 6s, 5500ms, 4s, 1, false},
+          Case{"late, and read in time", 1500ms, 1500ms, 1s, 1, true}}) {
+        SCOPED_TRACE(it.name);
+        ReadyFleet f(1);
+        const auto now = Start + 10s;
+        f.list(WorkerId("w0"), {}, now);
+        f.fleet.noteWorkersRead(now - it.readAgo);
+        f.fleet.noteTermRenewed(now - it.renewedAgo, now + 12s);
+        if (it.delayedAgo) {
+            f.fleet.noteDelayed(now - *it.delayedAgo);
+        }
+        f.submit(7, plainStep(), now);
+        const auto orders = f.fleet.plan(now, Wall);
+        ASSERT_EQ(orders.starts.size(), it.starts);
+        if (it.starts > 0 && it.isDeadlineBounded) {
+            const auto lastStart = toMilliseconds(now - it.readAgo + 2500ms - Start) + 1000;
+            EXPECT_LE(orders.starts.front().deadline, lastStart);
+        }
+        EXPECT_EQ(f.log.contains("starts-suspended"), it.starts == 0);
+    }
+}
+
 } // namespace monsoonspool::execution
