A roster row whose last write got no reply is written again

What callers would have seen: a task that runs twice after a change of leader. A worker that was removed from the platform's list and came back while the roster's write of its removal had no reply equalled the row that the leader last knew, so nothing was written, and the worker counted as listed and got tasks. The store could then carry out the late removal: a successor would not have waited for that worker.

Cause: RosterWriter compared what it wanted with the last row that it knew, also when a write on its way could still change the row. Rows of a write without a reply are now uncertain and written again; that raises the row's version, so the late write no longer applies.

Test: ExecutionLoop.ALateRosterWriteRemovesNoWorkerThatIsBack.

--- a/src/execution/rosterwriter.cpp
+++ b/src/execution/rosterwriter.cpp
@@ -2,6 +2,7 @@
 
 #include "execution/rowlayout.h"
 
+#include <algorithm>
 #include <array>
 #include <string>
 
@@ -19,6 +20,7 @@
 {
     std::uint64_t version = 0;
     std::string value;
+    bool isUncertain = false; // a write got no reply and may be carried out late
 };
 
 } // namespace
@@ -38,10 +40,20 @@
                 auto &bucket = buckets[static_cast<std::size_t>(n)];
                 bucket.version = row.isRemoved ? 0 : row.version;
                 bucket.value = row.value;
+                bucket.isUncertain = false;
             }
         }
     }
 
+    void markUncertain(std::span<const ports::RowValue> writes)
+    {
+        for (int n = 0; n < RosterBuckets; ++n) {
+            auto &bucket = buckets[static_cast<std::size_t>(n)];
+            const auto name = rosterRow(n);
+            bucket.isUncertain |= std::ranges::any_of(writes, [&](const auto &it) { return it.name == name; });
+        }
+    }
+
     void schedule(Duration delay)
     {
         if (isScheduled || isStoring) {
@@ -69,7 +81,7 @@
             auto &entries = wanted[static_cast<std::size_t>(n)];
             const auto &bucket = buckets[static_cast<std::size_t>(n)];
             auto value = entries.empty() ? std::string() : codec.encode(entries);
-            if (value != bucket.value) {
+            if (value != bucket.value || bucket.isUncertain) {
                 commit.conditions.push_back({rosterRow(n), bucket.version});
                 commit.writes.push_back({rosterRow(n), std::move(value)});
             }
@@ -109,6 +121,8 @@
             for (const auto &it : result.value().current) {
                 applyRow(it);
             }
+        } else {
+            markUncertain(writes);
         }
         log.record(
             "roster-unstored",
--- a/tests/execution/executionlooptest.cpp
+++ b/tests/execution/executionlooptest.cpp
@@ -1,3 +1,4 @@
+#include "execution/rosterwriter.h"
 #include "execution/testcluster.h"
 
 #include <gtest/gtest.h>
@@ -174,6 +175,49 @@
     }
 }
 
+// Guards against starts on a worker that a late write removes from the roster: the write got no
+// reply, and the worker was listed again before the store carried it out.
+TEST(ExecutionLoop, ALateRosterWriteRemovesNoWorkerThatIsBack)
+{
+    VirtualScheduler scheduler;
+    SharedRows rows;
+    HostFaults faults(1);
+    MemoryChangeStore store(rows, scheduler, faults);
+    codec::CborJobs codec;
+    NullLog log;
+    Fleet fleet(log);
+    const auto claim = rows.apply({{}, {{rosterOwnerRow(), {}}}, {}}).version;
+    fleet.beginTerm({1}, claim, {}, scheduler.now(), scheduler.now());
+    RosterWriter writer(store, scheduler, codec, fleet, log, claim, {}, [] {});
+    WorkerEntry entry;
+    entry.id = WorkerId("w0");
+    entry.service = Service;
+    entry.capacity = {16000, 32000, 0};
+    entry.startTimeMs = 1;
+    const auto listAndStore = [&] {
+        fleet.updateWorker(entry, scheduler.now());
+        fleet.applyListing(entry.id, {1000, 1, {}, {}}, scheduler.now(), scheduler.now());
+        writer.requestWrite();
+        scheduler.runFor(1s);
+    };
+    listAndStore();
+    const auto row = rosterRow(rosterBucketOf(entry.id));
+    const auto version = rows.rows.at(row).version;
+    faults.rule = [](std::string_view, TimePoint) { return std::optional(Fault{2ms, true, false}); };
+    fleet.removeWorker(entry.id, scheduler.now());
+    writer.requestWrite();
+    scheduler.runFor(100ms);
+    faults.rule = {};
+    listAndStore();
+    AcceptedJob job;
+    job.key = {7};
+    job.policy.service = Service;
+    job.spec.steps.resize(1);
+    fleet.addJob(job, scheduler.now(), {});
+    EXPECT_EQ(fleet.plan(scheduler.now(), {}).starts.size(), 1U);
+    EXPECT_FALSE(rows.apply({{{row, version}}, {{row, {}}}, {}}).isApplied) << "the write that got no reply";
+}
+
 // The learned interference model survives a change of leader.
 TEST(ExecutionLoop, ANewLeaderRestoresTheInterferenceModel)
 {
