Random takeovers with workers that announce their departure

RandomTakeover drained no worker. DrainingWorkersRunNoTaskTwice adds departures to the faults of a seed: the worker stays, is cut off with its runs, or leaves and starts again. The faults that the other tests draw from their seeds stay the same.

--- a/tests/execution/randomtakeovertest.cpp
+++ b/tests/execution/randomtakeovertest.cpp
@@ -133,9 +133,14 @@
     }
 }
 
-void check(std::uint32_t seed)
+void check(std::uint32_t seed, bool hasDepartures = false)
 {
-    const auto faults = drawFaults(seed, FaultTime);
+    auto faults = drawFaults(seed, FaultTime);
+    if (hasDepartures) {
+        const auto departures = drawDepartures(seed + 3, FaultTime);
+        faults.insert(faults.end(), departures.begin(), departures.end());
+        std::ranges::stable_sort(faults, {}, &ClusterFault::at);
+    }
     const auto verdict = play(seed, faults, false);
     if (!verdict.text().empty()) {
         report(seed, verdict, faults);
@@ -171,6 +176,15 @@
     }
 }
 
+// The same with workers that announce their departure, and stay, leave or are cut off.
+TEST(RandomTakeover, DrainingWorkersRunNoTaskTwice)
+{
+    const auto seeds = seedsToPlay();
+    for (auto seed = seeds ? seeds->first : 1; seed <= (seeds ? seeds->last : 3); ++seed) {
+        check(seed, true);
+    }
+}
+
 // Orders that cross a restart of a worker: a renewal acknowledges ends of the new process with
 // a number of the former one, or the new process carries out a start meant for the former one.
 TEST(RandomTakeover, OrdersThatCrossARestartRunNoTaskTwice)
--- a/tests/execution/takeoverfaults.h
+++ b/tests/execution/takeoverfaults.h
@@ -22,15 +22,16 @@
     WorkersDisconnected, // from all hosts
     WorkersUnlisted, // while they run
     HistoryDropped,
+    WorkersDrain, // drawn by drawDepartures() only
     Count,
 };
 
 inline std::string_view faultName(FaultKind kind)
 {
     constexpr std::array<std::string_view, static_cast<std::size_t>(FaultKind::Count)> names
-        = {"host killed",          "host frozen",      "host slow",      "renewals fail",
-           "store calls fail",     "workers cut",      "orders late",    "worker crashed",
-           "workers disconnected", "workers unlisted", "history dropped"};
+        = {"host killed",          "host frozen",      "host slow",       "renewals fail",
+           "store calls fail",     "workers cut",      "orders late",     "worker crashed",
+           "workers disconnected", "workers unlisted", "history dropped", "workers drain"};
     return names[static_cast<std::size_t>(kind)];
 }
 
@@ -114,6 +115,10 @@
         fault.length = random.duration(300ms, 5s);
         fault.workers = mask() & mask();
         break;
+    case FaultKind::WorkersDrain:
+        fault.length = random.duration(50ms, 6s);
+        fault.workers = mask() & mask();
+        break;
     default:
         break;
     }
@@ -133,7 +138,7 @@
         main.hitsLeader = true;
         faults.push_back(main);
         for (int n = random.below(5); n > 0; --n) {
-            const auto kind = static_cast<FaultKind>(random.below(static_cast<int>(FaultKind::Count)));
+            const auto kind = static_cast<FaultKind>(random.below(static_cast<int>(FaultKind::WorkersDrain)));
             faults.push_back(drawFault(kind, at + random.duration(-1s, 5s), random));
         }
     }
@@ -141,6 +146,17 @@
     return faults;
 }
 
+// Draws workers that announce their departure.
+inline std::vector<ClusterFault> drawDepartures(std::uint32_t seed, Duration length)
+{
+    Random random(seed);
+    std::vector<ClusterFault> faults;
+    for (Duration at = random.duration(0s, 2s); at < length; at += random.duration(500ms, 3s)) {
+        faults.push_back(drawFault(FaultKind::WorkersDrain, at, random));
+    }
+    return faults;
+}
+
 // Applies faults to a cluster and undoes each after its time.
 class FaultInjector
 {
@@ -218,6 +234,13 @@
                 }
             }
             break;
+        case FaultKind::WorkersDrain:
+            for (int w = 0; w < static_cast<int>(m_cluster.workerIds.size()); ++w) {
+                if ((fault.workers >> (static_cast<unsigned>(w) % 32U) & 1U) != 0) {
+                    drain(w, fault.length, random);
+                }
+            }
+            break;
         default:
             m_cluster.rows.dropHistory();
             break;
@@ -235,6 +258,33 @@
         m_cluster.unlistWorker(worker);
         after(length, [this, worker] { m_cluster.listWorker(worker); });
     }
+    // A draining worker goes on as if it had announced nothing, is cut off with its runs, or leaves
+    // and starts again.
+    void drain(int worker, Duration length, Random &random)
+    {
+        m_cluster.listWorker(worker, "draining");
+        const auto back = random.duration(100ms, 9s);
+        switch (random.below(3)) {
+        case 0:
+            after(length, [this, worker] { m_cluster.listWorker(worker); });
+            break;
+        case 1:
+            after(length, [this, worker, back, isUnlisted = random.chance(0.5)] {
+                disconnect(worker, back);
+                if (isUnlisted) {
+                    m_cluster.unlistWorker(worker);
+                }
+            });
+            after(length + back + 10ms, [this, worker] { m_cluster.listWorker(worker); });
+            break;
+        default:
+            after(length, [this, worker, seed = random.below(1 << 30), back] {
+                Random crashRandom(static_cast<std::uint32_t>(seed));
+                crashWorker(worker, back, crashRandom);
+            });
+            break;
+        }
+    }
     // The worker's row disappears after three heartbeats and is written again after its restart.
     void crashWorker(int worker, Duration downTime, Random &random)
     {
