--- a/src/execution/rosterwriter.cpp
+++ b/src/execution/rosterwriter.cpp
@@ -2,6 +2,7 @@
 
 #include "execution/rowlayout.h"
 
+#include <algorithm>
 #include <array>
 #include <string>
 
@@ -19,6 +20,7 @@
 {
     std::uint64_t version = 0;
     std::string value;
+    bool isUncertain = false; // a write got no reply and may be carried out late
 };
 
 } // namespace
@@ -38,10 +40,20 @@
                 auto &bucket = buckets[static_cast<std::size_t>(n)];
                 bucket.version = row.isRemoved ? 0 : row.version;
                 bucket.value = row.value;
+                bucket.isUncertain = false;
             }
         }
     }
 
+    void markUncertain(std::span<const ports::RowValue> writes)
+    {
+        for (int n = 0; n < RosterBuckets; ++n) {
+            auto &bucket = buckets[static_cast<std::size_t>(n)];
+            const auto name = rosterRow(n);
+            bucket.isUncertain |= std::ranges::any_of(writes, [&](const auto &it) { return it.name == name; });
+        }
+    }
+
     void schedule(Duration delay)
     {
         if (isScheduled || isStoring) {
@@ -58,18 +70,18 @@
 
     void write()
     {
-        std::array<std::vector<ports::WorkerEntry>, RosterBuckets> wanted;
-        for (auto &it : fleet.roster()) {
-            wanted[static_cast<std::size_t>(rosterBucketOf(it.id))].push_back(std::move(it));
+        std::array<std::vector<RosterEntry>, RosterBuckets> wanted;
+        for (auto &it : fleet.takeRoster()) {
+            wanted[static_cast<std::size_t>(rosterBucketOf(it.worker.id))].push_back(std::move(it));
         }
         ports::Commit commit;
         commit.conditions.push_back({rosterOwnerRow(), claimVersion});
-        std::vector<ports::WorkerEntry> written;
+        std::vector<RosterEntry> written;
         for (int n = 0; n < RosterBuckets; ++n) {
             auto &entries = wanted[static_cast<std::size_t>(n)];
             const auto &bucket = buckets[static_cast<std::size_t>(n)];
             auto value = entries.empty() ? std::string() : codec.encode(entries);
-            if (value != bucket.value) {
+            if (value != bucket.value || bucket.isUncertain) {
                 commit.conditions.push_back({rosterRow(n), bucket.version});
                 commit.writes.push_back({rosterRow(n), std::move(value)});
             }
@@ -91,7 +103,7 @@
                      });
     }
 
-    void onWritten(std::span<const ports::WorkerEntry> written, std::span<const ports::RowValue> writes,
+    void onWritten(std::span<const RosterEntry> written, std::span<const ports::RowValue> writes,
                    const ports::AsyncResult<ports::CommitResult> &result)
     {
         if (result.isOk() && result.value().isApplied) {
@@ -109,6 +121,8 @@
             for (const auto &it : result.value().current) {
                 applyRow(it);
             }
+        } else {
+            markUncertain(writes);
         }
         log.record(
             "roster-unstored",
@@ -154,9 +168,9 @@
     d->isClosed = true;
 }
 
-std::vector<ports::WorkerEntry> RosterWriter::entries() const
+std::vector<RosterEntry> RosterWriter::entries() const
 {
-    std::vector<ports::WorkerEntry> entries;
+    std::vector<RosterEntry> entries;
     for (const auto &bucket : d->buckets) {
         if (bucket.value.empty()) {
             continue;
@@ -165,7 +179,7 @@
             = handleFailure([&] { return d->codec.decodeRoster(bucket.value); },
                             [&](const Failure &failure) {
                                 d->log.record("row-unreadable", {{"key", RosterTable}, {"detail", failure.detail}});
-                                return std::vector<ports::WorkerEntry>();
+                                return std::vector<RosterEntry>();
                             });
         entries.insert(entries.end(), part.begin(), part.end());
     }
