Log which runs a worker's crash ended, also if its next process has another identifier

The leader noticed that a worker was silent and that its lease expired, but not whether its process had crashed.

The runs that a worker had confirmed are kept when its lease expires (60 s, 1000 processes at most). A worker that was cut off and answers with its process, one that never returns, and one that had announced that it leaves count nothing.

Changes no decision.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -55,6 +55,7 @@
     d->workers.clear();
     d->changedJobs.clear();
     d->unreportedWorkers.clear();
+    d->lostRuns.clear();
     d->isRosterChanged = false;
     for (const auto &it : roster) {
         auto &worker = d->addWorker(it);
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -76,6 +76,7 @@
         return;
     }
     const auto startTimeMs = listing.startTimeMs != 0 ? listing.startTimeMs : worker->entry().startTimeMs;
+    d->chargeCrash(id, d->lostRuns.take({id, worker->entry().address, startTimeMs}), now);
     // Renewals of a worker are sent one after another, so that another start time is that of a
     // later process, also if its time of day is behind.
     if (worker->startTimeMs() != 0 && startTimeMs != worker->startTimeMs()) {
@@ -419,6 +420,7 @@
     if (!tasks.empty()) {
         log.record("worker-lost", {{"worker", worker.entry().id.view()}, {"runs", tasks.size()}, {"reason", reason}});
     }
+    keepLostRuns(worker, now);
     for (const auto &it : tasks) {
         endRun(worker, it, jobs::RunEnd::Lapsed, {}, now);
     }
@@ -434,6 +436,9 @@
                 {"startMs", startTimeMs},
                 {"acknowledgedEnd", worker.acknowledgedEnd()},
                 {"runs", worker.runCount()}});
+    if (!worker.hasAnnouncedLeaving()) {
+        chargeCrash(worker.entry().id, worker.confirmedRuns(now), now);
+    }
     // The new process may have accepted any run whose order it can have received, and may still
     // carry out an order without an answer. Its listing tells, and a stop that it confirms.
     std::vector<workers::Run> runs(worker.runs().begin(), worker.runs().end());
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -6,12 +6,14 @@
 #include "scheduling/interferencemodel.h"
 #include "scheduling/waitingorder.h"
 #include "scheduling/workerchooser.h"
+#include "workers/lostruns.h"
 #include "workers/worker.h"
 
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -60,8 +62,8 @@
     Resources needs;
 };
 
-// State of Fleet, shared by its event handling (fleetlistings.cpp) and planning
-// (fleetplan.cpp).
+// State of Fleet, shared by its event handling (fleetlistings.cpp, fleetcrashes.cpp) and
+// planning (fleetplan.cpp).
 struct Fleet::Private
 {
     explicit Private(DecisionLog &decisionLog);
@@ -86,6 +88,11 @@
     void expireRuns(workers::Worker &worker, TimePoint now, std::string_view reason);
     // Prepares a worker for the first listing of a new process, which resolves its runs.
     void handleRestart(workers::Worker &worker, std::int64_t startTimeMs, ports::WorkerMillis clock, TimePoint now);
+    // Charges the crash of a worker to the runs that were lost with it.
+    void chargeCrash(const WorkerId &worker, std::span<const workers::LostRun> runs, TimePoint now);
+    // Called when a worker's lease has expired. Its crash is charged once a process has answered
+    // in its place.
+    void keepLostRuns(const workers::Worker &worker, TimePoint now);
     void markBegun(jobs::JobKey key);
     void dropIfFinished(jobs::JobKey key);
     void markReported(const WorkerId &id, TimePoint now);
@@ -145,6 +152,7 @@
     std::map<jobs::JobKey, std::vector<HeldEnd>> heldEnds;
     std::map<WorkerId, std::unique_ptr<workers::Worker>> workersById;
     std::vector<workers::Worker *> workers; // the values of workersById, ordered by identifier
+    workers::LostRuns lostRuns;
     std::set<jobs::JobKey> changedJobs;
     bool isRosterChanged = false;
     jobs::RunTimeEstimator estimator;
--- /dev/null
+++ b/src/workers/lostruns.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "common/identifiers.h"
+#include "common/time.h"
+#include "jobs/taskid.h"
+#include "ports/workerlink.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace monsoonspool::workers {
+
+// A run that a worker had confirmed and that ended without a listed end.
+struct LostRun
+{
+    jobs::TaskId task;
+    jobs::RunNumber number = 0;
+    Duration ranFor{0}; // from its start until the worker was heard last
+};
+
+// A process of a worker. The next one on its machine may have another identifier.
+struct Process
+{
+    WorkerId worker;
+    ports::Address address;
+    std::int64_t startTimeMs = 0;
+
+    // Returns whether `later` has answered in place of this process, which has ended then.
+    bool isReplacedBy(const Process &later) const;
+};
+
+// The runs of workers whose leases have expired, kept until a process answers in their place.
+// Only that shows that the former process crashed: a worker that was cut off answers with the
+// process that it had, and a worker that is gone never answers.
+//
+// The number of processes and the time that their runs are kept are bounded. What is forgotten
+// counts as no crash.
+//
+// Not thread-safe: owned by the control thread.
+class LostRuns
+{
+public:
+    // Keeps the runs that were lost with `process`.
+    void remember(const Process &process, std::vector<LostRun> runs, TimePoint now);
+    // Called when `process` answers. Returns the runs that were lost with the process that it
+    // replaces, and forgets them and those that were lost with `process` itself.
+    std::vector<LostRun> take(const Process &process);
+    void clear();
+
+private:
+    struct LostProcess
+    {
+        Process process;
+        TimePoint lostAt;
+        std::vector<LostRun> runs;
+    };
+
+    static constexpr Duration RetentionTime = 60s;
+    static constexpr std::size_t MaxProcesses = 1000;
+
+    std::vector<LostProcess> m_processes;
+};
+
+} // namespace monsoonspool::workers
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -21,13 +21,17 @@
 
 } // namespace
 
-Worker::Worker(ports::WorkerEntry entry) : m_entry(std::move(entry))
+Worker::Worker(ports::WorkerEntry entry)
+    : m_entry(std::move(entry)), m_leavingStartTimeMs(m_entry.isDraining ? m_entry.startTimeMs : 0)
 {
 }
 
 void Worker::setEntry(ports::WorkerEntry entry)
 {
     m_entry = std::move(entry);
+    if (m_entry.isDraining) {
+        m_leavingStartTimeMs = m_entry.startTimeMs;
+    }
 }
 
 void Worker::restart(std::int64_t startTimeMs, ports::WorkerMillis clock)
@@ -185,11 +189,25 @@
     m_hasNewListing = true;
 }
 
-void Worker::noteSilence(TimePoint)
+void Worker::noteSilence(TimePoint now)
 {
+    if (!m_isSilent) {
+        m_silentSince = now;
+    }
     m_isSilent = true;
 }
 
+std::vector<LostRun> Worker::confirmedRuns(TimePoint now) const
+{
+    std::vector<LostRun> confirmed;
+    for (const auto &it : m_runs) {
+        if (it.answeredAt != TimePoint()) {
+            confirmed.push_back({it.task, it.number, std::max(heardUntil(now) - it.answeredAt, Duration(0))});
+        }
+    }
+    return confirmed;
+}
+
 void Worker::acknowledge(std::int64_t number)
 {
     m_acknowledgedEnd = std::max(m_acknowledgedEnd, number);
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -4,6 +4,7 @@
 #include "ports/workerlink.h"
 #include "scheduling/interferencemodel.h"
 #include "scheduling/paceregulator.h"
+#include "workers/lostruns.h"
 #include "workers/workerclock.h"
 
 #include <bitset>
@@ -236,6 +237,23 @@
     {
         return m_isSilent;
     }
+    // Returns when the worker stopped answering; `now` if it answers.
+    TimePoint heardUntil(TimePoint now) const
+    {
+        return m_isSilent ? m_silentSince : now;
+    }
+    // Returns whether the process whose listing was received last has announced that it leaves.
+    bool hasAnnouncedLeaving() const
+    {
+        return m_startTimeMs != 0 && m_leavingStartTimeMs == m_startTimeMs;
+    }
+    // Returns the process whose listing was received last.
+    Process process() const
+    {
+        return {m_entry.id, m_entry.address, m_startTimeMs};
+    }
+    // Returns the runs that the worker's process had confirmed.
+    std::vector<LostRun> confirmedRuns(TimePoint now) const;
 
     // Numbers of the last end that was processed and of the last one that the worker need
     // not list again.
@@ -285,6 +303,7 @@
 
     ports::WorkerEntry m_entry;
     std::int64_t m_startTimeMs = 0;
+    std::int64_t m_leavingStartTimeMs = 0; // of the last process that announced that it leaves
     WorkerClock m_clock;
     std::vector<Run> m_runs;
     Resources m_reserved; // by runs with cores of their own
@@ -295,6 +314,7 @@
     std::int64_t m_acknowledgedEnd = 0;
     std::set<std::int64_t> m_heldEnds;
     TimePoint m_observedAt;
+    TimePoint m_silentSince;
     TimePoint m_unschedulableUntil;
     std::optional<TimePoint> m_awaitsTermRenewalSince;
     TimePoint m_lastFailureAt;
