Fail a job after three workers have crashed under one of its tasks

Cause: a run that is lost with its worker ends as Lapsed (or Stopped, if the worker is back before its lease expires), which counts as no attempt, and no other limit covered it. Class: a retry without a budget.

Its worker ends 10 ms after each start; worker-silent at once, worker-unlisted after 3.5 s, worker-lost after 6.5 s; the tasks beside it then start again, several of them together with it.

Job counts crashes by run, apart from failed attempts, and fails after the third; the counts are an optional third field of a step's stored progress, merged like failed runs. A cut worker that answers with its process, one that never returns, and one that had announced that it leaves charge nothing. A worker's crash before a change of leader that the new leader did not see is not counted: at most one for each task and change; the platform allows two more starts after three crashes.

The tasks beside the cause: one with a crash starts only where no suspect of another step runs, and preferably where few tasks run, so that the next crash separates them; beside one with two crashes nothing else starts. A run is suspect for 10 s, so that nothing waits without bound and no gang is blocked; the members of a gang count as one. Lasting tasks: only crashes within 10 s of a start count, and a longer run clears them.

job-over has the cause.

No existing test was changed but for the members that TaskProfile and the task models got.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -85,6 +85,24 @@
     return step;
 }
 
+Json encodeRunsByTask(const std::map<int, std::vector<jobs::RunNumber>> &runsByTask)
+{
+    Json json = Json::array();
+    for (const auto &[index, runs] : runsByTask) {
+        json.push_back(Json::array({index, runs}));
+    }
+    return json;
+}
+
+std::map<int, std::vector<jobs::RunNumber>> decodeRunsByTask(const Json &json)
+{
+    std::map<int, std::vector<jobs::RunNumber>> runsByTask;
+    for (const auto &it : json) {
+        runsByTask[it.at(0).get<int>()] = it.at(1).get<std::vector<jobs::RunNumber>>();
+    }
+    return runsByTask;
+}
+
 Json encodePolicy(const jobs::QueuePolicy &policy)
 {
     Json json = {{"queue", policy.queue},       {"service", policy.service.text()},
@@ -160,11 +178,11 @@
     for (const auto &steps : progress.occurrences) {
         Json encoded = Json::array();
         for (const auto &it : steps) {
-            Json failed = Json::array();
-            for (const auto &[index, runs] : it.failedRuns) {
-                failed.push_back(Json::array({index, runs}));
+            Json step = Json::array({it.tasks, encodeRunsByTask(it.failedRuns)});
+            if (!it.crashedRuns.empty()) {
+                step.push_back(encodeRunsByTask(it.crashedRuns));
             }
-            encoded.push_back(Json::array({it.tasks, std::move(failed)}));
+            encoded.push_back(std::move(step));
         }
         json["occurrences"].push_back(std::move(encoded));
     }
@@ -181,8 +199,9 @@
             for (const auto &it : steps) {
                 auto &step = decoded.emplace_back();
                 step.tasks = it.at(0).get<std::string>();
-                for (const auto &failed : it.at(1)) {
-                    step.failedRuns[failed.at(0).get<int>()] = failed.at(1).get<std::vector<jobs::RunNumber>>();
+                step.failedRuns = decodeRunsByTask(it.at(1));
+                if (it.size() > 2) {
+                    step.crashedRuns = decodeRunsByTask(it.at(2));
                 }
             }
         }
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -194,6 +194,8 @@
     if (job->job.state() == progress.state && jobs::isFinal(progress.state)) {
         job->isFinalStateStored = true;
         d->dropIfFinished(key);
+    } else if (!job->job.isOpen() && !job->isFinalStateStored) {
+        d->changedJobs.insert(key); // the merged crashes failed the job
     }
 }
 
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -52,7 +52,7 @@
     std::uint64_t endsOfUnknownJobs = 0; // listed by workers before this leader had read the job's row
     std::uint64_t duplicateRuns = 0; // of tasks that were done or active elsewhere when a worker listed the run
     std::uint64_t workerRestarts = 0; // of workers known to this leader
-    std::uint64_t workerCrashes = 0; // of workers that had confirmed runs and had not announced that they leave
+    std::uint64_t workerCrashes = 0; // of workers that had runs and had not announced that they leave
     std::uint64_t crashedRuns = 0; // lost in these crashes
     std::uint64_t progressConflicts = 0; // progress rows that somebody else had changed
     std::uint64_t foreignDoneTasks = 0; // tasks that such a row showed as done and this leader took as open
--- a/src/execution/fleetcrashes.cpp
+++ b/src/execution/fleetcrashes.cpp
@@ -6,7 +6,7 @@
 
 namespace monsoonspool::execution {
 
-void Fleet::Private::chargeCrash(const WorkerId &worker, std::span<const workers::LostRun> runs, TimePoint)
+void Fleet::Private::chargeCrash(const WorkerId &worker, std::span<const workers::LostRun> runs, TimePoint now)
 {
     if (runs.empty()) {
         return;
@@ -14,12 +14,22 @@
     ++counts.workerCrashes;
     counts.crashedRuns += runs.size();
     for (const auto &it : runs) {
+        auto *job = findJob(it.task.job);
+        const bool isKnown = job != nullptr && job->job.contains(it.task);
+        const bool wasOpen = isKnown && job->job.isOpen();
+        if (isKnown && job->job.noteWorkerCrash(it.task, it.number, it.ranFor)) {
+            changedJobs.insert(it.task.job);
+        }
         log.record("run-crashed",
                    {{"task", jobs::taskName(it.task)},
                     {"run", it.number},
                     {"worker", worker.view()},
                     {"ranForMs", toMilliseconds(it.ranFor)},
-                    {"besides", runs.size() - 1}});
+                    {"besides", runs.size() - 1},
+                    {"crashes", isKnown ? job->job.crashCount(it.task) : 0}});
+        if (isKnown) {
+            recordIfOver(*job, wasOpen, "worker crashes", now);
+        }
     }
 }
 
@@ -33,9 +43,22 @@
         return it != &worker && it->isConfirmed() && process.isReplacedBy(it->process());
     });
     if (isReplaced) {
-        chargeCrash(process.worker, worker.confirmedRuns(now), now);
+        chargeCrash(process.worker, worker.possibleRuns(now), now);
     } else {
-        lostRuns.remember(process, worker.confirmedRuns(now), now);
+        lostRuns.remember(process, worker.possibleRuns(now), now);
+    }
+}
+
+void Fleet::Private::noteHealthyRuns(workers::Worker &worker, TimePoint now)
+{
+    for (const auto &run : worker.runs()) {
+        if (run.crashCount == 0 || run.state != workers::RunState::Running) {
+            continue;
+        }
+        auto *job = findJob(run.task.job);
+        if (job != nullptr && job->job.noteHealthyRun(run.task, now - run.answeredAt)) {
+            changedJobs.insert(run.task.job);
+        }
     }
 }
 
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -89,6 +89,7 @@
     if (!listing.isTruncated) {
         d->resolveUnlistedRuns(*worker, listing, sentAt, now);
     }
+    d->noteHealthyRuns(*worker, now);
     d->observeInterference(*worker, now);
     if (listing.isTruncated) {
         return; // any other run of this worker may have ended as well
@@ -200,13 +201,19 @@
     if (job->job.noteRunEnd(task, run, how, checkpoint, policyOf(*job).maxAttempts, now)) {
         changedJobs.insert(task.job);
     }
-    if (wasOpen && !job->job.isOpen()) {
+    recordIfOver(*job, wasOpen, how == jobs::RunEnd::Failed ? "failed attempts" : "tasks done", now);
+    dropIfFinished(task.job);
+}
+
+void Fleet::Private::recordIfOver(const TrackedJob &job, bool wasOpen, std::string_view cause, TimePoint now)
+{
+    if (wasOpen && !job.job.isOpen()) {
         log.record("job-over",
-                   {{"job", jobs::jobName(task.job)},
-                    {"state", jobs::jobStateName(job->job.state())},
-                    {"ageMs", toMilliseconds(now - job->job.acceptedAt())}});
+                   {{"job", jobs::jobName(job.job.key())},
+                    {"state", jobs::jobStateName(job.job.state())},
+                    {"cause", cause},
+                    {"ageMs", toMilliseconds(now - job.job.acceptedAt())}});
     }
-    dropIfFinished(task.job);
 }
 
 void Fleet::Private::applyHeldEnds(jobs::JobKey key, TimePoint now)
@@ -321,6 +328,7 @@
             const auto &task = job->job.task(listed.task);
             isWanted = isWanted && !task.isDone && (task.activeRuns == 0 || spec.maySpeculate || spec.isGang);
         }
+        run.crashCount = job->job.crashCount(listed.task);
         job->job.noteRunOrdered(listed.task, listed.run);
         job->job.noteRunStarted();
         if (!listed.checkpoint.empty()) {
@@ -437,7 +445,7 @@
                 {"acknowledgedEnd", worker.acknowledgedEnd()},
                 {"runs", worker.runCount()}});
     if (!worker.hasAnnouncedLeaving()) {
-        chargeCrash(worker.entry().id, worker.confirmedRuns(now), now);
+        chargeCrash(worker.entry().id, worker.possibleRuns(now), now);
     }
     // The new process may have accepted any run whose order it can have received, and may still
     // carry out an order without an answer. Its listing tells, and a stop that it confirms.
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -404,6 +404,7 @@
     demand.image = image;
     demand.service = policyOf(job).service.view();
     demand.preferredRack = preferredRack;
+    demand.crashCount = job.job.crashCount(task);
     demand.interference = usesInterference ? &interference : nullptr;
     demand.interferenceFreeCapacity = &interferenceFreeCapacity;
     if (const auto it = job.avoidedWorkers.find(task); it != job.avoidedWorkers.end()) {
@@ -422,7 +423,7 @@
         return nullptr;
     }
     auto *worker = workerChooser->choose(demand, workers, now);
-    const bool isUnconstrained = spec.requiredLabel.empty() && spec.maxPerWorker == 0;
+    const bool isUnconstrained = spec.requiredLabel.empty() && spec.maxPerWorker == 0 && demand.crashCount == 0;
     if (worker == nullptr && isUnconstrained) {
         // Only the smallest demands that failed are kept, since they rule out larger ones.
         std::erase_if(unplaceableDemands,
@@ -448,6 +449,7 @@
     run.orderedAt = now;
     run.progressedAt = now;
     run.startDeadline = worker.startDeadline(now, termEnd);
+    run.crashCount = job.job.crashCount(task);
     worker.add(run);
     ++job.activeRuns;
     const auto checkpoint = job.job.task(task).checkpoint;
@@ -479,6 +481,9 @@
             continue;
         }
         auto *worker = chooseWorker(job, id, {}, now);
+        if (worker == nullptr && job.job.crashCount(id) > 0) {
+            continue; // waits for a worker of its own, which the others need not
+        }
         if (worker == nullptr) {
             return;
         }
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -88,11 +88,14 @@
     void expireRuns(workers::Worker &worker, TimePoint now, std::string_view reason);
     // Prepares a worker for the first listing of a new process, which resolves its runs.
     void handleRestart(workers::Worker &worker, std::int64_t startTimeMs, ports::WorkerMillis clock, TimePoint now);
-    // Charges the crash of a worker to the runs that were lost with it.
+    // Charges the crash of a worker to the tasks whose runs were lost with it.
     void chargeCrash(const WorkerId &worker, std::span<const workers::LostRun> runs, TimePoint now);
     // Called when a worker's lease has expired. Its crash is charged once a process has answered
     // in its place.
     void keepLostRuns(const workers::Worker &worker, TimePoint now);
+    // Records which runs have been at work for long since the last crashes under their tasks.
+    void noteHealthyRuns(workers::Worker &worker, TimePoint now);
+    void recordIfOver(const TrackedJob &job, bool wasOpen, std::string_view cause, TimePoint now);
     void markBegun(jobs::JobKey key);
     void dropIfFinished(jobs::JobKey key);
     void markReported(const WorkerId &id, TimePoint now);
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -212,6 +212,51 @@
     return false;
 }
 
+std::vector<RunNumber> &Job::crashedRuns(const TaskId &id)
+{
+    return stepSpec(id.step).isGang ? mutableStep(id.occurrence, id.step).crashedRuns : mutableTask(id).crashedRuns;
+}
+
+int Job::crashCount(const TaskId &id) const
+{
+    if (id.occurrence >= static_cast<int>(m_occurrences.size())) {
+        return 0;
+    }
+    const auto &crashed = stepSpec(id.step).isGang ? step(id.occurrence, id.step).crashedRuns : task(id).crashedRuns;
+    return static_cast<int>(crashed.size());
+}
+
+void Job::failAfterCrashes(std::span<const RunNumber> crashedRuns, bool isDone)
+{
+    if (static_cast<int>(crashedRuns.size()) >= MaxWorkerCrashes && !isDone && isOpen()) {
+        m_state = JobState::Failed;
+    }
+}
+
+bool Job::noteWorkerCrash(const TaskId &id, RunNumber run, Duration ranFor)
+{
+    if (!isOpen() || mutableTask(id).isDone || (stepSpec(id.step).isLasting && ranFor > LastingTrialTime)) {
+        return false;
+    }
+    auto &crashed = crashedRuns(id);
+    if (std::ranges::find(crashed, run) != crashed.end()) {
+        return false;
+    }
+    crashed.push_back(run);
+    failAfterCrashes(crashed, false);
+    return true;
+}
+
+bool Job::noteHealthyRun(const TaskId &id, Duration ranFor)
+{
+    auto &crashed = crashedRuns(id);
+    if (!stepSpec(id.step).isLasting || ranFor <= LastingTrialTime || crashed.empty()) {
+        return false;
+    }
+    crashed.clear();
+    return true;
+}
+
 void Job::noteCheckpoint(const TaskId &id, std::string_view checkpoint)
 {
     if (!stepSpec(id.step).isGang) {
@@ -242,11 +287,17 @@
             if (!step.failedRuns.empty()) {
                 stored.failedRuns[StepProgress::GangIndex] = step.failedRuns;
             }
+            if (!step.crashedRuns.empty()) {
+                stored.crashedRuns[StepProgress::GangIndex] = step.crashedRuns;
+            }
             for (std::size_t n = 0; n < step.tasks.size(); ++n) {
                 stored.tasks += step.tasks[n].isDone ? StepProgress::DoneMark : StepProgress::OpenMark;
                 if (!step.tasks[n].failedRuns.empty()) {
                     stored.failedRuns[static_cast<int>(n)] = step.tasks[n].failedRuns;
                 }
+                if (!step.tasks[n].crashedRuns.empty()) {
+                    stored.crashedRuns[static_cast<int>(n)] = step.tasks[n].crashedRuns;
+                }
             }
         }
     }
@@ -281,6 +332,16 @@
             mergeRuns(own.tasks[static_cast<std::size_t>(index)].failedRuns, runs);
         }
     }
+    for (const auto &[index, runs] : stored.crashedRuns) {
+        if (index == StepProgress::GangIndex) {
+            mergeRuns(own.crashedRuns, runs);
+            failAfterCrashes(own.crashedRuns, own.isDone());
+        } else if (index >= 0 && index < static_cast<int>(own.tasks.size())) {
+            auto &task = own.tasks[static_cast<std::size_t>(index)];
+            mergeRuns(task.crashedRuns, runs);
+            failAfterCrashes(task.crashedRuns, task.isDone);
+        }
+    }
 }
 
 void Job::restore(const JobProgress &progress)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -17,7 +17,7 @@
     Queued, // accepted, no task has started
     Running,
     Completed, // all tasks are done
-    Failed, // a task or a gang has failed maxAttempts times
+    Failed, // a task or a gang has failed maxAttempts times, or too many workers crashed under it
     Cancelled,
 };
 
@@ -38,11 +38,19 @@
     Alone, // the other members of the gang did not start in time
 };
 
+// A job fails when this many workers have crashed under runs of one of its tasks. A task beside
+// the cause, or a second cause, accounts for some of the crashes.
+constexpr int MaxWorkerCrashes = 3;
+// Only a crash within this time from its start counts against a run of a lasting task, which
+// meets many crashes of other causes in its life. A longer run clears the earlier crashes.
+constexpr Duration LastingTrialTime = 10s;
+
 struct Task
 {
     bool isDone = false;
     std::optional<RunNumber> doneRun; // the run that was done, if this scheduler has seen its end
     std::vector<RunNumber> failedRuns; // without duplicates, since an end may be listed repeatedly
+    std::vector<RunNumber> crashedRuns; // under which a worker crashed, without duplicates
     std::uint8_t activeRuns = 0; // runs that may be active on a worker
     RunNumber lastRun = 0;
     std::string checkpoint; // to resume from; empty to start from the beginning
@@ -60,6 +68,7 @@
     int doneCount = 0;
     int activeCount = 0; // tasks that are not done and have an active run
     std::vector<RunNumber> failedRuns; // of a gang, whose members fail together
+    std::vector<RunNumber> crashedRuns; // of a gang
     bool isDone() const
     {
         return doneCount == static_cast<int>(tasks.size());
@@ -81,6 +90,7 @@
 {
     std::string tasks; // one character per task: DoneMark or OpenMark
     std::map<int, std::vector<RunNumber>> failedRuns; // by task index; GangIndex for a whole gang
+    std::map<int, std::vector<RunNumber>> crashedRuns; // likewise
 
     static constexpr char DoneMark = 'D';
     static constexpr char OpenMark = '.';
@@ -102,6 +112,8 @@
 //  - a step starts only after the steps it depends on are done,
 //  - a task that is done gets no further run,
 //  - a task or gang that failed `maxAttempts` times fails the job,
+//  - a task or gang under which MaxWorkerCrashes workers crashed fails the job; these runs are
+//    no failed attempts,
 //  - nothing starts after the job's state is final.
 //
 // Not thread-safe: owned by the control thread.
@@ -173,14 +185,21 @@
     // repeatedly counts once. Returns whether the persistent state changed.
     bool noteRunEnd(const TaskId &id, RunNumber run, RunEnd end, std::string_view checkpoint, int maxAttempts,
                     TimePoint now);
+    // Records that the worker of a run crashed `ranFor` after the run's start. A crash that is
+    // reported repeatedly counts once. Returns whether the persistent state changed.
+    bool noteWorkerCrash(const TaskId &id, RunNumber run, Duration ranFor);
+    // Records that a run has been at work for `ranFor`. Returns whether the persistent state changed.
+    bool noteHealthyRun(const TaskId &id, Duration ranFor);
+    // Returns the number of crashes of workers under the task, or under its gang.
+    int crashCount(const TaskId &id) const;
     // Records the latest checkpoint of a running task.
     void noteCheckpoint(const TaskId &id, std::string_view checkpoint);
 
     void cancel();
 
     JobProgress progress() const;
-    // Merges the progress stored by an earlier scheduler: done tasks stay done, and failure
-    // counts never decrease, whichever side is more recent.
+    // Merges the progress stored by an earlier scheduler: done tasks stay done, and the counts of
+    // failures and crashes never decrease, whichever side is more recent.
     void restore(const JobProgress &progress);
 
 private:
@@ -190,6 +209,8 @@
     void markDone(int occurrence, int step, Task &task);
     void restoreStep(int occurrence, int step, const StepProgress &stored);
     bool markFailed(const TaskId &id, RunNumber run, int maxAttempts);
+    std::vector<RunNumber> &crashedRuns(const TaskId &id);
+    void failAfterCrashes(std::span<const RunNumber> crashedRuns, bool isDone);
 
     JobKey m_key;
     JobSpec m_spec;
--- a/src/ports/memory/runchecker.cpp
+++ b/src/ports/memory/runchecker.cpp
@@ -28,12 +28,26 @@
     if (const auto it = m_cancelled.find(task.job); it != m_cancelled.end() && now > it->second) {
         record("started after its cancellation", task, worker);
     }
+    if (history.crashes >= MaxCrashes && ++history.startsAfterCrashes >= MaxStartsAfterCrashes) {
+        record("started again and again after it crashed workers", task, worker);
+    }
     history.starts.push_back({worker, run, ++m_sequence, false});
     history.active.push_back({worker, run});
     m_activeTasks[worker].push_back(task);
     checkStarts(task, history);
 }
 
+void RunChecker::noteCrash(const jobs::TaskId &task)
+{
+    ++m_tasks[task].crashes;
+}
+
+int RunChecker::crashCount(const jobs::TaskId &task) const
+{
+    const auto it = m_tasks.find(task);
+    return it == m_tasks.end() ? 0 : it->second.crashes;
+}
+
 void RunChecker::noteEnd(const WorkerId &worker, std::int64_t number, const jobs::TaskId &task, jobs::RunNumber run,
                          jobs::RunEnd outcome)
 {
--- a/src/ports/memory/runchecker.h
+++ b/src/ports/memory/runchecker.h
@@ -26,6 +26,7 @@
 //    acknowledged then or later. An acknowledgement does not count if the worker's lease
 //    expired after the end,
 //  - a task does not start after `maxAttempts` acknowledged failures, unless it is lasting,
+//  - a task does not start MaxStartsAfterCrashes times after it has crashed MaxCrashes workers,
 //  - a task does not start before all tasks of the steps that its step depends on are done,
 //  - a task does not start after its job's cancellation has taken effect.
 class RunChecker
@@ -41,6 +42,8 @@
     void noteLeaseExpired(const WorkerId &worker);
     // Records that the worker's process has ended, and with it its runs.
     void noteProcessEnded(const WorkerId &worker);
+    // Records that the task crashed the worker that runs it.
+    void noteCrash(const jobs::TaskId &task);
     // From `effectiveAt` on, no task of the job may start.
     void noteCancelled(jobs::JobKey job, TimePoint effectiveAt);
 
@@ -49,6 +52,8 @@
     // Returns the runs of the task that ended as failed.
     int failedCount(const jobs::TaskId &task) const;
     int startCount(jobs::JobKey job) const;
+    // Returns the number of workers that the task crashed.
+    int crashCount(const jobs::TaskId &task) const;
 
     void record(std::string_view rule, const jobs::TaskId &task, const WorkerId &worker);
     const std::vector<Violation> &violations() const
@@ -82,7 +87,12 @@
         std::vector<Start> starts;
         std::vector<End> ends;
         std::vector<ActiveRun> active;
+        int crashes = 0;
+        int startsAfterCrashes = 0;
     };
+    static constexpr int MaxCrashes = 3;
+    static constexpr int MaxStartsAfterCrashes = 3;
+
     // An end that the worker still lists.
     struct ListedEnd
     {
--- a/src/ports/memory/simulatedworkers.cpp
+++ b/src/ports/memory/simulatedworkers.cpp
@@ -128,6 +128,27 @@
     });
 }
 
+void SimulatedWorkers::crashLater(const SimulatedWorker &worker, const jobs::TaskId &task, jobs::RunNumber run,
+                                  Duration delay)
+{
+    m_scheduler.runAfter(delay, [this, id = worker.entry.id, startTimeMs = worker.entry.startTimeMs, task, run] {
+        auto &it = m_workers.at(id);
+        const bool isRunning = it.isUp && it.entry.startTimeMs == startTimeMs
+            && std::ranges::any_of(it.runs,
+                                   [&](const Run &other) { return other.task == task && other.number == run; });
+        if (!isRunning) {
+            return;
+        }
+        m_checker.noteCrash(task);
+        crash(id, true);
+        m_scheduler.runAfter(m_crashDowntime, [this, id, startTimeMs] {
+            if (!m_workers.at(id).isUp) {
+                restart(id, startTimeMs + 1);
+            }
+        });
+    });
+}
+
 void SimulatedWorkers::advance(SimulatedWorker &worker)
 {
     if (!worker.isUp) {
@@ -270,6 +291,9 @@
     worker.runs.push_back({order.task, order.run, profile.needs, m_scheduler.now(), m_scheduler.now() + profile.runTime,
                            profile.alwaysFails, false});
     advanceLater(worker, profile.runTime);
+    if (profile.crashesWorkerAfter) {
+        crashLater(worker, order.task, order.run, *profile.crashesWorkerAfter);
+    }
     return StartResult::Accepted;
 }
 
--- a/src/ports/memory/simulatedworkers.h
+++ b/src/ports/memory/simulatedworkers.h
@@ -40,6 +40,11 @@
     {
         m_stopGrace = grace;
     }
+    // A worker that a task crashed starts again after `downtime`.
+    void setCrashDowntime(Duration downtime)
+    {
+        m_crashDowntime = downtime;
+    }
     void setObserver(Observer observer)
     {
         m_observer = std::move(observer);
@@ -118,6 +123,7 @@
     WorkerMillis workerClock(const SimulatedWorker &worker) const;
     void extendLease(SimulatedWorker &worker, WorkerMillis deadline);
     void advance(SimulatedWorker &worker);
+    void crashLater(const SimulatedWorker &worker, const jobs::TaskId &task, jobs::RunNumber run, Duration delay);
     void advanceLater(const SimulatedWorker &worker, Duration delay);
     void endRun(SimulatedWorker &worker, const Run &run, jobs::RunEnd outcome);
     WorkerListing listing(const SimulatedWorker &worker) const;
@@ -132,6 +138,7 @@
     Observer m_observer;
     std::map<WorkerId, SimulatedWorker> m_workers;
     Duration m_stopGrace{0};
+    Duration m_crashDowntime{2s};
     std::uint64_t m_nextWaiter = 1;
     int m_starts = 0;
 };
--- a/src/ports/memory/taskmodel.h
+++ b/src/ports/memory/taskmodel.h
@@ -5,6 +5,8 @@
 #include "jobs/jobspec.h"
 #include "jobs/taskid.h"
 
+#include <optional>
+
 namespace monsoonspool::ports::memory {
 
 // Behaviour of a task when it runs alone on a healthy worker.
@@ -13,6 +15,7 @@
     Duration runTime{1s};
     bool alwaysFails = false;
     Resources needs;
+    std::optional<Duration> crashesWorkerAfter = std::nullopt; // crashes its worker's process at this age
 };
 
 // Provides the actual behaviour of tasks, which the scheduler under test does not know.
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -12,6 +12,7 @@
 // Costs, in fractions of a worker's cores. The worker with the lowest sum is chosen.
 constexpr double OtherRackCost = 10; // exceeds any difference in fit: off-rack tasks run several times as long
 constexpr double AvoidedCost = 20; // exceeds all other costs: another worker may be healthy
+constexpr double CrashNeighbourCost = 0.5; // per run on the worker, for a task under which a worker has crashed
 constexpr double SameStepCost = 0.2; // per lasting task of the same step on the worker
 constexpr double MixedImageCost = 1; // for a lasting task on a worker with lasting tasks of other images only
 constexpr double FewImagesCost = 1; // added if those are of one image; half of it for two images
@@ -80,6 +81,9 @@
     if (std::ranges::find(demand.avoided, worker.entry().id) != demand.avoided.end()) {
         sum += AvoidedCost;
     }
+    if (demand.crashCount > 0) {
+        sum += CrashNeighbourCost * worker.runCount();
+    }
     const auto rack = step.dataRack.empty() ? demand.preferredRack : std::string_view(step.dataRack);
     if (!rack.empty() && worker.entry().rack != rack) {
         sum += OtherRackCost;
@@ -106,6 +110,10 @@
     if (entry.service.view() != demand.service || !worker.isSchedulable(now) || worker.find(demand.task) != nullptr) {
         return false;
     }
+    const int keptApartFrom = demand.crashCount > 0 ? 1 : jobs::MaxWorkerCrashes - 1;
+    if (worker.hasCrashSuspect(demand.task, keptApartFrom, now)) {
+        return false;
+    }
     if (step.usesLeftover && worker.hasTailViolation()) {
         return false;
     }
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -23,9 +23,12 @@
     const InterferenceModel *interference = nullptr; // nullptr if the task neither causes nor suffers interference
     const InterferenceFreeCapacity *interferenceFreeCapacity
         = nullptr; // for tasks on leftover cores; nullptr if unknown
+    int crashCount = 0; // of workers under runs of the task
 };
 
-// Returns whether `worker` may run the task, regardless of free capacity.
+// Returns whether `worker` may run the task, regardless of free capacity. Tasks under which
+// workers have crashed are kept apart, so that the next crash tells the cause from the tasks
+// beside it; before the crash that would fail the job, no other task joins either.
 bool isEligible(const workers::Worker &worker, const TaskDemand &demand, TimePoint now);
 
 // Policy that chooses a worker for a task.
@@ -50,6 +53,8 @@
 //    different work, so most work then finds workers where it interferes with nothing.
 //  - A task that failed on a worker goes to another one, since some workers fail every
 //    task that they start and would use up all attempts.
+//  - A task under which a worker has crashed goes where few tasks run that its next crash
+//    would end.
 class BestFit : public WorkerChooser
 {
 public:
--- a/src/workers/lostruns.h
+++ b/src/workers/lostruns.h
@@ -11,7 +11,7 @@
 
 namespace monsoonspool::workers {
 
-// A run that a worker had confirmed and that ended without a listed end.
+// A run that a worker had confirmed, or may have begun, and that ended without a listed end.
 struct LostRun
 {
     jobs::TaskId task;
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -88,11 +88,26 @@
     return (usesLeftover ? freeLeftoverResources() : freeResources()).contains(needs);
 }
 
+namespace {
+
+bool isSameStep(const jobs::TaskId &a, const jobs::TaskId &b)
+{
+    return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step;
+}
+
+} // namespace
+
 int Worker::runsOfStep(const jobs::TaskId &task) const
 {
-    return static_cast<int>(std::ranges::count_if(m_runs, [&](const Run &it) {
-        return it.task.job == task.job && it.task.occurrence == task.occurrence && it.task.step == task.step;
-    }));
+    return static_cast<int>(std::ranges::count_if(m_runs, [&](const Run &it) { return isSameStep(it.task, task); }));
+}
+
+bool Worker::hasCrashSuspect(const jobs::TaskId &task, int minCrashes, TimePoint now) const
+{
+    return m_crashSuspects > 0 && std::ranges::any_of(m_runs, [&](const Run &it) {
+               return it.crashCount >= minCrashes && now - it.orderedAt < CrashSuspicionTime
+                   && !isSameStep(it.task, task);
+           });
 }
 
 const Run *Worker::find(const jobs::TaskId &task) const
@@ -131,6 +146,7 @@
 void Worker::add(const Run &run)
 {
     m_runs.push_back(run);
+    m_crashSuspects += run.crashCount > 0 ? 1 : 0;
     m_servingMilliCores += run.isLasting ? run.needs.milliCores : 0;
     (run.usesLeftover ? m_leftoverReserved : m_reserved) += reservedBy(run);
 }
@@ -141,6 +157,7 @@
     if (it != m_runs.end()) {
         (it->usesLeftover ? m_leftoverReserved : m_reserved) -= reservedBy(*it);
         m_servingMilliCores -= it->isLasting ? it->needs.milliCores : 0;
+        m_crashSuspects -= it->crashCount > 0 ? 1 : 0;
         m_runs.erase(it);
     }
 }
@@ -197,15 +214,17 @@
     m_isSilent = true;
 }
 
-std::vector<LostRun> Worker::confirmedRuns(TimePoint now) const
+std::vector<LostRun> Worker::possibleRuns(TimePoint now) const
 {
-    std::vector<LostRun> confirmed;
+    std::vector<LostRun> possible;
     for (const auto &it : m_runs) {
-        if (it.answeredAt != TimePoint()) {
-            confirmed.push_back({it.task, it.number, std::max(heardUntil(now) - it.answeredAt, Duration(0))});
+        const bool isAnswered = it.answeredAt != TimePoint();
+        if (isAnswered || it.state == RunState::Unanswered) {
+            const auto begunAt = isAnswered ? it.answeredAt : it.orderedAt;
+            possible.push_back({it.task, it.number, std::max(heardUntil(now) - begunAt, Duration(0))});
         }
     }
-    return confirmed;
+    return possible;
 }
 
 void Worker::acknowledge(std::int64_t number)
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -56,6 +56,7 @@
     TimePoint stopConfirmedAt; // the worker cannot start the run after this
     bool isStopSent = false;
     bool isStopConfirmed = false;
+    int crashCount = 0; // of workers under earlier runs of the task
 };
 
 // A worker keeps its runs for this time without a renewal from the scheduler. A new leader
@@ -69,6 +70,8 @@
 constexpr Duration StartValidity = 2500ms;
 // Added to a lease's deadline before it is considered expired, for rounding on both sides.
 constexpr ports::WorkerMillis LeaseMargin = 50;
+// A run of a task under which a worker has crashed is suspect for this time from its start.
+constexpr Duration CrashSuspicionTime = 10s;
 
 // The scheduler's view of a worker process. Invariants:
 //  - the resources of all runs that may be active there never exceed its capacity,
@@ -203,6 +206,9 @@
     bool fits(const Resources &needs, bool usesLeftover) const;
 
     int runsOfStep(const jobs::TaskId &task) const;
+    // Returns whether a run of another step is suspect since at least `minCrashes` workers have
+    // crashed under earlier runs of its task.
+    bool hasCrashSuspect(const jobs::TaskId &task, int minCrashes, TimePoint now) const;
     int runCount() const
     {
         return static_cast<int>(m_runs.size());
@@ -252,8 +258,8 @@
     {
         return {m_entry.id, m_entry.address, m_startTimeMs};
     }
-    // Returns the runs that the worker's process had confirmed.
-    std::vector<LostRun> confirmedRuns(TimePoint now) const;
+    // Returns the runs that the worker's process had confirmed, or may have begun without an answer.
+    std::vector<LostRun> possibleRuns(TimePoint now) const;
 
     // Numbers of the last end that was processed and of the last one that the worker need
     // not list again.
@@ -306,6 +312,7 @@
     std::int64_t m_leavingStartTimeMs = 0; // of the last process that announced that it leaves
     WorkerClock m_clock;
     std::vector<Run> m_runs;
+    int m_crashSuspects = 0; // runs with a crashCount, of any age
     Resources m_reserved; // by runs with cores of their own
     std::int64_t m_servingMilliCores = 0; // the part of m_reserved of lasting runs
     Resources m_leftoverReserved; // by runs on leftover cores, whose cores are scaled by pace
--- a/tests/execution/simulatedworkerstest.cpp
+++ b/tests/execution/simulatedworkerstest.cpp
@@ -19,7 +19,7 @@
     }
     TaskProfile profile(const jobs::TaskId &) const override
     {
-        return {200ms, fails, TaskSize};
+        return {200ms, fails, TaskSize, crashesWorkerAfter};
     }
     const jobs::JobSpec *spec(jobs::JobKey) const override
     {
@@ -31,6 +31,7 @@
     }
 
     bool fails = false;
+    std::optional<Duration> crashesWorkerAfter;
 
 private:
     jobs::JobSpec m_spec;
@@ -158,6 +159,18 @@
     EXPECT_EQ(violations(), "started after its last attempt;");
 }
 
+TEST_F(SimulatedWorkersTest, ReportATaskThatStartsThreeTimesAfterItCrashedThreeWorkers)
+{
+    model.crashesWorkerAfter = 10ms;
+    workers.setCrashDowntime(10ms);
+    for (jobs::RunNumber run = 1; run <= 6; ++run) {
+        EXPECT_EQ(violations(), "") << "run " << run;
+        start("w0", run);
+        scheduler.runFor(50ms);
+    }
+    EXPECT_EQ(violations(), "started again and again after it crashed workers;");
+}
+
 TEST_F(SimulatedWorkersTest, ReportAStepThatStartsBeforeAnEarlierStepIsDone)
 {
     start("w0", 1, 1);
--- a/tests/execution/testcluster.h
+++ b/tests/execution/testcluster.h
@@ -37,9 +37,13 @@
 {
 public:
     std::map<jobs::JobKey, TaskProfile> overrides;
+    std::map<jobs::TaskId, TaskProfile> taskOverrides;
 
     TaskProfile profile(const jobs::TaskId &task) const override
     {
+        if (const auto it = taskOverrides.find(task); it != taskOverrides.end()) {
+            return it->second;
+        }
         const auto it = overrides.find(task.job);
         return it == overrides.end() ? TaskProfile{400ms, false, TaskSize} : it->second;
     }
--- a/tests/jobs/jobtest.cpp
+++ b/tests/jobs/jobtest.cpp
@@ -73,6 +73,74 @@
     EXPECT_EQ(successor.state(), JobState::Failed);
 }
 
+// Guards against starting a task without end that crashes each worker that starts it.
+TEST(Job, FailsAfterThreeCrashesOfWorkersUnderATask)
+{
+    for (const bool isGang : {false, true}) {
+        SCOPED_TRACE(isGang);
+        Job job({7}, twoSteps(isGang), "plans", Now);
+        EXPECT_TRUE(job.noteWorkerCrash(task(0, 0), 1, 1s));
+        EXPECT_FALSE(job.noteWorkerCrash(task(0, 0), 1, 1s)) << "a crash counts once";
+        EXPECT_TRUE(job.noteWorkerCrash(task(0, 0), 2, 1s));
+        EXPECT_TRUE(job.isOpen());
+        EXPECT_EQ(job.crashCount(task(0, 1)), isGang ? 2 : 0);
+        EXPECT_TRUE(job.noteWorkerCrash(task(0, isGang ? 1 : 0), 3, 1s));
+        EXPECT_EQ(job.state(), JobState::Failed);
+    }
+}
+
+// Guards against failing a job by adding crashes of workers to failed attempts.
+TEST(Job, CountsCrashesOfWorkersApartFromAttempts)
+{
+    Job job({7}, twoSteps(), "plans", Now);
+    for (const RunNumber run : {1, 2}) {
+        job.noteWorkerCrash(task(0, 0), run, 1s);
+        job.noteRunEnd(task(0, 0), run + 10, RunEnd::Failed, {}, MaxAttempts, Now);
+    }
+    EXPECT_TRUE(job.isOpen());
+    EXPECT_EQ(job.task(task(0, 0)).failedRuns.size(), 2U);
+    job.noteRunEnd(task(0, 0), 20, RunEnd::Done, {}, MaxAttempts, Now);
+    EXPECT_FALSE(job.noteWorkerCrash(task(0, 0), 3, 1s)) << "the task is done";
+    EXPECT_TRUE(job.isOpen());
+}
+
+// Guards against a count of crashes that ends with the leader that saw them.
+TEST(Job, ASuccessorKnowsTheCrashesOfWorkers)
+{
+    Job first({7}, twoSteps(), "plans", Now);
+    first.noteWorkerCrash(task(0, 0), 1, 1s);
+    first.noteWorkerCrash(task(0, 0), 2, 1s);
+    Job successor({7}, twoSteps(), "plans", Now);
+    successor.noteWorkerCrash(task(0, 0), 2, 1s);
+    successor.restore(first.progress());
+    EXPECT_EQ(successor.crashCount(task(0, 0)), 2);
+    EXPECT_TRUE(successor.isOpen());
+    Job third({7}, twoSteps(), "plans", Now);
+    third.noteWorkerCrash(task(0, 0), 1001, 1s);
+    third.restore(first.progress());
+    EXPECT_EQ(third.state(), JobState::Failed);
+}
+
+// Guards against giving up a lasting task because of unrelated crashes in weeks of life.
+TEST(Job, ALongRunClearsTheCrashesOfALastingTask)
+{
+    auto spec = twoSteps();
+    spec.steps.resize(1);
+    spec.steps[0].isLasting = true;
+    Job job({7}, spec, "watch", Now);
+    EXPECT_FALSE(job.noteWorkerCrash(task(0, 0), 1, LastingTrialTime + 1ms));
+    EXPECT_TRUE(job.noteWorkerCrash(task(0, 0), 2, 1s));
+    EXPECT_TRUE(job.noteWorkerCrash(task(0, 0), 3, 1s));
+    EXPECT_FALSE(job.noteHealthyRun(task(0, 0), 1s));
+    EXPECT_TRUE(job.noteHealthyRun(task(0, 0), LastingTrialTime + 1ms));
+    EXPECT_EQ(job.crashCount(task(0, 0)), 0);
+    for (const RunNumber run : {5, 6, 7}) {
+        EXPECT_TRUE(job.isOpen());
+        job.noteWorkerCrash(task(0, 0), run, 1s);
+    }
+    EXPECT_EQ(job.state(), JobState::Failed);
+}
+
 struct EndCase
 {
     RunEnd end;
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -288,6 +288,24 @@
     EXPECT_EQ(kindOf([&] { return rows.decodeProgress("no cbor"); }), ErrorKind::MalformedMessage);
 }
 
+// During a rolling update, both builds read the progress rows.
+TEST(CborJobs, ReadsTheProgressOfAnOlderBuild)
+{
+    const codec::CborJobs rows;
+    jobs::JobProgress progress;
+    progress.state = jobs::JobState::Running;
+    progress.occurrences = {{jobs::StepProgress{"D.", {{1, {2, 3}}}, {{0, {4}}, {-1, {5, 6}}}}}};
+    EXPECT_EQ(valueOf([&] { return rows.decodeProgress(rows.encode(progress)); }), progress);
+    progress.occurrences[0][0].crashedRuns.clear();
+    using codec::Json;
+    const auto older = codec::writeCbor(
+        {{"state", 1},
+         {"occurrences",
+          Json::array({Json::array({Json::array({"D.", Json::array({Json::array({1, Json::array({2, 3})})})})})})}});
+    EXPECT_EQ(valueOf([&] { return rows.decodeProgress(older); }), progress);
+    EXPECT_EQ(rows.encode(progress), older) << "without crashes, the row is that of the older build";
+}
+
 // During a rolling update, both builds read the leader row.
 TEST(CborJobs, ReadsTheLeaderRowOfAnOlderBuild)
 {
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -175,6 +175,41 @@
     EXPECT_EQ(BestFit().choose(demand, one, Now), failed.get()) << "an avoided worker is used if there is no other";
 }
 
+// Guards against charging tasks with the crashes that a task beside them causes.
+TEST(BestFit, KeepsTasksApartUnderWhichWorkersCrashed)
+{
+    struct Case
+    {
+        const char *name;
+        int crashes; // of the task to be placed
+        int neighbourCrashes;
+        Duration neighbourAge;
+        bool isSameStep;
+        bool isEligible;
+    };
+    const Case cases[] = {
+        {"no crash", 0, 0, 1s, false, true},
+        {"a suspect beside another task", 1, 0, 1s, false, true},
+        {"a suspect beside a suspect", 1, 1, 1s, false, false},
+        {"another task beside a suspect", 0, 1, 1s, false, true},
+        {"another task beside a suspect before the last crash", 0, 2, 1s, false, false},
+        {"a member of the same gang", 1, 1, 1s, true, true},
+        {"a suspect that has been at work for long", 2, 2, 11s, false, true},
+    };
+    for (const auto &it : cases) {
+        auto worker = makeWorker("a");
+        auto run = serving(1, S1);
+        run.task = {{it.isSameStep ? 9U : 8U}, 0, 0, 1};
+        run.crashCount = it.neighbourCrashes;
+        run.orderedAt = Now - it.neighbourAge;
+        worker->add(run);
+        jobs::StepSpec step;
+        TaskDemand demand{{{9}, 0, 0, 0}, &step, 0, Service.view(), {}, {}, nullptr};
+        demand.crashCount = it.crashes;
+        EXPECT_EQ(isEligible(*worker, demand, Now), it.isEligible) << it.name;
+    }
+}
+
 // A task placed beside a serving task that is over its target would count as the cause.
 TEST(BestFit, AddsNoLeftoverWorkWhereATailIsOverItsTarget)
 {
