--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -55,6 +55,7 @@
     d->workers.clear();
     d->changedJobs.clear();
     d->unreportedWorkers.clear();
+    d->lostRuns.clear();
     d->isRosterChanged = false;
     d->workersReadAt.reset();
     d->delayedAt.reset();
@@ -238,6 +239,8 @@
     if (job->job.state() == progress.state && jobs::isFinal(progress.state)) {
         job->isFinalStateStored = true;
         d->dropIfFinished(key);
+    } else if (!job->job.isOpen() && !job->isFinalStateStored) {
+        d->changedJobs.insert(key); // the merged crashes failed the job
     }
 }
 
--- /dev/null
+++ b/src/execution/fleetcrashes.cpp
@@ -0,0 +1,65 @@
+// Crashes of workers, as event handling of Fleet: they are charged to the runs that were lost.
+#include "execution/fleetstate.h"
+#include "jobs/names.h"
+
+#include <algorithm>
+
+namespace monsoonspool::execution {
+
+void Fleet::Private::chargeCrash(const WorkerId &worker, std::span<const workers::LostRun> runs, TimePoint now)
+{
+    if (runs.empty()) {
+        return;
+    }
+    ++counts.workerCrashes;
+    counts.crashedRuns += runs.size();
+    for (const auto &it : runs) {
+        auto *job = findJob(it.task.job);
+        const bool isKnown = job != nullptr && job->job.contains(it.task);
+        const bool wasOpen = isKnown && job->job.isOpen();
+        if (isKnown && job->job.noteWorkerCrash(it.task, it.number, it.ranFor)) {
+            changedJobs.insert(it.task.job);
+        }
+        log.record("run-crashed",
+                   {{"task", jobs::taskName(it.task)},
+                    {"run", it.number},
+                    {"worker", worker.view()},
+                    {"ranForMs", toMilliseconds(it.ranFor)},
+                    {"besides", runs.size() - 1},
+                    {"crashes", isKnown ? job->job.crashCount(it.task) : 0}});
+        if (isKnown) {
+            recordIfOver(*job, wasOpen, "worker crashes", now);
+        }
+    }
+}
+
+void Fleet::Private::keepLostRuns(const workers::Worker &worker, TimePoint now)
+{
+    if (worker.hasAnnouncedLeaving()) {
+        return;
+    }
+    const auto process = worker.process();
+    const bool isReplaced = std::ranges::any_of(workers, [&](const workers::Worker *it) {
+        return it != &worker && it->isConfirmed() && process.isReplacedBy(it->process());
+    });
+    if (isReplaced) {
+        chargeCrash(process.worker, worker.possibleRuns(now), now);
+    } else {
+        lostRuns.remember(process, worker.possibleRuns(now), now);
+    }
+}
+
+void Fleet::Private::noteHealthyRuns(workers::Worker &worker, TimePoint now)
+{
+    for (const auto &run : worker.runs()) {
+        if (run.crashCount == 0 || run.state != workers::RunState::Running) {
+            continue;
+        }
+        auto *job = findJob(run.task.job);
+        if (job != nullptr && job->job.noteHealthyRun(run.task, now - run.answeredAt)) {
+            changedJobs.insert(run.task.job);
+        }
+    }
+}
+
+} // namespace monsoonspool::execution
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -83,6 +83,7 @@
         return;
     }
     const auto startTimeMs = listing.startTimeMs != 0 ? listing.startTimeMs : worker->entry().startTimeMs;
+    d->chargeCrash(id, d->lostRuns.take({id, worker->entry().address, startTimeMs}), now);
     // Renewals of a worker are sent one after another, so that another start time is that of a
     // later process, also if its time of day is behind.
     if (worker->startTimeMs() != 0 && startTimeMs != worker->startTimeMs()) {
@@ -95,6 +96,7 @@
     if (!listing.isTruncated) {
         d->resolveUnlistedRuns(*worker, listing, sentAt, now);
     }
+    d->noteHealthyRuns(*worker, now);
     d->observeInterference(*worker, now);
     if (listing.isTruncated) {
         return; // any other run of this worker may have ended as well
@@ -208,13 +210,19 @@
     if (job->job.noteRunEnd(task, run, how, checkpoint, policyOf(*job).maxAttempts, now)) {
         changedJobs.insert(task.job);
     }
-    if (wasOpen && !job->job.isOpen()) {
+    recordIfOver(*job, wasOpen, how == jobs::RunEnd::Failed ? "failed attempts" : "tasks done", now);
+    dropIfFinished(task.job);
+}
+
+void Fleet::Private::recordIfOver(const TrackedJob &job, bool wasOpen, std::string_view cause, TimePoint now)
+{
+    if (wasOpen && !job.job.isOpen()) {
         log.record("job-over",
-                   {{"job", jobs::jobName(task.job)},
-                    {"state", jobs::jobStateName(job->job.state())},
-                    {"ageMs", toMilliseconds(now - job->job.acceptedAt())}});
+                   {{"job", jobs::jobName(job.job.key())},
+                    {"state", jobs::jobStateName(job.job.state())},
+                    {"cause", cause},
+                    {"ageMs", toMilliseconds(now - job.job.acceptedAt())}});
     }
-    dropIfFinished(task.job);
 }
 
 void Fleet::Private::applyHeldEnds(jobs::JobKey key, TimePoint now)
@@ -334,6 +342,7 @@
             const auto &task = job->job.task(listed.task);
             isWanted = isWanted && !task.isDone && (task.activeRuns == 0 || spec.maySpeculate || spec.isGang);
         }
+        run.crashCount = job->job.crashCount(listed.task);
         job->job.noteRunOrdered(listed.task, listed.run);
         job->job.noteRunStarted();
         if (!listed.checkpoint.empty()) {
@@ -434,11 +443,12 @@
                    {{"worker", worker.entry().id.view()},
                     {"runs", tasks.size()},
                     {"reason", reason},
-                    {"silentMs", toMilliseconds(now - worker.silentSince())},
+                    {"silentMs", toMilliseconds(now - worker.heardUntil(now))},
                     {"isDraining", worker.entry().isDraining ? 1 : 0},
                     {"departedMs", worker.departure() ? toMilliseconds(now - *worker.departure()) : 0},
                     {"isListed", worker.isListed() ? 1 : 0}});
     }
+    keepLostRuns(worker, now);
     for (const auto &it : tasks) {
         endRun(worker, it, jobs::RunEnd::Lapsed, {}, now);
     }
@@ -454,6 +464,9 @@
                 {"startMs", startTimeMs},
                 {"acknowledgedEnd", worker.acknowledgedEnd()},
                 {"runs", worker.runCount()}});
+    if (!worker.hasAnnouncedLeaving()) {
+        chargeCrash(worker.entry().id, worker.possibleRuns(now), now);
+    }
     // The new process may have accepted any run whose order it can have received, and may still
     // carry out an order without an answer. Its listing tells, and a stop that it confirms.
     std::vector<workers::Run> runs(worker.runs().begin(), worker.runs().end());
--- a/src/ports/memory/simulatedworkers.h
+++ b/src/ports/memory/simulatedworkers.h
@@ -47,6 +47,11 @@
     {
         m_stopGrace = grace;
     }
+    // A worker that a task crashed starts again after `downtime`.
+    void setCrashDowntime(Duration downtime)
+    {
+        m_crashDowntime = downtime;
+    }
     void setObserver(Observer observer)
     {
         m_observer = std::move(observer);
@@ -131,6 +136,7 @@
     WorkerMillis workerClock(const SimulatedWorker &worker) const;
     void extendLease(SimulatedWorker &worker, WorkerMillis deadline);
     void advance(SimulatedWorker &worker);
+    void crashLater(const SimulatedWorker &worker, const jobs::TaskId &task, jobs::RunNumber run, Duration delay);
     void advanceLater(const SimulatedWorker &worker, Duration delay);
     void endRun(SimulatedWorker &worker, const Run &run, jobs::RunEnd outcome);
     // Returns whether a start may bring the worker to `needs`.
@@ -148,6 +154,7 @@
     std::map<WorkerId, SimulatedWorker> m_workers;
     Duration m_stopGrace{0};
     Duration m_capacityNotice{0};
+    Duration m_crashDowntime{2s};
     std::uint64_t m_nextWaiter = 1;
     int m_starts = 0;
 };
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -4,6 +4,7 @@
 #include "ports/workerlink.h"
 #include "scheduling/interferencemodel.h"
 #include "scheduling/paceregulator.h"
+#include "workers/lostruns.h"
 #include "workers/workerclock.h"
 
 #include <bitset>
@@ -56,6 +57,7 @@
     TimePoint stopConfirmedAt; // the worker cannot start the run after this
     bool isStopSent = false;
     bool isStopConfirmed = false;
+    int crashCount = 0; // of workers under earlier runs of the task
 };
 
 // A worker keeps its runs for this time without a renewal from the scheduler. A new leader
@@ -72,6 +74,8 @@
 constexpr Duration StartValidity = 2500ms;
 // Added to a lease's deadline before it is considered expired, for rounding on both sides.
 constexpr ports::WorkerMillis LeaseMargin = 50;
+// A run of a task under which a worker has crashed is suspect for this time from its start.
+constexpr Duration CrashSuspicionTime = 10s;
 
 // The scheduler's view of a worker process. Invariants:
 //  - the resources of all runs that may be active there never exceed its capacity,
@@ -245,6 +249,9 @@
     bool fits(const Resources &needs, bool usesLeftover) const;
 
     int runsOfStep(const jobs::TaskId &task) const;
+    // Returns whether a run of another step is suspect since at least `minCrashes` workers have
+    // crashed under earlier runs of its task.
+    bool hasCrashSuspect(const jobs::TaskId &task, int minCrashes, TimePoint now) const;
     int runCount() const
     {
         return static_cast<int>(m_runs.size());
@@ -280,11 +287,23 @@
     {
         return m_isSilent;
     }
-    // Returns when the worker became silent; meaningful only while it is.
-    TimePoint silentSince() const
+    // Returns when the worker stopped answering; `now` if it answers.
+    TimePoint heardUntil(TimePoint now) const
     {
-        return m_silentSince;
+        return m_isSilent ? m_silentSince : now;
     }
+    // Returns whether the process whose listing was received last has announced that it leaves.
+    bool hasAnnouncedLeaving() const
+    {
+        return m_startTimeMs != 0 && m_leavingStartTimeMs == m_startTimeMs;
+    }
+    // Returns the process whose listing was received last.
+    Process process() const
+    {
+        return {m_entry.id, m_entry.address, m_startTimeMs};
+    }
+    // Returns the runs that the worker's process had confirmed, or may have begun without an answer.
+    std::vector<LostRun> possibleRuns(TimePoint now) const;
 
     // Numbers of the last end that was processed and of the last one that the worker need
     // not list again.
@@ -336,9 +355,11 @@
     ports::WorkerEntry m_entry;
     std::int64_t m_startTimeMs = 0;
     std::optional<TimePoint> m_departure; // announced by m_entry
+    std::int64_t m_leavingStartTimeMs = 0; // of the last process that announced that it leaves
     WorkerClock m_clock;
     std::vector<Run> m_runs;
     std::optional<std::vector<jobs::JobKey>> m_remainingJobs;
+    int m_crashSuspects = 0; // runs with a crashCount, of any age
     Resources m_reserved; // by runs with cores of their own
     std::int64_t m_servingMilliCores = 0; // the part of m_reserved of lasting runs
     int m_runsOfUnknownNeeds = 0; // each may use everything that no other run reserves
