Bound start orders by the workers' entries also between renewals of the leadership

The store counted as silent, and orders as unbounded by the entries' age, until a renewal of the leadership had been answered that was sent over 1 s after the last answered poll. With renewals every 0.8 s that holds most of the time: right after each poll, and for up to 1.8 s after one whose answer is lost or late. An order given in that time was valid for 2.5 s, thus up to 4.3 s after the reading, and longer if renewals get no answer either. The sentence of that each order expires 2.3 s after the reading did not hold.

The store now counts as silent only if it has answered no call that was sent in the last 2.2 s: renewals follow each other after 0.8 s, and one that gets no answer is repeated 1.25 s after it was sent. Cost: at the start of an outage of the store, starts pause until then, for up to about 1.5 s.

The comment said that no worker can announce a departure while the store is silent. The store may reject this host alone; then another one takes over.

Fleet.StartOrdersExpireWithTheEntriesUnlessTheStoreIsKnownToBeSilent fails on the code before: deadlines 13500 instead of at most 12800 ("the last poll was answered") and 11600 ("its answer is overdue"), and 1 start instead of 0 ("one renewal got no answer"). With the change 83 tests pass (filter Fleet.*: ExecutionLoop.*:ExecutionFaults.*:Takeover*:WorkerRestart*:Leader*).

--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -35,9 +35,9 @@
 constexpr Duration MaxEntryAge = 2300ms;
 // Shortest validity of a start order that is worth sending.
 constexpr Duration MinStartValidity = 300ms;
-// The store answers if a renewal of the leadership was sent this long after the last poll that
-// was answered: polls take less.
-constexpr Duration MaxPollTime = 1s;
+// The store is taken as silent when it has answered no call that was sent later than this ago. One
+// renewal of the leadership that gets no answer does not take longer to be repeated.
+constexpr Duration StoreSilence = 2200ms;
 // Events are taken as being handled late for this time after one that was.
 constexpr Duration DelayMemory = 3s;
 
@@ -118,15 +118,17 @@
 }
 
 // Returns until when tasks may start on the workers, by what their entries tell. While the store
-// answers nothing, workers cannot announce that they leave either.
+// is silent to all hosts, workers cannot announce that they leave either; if it is silent only to
+// this one, another host takes over.
 TimePoint Fleet::Private::entriesUsableUntil(TimePoint now) const
 {
     if (!workersReadAt) {
         return TimePoint::max();
     }
-    const auto storeAnsweredAt = termRenewedAt == TimePoint::max() ? termBeganAt : termRenewedAt;
+    const auto renewedAt = termRenewedAt == TimePoint::max() ? termBeganAt : termRenewedAt;
+    const auto storeAnsweredAt = std::max(renewedAt, *workersReadAt);
     const bool isDelayed = delayedAt && now - *delayedAt < DelayMemory;
-    const bool isStoreSilent = !isDelayed && storeAnsweredAt - *workersReadAt <= MaxPollTime;
+    const bool isStoreSilent = !isDelayed && now - storeAnsweredAt > StoreSilence;
     return isStoreSilent ? TimePoint::max() : *workersReadAt + MaxEntryAge;
 }
 
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -1056,4 +1056,34 @@
     }
 }
 
+// A worker that had announced that it leaves started a task: while the poll that would tell is not
+// answered, orders were valid for longer than the entries, until a later renewal was answered.
+TEST(Fleet, StartOrdersExpireWithTheEntriesUnlessTheStoreIsKnownToBeSilent)
+{
+    struct Case
+    {
+        const char *name;
+        Duration readAgo;
+        Duration renewedAgo;
+        std::size_t starts;
+    };
+    for (const auto &it :
+         {Case{"the last poll was answered", 700ms, 400ms, 1}, Case{"its answer is overdue", 1900ms, 1000ms, 1},
+          Case{"one renewal got no answer", 3s, 2100ms, 0}}) {
+        SCOPED_TRACE(it.name);
+        ReadyFleet f(1);
+        const auto now = Start + 10s;
+        f.list(WorkerId("w0"), {}, now);
+        f.fleet.noteWorkersRead(now - it.readAgo);
+        f.fleet.noteTermRenewed(now - it.renewedAgo, now + 12s);
+        f.submit(7, plainStep(), now);
+        const auto orders = f.fleet.plan(now, Wall);
+        ASSERT_EQ(orders.starts.size(), it.starts);
+        if (it.starts > 0) {
+            const auto lastStart = toMilliseconds(now - it.readAgo + 2500ms - Start) + 1000;
+            EXPECT_LE(orders.starts.front().deadline, lastStart);
+        }
+    }
+}
+
 } // namespace monsoonspool::execution
