A task under which a worker crashed waits 2 s at most for a worker of its own

What callers would see: after a power cut of all workers of a service, jobs with nothing at work for up to 10 s and more beside free capacity (LOST after the end of the traffic, and for lasting tasks at any time).

Cause: a task with a crash starts only where no run of another step is suspect, and each run of such a task is suspect for its first 10 s. So each worker takes one of these tasks every 10 s. When all workers crash at once, all tasks on them have a crash, also those that have nothing to do with it.

Fix: a task (or gang) that has found no such worker for 2 s starts beside other suspects. Within these 2 s nothing changes: a single cause leaves enough workers to separate its neighbours. If they do crash together again, the count still fails the job. The platform's bound is 3 s.

Not covered: a task without crashes still starts on no worker with a run that is one crash from the limit, for the first 10 s of that run.

Test: WorkerCrash.TasksOfManyCrashedWorkersStartAgainSoon, 20 tasks of 0.5 cores on 6 workers of 16 cores that all crash.

--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -41,6 +41,10 @@
 // Events are taken as being handled late for this time after one that was.
 constexpr Duration DelayMemory = 3s;
 
+// A crash suspect waits this long at most for a worker without another one. The platform takes
+// work as lost that waits for 3 s beside free capacity.
+constexpr Duration MaxTimeKeptApart = 2s;
+
 constexpr int FullPace = 100;
 constexpr int FullPercent = 100;
 // A run at this pace in percent or more that makes no progress for StuckTime is stuck.
@@ -479,8 +483,21 @@
     return waiting;
 }
 
-workers::Worker *Fleet::Private::chooseWorker(const TrackedJob &job, const jobs::TaskId &task,
-                                              std::string_view preferredRack, TimePoint now)
+namespace {
+
+// The members of a gang wait together.
+jobs::TaskId waitingTask(const TrackedJob &job, jobs::TaskId task)
+{
+    if (job.job.stepSpec(task.step).isGang) {
+        task.index = 0;
+    }
+    return task;
+}
+
+} // namespace
+
+workers::Worker *Fleet::Private::chooseWorker(TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
+                                              TimePoint now)
 {
     const auto &spec = job.job.stepSpec(task.step);
     const auto image = interference.numberOf(spec.image);
@@ -510,6 +527,11 @@
         return nullptr;
     }
     auto *worker = workerChooser->choose(demand, workers, now);
+    if (worker == nullptr && demand.crashCount > 0) {
+        const auto since = job.keptApartSince.try_emplace(waitingTask(job, task), now).first->second;
+        demand.isKeptApart = now - since < MaxTimeKeptApart;
+        worker = demand.isKeptApart ? nullptr : workerChooser->choose(demand, workers, now);
+    }
     const bool isUnconstrained = spec.requiredLabel.empty() && spec.maxPerWorker == 0 && demand.crashCount == 0;
     if (worker == nullptr && isUnconstrained) {
         // Only the smallest demands that failed are kept, since they rule out larger ones.
@@ -537,6 +559,7 @@
     run.progressedAt = now;
     run.startDeadline = worker.startDeadline(now, std::min(termEnd, entriesUsableUntil(now)));
     run.crashCount = job.job.crashCount(task);
+    job.keptApartSince.erase(waitingTask(job, task));
     worker.add(run);
     ++job.activeRuns;
     const auto checkpoint = job.job.task(task).checkpoint;
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -39,6 +39,7 @@
     TimePoint expectedUpdatedAt;
     scheduling::Rank rank;
     std::map<jobs::TaskId, std::vector<WorkerId>> avoidedWorkers; // workers on which a task failed or stalled
+    std::map<jobs::TaskId, TimePoint> keptApartSince; // tasks that wait for a worker without a crash suspect
     int rankedOccurrence = -1;
     TimePoint rankedAt;
 };
@@ -132,7 +133,7 @@
     void placeStep(const WaitingStep &waiting, TimePoint now, Orders &orders);
     bool fitsIdleWorkers(const WaitingStep &waiting, TimePoint now) const;
     void placeGang(const WaitingStep &waiting, TimePoint now, Orders &orders);
-    workers::Worker *chooseWorker(const TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
+    workers::Worker *chooseWorker(TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
                                   TimePoint now);
     void orderStart(TrackedJob &job, const jobs::TaskId &task, workers::Worker &worker, jobs::RunNumber run,
                     TimePoint now, Orders &orders);
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -111,7 +111,7 @@
         return false;
     }
     const int keptApartFrom = demand.crashCount > 0 ? 1 : jobs::MaxWorkerCrashes - 1;
-    if (worker.hasCrashSuspect(demand.task, keptApartFrom, now)) {
+    if (demand.isKeptApart && worker.hasCrashSuspect(demand.task, keptApartFrom, now)) {
         return false;
     }
     if (step.usesLeftover && worker.hasTailViolation()) {
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -24,6 +24,7 @@
     const InterferenceFreeCapacity *interferenceFreeCapacity
         = nullptr; // for tasks on leftover cores; nullptr if unknown
     int crashCount = 0; // of workers under runs of the task
+    bool isKeptApart = true; // from other suspects, if workers have crashed under the task
 };
 
 // Returns whether `worker` may run the task, regardless of free capacity. Tasks under which
--- a/tests/execution/workercrashtest.cpp
+++ b/tests/execution/workercrashtest.cpp
@@ -117,6 +117,40 @@
     expectInnocentsDone(cluster);
 }
 
+// Guards against tasks that wait beside free capacity since all workers have crashed at once, as
+// in a power cut, so that each worker has a suspect.
+TEST(WorkerCrash, TasksOfManyCrashedWorkersStartAgainSoon)
+{
+    constexpr Resources smallTask{500, 500, 0};
+    Cluster cluster;
+    cluster.scheduler.runFor(2s);
+    for (std::uint64_t key = 1; key <= InnocentJobs; ++key) {
+        cluster.taskModel.overrides[{key}] = {40s, false, smallTask};
+        AcceptedJob job;
+        job.key = {key};
+        job.policy.queue = "plans";
+        job.policy.service = Service;
+        job.policy.maxAttempts = 3;
+        job.spec.steps.resize(1);
+        job.spec.steps.front().needs = smallTask;
+        job.acceptedAt = cluster.wallNow();
+        cluster.host(0).loop->jobRequestHandler().submit(std::move(job), cluster.scheduler.now() + 2500ms,
+                                                         [&, key](SubmitResult it) { cluster.answers[key] = it; });
+    }
+    cluster.scheduler.runFor(2s);
+    const auto startsBefore = cluster.workers.startCount();
+    ASSERT_EQ(startsBefore, static_cast<int>(InnocentJobs));
+    for (int n = 0; n < WorkerCount; ++n) {
+        cluster.workers.crash(WorkerId("w" + std::to_string(n)), true);
+    }
+    cluster.scheduler.runFor(1s);
+    for (int n = 0; n < WorkerCount; ++n) {
+        cluster.workers.restart(WorkerId("w" + std::to_string(n)), 2);
+    }
+    cluster.scheduler.runFor(5s);
+    EXPECT_EQ(cluster.workers.startCount() - startsBefore, startsBefore);
+}
+
 // Guards against taking a worker that was cut off for one that crashed.
 TEST(WorkerCrash, AWorkerThatIsCutOffHasNotCrashed)
 {
