A long run clears a lasting task's crash that was shown after the run's start

What callers would see: a lasting job shown as failed after crashes that did not follow one another, though its task ran well for hours between them.

Cause: noteHealthyRuns looked at the crashes that were known when the run was ordered.

Fix: each lasting run is compared with the job's present count.

Test: WorkerCrash.ALongRunClearsACrashThatWasShownAfterItsStart.

--- a/src/execution/fleetcrashes.cpp
+++ b/src/execution/fleetcrashes.cpp
@@ -52,7 +52,8 @@
 void Fleet::Private::noteHealthyRuns(workers::Worker &worker, TimePoint now)
 {
     for (const auto &run : worker.runs()) {
-        if (run.crashCount == 0 || run.state != workers::RunState::Running) {
+        // A crash under an earlier run may be known only since this one started.
+        if (!run.isLasting || run.state != workers::RunState::Running) {
             continue;
         }
         auto *job = findJob(run.task.job);
--- a/tests/execution/workercrashtest.cpp
+++ b/tests/execution/workercrashtest.cpp
@@ -249,4 +249,65 @@
     }
 }
 
+// Guards against keeping the crashes of a lasting task whose next run, which was at work for long,
+// began before the crash was shown.
+TEST(WorkerCrash, ALongRunClearsACrashThatWasShownAfterItsStart)
+{
+    constexpr TimePoint Start{1h};
+    NullLog log;
+    Fleet fleet(log);
+    fleet.beginTerm({1}, 0, {}, Start, Start);
+    WorkerEntry entries[2];
+    for (int n = 0; n < 2; ++n) {
+        entries[n].id = WorkerId("w" + std::to_string(n));
+        entries[n].service = Service;
+        entries[n].address = {"10.0.0.1", static_cast<std::uint16_t>(8000 + n)};
+        entries[n].capacity = {16000, 32000, 0};
+        entries[n].startTimeMs = 1;
+    }
+    const auto listing = [&](int n, TimePoint now, std::vector<ListedRun> running) {
+        fleet.applyListing(entries[n].id, {toMilliseconds(now - Start) + 1000, entries[n].startTimeMs, running, {}},
+                           now - 1ms, now);
+    };
+    fleet.updateWorker(entries[0], Start);
+    listing(0, Start, {});
+    fleet.markRosterStored(fleet.takeRoster());
+    AcceptedJob job;
+    job.key = Poison;
+    job.policy.service = Service;
+    job.policy.maxAttempts = 3;
+    job.spec.steps.resize(1);
+    job.spec.steps.front().needs = TaskSize;
+    job.spec.steps.front().isLasting = true;
+    fleet.addJob(std::move(job), Start, {});
+    const auto first = fleet.plan(Start, {});
+    ASSERT_EQ(first.starts.size(), 1U);
+    fleet.applyStartReply(first.starts.front(), StartResult::Accepted, Start + 1ms);
+    fleet.markSilent(entries[0].id, Start + 10ms);
+    fleet.updateWorker(entries[1], Start + 20ms);
+    listing(1, Start + 20ms, {});
+    fleet.markRosterStored(fleet.takeRoster());
+    std::optional<StartTask> second;
+    for (auto now = Start + 500ms; now < Start + 40s; now += 500ms) {
+        std::vector<ListedRun> running;
+        if (second) {
+            running.push_back({second->task, second->run, {}, 100, 0});
+        }
+        listing(1, now, running);
+        const auto orders = fleet.plan(now, {});
+        if (!orders.starts.empty()) {
+            second = orders.starts.front();
+            fleet.applyStartReply(*second, StartResult::Accepted, now);
+        }
+        if (now == Start + 12s) {
+            ASSERT_TRUE(second);
+            entries[0].startTimeMs = 2;
+            listing(0, now, {});
+            EXPECT_EQ(fleet.find(Poison)->crashCount({Poison, 0, 0, 0}), 1);
+        }
+    }
+    EXPECT_EQ(fleet.counts().workerCrashes, 1U);
+    EXPECT_EQ(fleet.find(Poison)->crashCount({Poison, 0, 0, 0}), 0);
+}
+
 } // namespace monsoonspool::execution
