Read a large response to its end, also past the call's timeout

The poll was repeated from the same version, so that the next response was larger (553839, 839764, 1043891, 1246077, 1293987), until the history was dropped; then the same happened to the scan's pages of 1247425 bytes. The buffer held about 1.5 kB, hence each turn of the busy event loop read no more.

A response above 64 kB is now read 64 kB at a time, and after its timeout for as long as no pause between two reads exceeds 1 s. Small ones keep the fixed timeout and take one read.

ApiClient.ALargeResponseThatArrivesIsReadToItsEnd fails on the code before ("timed out waiting for a response"). AResponseThatStopsArrivingFails passes on both. With the change they pass, as do Fleet.*, ExecutionLoop.* and System.*.

--- a/src/http/apiclient.cpp
+++ b/src/http/apiclient.cpp
@@ -20,6 +20,11 @@
 namespace {
 
 constexpr std::size_t MaxResponseBytes = 64 * 1024 * 1024;
+// The reading of a larger response may take longer than the call's timeout: cut off, it would be
+// larger still when it is asked for again.
+constexpr std::size_t LargeResponseBytes = 64 * 1024;
+// Longest pause between two reads of such a response after the timeout.
+constexpr std::chrono::milliseconds MaxReadPause{1000};
 // A connection that was idle for longer is not reused.
 constexpr std::chrono::milliseconds MaxIdleTime{5000};
 // A connection that was idle for longer is checked before reuse: the server may have
@@ -161,6 +166,7 @@
     void connect(const ConnectionPointer &connection);
     void write(const ConnectionPointer &connection);
     void awaitResponse(const ConnectionPointer &connection);
+    void readResponse(const ConnectionPointer &connection);
     void onResponse(const ConnectionPointer &connection, beast::error_code ec);
     void finish(const ConnectionPointer &connection, const ports::AsyncResult<ApiAnswer> &result, bool isReusable);
 
@@ -294,13 +300,28 @@
                                       }
                                       connection->parser.emplace();
                                       connection->parser->body_limit(MaxResponseBytes);
-                                      bhttp::async_read(connection->socket, connection->buffer, *connection->parser,
-                                                        [self, connection](beast::error_code ec, std::size_t) {
-                                                            self->onResponse(connection, ec);
-                                                        });
+                                      connection->parser->eager(true); // small responses take one read
+                                      self->readResponse(connection);
                                   });
 }
 
+void ApiClient::Private::readResponse(const ConnectionPointer &connection)
+{
+    bhttp::async_read_some(connection->socket, connection->buffer, *connection->parser,
+                           [self = shared_from_this(), connection](beast::error_code ec, std::size_t) {
+                               if (ec || connection->parser->is_done()) {
+                                   self->onResponse(connection, ec);
+                                   return;
+                               }
+                               if (connection->parser->content_length().value_or(0) > LargeResponseBytes) {
+                                   // The parser reads as much at once as the buffer can hold.
+                                   connection->buffer.reserve(LargeResponseBytes);
+                                   connection->deadline = std::max(connection->deadline, Clock::now() + MaxReadPause);
+                               }
+                               self->readResponse(connection);
+                           });
+}
+
 void ApiClient::Private::onResponse(const ConnectionPointer &connection, beast::error_code ec)
 {
     if (ec) {
