Crashes under different members of a gang fail no job

What callers would see: a job with a gang shown as failed although no two workers crashed under the same task.

Cause: the crashes of a gang's members were counted together, by run. Three runs of a wide gang that each lose another worker, for causes of their own, reached the limit; the wider the gang, the sooner.

Fix: crashes are also kept by member, in the field of the stored progress that other tasks use. The third still fails the gang's job, but only if two of them met the same member. A member that crashes its workers reaches that in its second run, so that it is started no more often than before.

Test: Job.CrashesUnderDifferentMembersFailNoGang.

--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -10,6 +10,18 @@
 // use up all attempts at once.
 constexpr Duration RetryDelay = 20ms;
 
+// Of the crashes that fail the job of a gang, this many must have met the same member.
+constexpr std::size_t MinWorkerCrashesOfMember = 2;
+
+void mergeRuns(std::vector<RunNumber> &runs, std::span<const RunNumber> others)
+{
+    for (const auto it : others) {
+        if (std::ranges::find(runs, it) == runs.end()) {
+            runs.push_back(it);
+        }
+    }
+}
+
 } // namespace
 
 std::string_view jobStateName(JobState state)
@@ -226,24 +238,29 @@
     return static_cast<int>(crashed.size());
 }
 
-void Job::failAfterCrashes(std::span<const RunNumber> crashedRuns, bool isDone)
+// Crashes under a gang may each have met another member. At least one member must have met two.
+void Job::failAfterCrashes(const TaskId &id)
 {
-    if (static_cast<int>(crashedRuns.size()) >= MaxWorkerCrashes && !isDone && isOpen()) {
+    const auto &tasks = step(id.occurrence, id.step).tasks;
+    const bool isMet = !stepSpec(id.step).isGang
+        || std::ranges::any_of(tasks, [](const Task &it) { return it.crashedRuns.size() >= MinWorkerCrashesOfMember; });
+    if (crashCount(id) >= MaxWorkerCrashes && isMet && !task(id).isDone && isOpen()) {
         m_state = JobState::Failed;
     }
 }
 
 bool Job::noteWorkerCrash(const TaskId &id, RunNumber run, Duration ranFor)
 {
-    if (!isOpen() || mutableTask(id).isDone || (stepSpec(id.step).isLasting && ranFor > LastingTrialTime)) {
+    auto &task = mutableTask(id);
+    if (!isOpen() || task.isDone || (stepSpec(id.step).isLasting && ranFor > LastingTrialTime)) {
         return false;
     }
-    auto &crashed = crashedRuns(id);
-    if (std::ranges::find(crashed, run) != crashed.end()) {
+    if (std::ranges::find(task.crashedRuns, run) != task.crashedRuns.end()) {
         return false;
     }
-    crashed.push_back(run);
-    failAfterCrashes(crashed, false);
+    mergeRuns(task.crashedRuns, {&run, 1});
+    mergeRuns(crashedRuns(id), {&run, 1});
+    failAfterCrashes(id);
     return true;
 }
 
@@ -254,6 +271,11 @@
         return false;
     }
     crashed.clear();
+    if (stepSpec(id.step).isGang) {
+        for (auto &it : mutableStep(id.occurrence, id.step).tasks) {
+            it.crashedRuns.clear();
+        }
+    }
     return true;
 }
 
@@ -304,19 +326,6 @@
     return progress;
 }
 
-namespace {
-
-void mergeRuns(std::vector<RunNumber> &runs, std::span<const RunNumber> others)
-{
-    for (const auto it : others) {
-        if (std::ranges::find(runs, it) == runs.end()) {
-            runs.push_back(it);
-        }
-    }
-}
-
-} // namespace
-
 void Job::restoreStep(int occurrence, int step, const StepProgress &stored)
 {
     auto &own = mutableStep(occurrence, step);
@@ -335,13 +344,13 @@
     for (const auto &[index, runs] : stored.crashedRuns) {
         if (index == StepProgress::GangIndex) {
             mergeRuns(own.crashedRuns, runs);
-            failAfterCrashes(own.crashedRuns, own.isDone());
         } else if (index >= 0 && index < static_cast<int>(own.tasks.size())) {
-            auto &task = own.tasks[static_cast<std::size_t>(index)];
-            mergeRuns(task.crashedRuns, runs);
-            failAfterCrashes(task.crashedRuns, task.isDone);
+            mergeRuns(own.tasks[static_cast<std::size_t>(index)].crashedRuns, runs);
         }
     }
+    for (int n = 0; n < static_cast<int>(own.tasks.size()); ++n) {
+        failAfterCrashes({m_key, occurrence, step, n});
+    }
 }
 
 void Job::restore(const JobProgress &progress)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -68,7 +68,7 @@
     int doneCount = 0;
     int activeCount = 0; // tasks that are not done and have an active run
     std::vector<RunNumber> failedRuns; // of a gang, whose members fail together
-    std::vector<RunNumber> crashedRuns; // of a gang
+    std::vector<RunNumber> crashedRuns; // of a gang, under any of its members
     bool isDone() const
     {
         return doneCount == static_cast<int>(tasks.size());
@@ -90,7 +90,7 @@
 {
     std::string tasks; // one character per task: DoneMark or OpenMark
     std::map<int, std::vector<RunNumber>> failedRuns; // by task index; GangIndex for a whole gang
-    std::map<int, std::vector<RunNumber>> crashedRuns; // likewise
+    std::map<int, std::vector<RunNumber>> crashedRuns; // likewise; of a gang also by member
 
     static constexpr char DoneMark = 'D';
     static constexpr char OpenMark = '.';
@@ -112,8 +112,8 @@
 //  - a step starts only after the steps it depends on are done,
 //  - a task that is done gets no further run,
 //  - a task or gang that failed `maxAttempts` times fails the job,
-//  - a task or gang under which MaxWorkerCrashes workers crashed fails the job; these runs are
-//    no failed attempts,
+//  - a task or gang under which MaxWorkerCrashes workers crashed fails the job, of a gang if two
+//    of them crashed under the same member; these runs are no failed attempts,
 //  - nothing starts after the job's state is final.
 //
 // Not thread-safe: owned by the control thread.
@@ -210,7 +210,7 @@
     void restoreStep(int occurrence, int step, const StepProgress &stored);
     bool markFailed(const TaskId &id, RunNumber run, int maxAttempts);
     std::vector<RunNumber> &crashedRuns(const TaskId &id);
-    void failAfterCrashes(std::span<const RunNumber> crashedRuns, bool isDone);
+    void failAfterCrashes(const TaskId &id);
 
     JobKey m_key;
     JobSpec m_spec;
--- a/tests/jobs/jobtest.cpp
+++ b/tests/jobs/jobtest.cpp
@@ -89,6 +89,26 @@
     }
 }
 
+// Guards against failing a gang's job though no two workers crashed under the same member.
+TEST(Job, CrashesUnderDifferentMembersFailNoGang)
+{
+    auto spec = twoSteps(true);
+    spec.steps[0].count = 4;
+    Job first({7}, spec, "plans", Now);
+    Job successor({7}, spec, "plans", Now);
+    for (const int n : {0, 1, 2}) {
+        EXPECT_TRUE(first.noteWorkerCrash(task(0, n), n + 1, 1s));
+        EXPECT_TRUE(first.isOpen());
+        successor.restore(first.progress());
+        EXPECT_TRUE(successor.isOpen());
+    }
+    EXPECT_EQ(successor.crashCount(task(0, 3)), 3);
+    EXPECT_TRUE(successor.noteWorkerCrash(task(0, 1), 4, 1s));
+    EXPECT_EQ(successor.state(), JobState::Failed);
+    first.restore(successor.progress());
+    EXPECT_EQ(first.state(), JobState::Failed);
+}
+
 // Guards against failing a job by adding crashes of workers to failed attempts.
 TEST(Job, CountsCrashesOfWorkersApartFromAttempts)
 {
