A lasting task that always fails makes no suspects of all workers

What callers would see: work of the same service that hardly starts, as long as a few lasting tasks fail at once wherever they start.

Cause: the class of the fault of the crashes, a retry without a budget. Lasting tasks have no limit of attempts; each failure is retried after 20 ms, counts against the worker, and a worker with two consecutive failures gets one task at a time after a pause of up to 4 s. The list of avoided workers grew with each.

Fix: after three failures or stalls of a task the next ones say nothing about its workers, as is already so for stalls, and no more workers are listed. The delay of a lasting task doubles with each failure up to 2 s, below the 3 s that the platform allows; after more than 10 s since the last retry it begins at 20 ms.

Test: ExecutionLoop.ALastingTaskThatAlwaysFailsKeepsNoOtherTaskWaiting, which asks for the same jobs within 10 s.

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -140,10 +140,7 @@
             if (it.outcome == jobs::RunEnd::Done) {
                 recordCompletion(worker, *run, now);
             } else if (it.outcome == jobs::RunEnd::Failed) {
-                worker.noteFailure(now);
-                if (auto *job = findJob(it.task.job)) {
-                    job->avoidedWorkers[it.task].push_back(worker.entry().id);
-                }
+                noteFailure(worker, it.task, now);
             }
             endRun(worker, it.task, it.outcome, it.checkpoint, now);
         } else {
@@ -152,6 +149,18 @@
     }
 }
 
+void Fleet::Private::noteFailure(workers::Worker &worker, const jobs::TaskId &task, TimePoint now)
+{
+    if (auto *job = findJob(task.job)) {
+        auto &avoided = job->avoidedWorkers[task];
+        if (avoided.size() >= MaxAvoidedWorkers) {
+            return; // says nothing about the worker
+        }
+        avoided.push_back(worker.entry().id);
+    }
+    worker.noteFailure(now);
+}
+
 void Fleet::Private::recordCompletion(workers::Worker &worker, const workers::Run &run, TimePoint now)
 {
     worker.noteDone(now);
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -51,9 +51,6 @@
 // Workers list progress every 1.5 s at least.
 constexpr int MinProgressPace = 50;
 constexpr Duration StuckTime = 2500ms;
-// A task that stalled or failed this often is left where it is: the cause may be the
-// task itself.
-constexpr std::size_t MaxAvoidedWorkers = 3;
 // A run whose maxInterference() of its neighbours is at most this is treated as harmless.
 constexpr double DisturbanceThreshold = 0.08;
 // Smaller changes of pace, in percent, are not worth a call.
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -20,6 +20,10 @@
 
 namespace monsoonspool::execution {
 
+// The cause may be the task itself if it stalled or failed this often: it is no longer moved for
+// a stall, and its failures say nothing about its workers.
+inline constexpr std::size_t MaxAvoidedWorkers = 3;
+
 // A job and the fleet's scheduling state for it.
 struct TrackedJob
 {
@@ -87,6 +91,7 @@
                   TimePoint now);
     void applyHeldEnds(jobs::JobKey key, TimePoint now);
     void release(const HeldEnd &held);
+    void noteFailure(workers::Worker &worker, const jobs::TaskId &task, TimePoint now);
     void recordCompletion(workers::Worker &worker, const workers::Run &run, TimePoint now);
     void expireRuns(workers::Worker &worker, TimePoint now, std::string_view reason);
     // Prepares a worker for the first listing of a new process, which resolves its runs.
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -9,6 +9,8 @@
 // Delay before a failed task is retried, so that a worker that fails every task does not
 // use up all attempts at once.
 constexpr Duration RetryDelay = 20ms;
+// Lasting tasks have no limit of attempts, so that their delay doubles up to this one.
+constexpr Duration MaxRetryDelay = 2s;
 
 // Of the crashes that fail the job of a gang, this many must have met the same member.
 constexpr std::size_t MinWorkerCrashesOfMember = 2;
@@ -213,7 +215,10 @@
         }
         return true;
     case RunEnd::Failed:
-        task.retryAt = now + RetryDelay;
+        task.retryDelay = stepSpec(id.step).isLasting && now - task.retryAt <= LastingTrialTime
+            ? std::clamp(task.retryDelay * 2, RetryDelay, MaxRetryDelay)
+            : RetryDelay;
+        task.retryAt = now + task.retryDelay;
         return markFailed(id, run, maxAttempts);
     case RunEnd::Stopped:
     case RunEnd::Lapsed:
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -55,6 +55,7 @@
     RunNumber lastRun = 0;
     std::string checkpoint; // to resume from; empty to start from the beginning
     TimePoint retryAt; // earliest time of the next run
+    Duration retryDelay{0}; // after the last failure
 
     bool isWaiting() const
     {
--- a/tests/execution/executionlooptest.cpp
+++ b/tests/execution/executionlooptest.cpp
@@ -565,4 +565,35 @@
                              return name;
                          });
 
+// Guards against a lasting task that fails wherever it starts, and makes suspects of all workers.
+TEST(ExecutionLoop, ALastingTaskThatAlwaysFailsKeepsNoOtherTaskWaiting)
+{
+    constexpr Resources smallTask{500, 500, 0};
+    Cluster cluster;
+    cluster.scheduler.runFor(2s);
+    for (std::uint64_t key = 200; key < 203; ++key) {
+        cluster.taskModel.overrides[{key}] = {10ms, true, smallTask};
+        AcceptedJob job;
+        job.key = {key};
+        job.policy.queue = "plans";
+        job.policy.service = Service;
+        job.policy.maxAttempts = 3;
+        job.spec.steps.resize(1);
+        job.spec.steps.front().needs = smallTask;
+        job.spec.steps.front().isLasting = true;
+        job.acceptedAt = cluster.wallNow();
+        cluster.host(0).loop->jobRequestHandler().submit(std::move(job), cluster.scheduler.now() + 2500ms,
+                                                         [&, key](SubmitResult it) { cluster.answers[key] = it; });
+    }
+    cluster.scheduler.runFor(10s);
+    EXPECT_LE(cluster.workers.startCount(), 3 * 12);
+    for (std::uint64_t key = 1; key <= 20; ++key) {
+        cluster.submit(static_cast<int>(key % HostCount), key);
+    }
+    cluster.scheduler.runFor(10s);
+    for (std::uint64_t key = 1; key <= 20; ++key) {
+        EXPECT_EQ(cluster.workers.doneCount({key}), TasksPerJob) << "job " << key;
+    }
+}
+
 } // namespace monsoonspool::execution
