--- a/tests/execution/workercrashtest.cpp
+++ b/tests/execution/workercrashtest.cpp
@@ -11,6 +11,7 @@
 
 using namespace testcluster;
 
+constexpr TimePoint Start{1h};
 constexpr jobs::JobKey Poison{100};
 const jobs::TaskId PoisonTask{Poison, 0, 0, 1};
 constexpr std::uint64_t InnocentJobs = 20;
@@ -199,7 +200,6 @@
     };
     for (const auto &it : cases) {
         SCOPED_TRACE(it.name);
-        constexpr TimePoint Start{1h};
         NullLog log;
         Fleet fleet(log);
         fleet.beginTerm({1}, 0, {}, Start, Start);
@@ -253,7 +253,6 @@
 // began before the crash was shown.
 TEST(WorkerCrash, ALongRunClearsACrashThatWasShownAfterItsStart)
 {
-    constexpr TimePoint Start{1h};
     NullLog log;
     Fleet fleet(log);
     fleet.beginTerm({1}, 0, {}, Start, Start);
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -283,7 +283,7 @@
     EXPECT_EQ(valueOf([&] { return rows.decodeJob(rows.encode(job)); }).knownFence, Epoch{});
     jobs::JobProgress progress;
     progress.state = jobs::JobState::Running;
-    progress.occurrences = {{jobs::StepProgress{"D.", {{1, {2, 3}}}}}};
+    progress.occurrences = {{jobs::StepProgress{"D.", {{1, {2, 3}}}, {}}}};
     EXPECT_EQ(valueOf([&] { return rows.decodeProgress(rows.encode(progress)); }), progress);
     EXPECT_EQ(kindOf([&] { return rows.decodeProgress("no cbor"); }), ErrorKind::MalformedMessage);
 }
