Plans look only at workers and jobs that have changed

Cause: each plan visited all workers with all their runs, and all open jobs, and compared all workers for each single start; a new job compared itself with all runs. Half of a leader's time at 1,100 workers, and growing with them.

Change: a plan visits the workers of which something was heard since the last one, those that are not in their normal state (silent, unlisted, draining, closed, with a stop under way), and those with a run that would count as stuck by now. It visits the jobs of which a task may wait. The tasks of one step are placed by RankedWorkers, which compares all workers once and then only the one that got a task; its choices equal those of a search for each task.

What still grows is planned work after the listings of idle workers, which arrive once each 1.5 s.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -50,9 +50,14 @@
     d->formerLeasesEnd = formerLeasesEnd;
     d->jobsByKey.clear();
     d->readJobs.clear();
+    d->unreadJobs.clear();
+    d->jobsToPlace.clear();
     d->heldEnds.clear();
     d->workersById.clear();
     d->workers.clear();
+    d->changedWorkers.clear();
+    d->timedVisits.clear();
+    d->workersWithEnds.clear();
     d->changedJobs.clear();
     d->unreportedWorkers.clear();
     d->lostRuns.clear();
@@ -124,9 +129,11 @@
 workers::Worker &Fleet::Private::addWorker(const ports::WorkerEntry &entry, TimePoint now)
 {
     auto &worker = workersById[entry.id];
+    changedWorkers.erase(worker.get());
     worker = std::make_unique<workers::Worker>(entry, now);
     const auto idOf = [](const workers::Worker *it) -> const WorkerId & { return it->entry().id; };
     workers.insert(std::ranges::lower_bound(workers, entry.id, {}, idOf), worker.get());
+    changedWorkers.insert(worker.get());
     isRosterChanged = true;
     return *worker;
 }
@@ -169,6 +176,10 @@
 {
     const auto it = workersById.find(id);
     std::erase(workers, it->second.get());
+    changedWorkers.erase(it->second.get());
+    if (const auto visitAt = it->second->visitAt()) {
+        timedVisits.erase({*visitAt, id});
+    }
     workersById.erase(it);
     markReported(id, now);
     isRosterChanged = true;
@@ -183,8 +194,11 @@
     const auto acceptedAt = acceptedAtOf(job, now, wall);
     auto &tracked = d->jobsByKey[key];
     tracked = std::make_unique<TrackedJob>(std::move(job), acceptedAt);
+    d->jobsToPlace.insert(key);
     // A former leader may have started its tasks before this leader read its row.
-    for (const auto *worker : d->workers) {
+    const bool hasRuns = d->unreadJobs.erase(key) > 0;
+    for (const auto *worker :
+         hasRuns ? std::span<workers::Worker *const>(d->workers) : std::span<workers::Worker *const>()) {
         for (const auto &run : worker->runs()) {
             if (run.task.job == key && tracked->job.contains(run.task)) {
                 tracked->job.noteRunOrdered(run.task, run.number);
@@ -236,6 +250,8 @@
         return;
     }
     job->job.restore(progress);
+    d->jobsToPlace.insert(key);
+    d->visitWorkersOf(*job);
     if (job->job.state() == progress.state && jobs::isFinal(progress.state)) {
         job->isFinalStateStored = true;
         d->dropIfFinished(key);
@@ -268,6 +284,7 @@
         return;
     }
     job->job.cancel();
+    d->visitWorkersOf(*job);
     job->isFinalStateStored = true; // a cancellation is stored before it is applied
     d->dropIfFinished(key);
 }
@@ -301,6 +318,7 @@
         return;
     }
     worker->setListed(true);
+    d->changedWorkers.insert(worker);
     if (entry.startTimeMs < worker->startTimeMs() && !worker->isSilent()) {
         // The row describes an earlier incarnation of the worker. Until the present one has
         // written its own, this is the last known capacity of their machine.
@@ -338,6 +356,7 @@
     }
     d->log.record("worker-unlisted", {{"worker", id.view()}, {"runs", worker->runCount()}});
     worker->setListed(false);
+    d->changedWorkers.insert(worker);
     if (d->mayForget(*worker)) {
         d->eraseWorker(id, now);
     }
@@ -413,8 +432,9 @@
 std::vector<EndCursor> Fleet::endCursors() const
 {
     std::vector<EndCursor> cursors;
-    for (const auto *it : d->workers) {
-        if (it->acknowledgeableEnd() > it->acknowledgedEnd()) {
+    for (const auto &id : d->workersWithEnds) {
+        const auto *it = d->findWorker(id);
+        if (it != nullptr && it->acknowledgeableEnd() > it->acknowledgedEnd()) {
             cursors.push_back({it->entry().id, it->startTimeMs(), it->acknowledgeableEnd()});
         }
     }
@@ -427,6 +447,10 @@
         auto *worker = d->findWorker(it.worker);
         if (worker != nullptr && worker->startTimeMs() == it.startTimeMs) {
             worker->acknowledge(it.lastEnd);
+            d->changedWorkers.insert(worker);
+            if (worker->acknowledgedEnd() >= worker->processedEnd()) {
+                d->workersWithEnds.erase(it.worker);
+            }
         }
     }
 }
@@ -451,6 +475,18 @@
     }
 }
 
+void Fleet::Private::visitWorkersOf(const TrackedJob &job)
+{
+    if (job.activeRuns == 0) {
+        return;
+    }
+    for (auto *worker : workers) {
+        if (std::ranges::any_of(worker->runs(), [&](const workers::Run &it) { return it.task.job == job.job.key(); })) {
+            changedWorkers.insert(worker);
+        }
+    }
+}
+
 void Fleet::Private::markReported(const WorkerId &id, TimePoint now)
 {
     if (unreportedWorkers.erase(id) > 0 && unreportedWorkers.empty()) {
--- a/src/execution/fleetcrashes.cpp
+++ b/src/execution/fleetcrashes.cpp
@@ -28,6 +28,10 @@
                     {"besides", runs.size() - 1},
                     {"crashes", isKnown ? job->job.crashCount(it.task) : 0}});
         if (isKnown) {
+            jobsToPlace.insert(it.task.job);
+            if (wasOpen && !job->job.isOpen()) {
+                visitWorkersOf(*job);
+            }
             recordIfOver(*job, wasOpen, "worker crashes", now);
         }
     }
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -82,6 +82,7 @@
     if (worker == nullptr) {
         return;
     }
+    d->changedWorkers.insert(worker);
     const auto startTimeMs = listing.startTimeMs != 0 ? listing.startTimeMs : worker->entry().startTimeMs;
     d->chargeCrash(id, d->lostRuns.take({id, worker->entry().address, startTimeMs}), now);
     // Renewals of a worker are sent one after another, so that another start time is that of a
@@ -115,6 +116,7 @@
             "worker-silent",
             {{"worker", id.view()}, {"runs", worker->runCount()}, {"isDraining", worker->entry().isDraining ? 1 : 0}});
         worker->noteSilence(now);
+        d->changedWorkers.insert(worker);
     }
 }
 
@@ -125,6 +127,7 @@
             continue;
         }
         worker.setProcessedEnd(it.number);
+        workersWithEnds.insert(worker.entry().id);
         log.record("run-ended",
                    {{"task", it.task},
                     {"run", it.run},
@@ -177,10 +180,12 @@
 {
     const auto number = worker.find(task)->number;
     worker.remove(task);
+    changedWorkers.insert(&worker);
     auto *job = findJob(task.job);
     if (job != nullptr) {
         --job->activeRuns;
         job->job.noteRunOver(task);
+        jobsToPlace.insert(task.job);
     }
     switch (how) {
     case jobs::RunEnd::Done:
@@ -199,6 +204,17 @@
     applyEnd(task, number, how, checkpoint, now);
 }
 
+namespace {
+
+// Returns whether a run of the task may be active although another one has ended.
+bool isActive(const TrackedJob &job, const jobs::TaskId &task)
+{
+    const bool isOpened = task.occurrence < static_cast<int>(job.job.occurrences().size());
+    return isOpened && job.job.task(task).activeRuns > 0;
+}
+
+} // namespace
+
 void Fleet::Private::applyEnd(const jobs::TaskId &task, jobs::RunNumber run, jobs::RunEnd how,
                               std::string_view checkpoint, TimePoint now)
 {
@@ -216,6 +232,12 @@
     const bool wasOpen = job->job.isOpen();
     if (job->job.noteRunEnd(task, run, how, checkpoint, policyOf(*job).maxAttempts, now)) {
         changedJobs.insert(task.job);
+        jobsToPlace.insert(task.job);
+        const bool isOver = wasOpen && !job->job.isOpen();
+        const bool mayHaveOtherRuns = isActive(*job, task) || job->job.stepSpec(task.step).isGang;
+        if (isOver || (how == jobs::RunEnd::Done && mayHaveOtherRuns)) {
+            visitWorkersOf(*job);
+        }
     }
     recordIfOver(*job, wasOpen, how == jobs::RunEnd::Failed ? "failed attempts" : "tasks done", now);
     dropIfFinished(task.job);
@@ -358,6 +380,7 @@
         ++job->activeRuns;
     } else {
         run.areNeedsKnown = false;
+        unreadJobs.insert(listed.task.job);
     }
     const bool isDuplicate = isKnown && job->job.isOpen() && !isWanted;
     if (isDuplicate) {
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -87,17 +87,25 @@
     return std::max(byEstimate, byProgress);
 }
 
+// Returns whether the worker lists the run with a higher percentage after some time.
+bool isExpectedToProgress(const workers::Run &run)
+{
+    return run.state == workers::RunState::Running && !run.isLasting && run.pace >= MinProgressPace
+        && run.percent < FullPercent;
+}
+
 } // namespace
 
 Orders Fleet::plan(TimePoint now, jobs::WallTime wall)
 {
     Orders orders;
-    d->expireLeases(now);
-    for (auto *it : d->workers) {
+    d->endFormerLeases(now);
+    for (auto *it : d->expireLeases(d->workersToVisit(now), now)) {
         d->drainWorker(*it, now);
         d->stopStuckRuns(*it, now);
         d->stopUnwantedRuns(*it, now, orders);
         d->adjustPaces(*it, now, orders);
+        d->scheduleNextVisit(*it, now);
     }
     if (!d->mayStartTasks(now)) {
         return orders;
@@ -170,36 +178,84 @@
     interferenceFreeCapacity.update(workers, interference, demands, now);
 }
 
-void Fleet::Private::expireLeases(TimePoint now)
+std::vector<workers::Worker *> Fleet::Private::workersToVisit(TimePoint now)
 {
-    const auto certain = soleLeaderTime(now);
-    if (!unreportedWorkers.empty() && certain >= formerLeasesEnd) {
-        // A worker that answers has a lease of this leader; its list of ends is cut.
-        const auto unheard = std::erase_if(unreportedWorkers, [&](const WorkerId &id) {
-            const auto *worker = findWorker(id);
-            return worker == nullptr || !worker->isConfirmed() || (worker->isSilent() && worker->hasLapsed(certain));
-        });
-        if (unheard > 0) {
-            log.record("former-leases-over", {{"unheard", unheard}});
+    while (!timedVisits.empty() && timedVisits.begin()->first <= now) {
+        auto *worker = findWorker(timedVisits.begin()->second);
+        worker->setVisitAt(std::nullopt);
+        changedWorkers.insert(worker);
+        timedVisits.erase(timedVisits.begin());
+    }
+    std::vector<workers::Worker *> visited(changedWorkers.begin(), changedWorkers.end());
+    changedWorkers.clear();
+    std::ranges::sort(visited,
+                      [](const workers::Worker *a, const workers::Worker *b) { return a->entry().id < b->entry().id; });
+    return visited;
+}
+
+void Fleet::Private::scheduleNextVisit(workers::Worker &worker, TimePoint now)
+{
+    bool hasStop = false;
+    auto visitAt = TimePoint::max();
+    for (const auto &it : worker.runs()) {
+        hasStop = hasStop || it.state == workers::RunState::Stopping;
+        if (isExpectedToProgress(it)) {
+            const auto stuckAt = std::max(it.progressedAt, it.paceChangedAt) + StuckTime + Duration(1);
+            visitAt = stuckAt > now ? std::min(visitAt, stuckAt) : visitAt;
         }
-        if (unreportedWorkers.empty()) {
-            dropFinishedJobs();
+    }
+    if (hasStop || worker.isSilent() || !worker.isListed() || worker.remainingJobs() || worker.entry().isDraining) {
+        changedWorkers.insert(&worker);
+    }
+    if (const auto formerVisitAt = worker.visitAt()) {
+        timedVisits.erase({*formerVisitAt, worker.entry().id});
+    }
+    worker.setVisitAt(visitAt == TimePoint::max() ? std::nullopt : std::optional(visitAt));
+    if (const auto nextVisitAt = worker.visitAt()) {
+        timedVisits.insert({*nextVisitAt, worker.entry().id});
+    }
+}
+
+void Fleet::Private::endFormerLeases(TimePoint now)
+{
+    const auto certain = soleLeaderTime(now);
+    if (unreportedWorkers.empty() || certain < formerLeasesEnd) {
+        return;
+    }
+    // A worker that answers has a lease of this leader; its list of ends is cut.
+    const auto unheard = std::erase_if(unreportedWorkers, [&](const WorkerId &id) {
+        auto *worker = findWorker(id);
+        const bool isUnheard
+            = worker == nullptr || !worker->isConfirmed() || (worker->isSilent() && worker->hasLapsed(certain));
+        if (isUnheard && worker != nullptr) {
+            changedWorkers.insert(worker);
         }
+        return isUnheard;
+    });
+    if (unheard > 0) {
+        log.record("former-leases-over", {{"unheard", unheard}});
+    }
+    if (unreportedWorkers.empty()) {
+        dropFinishedJobs();
     }
-    std::vector<WorkerId> gone;
-    for (auto *it : workers) {
+}
+
+std::vector<workers::Worker *> Fleet::Private::expireLeases(std::vector<workers::Worker *> visited, TimePoint now)
+{
+    const auto certain = soleLeaderTime(now);
+    std::erase_if(visited, [&](workers::Worker *it) {
         if (it->isSilent() && it->hasLapsed(certain)) {
             expireRuns(*it, now, "lease expired");
         }
-        if (mayForget(*it)) {
-            gone.push_back(it->entry().id);
+        const bool isGone = mayForget(*it);
+        if (isGone) {
+            eraseWorker(WorkerId(it->entry().id), now);
         } else {
             closeOrReopen(*it);
         }
-    }
-    for (const auto &it : gone) {
-        eraseWorker(it, now);
-    }
+        return isGone;
+    });
+    return visited;
 }
 
 // Moves work off a draining worker while the ends can still be listed: what runs there when
@@ -247,10 +303,8 @@
     }
     for (auto &run : worker.runs()) {
         auto *job = findJob(run.task.job);
-        const bool isExpectedToProgress = run.state == workers::RunState::Running && !run.isLasting
-            && run.pace >= MinProgressPace && run.percent < FullPercent && now - run.paceChangedAt > StuckTime;
-        if (!isExpectedToProgress || job == nullptr || now - run.progressedAt < StuckTime
-            || job->avoidedWorkers[run.task].size() >= MaxAvoidedWorkers) {
+        if (!isExpectedToProgress(run) || now - run.paceChangedAt <= StuckTime || job == nullptr
+            || now - run.progressedAt < StuckTime || job->avoidedWorkers[run.task].size() >= MaxAvoidedWorkers) {
             continue;
         }
         log.record("run-stuck",
@@ -450,36 +504,47 @@
     if (termEnd - now < workers::StartValidity) {
         return waiting; // the workers would reject the orders
     }
-    for (auto &[key, job] : jobsByKey) {
-        if (!job->job.isOpen() || isBlockedByTakeover(*job)) {
-            continue;
+    std::erase_if(jobsToPlace, [&](const jobs::JobKey &key) {
+        auto *job = findJob(key);
+        if (job == nullptr || !job->job.isOpen()) {
+            return true;
         }
-        if (job->job.spec().isTimed()) {
-            job->job.openDueOccurrences(wall);
+        return !isBlockedByTakeover(*job) && !addWaitingSteps(*job, now, wall, waiting);
+    });
+    std::ranges::sort(waiting, [](const WaitingStep &a, const WaitingStep &b) {
+        return std::tuple(a.rank, a.job->job.key(), a.occurrence, a.step)
+            < std::tuple(b.rank, b.job->job.key(), b.occurrence, b.step);
+    });
+    return waiting;
+}
+
+bool Fleet::Private::addWaitingSteps(TrackedJob &job, TimePoint now, jobs::WallTime wall,
+                                     std::vector<WaitingStep> &waiting)
+{
+    const auto &spec = job.job.spec();
+    if (spec.isTimed()) {
+        job.job.openDueOccurrences(wall);
+    }
+    const auto countBefore = waiting.size();
+    for (int k = 0; k < static_cast<int>(job.job.occurrences().size()); ++k) {
+        if (job.job.occurrences()[static_cast<std::size_t>(k)].openSteps == 0) {
+            continue;
         }
-        for (int k = 0; k < static_cast<int>(job->job.occurrences().size()); ++k) {
-            if (job->job.occurrences()[static_cast<std::size_t>(k)].openSteps == 0) {
+        scheduling::Rank rank;
+        bool isRanked = false;
+        for (int s = 0; s < static_cast<int>(spec.steps.size()); ++s) {
+            if (!job.job.step(k, s).hasWaiting() || !job.job.isReady(k, s)) {
                 continue;
             }
-            scheduling::Rank rank;
-            bool isRanked = false;
-            for (int s = 0; s < static_cast<int>(job->job.spec().steps.size()); ++s) {
-                if (!job->job.step(k, s).hasWaiting() || !job->job.isReady(k, s)) {
-                    continue;
-                }
-                if (!isRanked) {
-                    rank = rankOf(*job, k, now, wall);
-                    isRanked = true;
-                }
-                waiting.push_back({job.get(), k, s, rank});
+            if (!isRanked) {
+                rank = rankOf(job, k, now, wall);
+                isRanked = true;
             }
+            waiting.push_back({&job, k, s, rank});
         }
     }
-    std::ranges::sort(waiting, [](const WaitingStep &a, const WaitingStep &b) {
-        return std::tuple(a.rank, a.job->job.key(), a.occurrence, a.step)
-            < std::tuple(b.rank, b.job->job.key(), b.occurrence, b.step);
-    });
-    return waiting;
+    const bool hasLaterOccurrence = static_cast<int>(job.job.occurrences().size()) < spec.occurrenceCount();
+    return waiting.size() > countBefore || hasLaterOccurrence;
 }
 
 namespace {
@@ -496,7 +561,7 @@
 } // namespace
 
 workers::Worker *Fleet::Private::chooseWorker(TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
-                                              TimePoint now)
+                                              TimePoint now, std::optional<scheduling::RankedWorkers> *ranked)
 {
     const auto &spec = job.job.stepSpec(task.step);
     const auto image = interference.numberOf(spec.image);
@@ -525,7 +590,15 @@
     if (isUnplaceable) {
         return nullptr;
     }
-    auto *worker = workerChooser->choose(demand, workers, now);
+    // Tasks of one step differ only where earlier runs failed, or where one may still be active.
+    const bool isLikeOthers = ranked != nullptr && demand.avoided.empty() && demand.crashCount == 0;
+    if (isLikeOthers && !*ranked) {
+        ranked->emplace(*workerChooser, demand, workers, now);
+    }
+    auto *worker = isLikeOthers ? (*ranked)->best() : nullptr;
+    if (!isLikeOthers || (worker != nullptr && worker->find(task) != nullptr)) {
+        worker = workerChooser->choose(demand, workers, now);
+    }
     if (worker == nullptr && demand.crashCount > 0) {
         const auto since = job.keptApartSince.try_emplace(waitingTask(job, task), now).first->second;
         demand.isKeptApart = now - since < MaxTimeKeptApart;
@@ -583,13 +656,14 @@
 {
     auto &job = *waiting.job;
     const auto count = job.job.stepSpec(waiting.step).count;
+    std::optional<scheduling::RankedWorkers> ranked;
     for (int n = 0; n < count; ++n) {
         const jobs::TaskId id{job.job.key(), waiting.occurrence, waiting.step, n};
         const auto &task = job.job.task(id);
         if (!task.isWaiting() || now < task.retryAt) {
             continue;
         }
-        auto *worker = chooseWorker(job, id, {}, now);
+        auto *worker = chooseWorker(job, id, {}, now, &ranked);
         if (worker == nullptr && job.job.crashCount(id) > 0) {
             continue; // waits for a worker of its own, which the others need not
         }
@@ -597,6 +671,11 @@
             return;
         }
         orderStart(job, id, *worker, nextRun(task), now, orders);
+        if (ranked && ranked->best() == worker) {
+            ranked->updateBest(now);
+        } else {
+            ranked.reset(); // another worker than the best one has changed
+        }
     }
 }
 
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -16,6 +16,7 @@
 #include <span>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace monsoonspool::execution {
@@ -108,6 +109,8 @@
     void dropIfFinished(jobs::JobKey key);
     void markReported(const WorkerId &id, TimePoint now);
     void dropFinishedJobs();
+    // Lets the next plan look at all workers with runs of a job that is over.
+    void visitWorkersOf(const TrackedJob &job);
 
     // Steps of applyListing().
     void applyEnds(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint now);
@@ -128,18 +131,30 @@
     };
     void refreshExpectedRunTimes(TrackedJob &job, TimePoint now) const;
     scheduling::RankInput outlook(const TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall) const;
-    void expireLeases(TimePoint now);
+    // Returns the workers whose runs the plan must look at, by identifier: those that have changed
+    // since the last plan, and those that are not in their normal state.
+    std::vector<workers::Worker *> workersToVisit(TimePoint now);
+    // Keeps the worker for the next plan if it is not in its normal state, and for the time at which
+    // a run counts as stuck.
+    void scheduleNextVisit(workers::Worker &worker, TimePoint now);
+    void endFormerLeases(TimePoint now);
+    // Returns the workers that are still known.
+    std::vector<workers::Worker *> expireLeases(std::vector<workers::Worker *> visited, TimePoint now);
     scheduling::Rank rankOf(TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall);
     bool isBlockedByTakeover(const TrackedJob &job) const;
     // Returns the latest time at which this leader certainly had no successor.
     TimePoint soleLeaderTime(TimePoint now) const;
     void updateInterferenceFreeCapacity(std::span<const WaitingStep> waiting, TimePoint now);
     std::vector<WaitingStep> waitingSteps(TimePoint now, jobs::WallTime wall);
+    // Adds the steps of a job that wait to be started. Returns false if there are none, and none
+    // becomes due by the passing of time.
+    bool addWaitingSteps(TrackedJob &job, TimePoint now, jobs::WallTime wall, std::vector<WaitingStep> &waiting);
     void placeStep(const WaitingStep &waiting, TimePoint now, Orders &orders);
     bool fitsIdleWorkers(const WaitingStep &waiting, TimePoint now) const;
     void placeGang(const WaitingStep &waiting, TimePoint now, Orders &orders);
+    // `ranked`, if given, is kept between calls for tasks of one step.
     workers::Worker *chooseWorker(TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
-                                  TimePoint now);
+                                  TimePoint now, std::optional<scheduling::RankedWorkers> *ranked = nullptr);
     void orderStart(TrackedJob &job, const jobs::TaskId &task, workers::Worker &worker, jobs::RunNumber run,
                     TimePoint now, Orders &orders);
     void stopUnwantedRuns(workers::Worker &worker, TimePoint now, Orders &orders);
@@ -163,9 +178,14 @@
     std::map<std::string, jobs::QueuePolicy, std::less<>> queues;
     std::unordered_map<jobs::JobKey, std::unique_ptr<TrackedJob>> jobsByKey;
     std::unordered_set<jobs::JobKey> readJobs; // in this term, including those that were dropped
+    std::unordered_set<jobs::JobKey> unreadJobs; // of runs that workers listed before the job was read
+    std::unordered_set<jobs::JobKey> jobsToPlace; // those that may have tasks to start
     std::map<jobs::JobKey, std::vector<HeldEnd>> heldEnds;
     std::map<WorkerId, std::unique_ptr<workers::Worker>> workersById;
     std::vector<workers::Worker *> workers; // the values of workersById, ordered by identifier
+    std::unordered_set<workers::Worker *> changedWorkers; // since the last plan
+    std::set<std::pair<TimePoint, WorkerId>> timedVisits; // see Worker::visitAt()
+    std::set<WorkerId> workersWithEnds; // with ends that may not be acknowledged yet
     workers::LostRuns lostRuns;
     std::set<jobs::JobKey> changedJobs;
     bool isRosterChanged = false;
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 
 namespace monsoonspool::scheduling {
 
@@ -18,6 +19,8 @@
 constexpr double FewImagesCost = 1; // added if those are of one image; half of it for two images
 constexpr double ContentionCost = 2; // multiplied by the contention of other images for the worker's leftover cores
 constexpr double InterferenceCost = 8; // per unit of predicted tail-to-target ratio above SafeMeanTailRatio
+// Stands for all tasks of a step, of which no worker runs one with this index.
+constexpr int AnyTask = -1;
 // A task on leftover cores that would raise a serving task's mean tail-to-target ratio
 // above this value waits for another worker: load varies by half around its mean, tail
 // latency grows without bound near saturation, and the task would be paused during each
@@ -74,7 +77,7 @@
     return MixedImageCost + (count <= seen.size() ? FewImagesCost / static_cast<double>(count) : 0);
 }
 
-double cost(const workers::Worker &worker, const TaskDemand &demand, double ratio)
+double placementCost(const workers::Worker &worker, const TaskDemand &demand, double ratio)
 {
     const auto &step = *demand.step;
     double sum = interferenceCost(ratio);
@@ -123,35 +126,66 @@
     return step.maxPerWorker == 0 || worker.runsOfStep(demand.task) < step.maxPerWorker;
 }
 
-workers::Worker *BestFit::choose(const TaskDemand &demand, std::span<workers::Worker *const> workers,
-                                 TimePoint now) const
+workers::Worker *WorkerChooser::choose(const TaskDemand &demand, std::span<workers::Worker *const> workers,
+                                       TimePoint now) const
 {
     workers::Worker *best = nullptr;
     double lowest = 0;
     for (auto *it : workers) {
-        if (!it->fits(demand.step->needs, demand.step->usesLeftover) || !isEligible(*it, demand, now)) {
-            continue;
-        }
-        const double ratio = predictedTailRatio(*it, demand);
-        if (demand.step->usesLeftover && ratio > MaxJoinRatio) {
-            continue;
-        }
-        const double candidateCost = cost(*it, demand, ratio);
-        if (best == nullptr || candidateCost < lowest) {
+        const auto candidateCost = cost(*it, demand, now);
+        if (candidateCost && (best == nullptr || *candidateCost < lowest)) {
             best = it;
-            lowest = candidateCost;
+            lowest = *candidateCost;
         }
     }
     return best;
 }
 
-workers::Worker *FirstFit::choose(const TaskDemand &demand, std::span<workers::Worker *const> workers,
-                                  TimePoint now) const
+std::optional<double> BestFit::cost(const workers::Worker &worker, const TaskDemand &demand, TimePoint now) const
 {
-    const auto it = std::ranges::find_if(workers, [&](const workers::Worker *worker) {
-        return worker->fits(demand.step->needs, demand.step->usesLeftover) && isEligible(*worker, demand, now);
-    });
-    return it == workers.end() ? nullptr : *it;
+    if (!worker.fits(demand.step->needs, demand.step->usesLeftover) || !isEligible(worker, demand, now)) {
+        return std::nullopt;
+    }
+    const double ratio = predictedTailRatio(worker, demand);
+    if (demand.step->usesLeftover && ratio > MaxJoinRatio) {
+        return std::nullopt;
+    }
+    return placementCost(worker, demand, ratio);
+}
+
+std::optional<double> FirstFit::cost(const workers::Worker &worker, const TaskDemand &demand, TimePoint now) const
+{
+    const bool canTake = worker.fits(demand.step->needs, demand.step->usesLeftover) && isEligible(worker, demand, now);
+    return canTake ? std::optional(0.0) : std::nullopt;
+}
+
+RankedWorkers::RankedWorkers(const WorkerChooser &chooser, const TaskDemand &demand,
+                             std::span<workers::Worker *const> workers, TimePoint now)
+    : m_chooser(chooser), m_demand(demand), m_workers(workers)
+{
+    m_demand.task.index = AnyTask;
+    for (std::size_t n = 0; n < workers.size(); ++n) {
+        if (const auto cost = chooser.cost(*workers[n], m_demand, now)) {
+            m_candidates.push_back({*cost, n});
+        }
+    }
+    std::ranges::make_heap(m_candidates, std::greater());
+}
+
+workers::Worker *RankedWorkers::best() const
+{
+    return m_candidates.empty() ? nullptr : m_workers[m_candidates.front().position];
+}
+
+void RankedWorkers::updateBest(TimePoint now)
+{
+    std::ranges::pop_heap(m_candidates, std::greater());
+    const auto position = m_candidates.back().position;
+    m_candidates.pop_back();
+    if (const auto cost = m_chooser.cost(*m_workers[position], m_demand, now)) {
+        m_candidates.push_back({*cost, position});
+        std::ranges::push_heap(m_candidates, std::greater());
+    }
 }
 
 } // namespace monsoonspool::scheduling
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -6,8 +6,12 @@
 #include "scheduling/interferencemodel.h"
 #include "workers/worker.h"
 
+#include <compare>
+#include <cstddef>
+#include <optional>
 #include <span>
 #include <string_view>
+#include <vector>
 
 namespace monsoonspool::scheduling {
 
@@ -32,14 +36,48 @@
 // beside it; before the crash that would fail the job, no other task joins either.
 bool isEligible(const workers::Worker &worker, const TaskDemand &demand, TimePoint now);
 
-// Policy that chooses a worker for a task.
+// Policy that chooses a worker for a task: the one with the lowest cost.
 class WorkerChooser
 {
 public:
     virtual ~WorkerChooser() = default;
-    // Returns nullptr if no eligible worker has enough free capacity.
-    virtual workers::Worker *choose(const TaskDemand &demand, std::span<workers::Worker *const> workers,
-                                    TimePoint now) const = 0;
+    // Returns the cost of placing the task on `worker`, or nullopt if the worker is not eligible
+    // or has too little free capacity.
+    virtual std::optional<double> cost(const workers::Worker &worker, const TaskDemand &demand,
+                                       TimePoint now) const = 0;
+    // Returns the first of the workers with the lowest cost, or nullptr if none can take the task.
+    workers::Worker *choose(const TaskDemand &demand, std::span<workers::Worker *const> workers, TimePoint now) const;
+};
+
+// The workers that can take tasks of one step, by cost. Placing many tasks of a step costs one
+// look at each worker, and one more for each task at the worker that got it.
+//
+// Valid while only the tasks placed on best() change the workers.
+class RankedWorkers
+{
+public:
+    // `chooser`, `workers` and what `demand` refers to must outlive this object.
+    RankedWorkers(const WorkerChooser &chooser, const TaskDemand &demand, std::span<workers::Worker *const> workers,
+                  TimePoint now);
+
+    // Returns the worker that WorkerChooser::choose() would return for another task of the step,
+    // unless a run of that very task is still active there.
+    workers::Worker *best() const;
+    // Ranks best() again, after a task was placed there.
+    void updateBest(TimePoint now);
+
+private:
+    struct Candidate
+    {
+        double cost = 0;
+        std::size_t position = 0;
+        auto operator<=>(const Candidate &) const = default;
+    };
+
+    const WorkerChooser &m_chooser;
+    TaskDemand m_demand;
+    std::span<workers::Worker *const> m_workers;
+    std::vector<Candidate> m_candidates; // a heap with the lowest at the front
 };
 
 // Best-fit placement for a highly utilized fleet with tasks of very different sizes.
@@ -59,16 +97,14 @@
 class BestFit : public WorkerChooser
 {
 public:
-    workers::Worker *choose(const TaskDemand &demand, std::span<workers::Worker *const> workers,
-                            TimePoint now) const override;
+    std::optional<double> cost(const workers::Worker &worker, const TaskDemand &demand, TimePoint now) const override;
 };
 
 // Chooses the first eligible worker with enough capacity. Baseline for comparisons.
 class FirstFit : public WorkerChooser
 {
 public:
-    workers::Worker *choose(const TaskDemand &demand, std::span<workers::Worker *const> workers,
-                            TimePoint now) const override;
+    std::optional<double> cost(const workers::Worker &worker, const TaskDemand &demand, TimePoint now) const override;
 };
 
 } // namespace monsoonspool::scheduling
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -62,6 +62,7 @@
     fresh.m_isRostered = m_isRostered;
     fresh.m_isOnTakenRoster = m_isOnTakenRoster;
     fresh.m_remainingJobs = std::move(m_remainingJobs);
+    fresh.m_visitAt = m_visitAt;
     *this = std::move(fresh);
 }
 
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -207,6 +207,15 @@
     {
         return std::exchange(m_hasNewListing, false);
     }
+    // When a plan must look at the worker even if nothing has changed by then.
+    std::optional<TimePoint> visitAt() const
+    {
+        return m_visitAt;
+    }
+    void setVisitAt(std::optional<TimePoint> visitAt)
+    {
+        m_visitAt = visitAt;
+    }
     scheduling::PaceRegulator &paceRegulator()
     {
         return m_paceRegulator;
@@ -370,6 +379,7 @@
     std::set<std::int64_t> m_heldEnds;
     TimePoint m_silentSince;
     TimePoint m_observedAt;
+    std::optional<TimePoint> m_visitAt;
     TimePoint m_unschedulableUntil;
     std::optional<TimePoint> m_awaitsTermRenewalSince;
     TimePoint m_lastFailureAt;
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -9,6 +9,9 @@
 #include <algorithm>
 #include <cmath>
 #include <memory>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace monsoonspool::scheduling {
 
@@ -409,4 +412,120 @@
     }
 }
 
+namespace {
+
+// Counts the evaluations of another policy.
+class CountingChooser : public WorkerChooser
+{
+public:
+    std::optional<double> cost(const workers::Worker &worker, const TaskDemand &demand, TimePoint now) const override
+    {
+        ++count;
+        return m_policy.cost(worker, demand, now);
+    }
+
+    mutable int count = 0;
+
+private:
+    BestFit m_policy;
+};
+
+// Workers with lasting tasks of several sizes, so that their costs differ.
+std::vector<std::unique_ptr<workers::Worker>> makeUnequalWorkers(int count)
+{
+    std::vector<std::unique_ptr<workers::Worker>> workers;
+    for (int n = 0; n < count; ++n) {
+        workers.push_back(makeWorker("w" + std::to_string(n)));
+        auto run = serving(1000 + static_cast<std::uint64_t>(n), S1);
+        constexpr int sizes = 7;
+        run.needs.milliCores = 1000 * (1 + n * 5 % sizes);
+        workers.back()->add(run);
+    }
+    return workers;
+}
+
+void place(workers::Worker &worker, const TaskDemand &demand)
+{
+    workers::Run run;
+    run.task = demand.task;
+    run.needs = demand.step->needs;
+    run.usesLeftover = demand.step->usesLeftover;
+    worker.add(run);
+}
+
+} // namespace
+
+TEST(RankedWorkers, ChooseAsOneSearchForEachTaskDoes)
+{
+    struct Case
+    {
+        const char *name;
+        bool usesLeftover;
+        int maxPerWorker;
+    };
+    for (const auto &it :
+         {Case{"own cores", false, 0}, Case{"leftover cores", true, 0}, Case{"anti-affinity", false, 2}}) {
+        SCOPED_TRACE(it.name);
+        constexpr int workerCount = 12;
+        const auto ranked = makeUnequalWorkers(workerCount);
+        const auto searched = makeUnequalWorkers(workerCount);
+        std::vector<workers::Worker *> rankedPointers;
+        std::vector<workers::Worker *> searchedPointers;
+        for (int n = 0; n < workerCount; ++n) {
+            rankedPointers.push_back(ranked[static_cast<std::size_t>(n)].get());
+            searchedPointers.push_back(searched[static_cast<std::size_t>(n)].get());
+        }
+        jobs::StepSpec step;
+        step.needs = {3500, 1000, 0};
+        step.usesLeftover = it.usesLeftover;
+        step.maxPerWorker = it.maxPerWorker;
+        TaskDemand demand;
+        demand.step = &step;
+        demand.service = Service.view();
+        demand.task.job = {1};
+        const BestFit policy;
+        RankedWorkers ranking(policy, demand, rankedPointers, Now);
+        int placed = 0;
+        for (;; ++placed) {
+            demand.task = {{1}, 0, 0, placed};
+            auto *best = ranking.best();
+            auto *expected = policy.choose(demand, searchedPointers, Now);
+            ASSERT_EQ(best == nullptr, expected == nullptr) << "task " << placed;
+            if (best == nullptr) {
+                break;
+            }
+            ASSERT_EQ(best->entry().id, expected->entry().id) << "task " << placed;
+            place(*best, demand);
+            place(*expected, demand);
+            ranking.updateBest(Now);
+        }
+        EXPECT_GT(placed, workerCount);
+    }
+}
+
+// A plan of a leader looked at each of 1,100 workers for each of 2,400 starts a second.
+TEST(RankedWorkers, LookOnceAtEachWorkerForAllTasksOfAStep)
+{
+    constexpr int workerCount = 200;
+    constexpr int taskCount = 40;
+    const auto workers = makeUnequalWorkers(workerCount);
+    std::vector<workers::Worker *> pointers;
+    for (const auto &it : workers) {
+        pointers.push_back(it.get());
+    }
+    jobs::StepSpec step;
+    step.needs = {3500, 1000, 0};
+    TaskDemand demand;
+    demand.step = &step;
+    demand.service = Service.view();
+    const CountingChooser policy;
+    RankedWorkers ranking(policy, demand, pointers, Now);
+    for (int n = 0; n < taskCount; ++n) {
+        demand.task = {{1}, 0, 0, n};
+        place(*ranking.best(), demand);
+        ranking.updateBest(Now);
+    }
+    EXPECT_EQ(policy.count, workerCount + taskCount);
+}
+
 } // namespace monsoonspool::scheduling
