A leader with more work than it can handle starts less, instead of everything late

The leader ordered all starts that were due at once; its renewals, the answers of workers and of the store waited behind them in sockets, so that leases and its leadership ran out.

Change: StartLimiter bounds the start orders without an answer. The limit falls when timers of the control thread are late (every event that became ready before a timer is handled before it) or when even the fastest answers take longer than usual (a full link), and grows slowly otherwise. Plans end at the limit, in the order of the queue. A late thread also lets more ends share one renewal.

--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -8,6 +8,7 @@
 #include "ports/workerlink.h"
 #include "scheduling/interferencemodel.h"
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -168,8 +169,9 @@
     std::vector<scheduling::LearnedInterference> learnedInterference() const;
     void restoreInterference(std::span<const scheduling::LearnedInterference> learned);
 
-    // Returns the tasks to start, stop and pace now.
-    Orders plan(TimePoint now, jobs::WallTime wall);
+    // Returns the tasks to start, stop and pace now. Starts no more than `maxStarts` tasks, except
+    // for a gang that is larger.
+    Orders plan(TimePoint now, jobs::WallTime wall, int maxStarts = std::numeric_limits<int>::max());
 
     // Returns the jobs whose stored progress is outdated, and clears the list.
     std::vector<jobs::JobKey> consumeChangedJobs();
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -96,7 +96,7 @@
 
 } // namespace
 
-Orders Fleet::plan(TimePoint now, jobs::WallTime wall)
+Orders Fleet::plan(TimePoint now, jobs::WallTime wall, int maxStarts)
 {
     Orders orders;
     d->endFormerLeases(now);
@@ -107,17 +107,24 @@
         d->adjustPaces(*it, now, orders);
         d->scheduleNextVisit(*it, now);
     }
-    if (!d->mayStartTasks(now)) {
+    if (!d->mayStartTasks(now) || maxStarts <= 0) {
         return orders;
     }
     d->unplaceableDemands.clear();
     const auto waiting = d->waitingSteps(now, wall);
     d->updateInterferenceFreeCapacity(waiting, now);
     for (const auto &it : waiting) {
-        if (it.job->job.stepSpec(it.step).isGang) {
+        const int startsLeft = maxStarts - static_cast<int>(orders.starts.size());
+        if (startsLeft <= 0) {
+            break;
+        }
+        const auto &spec = it.job->job.stepSpec(it.step);
+        if (!spec.isGang) {
+            d->placeStep(it, startsLeft, now, orders);
+        } else if (spec.count <= startsLeft || orders.starts.empty()) {
             d->placeGang(it, now, orders);
         } else {
-            d->placeStep(it, now, orders);
+            break; // its turn comes before that of the work behind it
         }
     }
     d->counts.starts += orders.starts.size();
@@ -652,12 +659,13 @@
     orders.starts.push_back({worker.entry().id, task, number, checkpoint, {}, run.startDeadline});
 }
 
-void Fleet::Private::placeStep(const WaitingStep &waiting, TimePoint now, Orders &orders)
+void Fleet::Private::placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, Orders &orders)
 {
     auto &job = *waiting.job;
     const auto count = job.job.stepSpec(waiting.step).count;
     std::optional<scheduling::RankedWorkers> ranked;
-    for (int n = 0; n < count; ++n) {
+    int starts = 0;
+    for (int n = 0; n < count && starts < maxStarts; ++n) {
         const jobs::TaskId id{job.job.key(), waiting.occurrence, waiting.step, n};
         const auto &task = job.job.task(id);
         if (!task.isWaiting() || now < task.retryAt) {
@@ -671,6 +679,7 @@
             return;
         }
         orderStart(job, id, *worker, nextRun(task), now, orders);
+        ++starts;
         if (ranked && ranked->best() == worker) {
             ranked->updateBest(now);
         } else {
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -149,7 +149,7 @@
     // Adds the steps of a job that wait to be started. Returns false if there are none, and none
     // becomes due by the passing of time.
     bool addWaitingSteps(TrackedJob &job, TimePoint now, jobs::WallTime wall, std::vector<WaitingStep> &waiting);
-    void placeStep(const WaitingStep &waiting, TimePoint now, Orders &orders);
+    void placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, Orders &orders);
     bool fitsIdleWorkers(const WaitingStep &waiting, TimePoint now) const;
     void placeGang(const WaitingStep &waiting, TimePoint now, Orders &orders);
     // `ranked`, if given, is kept between calls for tasks of one step.
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -4,6 +4,7 @@
 #include "execution/progresswriter.h"
 #include "execution/rosterwriter.h"
 #include "execution/rowlayout.h"
+#include "execution/startlimiter.h"
 #include "execution/tablewatcher.h"
 #include "execution/workercontroller.h"
 #include "jobs/names.h"
@@ -59,7 +60,8 @@
         progressWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion,
                                hooks.onFenced);
         workerController.emplace(ports.workers, ports.scheduler, fleet,
-                                 WorkerController::Hooks{[this] { requestPlan(); }, hooks.onFenced, hooks.mayDecide});
+                                 WorkerController::Hooks{[this] { requestPlan(); }, [this] { onStartAnswered(); },
+                                                         hooks.onFenced, hooks.mayDecide});
         jobWatcher.emplace(ports.store, ports.scheduler, ports.log, std::string(JobsTable), jobParts(), WatchTimeout,
                            TableWatcher::Hooks{[this](auto rows) { onJobSnapshot(rows); },
                                                [this](auto rows) { onJobRows(rows); }, [](Duration) {},
@@ -200,15 +202,36 @@
         ports.scheduler.runAfter(PlanInterval, [self = shared_from_this(), dueAt] {
             if (!self->isClosed) {
                 const auto now = self->ports.scheduler.now();
-                if (now - dueAt > MaxTickDelay) {
-                    self->fleet.noteDelayed(now);
-                }
+                self->noteLateness(now - dueAt, now);
                 self->plan();
                 self->tick();
             }
         });
     }
 
+    void noteLateness(Duration lateness, TimePoint now)
+    {
+        if (lateness > MaxTickDelay) {
+            fleet.noteDelayed(now);
+        }
+        const int formerLimit = startLimiter.limit();
+        startLimiter.update(lateness, workerController->takeStartRoundTrips(), now);
+        workerController->setLateness(startLimiter.lateness());
+        if (startLimiter.limit() < formerLimit) {
+            ports.log.record("start-limit-lowered",
+                             {{"limit", startLimiter.limit()},
+                              {"latenessMs", toMilliseconds(lateness)},
+                              {"queueingMs", toMilliseconds(startLimiter.queueing())}});
+        }
+    }
+
+    void onStartAnswered()
+    {
+        if (isCutByLimit) {
+            requestPlan();
+        }
+    }
+
     void requestPlan()
     {
         if (isPlanScheduled || !isLoaded || isClosed) {
@@ -229,7 +252,10 @@
         if (!isLoaded || !hooks.mayDecide()) {
             return;
         }
-        workerController->dispatch(fleet.plan(ports.scheduler.now(), ports.wallNow()));
+        const int maxStarts = startLimiter.available(workerController->startsUnderWay());
+        const auto orders = fleet.plan(ports.scheduler.now(), ports.wallNow(), maxStarts);
+        isCutByLimit = static_cast<int>(orders.starts.size()) >= maxStarts;
+        workerController->dispatch(orders);
         progressWriter->requestWrite();
         rosterWriter->requestWrite();
         interferencePersister->writeIfDue(ports.scheduler.now());
@@ -245,6 +271,8 @@
     std::optional<TableWatcher> jobWatcher;
     std::optional<TableWatcher> progressReader;
     std::optional<TableWatcher> workerWatcher;
+    StartLimiter startLimiter;
+    bool isCutByLimit = false; // the last plan left starts for later
     bool isLoaded = false;
     bool isPlanScheduled = false;
     bool isClosed = false;
@@ -294,4 +322,9 @@
     return d->fleet.fullCounts();
 }
 
+bool LeaderTerm::isOverloaded() const
+{
+    return d->startLimiter.isAtMinimum();
+}
+
 } // namespace monsoonspool::execution
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -62,6 +62,8 @@
     // Returns whether all stored jobs and their progress have been read.
     bool isLoaded() const;
     FleetCounts counts() const;
+    // Returns whether the control thread runs late although it starts as little as possible.
+    bool isOverloaded() const;
 
 private:
     struct Private;
--- a/src/execution/workercontroller.cpp
+++ b/src/execution/workercontroller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace monsoonspool::execution {
 
@@ -13,6 +14,9 @@
 constexpr Duration EndsPause = 30ms;
 constexpr Duration EndsPausePerWorker = 70us;
 constexpr Duration MaxEndsPause = 150ms; // the shortest tasks run several times this long
+// Added for a control thread that runs late, as a multiple of its lateness.
+constexpr int EndsPausePerLateness = 3;
+constexpr Duration MaxLateEndsPause = 450ms;
 // After a listing without ended runs; the worker has already waited for one.
 constexpr Duration NoEndsPause = 0ms;
 // After a failed renewal.
@@ -84,7 +88,9 @@
 
     Duration endsPause() const
     {
-        return std::min(EndsPause + EndsPausePerWorker * static_cast<int>(trackedWorkers.size()), MaxEndsPause);
+        const auto pause
+            = std::min(EndsPause + EndsPausePerWorker * static_cast<int>(trackedWorkers.size()), MaxEndsPause);
+        return pause + std::min(lateness * EndsPausePerLateness, MaxLateEndsPause);
     }
 
     void start(const StartTask &order)
@@ -96,11 +102,18 @@
         }
         const ports::RunOrder run{fleet.fence(),    order.task,   order.run,     job->spec().payload,
                                   order.checkpoint, order.ticket, order.deadline};
+        ++startsUnderWay;
         link.start(*entry, run,
-                   [self = shared_from_this(), order](const ports::AsyncResult<ports::StartResult> &result) {
+                   [self = shared_from_this(), order,
+                    sentAt = scheduler.now()](const ports::AsyncResult<ports::StartResult> &result) {
+                       --self->startsUnderWay;
+                       self->startRoundTrips.push_back(self->scheduler.now() - sentAt);
                        if (!self->isClosed) {
                            self->onStart(order, result);
                        }
+                       if (!self->isClosed) {
+                           self->hooks.onStartAnswered();
+                       }
                    });
     }
 
@@ -164,6 +177,9 @@
     Fleet &fleet;
     Hooks hooks;
     std::set<WorkerId> trackedWorkers;
+    int startsUnderWay = 0;
+    std::vector<Duration> startRoundTrips;
+    Duration lateness{0};
     bool isClosed = false;
 };
 
@@ -186,6 +202,21 @@
     }
 }
 
+int WorkerController::startsUnderWay() const
+{
+    return d->startsUnderWay;
+}
+
+std::vector<Duration> WorkerController::takeStartRoundTrips()
+{
+    return std::exchange(d->startRoundTrips, {});
+}
+
+void WorkerController::setLateness(Duration lateness)
+{
+    d->lateness = lateness;
+}
+
 void WorkerController::dispatch(const Orders &orders)
 {
     for (const auto &it : orders.stops) {
--- a/src/execution/workercontroller.h
+++ b/src/execution/workercontroller.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace monsoonspool::execution {
 
@@ -20,6 +21,7 @@
     struct Hooks
     {
         std::function<void()> onChange; // an event was applied to the fleet
+        std::function<void()> onStartAnswered; // or failed
         std::function<void()> onFenced; // a worker has seen a higher fence
         std::function<bool()> mayDecide; // whether leases may still be renewed
     };
@@ -32,6 +34,12 @@
     // Starts lease renewal for workers that are new to the fleet.
     void trackWorkers();
     void dispatch(const Orders &orders);
+    // Returns the number of start orders without an answer.
+    int startsUnderWay() const;
+    // Returns the round trips of the start orders that were answered or have failed since the last call.
+    std::vector<Duration> takeStartRoundTrips();
+    // Sets how late the control thread runs. The later, the more ends share one renewal.
+    void setLateness(Duration lateness);
 
 private:
     struct Private;
--- /dev/null
+++ b/tests/execution/startlimitertest.cpp
@@ -0,0 +1,93 @@
+#include "execution/startlimiter.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+namespace monsoonspool::execution {
+
+namespace {
+
+constexpr Duration TimerInterval = 150ms;
+constexpr Duration UsualRoundTrip = 20ms;
+
+// A limiter whose timers run with the given lateness, while as many orders are sent as it permits.
+class Play
+{
+public:
+    void run(int timers, Duration lateness, Duration roundTrip, std::size_t answers = 20, bool isLimitReached = true)
+    {
+        const std::vector<Duration> roundTrips(answers, roundTrip);
+        for (int n = 0; n < timers; ++n) {
+            now += TimerInterval;
+            if (isLimitReached) {
+                limiter.available(limiter.limit());
+            }
+            limiter.update(lateness, roundTrips, now);
+        }
+    }
+
+    StartLimiter limiter;
+    TimePoint now{1h};
+};
+
+} // namespace
+
+TEST(StartLimiter, FollowsItsThreadAndItsLink)
+{
+    struct Case
+    {
+        const char *name;
+        Duration lateness;
+        Duration roundTrip;
+        bool isLimitReached;
+        int sign; // of the change of the limit
+    };
+    for (const auto &it :
+         {Case{"the thread is late", 300ms, UsualRoundTrip, true, -1}, Case{"answers take long", 0ms, 300ms, true, -1},
+          Case{"a little late", 70ms, UsualRoundTrip, true, 0},
+          Case{"in time, and more is due", 0ms, UsualRoundTrip, true, 1},
+          Case{"in time, and no more is due", 0ms, UsualRoundTrip, false, 0}}) {
+        SCOPED_TRACE(it.name);
+        Play play;
+        play.run(1, 0ms, UsualRoundTrip, 20, false);
+        const int before = play.limiter.limit();
+        play.run(10, it.lateness, it.roundTrip, 20, it.isLimitReached);
+        const int change = play.limiter.limit() - before;
+        EXPECT_EQ((change > 0) - (change < 0), it.sign) << before << " to " << play.limiter.limit();
+    }
+}
+
+// Workers that are cut off answer late or never, and say nothing about the leader.
+TEST(StartLimiter, IsNotLoweredByTheSlowerAnswers)
+{
+    StartLimiter limiter;
+    TimePoint now{1h};
+    const int before = limiter.limit();
+    std::vector<Duration> roundTrips(20, Duration(700ms));
+    std::fill_n(roundTrips.begin(), 8, UsualRoundTrip);
+    for (int n = 0; n < 10; ++n) {
+        now += TimerInterval;
+        limiter.update(0ms, roundTrips, now);
+    }
+    EXPECT_EQ(limiter.limit(), before);
+}
+
+TEST(StartLimiter, StaysAboveZeroAndRecovers)
+{
+    Play play;
+    play.run(1, 0ms, UsualRoundTrip);
+    const int usual = play.limiter.limit();
+    play.run(100, 1s, UsualRoundTrip);
+    EXPECT_GT(play.limiter.limit(), 0);
+    EXPECT_GT(play.limiter.available(0), 0);
+    EXPECT_EQ(play.limiter.available(std::numeric_limits<int>::max()), 0);
+    EXPECT_TRUE(play.limiter.isAtMinimum());
+    play.run(100, 0ms, UsualRoundTrip);
+    EXPECT_GE(play.limiter.limit(), usual);
+    EXPECT_FALSE(play.limiter.isAtMinimum());
+}
+
+} // namespace monsoonspool::execution
