A new leader reads its workers in pieces

It sent the first renewal to all workers at once, and was late while it connected to a thousand of them and adopted their runs. Now 256 first renewals are under way at a time; a silent worker counts only until its first timeout.

--- a/src/execution/workercontroller.cpp
+++ b/src/execution/workercontroller.cpp
@@ -1,6 +1,7 @@
 #include "execution/workercontroller.h"
 
 #include <algorithm>
+#include <deque>
 #include <set>
 #include <utility>
 
@@ -21,6 +22,9 @@
 constexpr Duration NoEndsPause = 0ms;
 // After a failed renewal.
 constexpr Duration FailureRetryDelay = 300ms;
+// Of workers that have not answered yet. Enough that silent ones hold up the others no longer than
+// for one timeout.
+constexpr int MaxFirstRenewals = 256;
 // Between checks while leases may not be renewed.
 constexpr Duration SuspendedRetryDelay = 500ms;
 
@@ -52,6 +56,7 @@
         if (entry == nullptr) {
             trackedWorkers.erase(id);
             link.closeConnections(id);
+            noteFirstAnswer(id);
             return;
         }
         if (!hooks.mayDecide()) {
@@ -64,9 +69,33 @@
                        if (!self->isClosed) {
                            self->onListing(id, sentAt, result);
                        }
+                       if (!self->isClosed) {
+                           self->noteFirstAnswer(id);
+                       }
                    });
     }
 
+    // A new leader reads the runs of thousands of workers. Their answers must not hold up the
+    // renewals of its row, nor of workers that have answered.
+    void trackNext()
+    {
+        while (!newWorkers.empty() && firstRenewals < MaxFirstRenewals) {
+            const auto id = std::move(newWorkers.front());
+            newWorkers.pop_front();
+            unansweredWorkers.insert(id);
+            ++firstRenewals;
+            renew(id);
+        }
+    }
+
+    void noteFirstAnswer(const WorkerId &id)
+    {
+        if (unansweredWorkers.erase(id) > 0) {
+            --firstRenewals;
+            trackNext();
+        }
+    }
+
     void onListing(const WorkerId &id, TimePoint sentAt, const ports::AsyncResult<ports::WorkerListing> &result)
     {
         if (!result.isOk()) {
@@ -177,6 +206,9 @@
     Fleet &fleet;
     Hooks hooks;
     std::set<WorkerId> trackedWorkers;
+    std::deque<WorkerId> newWorkers; // their first renewal was not sent yet
+    std::set<WorkerId> unansweredWorkers; // their first renewal has no answer yet
+    int firstRenewals = 0; // without an answer
     int startsUnderWay = 0;
     std::vector<Duration> startRoundTrips;
     Duration lateness{0};
@@ -197,9 +229,10 @@
 {
     for (const auto &it : d->fleet.workerIds()) {
         if (d->trackedWorkers.insert(it).second) {
-            d->renew(it);
+            d->newWorkers.push_back(it);
         }
     }
+    d->trackNext();
 }
 
 int WorkerController::startsUnderWay() const
