--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -17,12 +17,14 @@
 // use other hosts.
 constexpr Duration ReadyContactTimeout = 2500ms;
 
-// A leader whose control thread is late by LagLimit on average hands over to another
-// host and delays its own claims for a while: its machine is slow or overloaded.
+// A leader whose control thread is late by LagLimit on average although it starts next to nothing
+// hands over to another host and delays its own claims for a while: its machine is slow. A busy
+// leader starts less instead, since its successor would have to do the same work and to adopt all
+// runs first.
 constexpr Duration LagLimit = 500ms;
 constexpr Duration LagClaimDelay = 2s;
 constexpr Duration LagClaimDelayPeriod = 15s;
-constexpr Duration MinTermLength = 4s;
+constexpr Duration MinTermLength = 20s; // between hand-overs
 // Weight of the newest tick in the moving average.
 constexpr double LagSmoothing = 0.3;
 
@@ -156,7 +158,7 @@
     {
         const auto now = ports.scheduler.now();
         lag += std::chrono::duration_cast<Duration>((lateness - lag) * LagSmoothing);
-        if (!term || isStopping || lag < LagLimit || now - termBeganAt < MinTermLength) {
+        if (!term || isStopping || lag < LagLimit || !term->isOverloaded() || now - termBeganAt < MinTermLength) {
             return;
         }
         lagClaimDelayUntil = now + LagClaimDelayPeriod;
