State and metrics show how busy a leader is

An operator could not tell a leader that has too much to do from one that waits for workers: the dump and the metrics now have how late the control thread is, the limit on start orders, and how many are without an answer.

--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -395,6 +395,7 @@
     summary.timeSinceStoreContact = d->ports.scheduler.now() - d->lastContactAt;
     if (d->term) {
         summary.fleet = d->term->counts();
+        summary.load = d->term->load();
     }
     return summary;
 }
--- a/src/execution/executionloop.h
+++ b/src/execution/executionloop.h
@@ -24,6 +24,7 @@
     std::int64_t configurationVersion = -1; // -1 until one has been read
     Duration timeSinceStoreContact{0};
     FleetCounts fleet;
+    LeaderLoad load; // while this host leads
 };
 
 // Control state of job execution on one host: the configuration, client requests, and
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -322,6 +322,11 @@
     return d->fleet.fullCounts();
 }
 
+LeaderLoad LeaderTerm::load() const
+{
+    return {d->startLimiter.lateness(), d->startLimiter.limit(), d->workerController->startsUnderWay()};
+}
+
 bool LeaderTerm::isOverloaded() const
 {
     return d->startLimiter.isAtMinimum();
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -34,6 +34,14 @@
     TimePoint formersDecideUntil; // see membership::Leadership
 };
 
+// How busy a leader is.
+struct LeaderLoad
+{
+    Duration lateness{0}; // of the control thread's timers, moving average
+    int startLimit = 0; // see StartLimiter
+    int startsUnderWay = 0; // start orders without an answer
+};
+
 // One leadership term of this host: loads the stored state, watches jobs and workers,
 // plans, and stores progress until it is destroyed.
 //
@@ -62,6 +70,7 @@
     // Returns whether all stored jobs and their progress have been read.
     bool isLoaded() const;
     FleetCounts counts() const;
+    LeaderLoad load() const;
     // Returns whether the control thread runs late although it starts as little as possible.
     bool isOverloaded() const;
 
--- a/tests/platform/controlapitest.cpp
+++ b/tests/platform/controlapitest.cpp
@@ -33,7 +33,7 @@
 TEST(ControlApi, StateHasAllSections)
 {
     const auto json = codec::Json::parse(encodeState({}, EntryHostId("h")));
-    for (const auto *it : {"host", "leadership", "configuration", "store", "jobs", "workers", "runs"}) {
+    for (const auto *it : {"host", "leadership", "configuration", "store", "load", "jobs", "workers", "runs"}) {
         EXPECT_TRUE(json.contains(it)) << it;
     }
 }
