--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -195,18 +195,23 @@
     auto &tracked = d->jobsByKey[key];
     tracked = std::make_unique<TrackedJob>(std::move(job), acceptedAt);
     d->jobsToPlace.insert(key);
-    // A former leader may have started its tasks before this leader read its row.
-    const bool hasRuns = d->unreadJobs.erase(key) > 0;
-    for (const auto *worker :
-         hasRuns ? std::span<workers::Worker *const>(d->workers) : std::span<workers::Worker *const>()) {
+    if (d->unreadJobs.erase(key) > 0) {
+        d->noteRunsOf(*tracked);
+    }
+    d->applyHeldEnds(key, now);
+}
+
+// A former leader may have started its tasks before this leader read its row.
+void Fleet::Private::noteRunsOf(TrackedJob &job) const
+{
+    for (const auto *worker : workers) {
         for (const auto &run : worker->runs()) {
-            if (run.task.job == key && tracked->job.contains(run.task)) {
-                tracked->job.noteRunOrdered(run.task, run.number);
-                ++tracked->activeRuns;
+            if (run.task.job == job.job.key() && job.job.contains(run.task)) {
+                job.job.noteRunOrdered(run.task, run.number);
+                ++job.activeRuns;
             }
         }
     }
-    d->applyHeldEnds(key, now);
 }
 
 void Fleet::addUnreadableJob(jobs::JobKey key)
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -109,8 +109,10 @@
     void dropIfFinished(jobs::JobKey key);
     void markReported(const WorkerId &id, TimePoint now);
     void dropFinishedJobs();
-    // Lets the next plan look at all workers with runs of a job that is over.
+    // Lets the next plan look at all workers with runs of a job, of which some may not be needed
+    // any more.
     void visitWorkersOf(const TrackedJob &job);
+    void noteRunsOf(TrackedJob &job) const;
 
     // Steps of applyListing().
     void applyEnds(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint now);
