--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -64,6 +64,7 @@
     d->isRosterChanged = false;
     d->workersReadAt.reset();
     d->delayedAt.reset();
+    d->takeoverReportDueAt = now + TakeoverReportInterval;
     for (const auto &it : roster) {
         auto &worker = d->addWorker(it.worker, now);
         worker.setListed(false);
@@ -76,7 +77,11 @@
         d->unreportedWorkers.insert(it.worker.id);
     }
     const auto closed = std::ranges::count_if(roster, [](const auto &it) { return it.remainingJobs.has_value(); });
-    d->log.record("takeover-begun", {{"fence", fence.value}, {"workers", roster.size()}, {"closedWorkers", closed}});
+    d->log.record("takeover-begun",
+                  {{"fence", fence.value},
+                   {"workers", roster.size()},
+                   {"closedWorkers", closed},
+                   {"formerLeasesEndInMs", toMilliseconds(formerLeasesEnd - now)}});
 }
 
 void Fleet::noteTermRenewed(TimePoint sentAt, TimePoint termEnd)
@@ -539,6 +544,8 @@
     for (const auto &[key, it] : d->jobsByKey) {
         counts.waitingJobs += it->job.isWaiting() ? 1 : 0;
     }
+    counts.unreportedWorkers = d->unreportedWorkers.size();
+    counts.heldBackJobs = d->heldBackJobs();
     return counts;
 }
 
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -69,6 +69,8 @@
     std::uint64_t foreignDoneTasks = 0; // tasks that such a row showed as done and this leader took as open
     std::size_t waitingJobs = 0; // jobs of which no task has begun
     std::size_t silentWorkers = 0;
+    std::size_t unreportedWorkers = 0; // of the former leader's roster
+    std::size_t heldBackJobs = 0; // whose tasks may still be active on one of these
     metrics::LatencyHistogram firstStart; // from acceptance to the first start order
 };
 
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -100,6 +100,7 @@
 {
     Orders orders;
     d->endFormerLeases(now);
+    d->reportTakeover(now);
     for (auto *it : d->expireLeases(d->workersToVisit(now), now)) {
         d->drainWorker(*it, now);
         d->stopStuckRuns(*it, now);
@@ -247,6 +248,32 @@
     }
 }
 
+void Fleet::Private::reportTakeover(TimePoint now)
+{
+    if (unreportedWorkers.empty() || now < takeoverReportDueAt) {
+        return;
+    }
+    takeoverReportDueAt = now + TakeoverReportInterval;
+    const auto isListed = [&](const WorkerId &id) { return workersById.at(id)->isListed(); };
+    log.record("takeover-waits",
+               {{"fence", fence.value},
+                {"afterMs", toMilliseconds(now - termBeganAt)},
+                {"unreported", unreportedWorkers.size()},
+                {"unlisted", unreportedWorkers.size() - std::ranges::count_if(unreportedWorkers, isListed)},
+                {"firstWorker", unreportedWorkers.begin()->view()},
+                {"heldBackJobs", heldBackJobs()},
+                {"formerLeasesEndInMs", toMilliseconds(formerLeasesEnd - now)}});
+}
+
+std::size_t Fleet::Private::heldBackJobs() const
+{
+    if (unreportedWorkers.empty()) {
+        return 0;
+    }
+    return static_cast<std::size_t>(std::ranges::count_if(
+        jobsByKey, [&](const auto &it) { return it.second->job.isOpen() && isBlockedByTakeover(*it.second); }));
+}
+
 std::vector<workers::Worker *> Fleet::Private::expireLeases(std::vector<workers::Worker *> visited, TimePoint now)
 {
     const auto certain = soleLeaderTime(now);
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -70,6 +70,9 @@
 
 // State of Fleet, shared by its event handling (fleetlistings.cpp, fleetcrashes.cpp) and
 // planning (fleetplan.cpp).
+// Time between two log lines about a takeover that waits for workers.
+inline constexpr Duration TakeoverReportInterval = 2s;
+
 struct Fleet::Private
 {
     explicit Private(DecisionLog &decisionLog);
@@ -140,6 +143,10 @@
     // a run counts as stuck.
     void scheduleNextVisit(workers::Worker &worker, TimePoint now);
     void endFormerLeases(TimePoint now);
+    // Logs what a takeover waits for, at intervals until it is complete.
+    void reportTakeover(TimePoint now);
+    // Returns the number of open jobs that wait for the workers that have not reported.
+    std::size_t heldBackJobs() const;
     // Returns the workers that are still known.
     std::vector<workers::Worker *> expireLeases(std::vector<workers::Worker *> visited, TimePoint now);
     scheduling::Rank rankOf(TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall);
@@ -176,6 +183,7 @@
     TimePoint termRenewedAt;
     TimePoint termEnd;
     TimePoint formerLeasesEnd;
+    TimePoint takeoverReportDueAt;
     std::set<WorkerId> unreportedWorkers; // on the former leader's roster; have not reported their runs
     std::map<std::string, jobs::QueuePolicy, std::less<>> queues;
     std::unordered_map<jobs::JobKey, std::unique_ptr<TrackedJob>> jobsByKey;
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -737,6 +737,28 @@
     EXPECT_EQ(fleet.plan(Start + 20ms, Wall).starts.size(), 1U);
 }
 
+// While a worker of the former leader's roster has not answered, logs and counts tell which jobs wait
+// for it and for how long at most.
+TEST(Fleet, TellsWhatATakeoverWaitsFor)
+{
+    TakeoverFleet takeover;
+    takeover.fleet.plan(Start + 1s, Wall);
+    EXPECT_FALSE(takeover.log.contains("takeover-waits"));
+    takeover.fleet.plan(Start + 2s, Wall);
+    EXPECT_TRUE(takeover.log.contains("takeover-waits"));
+    EXPECT_EQ(takeover.fleet.fullCounts().unreportedWorkers, 1U);
+    EXPECT_EQ(takeover.fleet.fullCounts().heldBackJobs, 1U);
+    ports::WorkerListing listing;
+    listing.startTimeMs = 1;
+    listing.clock = 1000;
+    takeover.fleet.applyListing(takeover.entry.id, listing, Start + 3s, Start + 3s);
+    takeover.log.events.clear();
+    takeover.fleet.plan(Start + 4s, Wall);
+    EXPECT_FALSE(takeover.log.contains("takeover-waits"));
+    EXPECT_EQ(takeover.fleet.fullCounts().unreportedWorkers, 0U);
+    EXPECT_EQ(takeover.fleet.fullCounts().heldBackJobs, 0U);
+}
+
 // Guards against idle workers: a gang that no longer fits kept all work of its members' size from
 // being placed.
 TEST(Fleet, AGangThatDoesNotFitDoesNotBlockOtherWork)
