A former leader that runs again ends its successor's wait

Another host claims; a worker on the roster that it cannot reach holds back every job that the former leader may have started for 11.4 s after the claim, although the former leader has stepped down 0.1 to 0.6 s after it. Lasting tasks of the lost workers and the waiting tasks of accepted jobs do not run meanwhile.

Cause: the successor has to assume that the former leader decides until 12 s after its last renewal (StoreOutageGracePeriod). Nothing tells it that it has stopped.

Change: a claim names in the leader row the process and fence that it replaces. When that process has ended its term, or a later process of its host reads the row, it stores "ended/HOST" with the fence and an upper bound of how long any worker may still keep what was ordered so far. The leader reads it by the watcher that it has, and ends its predecessor's part of the wait. The wait for earlier leaders, which the leader row states, is kept apart. Rows of other fences are ignored; older builds ignore all.

Why it is safe: the row is computed when the term is destroyed. Worker counts a deadline when an order is made, so orders that are queued or under way are covered (nextDeadline, startDeadline; restart() and noteContact() keep or raise it). Leadership resumes no fence that it has led with. Workers that the former leader had not reached count with the rest of its own wait. The successor counts from its reading, stretched by the drift of clocks, and adds FormerLeaseSlack; the leases' end is still compared with the time of the last renewal. A term of the leader's own host that its claim replaced drops the report.

The bound is the longest lease (6.24 s by slow clocks), the slack of 1 s, the interval of renewals of 0.8 s, and 0.5 s until the step-down and the report.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -211,13 +211,19 @@
 
 std::string CborJobs::encode(const membership::LeaderRow &row) const
 {
-    return writeCbor({{"host", row.host.text()},
-                      {"incarnation", row.incarnation},
-                      {"fence", row.fence.value},
-                      {"beat", row.beat},
-                      {"bestShare", row.bestShare},
-                      {"waiting", row.waiting},
-                      {"formersDecideMs", toMilliseconds(row.formersDecideFor)}});
+    Json json{{"host", row.host.text()},
+              {"incarnation", row.incarnation},
+              {"fence", row.fence.value},
+              {"beat", row.beat},
+              {"bestShare", row.bestShare},
+              {"waiting", row.waiting},
+              {"formersDecideMs", toMilliseconds(row.formersDecideFor)}};
+    if (row.former) {
+        json["former"] = {{"host", row.former->host.text()},
+                          {"incarnation", row.former->incarnation},
+                          {"fence", row.former->fence.value}};
+    }
+    return writeCbor(json);
 }
 
 Result<membership::LeaderRow> CborJobs::decodeLeader(std::string_view value) const
@@ -231,10 +237,31 @@
         row.bestShare = json.at("bestShare").get<double>();
         row.waiting = json.at("waiting").get<std::map<std::string, int>>();
         row.formersDecideFor = std::chrono::milliseconds(json.value("formersDecideMs", std::int64_t(0)));
+        if (const auto former = json.find("former"); former != json.end()) {
+            row.former = {EntryHostId(former->at("host").get<std::string>()),
+                          former->at("incarnation").get<std::uint64_t>(),
+                          {former->at("fence").get<std::uint64_t>()}};
+        }
         return row;
     });
 }
 
+std::string CborJobs::encode(const membership::EndedTerm &term) const
+{
+    return writeCbor({{"fence", term.fence.value},
+                      {"leasesEndInMs", std::chrono::ceil<std::chrono::milliseconds>(term.leasesEndIn).count()}});
+}
+
+Result<membership::EndedTerm> CborJobs::decodeEndedTerm(std::string_view value) const
+{
+    return decodeWith(value, [](const Json &json) {
+        membership::EndedTerm term;
+        term.fence = {json.at("fence").get<std::uint64_t>()};
+        term.leasesEndIn = std::chrono::milliseconds(json.at("leasesEndInMs").get<std::int64_t>());
+        return term;
+    });
+}
+
 std::string CborJobs::encode(std::span<const scheduling::LearnedInterference> learned) const
 {
     Json all = Json::array();
--- a/src/codec/cborjobs.h
+++ b/src/codec/cborjobs.h
@@ -14,6 +14,8 @@
     Result<jobs::JobProgress> decodeProgress(std::string_view value) const override;
     std::string encode(const membership::LeaderRow &row) const override;
     Result<membership::LeaderRow> decodeLeader(std::string_view value) const override;
+    std::string encode(const membership::EndedTerm &term) const override;
+    Result<membership::EndedTerm> decodeEndedTerm(std::string_view value) const override;
     std::string encode(std::span<const scheduling::LearnedInterference> learned) const override;
     Result<std::vector<scheduling::LearnedInterference>> decodeLearned(std::string_view value) const override;
     std::string encode(std::span<const execution::RosterEntry> roster) const override;
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -28,6 +28,10 @@
 // Weight of the newest tick in the moving average.
 constexpr double LagSmoothing = 0.3;
 
+// Backoff after the end of a term was not stored; doubles up to the maximum.
+constexpr Duration FirstReportRetry = 150ms;
+constexpr Duration MaxReportRetry = 1s;
+
 // Staggers the claims of otherwise equal hosts.
 constexpr std::size_t JitterSteps = 16;
 constexpr Duration JitterStep = 12ms;
@@ -125,23 +129,37 @@
 
     void onLeaderRows(std::span<const ports::StoredRow> rows)
     {
+        const auto now = ports.scheduler.now();
         for (const auto &row : rows) {
-            if (row.isRemoved || row.name.key != LeaderKey) {
-                continue;
-            }
-            handleFailure(
-                [&]() -> Result<void> {
+            if (!row.isRemoved && row.name.key == LeaderKey) {
+                readRow(row, [&]() -> Result<void> {
                     BOOST_LEAF_AUTO(decoded, ports.codec.decodeLeader(row.value));
-                    leadership.noteRow(decoded, row.version, ports.scheduler.now());
+                    leadership.noteRow(decoded, row.version, now);
+                    return {};
+                });
+            }
+        }
+        // After the leader row, which tells which of the terms matter.
+        for (const auto &row : rows) {
+            if (!row.isRemoved && row.name.key.starts_with(EndedTermPrefix)) {
+                readRow(row, [&]() -> Result<void> {
+                    BOOST_LEAF_AUTO(decoded, ports.codec.decodeEndedTerm(row.value));
+                    leadership.noteEndedTerm(decoded, now);
                     return {};
-                },
-                [&](const Failure &failure) {
-                    ports.log.record("row-unreadable", {{"key", row.name.key}, {"detail", failure.detail}});
                 });
+            }
         }
         reconcileLeadership();
     }
 
+    template <typename F>
+    void readRow(const ports::StoredRow &row, F read)
+    {
+        handleFailure(std::move(read), [&](const Failure &failure) {
+            ports.log.record("row-unreadable", {{"key", row.name.key}, {"detail", failure.detail}});
+        });
+    }
+
     void tick()
     {
         const auto dueAt = ports.scheduler.now() + TickInterval;
@@ -187,11 +205,16 @@
         }
         if (term && (!leadership.isLeader() || leadership.fence() != termFence)) {
             ports.log.record("leadership-lost", {{"fence", termFence.value}});
+            leadership.noteTermEnded(termFence, term->leasesEnd());
             term.reset();
         }
         if (leadership.isLeader() && !term) {
             beginTerm();
         }
+        if (term && leadership.formersEndAt()) {
+            term->noteFormersEnd(*leadership.formersEndAt());
+        }
+        reportEndIfDue();
         if (term) {
             term->noteRenewed(leadership.renewedAt(), leadership.decidesUntil());
         }
@@ -207,6 +230,42 @@
         }
     }
 
+    // Stores the end of this host's term, for which the present leader waits.
+    void reportEndIfDue()
+    {
+        const auto now = ports.scheduler.now();
+        const auto ended = leadership.dueEndReport(LongestLease, now);
+        if (!ended || isReportingEnd || isStopping || now < reportRetryAt) {
+            return;
+        }
+        isReportingEnd = true;
+        ports::Commit commit;
+        commit.writes.push_back({endedTermRow(options.self), ports.codec.encode(*ended)});
+        ports.store.commit(
+            std::move(commit),
+            [self = shared_from_this(), ended = *ended](const ports::AsyncResult<ports::CommitResult> &result) {
+                if (!self->isClosed) {
+                    self->onEndReported(ended, result);
+                }
+            });
+    }
+
+    void onEndReported(const membership::EndedTerm &ended, const ports::AsyncResult<ports::CommitResult> &result)
+    {
+        isReportingEnd = false;
+        if (result.isOk()) {
+            leadership.noteEndReported(ended.fence);
+            reportRetryPause = FirstReportRetry;
+            ports.log.record("leadership-end-stored",
+                             {{"fence", ended.fence.value}, {"leasesEndInMs", toMilliseconds(ended.leasesEndIn)}});
+            return;
+        }
+        ports.log.record("leadership-end-unstored",
+                         {{"fence", ended.fence.value}, {"error", errorInfo(result.failure().kind).name}});
+        reportRetryAt = ports.scheduler.now() + reportRetryPause;
+        reportRetryPause = std::min(reportRetryPause * 2, MaxReportRetry);
+    }
+
     void writeLeader(const membership::Leadership::Write &write)
     {
         if (write.isClaim) {
@@ -324,6 +383,9 @@
     Duration lag{0}; // moving average of how late the control thread's ticks are
     TimePoint lagClaimDelayUntil;
     std::vector<ports::StoredRow> claimedRoster; // as read for the last claim
+    bool isReportingEnd = false;
+    TimePoint reportRetryAt;
+    Duration reportRetryPause = FirstReportRetry;
     TimePoint lastContactAt;
     Duration storeRoundTrip{0};
     bool isStopping = false;
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -93,6 +93,25 @@
     return d->fence;
 }
 
+TimePoint Fleet::formerLeasesEnd() const
+{
+    return d->formerLeasesEnd;
+}
+
+void Fleet::shortenFormerLeases(TimePoint end)
+{
+    d->formerLeasesEnd = std::min(d->formerLeasesEnd, end);
+}
+
+TimePoint Fleet::leasesEnd(TimePoint now) const
+{
+    auto end = d->unreportedWorkers.empty() ? now : std::max(now, d->formerLeasesEnd);
+    for (const auto *it : d->workers) {
+        end = std::max(end, now + it->leaseRemaining(now));
+    }
+    return end;
+}
+
 void Fleet::setQueues(std::span<const jobs::QueuePolicy> queues)
 {
     // Removed queues keep their policy for their remaining jobs.
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -105,6 +105,13 @@
     // claimed it and extended leases.
     void noteTermRenewed(TimePoint sentAt, TimePoint termEnd);
     Epoch fence() const;
+    // Returns until when the leases of former leaders may last.
+    TimePoint formerLeasesEnd() const;
+    // Records that they end earlier. Never extends them.
+    void shortenFormerLeases(TimePoint end);
+    // Returns until when a worker may keep or accept anything that this leader or a former one has
+    // ordered, if this leader orders nothing any more.
+    TimePoint leasesEnd(TimePoint now) const;
 
     void setQueues(std::span<const jobs::QueuePolicy> queues);
 
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -50,10 +50,9 @@
         const auto now = ports.scheduler.now();
         rosterWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion,
                              start.roster, [this] { requestPlan(); });
-        const auto lastLease = std::chrono::duration_cast<Duration>(workers::RunLease * (1 + ports::MaxClockDrift));
         // A leader that has stopped may have granted a lease just before the claim. The leases of
         // one that has not end with its right to decide.
-        const auto formerLeasesEnd = std::max(now + lastLease, start.formersDecideUntil) + FormerLeaseSlack;
+        const auto formerLeasesEnd = std::max(now + LongestLease, start.formersDecideUntil) + FormerLeaseSlack;
         fleet.beginTerm(start.fence, start.claimVersion, rosterWriter->entries(), formerLeasesEnd, now);
         fleet.setQueues(start.queues);
         interferencePersister.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
@@ -307,6 +306,27 @@
     d->fleet.noteTermRenewed(sentAt, termEnd);
 }
 
+void LeaderTerm::noteFormersEnd(TimePoint time)
+{
+    const auto now = d->ports.scheduler.now();
+    const auto formerEnd = d->fleet.formerLeasesEnd();
+    d->fleet.shortenFormerLeases(time + FormerLeaseSlack);
+    const auto end = d->fleet.formerLeasesEnd();
+    if (end < formerEnd) {
+        d->ports.log.record("former-leader-ended",
+                            {{"fence", d->fleet.fence().value},
+                             {"leasesEndInMs", toMilliseconds(time - now)},
+                             {"waitBeforeMs", toMilliseconds(formerEnd - now)},
+                             {"waitMs", toMilliseconds(end - now)}});
+        d->requestPlan();
+    }
+}
+
+TimePoint LeaderTerm::leasesEnd() const
+{
+    return d->fleet.leasesEnd(d->ports.scheduler.now());
+}
+
 std::map<std::string, int> LeaderTerm::waitingCounts() const
 {
     return d->fleet.waitingCounts();
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -6,6 +6,7 @@
 #include "ports/registry.h"
 #include "ports/scheduler.h"
 #include "ports/workerlink.h"
+#include "workers/worker.h"
 
 #include <functional>
 #include <memory>
@@ -24,6 +25,10 @@
     std::function<jobs::WallTime()> wallNow;
 };
 
+// The longest time, on a host's clock, for which a worker keeps a lease.
+inline constexpr Duration LongestLease
+    = std::chrono::duration_cast<Duration>(workers::RunLease * (1 + ports::MaxClockDrift));
+
 // Initial state of a leadership term.
 struct LeaderTermStart
 {
@@ -64,6 +69,11 @@
     // Records that the leadership was renewed by a write that was sent at `sentAt`, and lasts
     // until `termEnd`.
     void noteRenewed(TimePoint sentAt, TimePoint termEnd);
+    // Records that the former leader has reported its end and that the leases of all leaders before
+    // this one end at `time`.
+    void noteFormersEnd(TimePoint time);
+    // Returns when all leases of this and former leaders have ended if the term ends now.
+    TimePoint leasesEnd() const;
     // Returns the number of jobs per queue that have not started; complete only once
     // isLoaded().
     std::map<std::string, int> waitingCounts() const;
--- a/src/execution/rowcodec.h
+++ b/src/execution/rowcodec.h
@@ -28,6 +28,9 @@
     virtual std::string encode(const membership::LeaderRow &row) const = 0;
     virtual Result<membership::LeaderRow> decodeLeader(std::string_view value) const = 0;
 
+    virtual std::string encode(const membership::EndedTerm &term) const = 0;
+    virtual Result<membership::EndedTerm> decodeEndedTerm(std::string_view value) const = 0;
+
     virtual std::string encode(std::span<const RosterEntry> roster) const = 0;
     virtual Result<std::vector<RosterEntry>> decodeRoster(std::string_view value) const = 0;
 
--- a/src/execution/rowlayout.cpp
+++ b/src/execution/rowlayout.cpp
@@ -57,6 +57,11 @@
     return {std::string(LeaderTable), {}, std::string(LeaderKey)};
 }
 
+ports::RowName endedTermRow(const EntryHostId &host)
+{
+    return {std::string(LeaderTable), "", std::string(EndedTermPrefix) + host.text()};
+}
+
 ports::RowName rosterOwnerRow()
 {
     return {std::string(RosterTable), {}, std::string(RosterOwnerKey)};
--- a/src/execution/rowlayout.h
+++ b/src/execution/rowlayout.h
@@ -18,6 +18,8 @@
 //                                by any host that cancels
 //   progress  0..3   "owner"     at a claim                    as a write condition of the leader
 //   leader    ""     "leader"    at a claim and each renewal   by all hosts, as it changes
+//   leader    ""     "ended/" +  when a host learns that its    by all hosts, as it changes
+//                    host        term was replaced
 //   roster    ""     "owner"     at a claim                    as a write condition of the leader
 //   roster    ""     00..15      before a new worker is used   by a host that claims
 //                                and when one drains
@@ -32,6 +34,7 @@
 inline constexpr std::string_view ProgressOwnerKey = "owner";
 inline constexpr std::string_view LeaderTable = "leader";
 inline constexpr std::string_view LeaderKey = "leader";
+inline constexpr std::string_view EndedTermPrefix = "ended/";
 inline constexpr std::string_view RosterTable = "roster";
 inline constexpr std::string_view RosterOwnerKey = "owner";
 inline constexpr std::string_view LearnedTable = "learned";
@@ -54,6 +57,8 @@
 // the row of one of them.
 ports::RowName progressOwnerRow(std::string_view part);
 ports::RowName leaderRow();
+// Returns the row with the end of a host's last term that another host has replaced.
+ports::RowName endedTermRow(const EntryHostId &host);
 // Returns the row that every claim writes. Roster writes are conditional on its
 // version, so that a former leader cannot change the roster after a newer claim.
 ports::RowName rosterOwnerRow();
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -18,6 +18,12 @@
 constexpr double DelayPerRoundTripMs = 12;
 constexpr double MinShare = 0.01;
 
+// Returns an upper bound of a time that another host has measured as `d`.
+Duration stretched(Duration d)
+{
+    return std::chrono::duration_cast<Duration>(d * (1 + HostClockDrift));
+}
+
 } // namespace
 
 Duration claimDelay(double share, double bestShare, Duration storeRoundTrip)
@@ -47,8 +53,10 @@
     if (row && !isOwn) {
         // The row was written before `now`, and a renewal counts from when it was sent.
         const bool isOtherHost = !row->host.isEmpty() && row->host != m_self;
-        const auto period = std::chrono::duration_cast<Duration>(StoreOutageGracePeriod * (1 + HostClockDrift));
-        m_formersDecideUntil = now + std::max(row->formersDecideFor, isOtherHost ? period : Duration(0));
+        m_former = isOtherHost ? std::optional(FormerLeader{row->host, row->incarnation, row->fence}) : std::nullopt;
+        m_formerDecidesUntil = now + (isOtherHost ? stretched(StoreOutageGracePeriod) : Duration(0));
+        m_earlierDecideUntil = now + row->formersDecideFor;
+        m_formersEndAt.reset();
     }
     if (m_isLeader && !isOwn) {
         stepDown(now);
@@ -56,10 +64,20 @@
     if (isOwn && !m_isLeader && !m_isWriting && row->fence > m_fence) {
         // A claim of this process took effect although its reply was lost. A row with the
         // fence of an earlier term may be a renewal: that term is not resumed.
-        m_isLeader = true;
-        m_fence = row->fence;
-        m_claimVersion = version;
-        m_renewedAt = m_claimedAt;
+        beginLeadership(*row, version, m_claimedAt);
+    }
+}
+
+void Leadership::beginLeadership(const LeaderRow &row, std::uint64_t version, TimePoint renewedAt)
+{
+    m_isLeader = true;
+    m_fence = row.fence;
+    m_claimVersion = version;
+    m_renewedAt = renewedAt;
+    if (!m_former || !row.former || row.former->fence != m_former->fence) {
+        // The claim has replaced a term of this host, whose leases no report covers.
+        m_former.reset();
+        m_formersEndAt.reset();
     }
 }
 
@@ -108,6 +126,9 @@
     write.row.bestShare = m_row ? m_row->bestShare : 0;
     write.row.waiting = m_row ? m_row->waiting : std::map<std::string, int>();
     write.row.formersDecideFor = formersDecideFor(now);
+    if (!isFree && !isOwnEarlierRun) {
+        write.row.former = m_former;
+    }
     if (write.row.fence != m_claimFence) {
         m_claimFence = write.row.fence;
         m_claimedAt = now;
@@ -145,9 +166,7 @@
     m_changedAt = now;
     m_renewedAt = sentAt;
     if (write.isClaim) {
-        m_isLeader = true;
-        m_fence = write.row.fence;
-        m_claimVersion = version;
+        beginLeadership(write.row, version, sentAt);
     }
 }
 
@@ -157,6 +176,44 @@
     m_retryAt = now + RetryInterval;
 }
 
+void Leadership::noteTermEnded(Epoch fence, TimePoint leasesEnd)
+{
+    m_endedFence = fence;
+    m_endedLeasesEnd = leasesEnd;
+}
+
+std::optional<EndedTerm> Leadership::dueEndReport(Duration longestLease, TimePoint now) const
+{
+    const auto *former = m_row && m_row->former ? &*m_row->former : nullptr;
+    const bool isAwaited = former != nullptr && former->host == m_self && !m_isLeader && !m_row->host.isEmpty()
+        && m_row->formersDecideFor > Duration(0) && m_reportedFence != former->fence;
+    if (!isAwaited) {
+        return std::nullopt;
+    }
+    if (former->incarnation != m_incarnation) {
+        // That process had stopped when this one started.
+        return EndedTerm{former->fence, std::max(m_startedAt + longestLease - now, Duration(0))};
+    }
+    if (m_endedFence != former->fence) {
+        return std::nullopt;
+    }
+    return EndedTerm{former->fence, std::max(m_endedLeasesEnd - now, Duration(0))};
+}
+
+void Leadership::noteEndReported(Epoch fence)
+{
+    m_reportedFence = fence;
+}
+
+void Leadership::noteEndedTerm(const EndedTerm &ended, TimePoint now)
+{
+    if (!m_former || m_former->fence != ended.fence) {
+        return;
+    }
+    m_formerDecidesUntil = std::min(m_formerDecidesUntil, now + stretched(ended.leasesEndIn));
+    m_formersEndAt = formersDecideUntil();
+}
+
 bool Leadership::mayDecide(TimePoint now) const
 {
     return m_isLeader && now < decidesUntil();
@@ -164,7 +221,7 @@
 
 Duration Leadership::formersDecideFor(TimePoint now) const
 {
-    return std::max(m_formersDecideUntil - now, Duration(0));
+    return std::max(formersDecideUntil() - now, Duration(0));
 }
 
 } // namespace monsoonspool::membership
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -3,6 +3,7 @@
 #include "common/identifiers.h"
 #include "common/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -10,6 +11,14 @@
 
 namespace monsoonspool::membership {
 
+// A leader that may still decide although another host has claimed.
+struct FormerLeader
+{
+    EntryHostId host;
+    std::uint64_t incarnation = 0; // of the host's process
+    Epoch fence;
+};
+
 // The table row that names the leader, the host that schedules. Only the leader and
 // hosts that claim leadership write it.
 struct LeaderRow
@@ -21,6 +30,14 @@
     double bestShare = 0; // the largest processor share of any leader so far
     std::map<std::string, int> waiting; // number of jobs that have not started, by queue
     Duration formersDecideFor{0}; // from the writing of this row: how long earlier leaders may still decide
+    std::optional<FormerLeader> former; // replaced by this row's claim; none if it had stopped
+};
+
+// A term that has certainly ended: nothing is ordered under its fence any more.
+struct EndedTerm
+{
+    Epoch fence;
+    Duration leasesEndIn{0}; // from the writing: until all leases of this and earlier terms have ended
 };
 
 // Time without a renewal after which the leader is considered dead. A killed process
@@ -79,6 +96,17 @@
     // read again.
     void noteFailed(TimePoint now);
 
+    // Records that the term with `fence` of this process has ended and that all leases of it and
+    // of earlier leaders end before `leasesEnd`.
+    void noteTermEnded(Epoch fence, TimePoint leasesEnd);
+    // Returns the end of a term of this host that the present leader waits for, if it must be
+    // stored. A lease lasts `longestLease` at most.
+    std::optional<EndedTerm> dueEndReport(Duration longestLease, TimePoint now) const;
+    void noteEndReported(Epoch fence);
+    // Records the end that another host has stored; without effect unless this host's claim has
+    // replaced that term.
+    void noteEndedTerm(const EndedTerm &ended, TimePoint now);
+
     bool isLeader() const
     {
         return m_isLeader;
@@ -100,7 +128,13 @@
     // released the row and an earlier run of this host have stopped.
     TimePoint formersDecideUntil() const
     {
-        return m_formersDecideUntil;
+        return std::max(m_formerDecidesUntil, m_earlierDecideUntil);
+    }
+    // Returns when the leases of all leaders before this host have ended, if the leader before it
+    // has reported its end.
+    std::optional<TimePoint> formersEndAt() const
+    {
+        return m_formersEndAt;
     }
     const std::optional<LeaderRow> &row() const
     {
@@ -117,6 +151,7 @@
 
 private:
     Duration formersDecideFor(TimePoint now) const;
+    void beginLeadership(const LeaderRow &row, std::uint64_t version, TimePoint renewedAt);
 
     EntryHostId m_self;
     std::uint64_t m_incarnation;
@@ -134,7 +169,13 @@
     Epoch m_claimFence;
     TimePoint m_claimedAt; // first attempt to claim with m_claimFence
     TimePoint m_renewedAt; // when the last successful renewal was sent
-    TimePoint m_formersDecideUntil;
+    std::optional<FormerLeader> m_former; // named by the last row of another host that was read
+    TimePoint m_formerDecidesUntil;
+    TimePoint m_earlierDecideUntil; // leaders before m_former
+    std::optional<TimePoint> m_formersEndAt;
+    std::optional<Epoch> m_endedFence; // of the last term of this process
+    TimePoint m_endedLeasesEnd; // of the same term
+    std::optional<Epoch> m_reportedFence;
     TimePoint m_retryAt;
 };
 
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -1,6 +1,7 @@
 #include "workers/worker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace monsoonspool::workers {
 
@@ -240,6 +241,16 @@
     return m_clock.isKnown() && m_clock.earliest(now) > m_deadline + LeaseMargin;
 }
 
+Duration Worker::leaseRemaining(TimePoint now) const
+{
+    if (!m_clock.isKnown()) {
+        return Duration(0); // no lease was granted
+    }
+    const auto remaining = std::max<ports::WorkerMillis>(m_deadline + LeaseMargin + 1 - m_clock.earliest(now), 0);
+    const auto slowest = std::ceil(static_cast<double>(remaining) / (1 - ports::MaxClockDrift));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(slowest));
+}
+
 bool Worker::isTooLateToStart(const Run &run, TimePoint now) const
 {
     return m_clock.isKnown() && m_clock.earliest(now) > run.startDeadline + LeaseMargin;
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -287,6 +287,9 @@
     ports::WorkerMillis nextDeadline(TimePoint now, TimePoint termEnd = TimePoint::max());
     ports::WorkerMillis startDeadline(TimePoint now, TimePoint termEnd = TimePoint::max());
     bool hasLapsed(TimePoint now) const;
+    // Returns an upper bound of the time for which the worker keeps what was ordered so far, on this
+    // host's clock.
+    Duration leaseRemaining(TimePoint now) const;
     bool isTooLateToStart(const Run &run, TimePoint now) const;
 
     // Called for each listing received from the worker.
--- a/tests/execution/takeovertest.cpp
+++ b/tests/execution/takeovertest.cpp
@@ -3,7 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -17,6 +19,10 @@
 
 constexpr Fault Refused{2ms, true, false};
 
+// For how long a successor waits, at least, if it does not know that the former leader has stopped.
+constexpr Duration StoreOutageGracePeriodAfterClaim
+    = membership::StoreOutageGracePeriod - membership::LeaderStaleAfter - membership::RenewInterval;
+
 // A cluster whose leader cannot learn of its successor: no worker is reached by it and by
 // another host, its writes are refused, and it does not receive the leader row. It still
 // reads the jobs.
@@ -72,6 +78,46 @@
 
 } // namespace
 
+// What a leader reports when it ends: its leases, and those of former leaders on workers that it has
+// not reached.
+TEST(Takeover, ALeaderKnowsWhenAllLeasesHaveEnded)
+{
+    constexpr TimePoint start{1h};
+    // The lease and its margin by a clock that is 2% slow.
+    const auto lease = Duration(6175ms);
+    std::vector<RosterEntry> roster(2);
+    NullLog log;
+    Fleet fleet(log);
+    for (std::size_t n = 0; n < roster.size(); ++n) {
+        roster[n].worker.id = WorkerId("w" + std::to_string(n));
+        roster[n].worker.service = Service;
+        roster[n].worker.startTimeMs = 1;
+    }
+    const auto report = [&](const WorkerEntry &worker, TimePoint now) {
+        WorkerListing listing;
+        listing.clock = 1000;
+        listing.startTimeMs = 1;
+        fleet.updateWorker(worker, now);
+        fleet.applyListing(worker.id, listing, now, now);
+    };
+    fleet.beginTerm({5}, 10, roster, start + 12s, start);
+    EXPECT_EQ(fleet.leasesEnd(start), start + 12s);
+    report(roster[0].worker, start);
+    EXPECT_EQ(fleet.leasesEnd(start), start + 12s) << "the other worker has not reported";
+    fleet.shortenFormerLeases(start + 20s);
+    EXPECT_EQ(fleet.formerLeasesEnd(), start + 12s);
+    fleet.shortenFormerLeases(start + 3s);
+    EXPECT_EQ(fleet.leasesEnd(start), start + lease) << "a lease that a former leader may have granted";
+    report(roster[1].worker, start + 1s);
+    EXPECT_EQ(fleet.leasesEnd(start + 1s), start + 1s + lease);
+    fleet.leaseOrder(roster[0].worker.id, start + 3s);
+    EXPECT_EQ(fleet.leasesEnd(start + 3s), start + 3s + lease);
+    fleet.markSilent(roster[0].worker.id, start + 4s);
+    fleet.leaseOrder(roster[0].worker.id, start + 5s);
+    EXPECT_LE(fleet.leasesEnd(start + 5s), start + 3s + lease + 5ms) << "orders to a silent worker extend none";
+    EXPECT_EQ(fleet.leasesEnd(start + 20s), start + 20s);
+}
+
 // Until all workers have reported, a leader starts only jobs whose host knew of its claim. A
 // host of an earlier release stores no fence.
 TEST(Takeover, StartsOnlyJobsThatNoOtherLeaderMayStart)
@@ -301,6 +347,185 @@
     }
 }
 
+namespace {
+
+// A cluster in which a worker with runs of job 7 is lost just before its leader.
+class LostWorkerCluster : public SplitCluster
+{
+public:
+    void loseWorkerAndLeader()
+    {
+        taskModel.overrides[{7}] = {60s, false, TaskSize};
+        workers.setObserver([this](std::string_view event, const WorkerId &worker, const auto &, auto, auto) {
+            if (event == "started" && lost.text().empty()) {
+                lost = worker;
+            }
+        });
+        scheduler.runFor(2s);
+        former = leader();
+        submit(former, 7);
+        scheduler.runFor(2s);
+        workers.crash(lost, true);
+        scheduler.runFor(100ms);
+        host(former).storeFaults.isCut = true;
+    }
+
+    // Returns for how long after now some task does not run.
+    Duration timeUntilAllRun()
+    {
+        const auto since = scheduler.now();
+        while (workers.runningCount() < 3 && scheduler.now() - since < 30s) {
+            scheduler.runFor(10ms);
+        }
+        return scheduler.now() - since;
+    }
+
+    std::uint64_t formerFence() const
+    {
+        return codec.decodeLeader(rows.rows.at(leaderRow()).value).value().fence.value - 1;
+    }
+
+    WorkerId lost;
+};
+
+} // namespace
+
+// Guards against jobs that wait until the former leader's right to decide is over although it has
+// long stopped to lead. Its last lease may have been granted when it stopped.
+TEST(Takeover, WorkersThatAreGoneHoldBackJobsOnlyUntilTheFormerLeaderHasReportedItsEnd)
+{
+    constexpr Duration downTime = 300ms; // after the claim
+    constexpr Duration longestLease = std::chrono::duration_cast<Duration>(workers::RunLease / (1 - MaxClockDrift)
+                                                                           * (1 + membership::HostClockDrift));
+    constexpr Duration orderDelay = 1s; // of the former leader's last orders
+    constexpr Duration tick = 200ms; // until the former leader reports and the present one plans
+    constexpr Duration maxWait = downTime + longestLease + orderDelay + membership::RenewInterval + tick;
+    static_assert(maxWait < StoreOutageGracePeriodAfterClaim);
+    for (const bool isRestarted : {false, true}) {
+        for (const int refusedReports : {0, 2}) {
+            SCOPED_TRACE(std::string(isRestarted ? "restarted" : "cut") + ", refused "
+                         + std::to_string(refusedReports));
+            LostWorkerCluster cluster;
+            cluster.loseWorkerAndLeader();
+            if (isRestarted) {
+                cluster.killHost(cluster.former);
+            }
+            ASSERT_GE(cluster.awaitSuccessor(), 0);
+            EXPECT_LT(cluster.workers.runningCount(), 3);
+            const auto claimedAt = cluster.scheduler.now();
+            cluster.scheduler.runFor(downTime);
+            auto &faults = cluster.host(cluster.former).storeFaults;
+            faults.isCut = false;
+            faults.rule = [refusedReports, commits = 0](std::string_view call, TimePoint) mutable {
+                return call == "commit" && ++commits <= refusedReports ? std::optional(Refused) : std::nullopt;
+            };
+            if (isRestarted) {
+                cluster.startHost(cluster.former);
+            }
+            cluster.timeUntilAllRun();
+            EXPECT_LT(cluster.scheduler.now() - claimedAt, maxWait);
+            cluster.scheduler.runFor(20s);
+            EXPECT_EQ(cluster.workers.runningCount(), 3);
+            EXPECT_EQ(violationsOf(cluster), "");
+        }
+    }
+}
+
+// A leader that has not reported its end may still renew the leases of a worker that its successor
+// does not reach.
+TEST(Takeover, OnlyTheReportOfTheLeaderThatWasReplacedShortensTheWait)
+{
+    struct Case
+    {
+        const char *name;
+        std::optional<std::int64_t> fenceOffset; // of a report, from the former leader's fence
+    };
+    for (const auto &it : {Case{"no report", std::nullopt}, Case{"the former leader's predecessor", -1},
+                           Case{"this leader", 1}, Case{"a later leader", 2}}) {
+        SCOPED_TRACE(it.name);
+        LostWorkerCluster cluster;
+        cluster.loseWorkerAndLeader();
+        cluster.killHost(cluster.former);
+        ASSERT_GE(cluster.awaitSuccessor(), 0);
+        if (it.fenceOffset) {
+            const auto fence
+                = static_cast<std::uint64_t>(static_cast<std::int64_t>(cluster.formerFence()) + *it.fenceOffset);
+            cluster.put(endedTermRow(cluster.host(cluster.former).name),
+                        cluster.codec.encode(membership::EndedTerm{{fence}, Duration(0)}));
+        }
+        EXPECT_GT(cluster.timeUntilAllRun(), StoreOutageGracePeriodAfterClaim);
+        EXPECT_EQ(violationsOf(cluster), "");
+    }
+}
+
+// Guards against a task that runs twice: the former leader renews the lease of the worker that its
+// successor does not reach, and learns of the successor late or never.
+TEST(Takeover, AFormerLeaderBesideAWorkerThatItsSuccessorDoesNotReachRunsNoTaskTwice)
+{
+    for (const Duration stepsDownAfter : {Duration(100ms), Duration(2s), Duration(5s), Duration(8s), Duration(1h)}) {
+        SCOPED_TRACE(toMilliseconds(stepsDownAfter));
+        SplitCluster cluster;
+        cluster.taskModel.overrides[{7}] = {60s, false, TaskSize};
+        for (int n = 1; n < WorkerCount; ++n) {
+            cluster.setCapacity(WorkerId("w" + std::to_string(n)), {0, 0, 0});
+        }
+        cluster.scheduler.runFor(2s);
+        cluster.submit(0, 7);
+        cluster.scheduler.runFor(1s);
+        ASSERT_EQ(cluster.workers.runningCount(), 3) << "on w0";
+        for (int n = 1; n < WorkerCount; ++n) {
+            cluster.setCapacity(WorkerId("w" + std::to_string(n)), {16000, 32000, 0});
+        }
+        cluster.scheduler.runFor(1s);
+        cluster.split();
+        ASSERT_GE(cluster.awaitSuccessor(), 0);
+        EXPECT_TRUE(cluster.host(cluster.former).loop->summary().isLeader);
+        cluster.scheduler.runFor(std::min<Duration>(stepsDownAfter, 20s));
+        cluster.host(cluster.former).storeFaults.rule = {};
+        cluster.scheduler.runFor(20s);
+        EXPECT_EQ(cluster.workers.runningCount(), 3);
+        EXPECT_EQ(violationsOf(cluster), "");
+    }
+}
+
+// The same with a leader between them, which has led for a short time and has not reached the
+// worker either: its end says nothing about the leases of the leader before it.
+TEST(Takeover, TheEndOfAShortTermDoesNotCoverTheLeaderBeforeIt)
+{
+    SplitCluster cluster;
+    cluster.taskModel.overrides[{7}] = {60s, false, TaskSize};
+    for (int n = 1; n < WorkerCount; ++n) {
+        cluster.setCapacity(WorkerId("w" + std::to_string(n)), {0, 0, 0});
+    }
+    cluster.scheduler.runFor(2s);
+    cluster.submit(0, 7);
+    cluster.scheduler.runFor(1s);
+    ASSERT_EQ(cluster.workers.runningCount(), 3) << "on w0";
+    for (int n = 1; n < WorkerCount; ++n) {
+        cluster.setCapacity(WorkerId("w" + std::to_string(n)), {16000, 32000, 0});
+    }
+    cluster.scheduler.runFor(1s);
+    cluster.split();
+    const int second = cluster.awaitSuccessor();
+    ASSERT_GE(second, 0);
+    cluster.scheduler.runFor(100ms);
+    cluster.host(second).storeFaults.isCut = true;
+    cluster.host(second).workerFaults.isCut = true;
+    cluster.host(second).workerFaults.rule = {};
+    const int third = cluster.other(second);
+    for (int step = 0; step < 4000 && !cluster.host(third).loop->summary().isLoaded; ++step) {
+        cluster.scheduler.runFor(1ms);
+    }
+    ASSERT_TRUE(cluster.host(third).loop->summary().isLoaded);
+    cluster.host(second).storeFaults.isCut = false;
+    cluster.scheduler.runFor(1s);
+    EXPECT_TRUE(cluster.rows.rows.contains(endedTermRow(cluster.host(second).name)));
+    EXPECT_TRUE(cluster.host(cluster.former).loop->summary().isLeader);
+    cluster.scheduler.runFor(20s);
+    EXPECT_EQ(cluster.workers.runningCount(), 3);
+    EXPECT_EQ(violationsOf(cluster), "");
+}
+
 // Guards against a claim that leaves out the owner row of a part: no progress of its jobs could be
 // stored, or a former leader could go on storing it.
 TEST(Takeover, JobsOfAllPartsRunOnce)
--- a/tests/membership/leadershiptest.cpp
+++ b/tests/membership/leadershiptest.cpp
@@ -201,6 +201,123 @@
     }
 }
 
+namespace {
+
+// Lets B claim after A's row was read at `Start`, and returns its claim.
+std::optional<Leadership::Write> claimAfterSilence(Leadership &b, const LeaderRow &row, TimePoint now)
+{
+    b.noteRow(row, 9, Start);
+    for (auto t = Start; t <= now; t += 100ms) {
+        b.noteStoreContact(t);
+    }
+    return b.dueWrite(0ms, now);
+}
+
+} // namespace
+
+// The former leader's report ends its part of the wait, not that of leaders before it.
+TEST(Leadership, WaitsForTheLeasesThatTheFormerLeaderHasReported)
+{
+    const auto full = StoreOutageGracePeriod + StoreOutageGracePeriod / 50;
+    struct Case
+    {
+        const char *name;
+        Duration earlierDecideFor; // leaders before the former one, when its row was read
+        Epoch ended;
+        Duration leasesEndIn;
+        Duration wait; // from the reading of the row
+    };
+    for (const auto &it : {Case{"no lease left", 0s, {4}, 0s, 4s}, Case{"leases", 0s, {4}, 5s, 4s + 5100ms},
+                           Case{"longer than it may decide", 0s, {4}, 10s, full},
+                           Case{"an earlier leader may still decide", 7s, {4}, 0s, 7s},
+                           Case{"its predecessor", 0s, {3}, 0s, full}, Case{"this host", 0s, {5}, 0s, full}}) {
+        SCOPED_TRACE(it.name);
+        for (const bool isReadBeforeTheReply : {false, true}) {
+            auto row = rowOf(A, 1, 4);
+            row.formersDecideFor = it.earlierDecideFor;
+            Leadership b(B, 1, Start);
+            const auto claim = claimAfterSilence(b, row, Start + 3s);
+            ASSERT_TRUE(claim);
+            ASSERT_TRUE(claim->row.former);
+            EXPECT_EQ(claim->row.former->host, A);
+            EXPECT_EQ(claim->row.former->incarnation, 1U);
+            EXPECT_EQ(claim->row.former->fence, Epoch{4});
+            if (isReadBeforeTheReply) {
+                b.noteEndedTerm({it.ended, it.leasesEndIn}, Start + 4s);
+                b.noteWritten(*claim, 10, Start + 3s, Start + 5s);
+            } else {
+                b.noteWritten(*claim, 10, Start + 3s, Start + 3s);
+                b.noteEndedTerm({it.ended, it.leasesEndIn}, Start + 4s);
+                b.noteEndedTerm({it.ended, it.leasesEndIn}, Start + 5s); // read again
+            }
+            EXPECT_EQ(b.formersDecideUntil(), Start + it.wait);
+            EXPECT_EQ(b.formersEndAt().has_value(), it.ended == Epoch{4});
+            const auto renewal = b.dueWrite(0ms, Start + 6s);
+            ASSERT_TRUE(renewal);
+            EXPECT_EQ(renewal->row.formersDecideFor, std::max(it.wait - 6s, Duration(0)));
+        }
+    }
+}
+
+// The leases of its own replaced term are not part of the report.
+TEST(Leadership, AReportDoesNotCoverAnOwnTermThatWasReplaced)
+{
+    Leadership b(B, 1, Start);
+    const auto claim = claimAfterSilence(b, rowOf(A, 1, 4), Start + 3s);
+    ASSERT_TRUE(claim);
+    b.noteWritten(*claim, 10, Start + 3s, Start + 3s);
+    b.noteEndedTerm({{4}, 1s}, Start + 4s);
+    EXPECT_TRUE(b.formersEndAt());
+    b.stepDown(Start + 5s);
+    const auto again = b.dueWrite(0ms, Start + 6s);
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->row.fence, Epoch{6});
+    EXPECT_FALSE(again->row.former);
+    b.noteWritten(*again, 11, Start + 6s, Start + 6s);
+    EXPECT_FALSE(b.formersEndAt());
+}
+
+TEST(Leadership, ReportsTheEndOfATermThatItsSuccessorWaitsFor)
+{
+    constexpr Duration longestLease = 6s;
+    struct Case
+    {
+        const char *name;
+        FormerLeader former; // in the successor's row
+        Duration formersDecideFor;
+        bool isReleased;
+        std::optional<Duration> leasesEndIn;
+    };
+    for (const auto &it : {Case{"this process", {A, 2, {1}}, 9s, false, 3s},
+                           Case{"an earlier process", {A, 1, {1}}, 9s, false, longestLease - 4s},
+                           Case{"another term", {A, 2, {2}}, 9s, false, std::nullopt},
+                           Case{"another host", {B, 2, {1}}, 9s, false, std::nullopt},
+                           Case{"the wait is over", {A, 2, {1}}, 0s, false, std::nullopt},
+                           Case{"the successor has released the row", {A, 2, {1}}, 9s, true, std::nullopt}}) {
+        SCOPED_TRACE(it.name);
+        Leadership a(A, 2, Start);
+        a.noteRow(std::nullopt, 0, Start);
+        const auto claim = a.dueWrite(0ms, Start + 1s);
+        ASSERT_TRUE(claim);
+        a.noteWritten(*claim, 5, Start + 1s, Start + 1s);
+        EXPECT_FALSE(a.dueEndReport(longestLease, Start + 1s));
+        auto row = rowOf(it.isReleased ? EntryHostId() : B, 1, 2);
+        row.former = it.former;
+        row.formersDecideFor = it.formersDecideFor;
+        a.noteRow(row, 6, Start + 3s);
+        a.noteTermEnded({1}, Start + 7s);
+        const auto report = a.dueEndReport(longestLease, Start + 4s);
+        ASSERT_EQ(report.has_value(), it.leasesEndIn.has_value());
+        if (report) {
+            EXPECT_EQ(report->fence, it.former.fence);
+            EXPECT_EQ(report->leasesEndIn, *it.leasesEndIn);
+            EXPECT_EQ(a.dueEndReport(longestLease, Start + 11s)->leasesEndIn, Duration(0));
+            a.noteEndReported(report->fence);
+            EXPECT_FALSE(a.dueEndReport(longestLease, Start + 5s));
+        }
+    }
+}
+
 // With a few strong hosts among many weak ones, a strong host becomes leader even if it
 // starts last. Hosts with equal shares do not wait for each other.
 TEST(Leadership, IsClaimedByStrongHostsFirst)
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -315,6 +315,13 @@
     row.fence = {3};
     row.formersDecideFor = 7s;
     EXPECT_EQ(valueOf([&] { return rows.decodeLeader(rows.encode(row)); }).formersDecideFor, 7s);
+    EXPECT_FALSE(valueOf([&] { return rows.decodeLeader(rows.encode(row)); }).former);
+    row.former = {EntryHostId("g"), 5, {2}};
+    const auto former = valueOf([&] { return rows.decodeLeader(rows.encode(row)); }).former;
+    ASSERT_TRUE(former);
+    EXPECT_EQ(former->host, EntryHostId("g"));
+    EXPECT_EQ(former->incarnation, 5U);
+    EXPECT_EQ(former->fence, Epoch{2});
     const auto older = codec::writeCbor({{"host", "h"},
                                          {"incarnation", 1},
                                          {"fence", 3},
@@ -324,6 +331,15 @@
     const auto decoded = valueOf([&] { return rows.decodeLeader(older); });
     EXPECT_EQ(decoded.fence, Epoch{3});
     EXPECT_EQ(decoded.formersDecideFor, Duration(0));
+    EXPECT_FALSE(decoded.former);
+}
+
+TEST(CborJobs, RoundsTheEndOfLeasesUp)
+{
+    const codec::CborJobs rows;
+    const auto term = valueOf([&] { return rows.decodeEndedTerm(rows.encode(membership::EndedTerm{{3}, 1500us})); });
+    EXPECT_EQ(term.fence, Epoch{3});
+    EXPECT_EQ(term.leasesEndIn, 2ms);
 }
 
 TEST(WireCodec, RunOrdersPreserveThePayload)
