Announce the peer port that a daemon listens on

What was seen: tests of the suite System failed sometimes with "entry-2 got no slots": a daemon's connection to another never opened (connects 0), or opened several times while most messages were dropped.

Cause: the daemon copied its peer address into the control loop before it listened. With port 0 in the settings, its heartbeats announced port 0. A host that has sent a heartbeat within 1.5 s is reached at the address in it, not at the listed one; so each peer gave up a working connection at its next reading of the host list, tried port 0, sent nothing until the heartbeats that it caused had ceased, went back to the listed address, and so on. If the heartbeats arrive before the first reading of the list and continue, the connection never opens: entry-1 cannot send entry-2 any offer.

Change: the daemon listens for peers before it creates the control loop. Nothing is accepted before run(), when the keys are set.

Ruled out: an attempt that neither opens nor fails; websocketpp ends resolving, connecting and the opening handshake after 5 s each, and each of them ends in a new attempt.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -78,6 +78,7 @@
     void onConnectionRefused(const std::string &name) override;
 
     Result<void> start();
+    Result<void> listenForPeers();
     Result<void> startListening();
     Result<void> loadKeys();
     void createControlLoop();
@@ -184,15 +185,20 @@
         operators::ProcessInfo{options.version, settings.name, incarnation});
 }
 
-Result<void> Daemon::Private::startListening()
+Result<void> Daemon::Private::listenForPeers()
 {
-    guestListener = std::make_unique<GuestListener>(io, lanes);
-    operatorsServer = std::make_unique<::monsoonspool::http::ApiServer>(io, *operatorsApi);
     const auto problem = peerNode.listen(settings.peerAddress.ip, settings.peerAddress.port);
     if (!problem.empty()) {
         return fail(ErrorKind::AddressInUse, problem);
     }
     settings.peerAddress.port = peerNode.port();
+    return {};
+}
+
+Result<void> Daemon::Private::startListening()
+{
+    guestListener = std::make_unique<GuestListener>(io, lanes);
+    operatorsServer = std::make_unique<::monsoonspool::http::ApiServer>(io, *operatorsApi);
     BOOST_LEAF_CHECK(operatorsServer->listen(settings.operatorAddress));
     settings.operatorAddress = operatorsServer->address();
     return {};
@@ -216,6 +222,8 @@
     } else {
         remotePlatform = std::make_unique<ports::http::HttpPlatform>(io, *settings.platformAddress);
     }
+    // The control loop announces the port, which the system chooses if it is 0 in the settings.
+    BOOST_LEAF_CHECK(listenForPeers());
     createControlLoop();
     BOOST_LEAF_CHECK(loadKeys());
     BOOST_LEAF_CHECK(startListening());
