A holder discards its slots when their start window has closed

What was seen: SlotLedger.NeverExceedsTheSlotsOfATargetOnAnUnreliableNetwork: 5 slots in use on a target with 4.

Cause, from a trace of the shrunk steps (start window 5 s, slots expire after 7.1 s): the offer for a request that holder 0 sent at 0 s arrives at 7.1 s. Its window has closed, so holder 0 starts nothing, but keeps the 4 slots as its applied offer. Owner 1 has let them expire by then and offers them to holder 1. Owner 2 takes over, asks for the holdings, and adopts the 4 slots of both; its next offer opens the window of holder 0 again.

The same happens without a change of owner or a faulty message: a holder that its ledger has not heard for the lifetime of its slots and that is admitted again names its former offer, and the ledger, with nothing committed, answers that this offer stays valid.

Change: once the start window has closed, a request names no applied offer and reports no slots or connections, only the requests still in use. A ledger that has not let the slots expire still counts them as committed and offers them again in full.

Ruled out: the test. Its network delays an offer by 7 s, and SlotLedger promises its bound also then.

--- a/src/grants/grantholder.cpp
+++ b/src/grants/grantholder.cpp
@@ -45,6 +45,9 @@
     if (!isRequestDue(wanted, isLeaving, now)) {
         return std::nullopt;
     }
+    if (!isStartWindowOpen(now)) {
+        discardOffer();
+    }
     SlotRequest request;
     request.ledger = m_ledger;
     request.holder = m_holder;
@@ -94,6 +97,18 @@
     return {};
 }
 
+// After the end of the start window, the ledger may grant the slots and connections to
+// other holders.
+void GrantHolder::discardOffer()
+{
+    for (auto &it : m_slots) {
+        it.allowed = 0;
+        it.connections = 0;
+    }
+    m_appliedEpoch = {};
+    m_appliedSequence = 0;
+}
+
 void GrantHolder::apply(std::span<const SlotCount> offered)
 {
     for (auto &it : m_slots) {
--- a/src/grants/grantholder.h
+++ b/src/grants/grantholder.h
@@ -26,6 +26,8 @@
 //  - A request starts only within the start window of the last applied offer.
 //    The window is measured from the time at which the request that the offer
 //    answers was sent.
+//  - A request to the ledger names and reports the applied offer only while its start
+//    window is open, so that no ledger confirms or adopts slots that have expired.
 //  - Only the offer for the latest request is accepted, and only if its epoch is
 //    not lower than the highest epoch seen.
 //  - Starting a request acquires one slot, which is released exactly once.
@@ -86,6 +88,7 @@
 
 private:
     bool isRequestDue(int wanted, bool isLeaving, TimePoint now) const;
+    void discardOffer();
     void apply(std::span<const SlotCount> offered);
 
     LedgerKey m_ledger;
--- a/src/grants/slotmessages.h
+++ b/src/grants/slotmessages.h
@@ -45,7 +45,7 @@
     LedgerKey ledger;
     HolderId holder;
     std::uint64_t sequence = 0;
-    Epoch appliedEpoch; // of the last offer that the holder applied
+    Epoch appliedEpoch; // of the last offer that the holder applied; 0 if its start window has closed
     std::uint64_t appliedSequence = 0; // of the last offer that the holder applied
     int wanted = 0; // slots in use, waiting requests, and a small reserve
     bool isFar = false; // the holder is in another region and gets only leftover slots
--- a/tests/grants/slotledgertest.cpp
+++ b/tests/grants/slotledgertest.cpp
@@ -78,6 +78,30 @@
     return it.heldCount();
 }
 
+// Lets the slots of `silent` expire and `other` receive them. Returns the time afterwards.
+TimePoint passSlotsOn(SlotLedger &ledger, GrantHolder &silent, GrantHolder &other)
+{
+    EXPECT_EQ(exchange(ledger, silent, 8, Start), 8);
+    const TimePoint end = Start + shortTimes().slotLifetime() + 1s;
+    for (TimePoint now = Start + 1s; now < end; now += 1s) {
+        exchange(ledger, other, 8, now);
+    }
+    EXPECT_EQ(exchange(ledger, other, 8, end), 8);
+    return end;
+}
+
+// Acquires all slots that `it` may use now. Returns their number.
+int acquireAll(GrantHolder &it, TimePoint now)
+{
+    int n = 0;
+    for (std::size_t index = 0; index < it.slots().size(); ++index) {
+        while (it.tryAcquire(index, now)) {
+            ++n;
+        }
+    }
+    return n;
+}
+
 } // namespace
 
 TEST(SlotLedger, AllocatesByDemandAndSpreadsTheRest)
@@ -178,6 +202,39 @@
     EXPECT_LE(second.committedSlots(TargetId("target-0")), 8);
 }
 
+// A holder reported an offer whose start window had closed to a new owner as holdings,
+// after the previous owner had granted its slots to another holder.
+TEST(SlotLedger, ANewOwnerAdoptsNoHoldingsThatHaveExpired)
+{
+    auto first = ledgerWith(2, 1, 8);
+    GrantHolder a(Key, holder(0));
+    GrantHolder b(Key, holder(1));
+    TimePoint now = passSlotsOn(first, a, b);
+    const std::vector<HolderId> known{holder(0), holder(1)};
+    SlotLedger second({Epoch{2}, shortTimes(), 4, true, known}, now);
+    second.setTargets(targets(1, 8), now);
+    for (int n = 0; n < 4; ++n) {
+        now += 1s;
+        exchange(second, a, 8, now);
+        exchange(second, b, 8, now);
+        EXPECT_LE(second.committedSlots(TargetId("target-0")), 8);
+    }
+    EXPECT_EQ(acquireAll(a, now) + acquireAll(b, now), 8);
+}
+
+// The ledger confirmed the expired offer of a holder that it had admitted again.
+TEST(SlotLedger, AHolderThatIsAdmittedAgainUsesNoneOfItsExpiredSlots)
+{
+    auto ledger = ledgerWith(2, 1, 8);
+    GrantHolder a(Key, holder(0));
+    GrantHolder b(Key, holder(1));
+    const TimePoint now = passSlotsOn(ledger, a, b);
+    const std::vector<HolderId> readmitted{holder(0)};
+    ledger.admit(readmitted, now);
+    exchange(ledger, a, 8, now);
+    EXPECT_EQ(acquireAll(a, now) + acquireAll(b, now), 8);
+}
+
 TEST(SlotLedger, NeverExceedsTheConnectionLimitOfATarget)
 {
     SlotLedger ledger({Epoch{1}, shortTimes(), 2, false, {}}, Start);
