The slot ledger confirms only offers that it counts

What would be seen: two holders use the same slots, 16 of 8 in the new test.

Cause: a request that was sent shortly before the holder's start window closed reaches the ledger late, after the slots have expired and passed to another holder, and after the holder was admitted again. It names the applied offer. The ledger, which counts nothing for the holder and offers nothing, compared 0 with 0, answered that the applied offer stays valid, and so opened the window again. A holder that was paused for some seconds with the request under way accepts that answer.

Change: the ledger remembers which offer its confirmed slots belong to, and says "unchanged" only to a request that names this one. Others get the full offer.

--- a/src/grants/slotledger.cpp
+++ b/src/grants/slotledger.cpp
@@ -116,6 +116,9 @@
 {
     const bool isLatestApplied = request.appliedEpoch == m_epoch && holder.offeredSequence != 0
         && request.appliedSequence == holder.offeredSequence;
+    if (isLatestApplied) {
+        holder.confirmedSequence = request.appliedSequence;
+    }
     std::map<TargetId, int> inUseOverLimit;
     for (const auto &it : request.inUseOverLimit) {
         inUseOverLimit[it.target] = it.slots;
@@ -464,7 +467,9 @@
     offer.epoch = m_epoch;
     offer.startWindow = m_times.startWindow;
     offer.suspects = suspectTargetsFor(request.holder);
-    offer.isUnchanged = request.appliedEpoch == m_epoch;
+    // An offer from before the holder expired and was admitted again is not counted here.
+    offer.isUnchanged = request.appliedEpoch == m_epoch && holder.confirmedSequence != 0
+        && request.appliedSequence == holder.confirmedSequence;
     for (const auto &[target, commitment] : holder.commitments) {
         offer.isUnchanged = offer.isUnchanged && commitment.offered == commitment.confirmed;
     }
--- a/src/grants/slotledger.h
+++ b/src/grants/slotledger.h
@@ -159,6 +159,7 @@
         bool isAdmitted = false;
         std::uint64_t sequence = 0; // of the latest request
         std::uint64_t offeredSequence = 0; // of the latest offer; 0 before the first
+        std::uint64_t confirmedSequence = 0; // of the last offer that the holder confirmed; 0 before the first
         Epoch appliedEpoch;
         int wanted = 0;
         bool isFar = false; // gets only slots that the near holders leave
--- a/tests/grants/slotledgertest.cpp
+++ b/tests/grants/slotledgertest.cpp
@@ -235,6 +235,32 @@
     EXPECT_EQ(acquireAll(a, now) + acquireAll(b, now), 8);
 }
 
+// A request that was sent before the holder's slots expired was answered after they had
+// passed to another holder, with the answer that the applied offer stays valid.
+TEST(SlotLedger, ConfirmsNoOfferThatItNoLongerCounts)
+{
+    auto ledger = ledgerWith(2, 1, 8);
+    GrantHolder a(Key, holder(0));
+    GrantHolder b(Key, holder(1));
+    exchange(ledger, a, 8, Start);
+    const auto delayed = a.nextRequest(8, false, Start + 4s);
+    ASSERT_TRUE(delayed);
+    const TimePoint end = Start + shortTimes().slotLifetime() + 1s;
+    for (TimePoint now = Start + 1s; now < end; now += 1s) {
+        exchange(ledger, b, 8, now);
+    }
+    EXPECT_EQ(exchange(ledger, b, 8, end), 8);
+    const std::vector<HolderId> readmitted{holder(0)};
+    ledger.admit(readmitted, end);
+    handleFailure(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(offer, ledger.handle(*delayed, end));
+            return a.accept(offer);
+        },
+        [](const Failure &failure) { ADD_FAILURE() << failure.detail; });
+    EXPECT_EQ(acquireAll(a, end) + acquireAll(b, end), 8);
+}
+
 TEST(SlotLedger, NeverExceedsTheConnectionLimitOfATarget)
 {
     SlotLedger ledger({Epoch{1}, shortTimes(), 2, false, {}}, Start);
