An owner keeps expired slots committed until its lease would have ended

What would be seen: two holders use the same slots after a change of owner, 16 of 8 in the new test, if the time limit of a request is shorter than the lease of an owner (12 s); documents may set limits from 10 ms.

Cause: a holder reports its slots to a new owner at the end of its start window and goes on to use them. The previous owner, which may act until its lease ends, hears no more of this holder, lets the slots expire after the time limit, and offers them to a holder that still asks it.

Change: slots expire after the start window plus the longer of the time limit and the lease. The previous owner's lease ends before that, because the holder reports no slots after its start window.

--- a/src/grants/slotledger.h
+++ b/src/grants/slotledger.h
@@ -5,6 +5,7 @@
 #include "common/time.h"
 #include "grants/slotmessages.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <span>
@@ -29,10 +30,12 @@
     Duration ownerLease = 12s; // how long after a renewal an owner may send offers
     Duration clockMargin = 500ms; // maximum drift between two clocks over the times above
 
-    // Returns how long a slot may stay in use after the owner's last offer.
+    // Returns how long a slot stays committed after the owner's last offer: until its
+    // requests have ended, and until this owner has lost its lease if the holder has
+    // reported the slot to a new owner at the end of its start window.
     Duration slotLifetime() const
     {
-        return startWindow + timeLimit + clockMargin;
+        return startWindow + std::max(timeLimit, ownerLease) + clockMargin;
     }
     // Returns how long a slot may stay in use after the holder's process has died.
     Duration slotLifetimeAfterDeath() const
--- a/tests/grants/slotledgertest.cpp
+++ b/tests/grants/slotledgertest.cpp
@@ -261,6 +261,31 @@
     EXPECT_EQ(acquireAll(a, end) + acquireAll(b, end), 8);
 }
 
+// A ledger freed the slots of a holder within its lease, after the holder had reported
+// them to the next owner.
+TEST(SlotLedger, KeepsSlotsThatANewOwnerMayHaveAdoptedUntilItsLeaseEnds)
+{
+    GrantTimes times = shortTimes();
+    times.ownerLease = 6s; // longer than the time limit of a request
+    const std::vector<HolderId> known{holder(0), holder(1)};
+    SlotLedger first({Epoch{1}, times, 4, false, {}}, Start);
+    first.setTargets(targets(1, 8), Start);
+    first.admit(known, Start);
+    GrantHolder a(Key, holder(0));
+    GrantHolder b(Key, holder(1));
+    exchange(first, a, 8, Start);
+    // The second owner takes over shortly before the start window of `a` closes.
+    TimePoint now = Start + times.startWindow - 1s;
+    SlotLedger second({Epoch{2}, times, 4, true, known}, now);
+    second.setTargets(targets(1, 8), now);
+    const TimePoint leaseEnd = now + times.ownerLease;
+    for (; now < leaseEnd; now += 500ms) {
+        exchange(second, a, 8, now);
+        exchange(first, b, 8, now);
+    }
+    EXPECT_LE(acquireAll(a, leaseEnd) + acquireAll(b, leaseEnd), 8);
+}
+
 TEST(SlotLedger, NeverExceedsTheConnectionLimitOfATarget)
 {
     SlotLedger ledger({Epoch{1}, shortTimes(), 2, false, {}}, Start);
