--- a/tests/grants/slotledgertest.cpp
+++ b/tests/grants/slotledgertest.cpp
@@ -78,6 +78,30 @@
     return it.heldCount();
 }
 
+// Lets the slots of `silent` expire and `other` receive them. Returns the time afterwards.
+TimePoint passSlotsOn(SlotLedger &ledger, GrantHolder &silent, GrantHolder &other)
+{
+    EXPECT_EQ(exchange(ledger, silent, 8, Start), 8);
+    const TimePoint end = Start + shortTimes().slotLifetime() + 1s;
+    for (TimePoint now = Start + 1s; now < end; now += 1s) {
+        exchange(ledger, other, 8, now);
+    }
+    EXPECT_EQ(exchange(ledger, other, 8, end), 8);
+    return end;
+}
+
+// Acquires all slots that `it` may use now. Returns their number.
+int acquireAll(GrantHolder &it, TimePoint now)
+{
+    int n = 0;
+    for (std::size_t index = 0; index < it.slots().size(); ++index) {
+        while (it.tryAcquire(index, now)) {
+            ++n;
+        }
+    }
+    return n;
+}
+
 } // namespace
 
 TEST(SlotLedger, AllocatesByDemandAndSpreadsTheRest)
@@ -178,6 +202,90 @@
     EXPECT_LE(second.committedSlots(TargetId("target-0")), 8);
 }
 
+// A holder reported an offer whose start window had closed to a new owner as holdings,
+// after the previous owner had granted its slots to another holder.
+TEST(SlotLedger, ANewOwnerAdoptsNoHoldingsThatHaveExpired)
+{
+    auto first = ledgerWith(2, 1, 8);
+    GrantHolder a(Key, holder(0));
+    GrantHolder b(Key, holder(1));
+    TimePoint now = passSlotsOn(first, a, b);
+    const std::vector<HolderId> known{holder(0), holder(1)};
+    SlotLedger second({Epoch{2}, shortTimes(), 4, true, known}, now);
+    second.setTargets(targets(1, 8), now);
+    for (int n = 0; n < 4; ++n) {
+        now += 1s;
+        exchange(second, a, 8, now);
+        exchange(second, b, 8, now);
+        EXPECT_LE(second.committedSlots(TargetId("target-0")), 8);
+    }
+    EXPECT_EQ(acquireAll(a, now) + acquireAll(b, now), 8);
+}
+
+// The ledger confirmed the expired offer of a holder that it had admitted again.
+TEST(SlotLedger, AHolderThatIsAdmittedAgainUsesNoneOfItsExpiredSlots)
+{
+    auto ledger = ledgerWith(2, 1, 8);
+    GrantHolder a(Key, holder(0));
+    GrantHolder b(Key, holder(1));
+    const TimePoint now = passSlotsOn(ledger, a, b);
+    const std::vector<HolderId> readmitted{holder(0)};
+    ledger.admit(readmitted, now);
+    exchange(ledger, a, 8, now);
+    EXPECT_EQ(acquireAll(a, now) + acquireAll(b, now), 8);
+}
+
+// A request that was sent before the holder's slots expired was answered after they had
+// passed to another holder, with the answer that the applied offer stays valid.
+TEST(SlotLedger, ConfirmsNoOfferThatItNoLongerCounts)
+{
+    auto ledger = ledgerWith(2, 1, 8);
+    GrantHolder a(Key, holder(0));
+    GrantHolder b(Key, holder(1));
+    exchange(ledger, a, 8, Start);
+    const auto delayed = a.nextRequest(8, false, Start + 4s);
+    ASSERT_TRUE(delayed);
+    const TimePoint end = Start + shortTimes().slotLifetime() + 1s;
+    for (TimePoint now = Start + 1s; now < end; now += 1s) {
+        exchange(ledger, b, 8, now);
+    }
+    EXPECT_EQ(exchange(ledger, b, 8, end), 8);
+    const std::vector<HolderId> readmitted{holder(0)};
+    ledger.admit(readmitted, end);
+    handleFailure(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(offer, ledger.handle(*delayed, end));
+            return a.accept(offer);
+        },
+        [](const Failure &failure) { ADD_FAILURE() << failure.detail; });
+    EXPECT_EQ(acquireAll(a, end) + acquireAll(b, end), 8);
+}
+
+// A ledger freed the slots of a holder within its lease, after the holder had reported
+// them to the next owner.
+TEST(SlotLedger, KeepsSlotsThatANewOwnerMayHaveAdoptedUntilItsLeaseEnds)
+{
+    GrantTimes times = shortTimes();
+    times.ownerLease = 6s; // longer than the time limit of a request
+    const std::vector<HolderId> known{holder(0), holder(1)};
+    SlotLedger first({Epoch{1}, times, 4, false, {}}, Start);
+    first.setTargets(targets(1, 8), Start);
+    first.admit(known, Start);
+    GrantHolder a(Key, holder(0));
+    GrantHolder b(Key, holder(1));
+    exchange(first, a, 8, Start);
+    // The second owner takes over shortly before the start window of `a` closes.
+    TimePoint now = Start + times.startWindow - 1s;
+    SlotLedger second({Epoch{2}, times, 4, true, known}, now);
+    second.setTargets(targets(1, 8), now);
+    const TimePoint leaseEnd = now + times.ownerLease;
+    for (; now < leaseEnd; now += 500ms) {
+        exchange(second, a, 8, now);
+        exchange(first, b, 8, now);
+    }
+    EXPECT_LE(acquireAll(a, leaseEnd) + acquireAll(b, leaseEnd), 8);
+}
+
 TEST(SlotLedger, NeverExceedsTheConnectionLimitOfATarget)
 {
     SlotLedger ledger({Epoch{1}, shortTimes(), 2, false, {}}, Start);
