Old counts of waiting jobs are not given as current ones

Callers saw: GET of a queue's prefix told that no job waits while 8 jobs had waited for 5 s (rule MIXED).

Cause: every host answers from the counts in the leader's row. The leader renews its row although it has not read the table of jobs for seconds, and wrote counts of what it knew as if they were current.

The row now carries the age of its counts, from the sending of the call that last read the jobs, and the store's version up to which they were read. A claim and renewals before the jobs are loaded carry them on. A host whose counts are older than 3.2 s (2.9 s is the most in calm times, the rule allows 5 s) adds the jobs accepted after that version, read from the feed's history in one call, at most once a second for all that ask. If the store does not answer by the client's deadline, or has dropped the history, it answers 503.

Ruled out: 503 whenever the counts are old; it tells nothing in outages in which jobs are accepted. Counting from progress rows; they do not tell of starts.

Rows of an older build are taken as counted when they arrive; older builds ignore the new fields.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -216,7 +216,9 @@
                       {"fence", row.fence.value},
                       {"beat", row.beat},
                       {"bestShare", row.bestShare},
-                      {"waiting", row.waiting},
+                      {"waiting", row.waiting.byQueue},
+                      {"waitingVersion", row.waiting.version},
+                      {"waitingAgeMs", toMilliseconds(row.waiting.age)},
                       {"formersDecideMs", toMilliseconds(row.formersDecideFor)}});
 }
 
@@ -229,7 +231,9 @@
         row.fence = {json.at("fence").get<std::uint64_t>()};
         row.beat = json.at("beat").get<std::uint64_t>();
         row.bestShare = json.at("bestShare").get<double>();
-        row.waiting = json.at("waiting").get<std::map<std::string, int>>();
+        row.waiting.byQueue = json.at("waiting").get<std::map<std::string, int>>();
+        row.waiting.version = json.value("waitingVersion", std::uint64_t(0));
+        row.waiting.age = std::chrono::milliseconds(json.value("waitingAgeMs", std::int64_t(0)));
         row.formersDecideFor = std::chrono::milliseconds(json.value("formersDecideMs", std::int64_t(0)));
         return row;
     });
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -2,6 +2,7 @@
 
 #include "execution/rowlayout.h"
 #include "execution/tablewatcher.h"
+#include "execution/waitingcounter.h"
 
 #include <algorithm>
 
@@ -39,6 +40,7 @@
     Private(ExecutionPorts executionPorts, ExecutionOptions o)
         : ports(std::move(executionPorts)), options(std::move(o)),
           requestHandler(ports.store, ports.scheduler, ports.codec, ports.log),
+          waitingCounter(ports.store, ports.scheduler, ports.codec, ports.log, [this] { return waitingCounts(); }),
           leadership(options.self, options.incarnation, ports.scheduler.now())
     {
     }
@@ -164,11 +166,18 @@
         lagClaimDelayUntil = now + LagClaimDelayPeriod;
         ports.log.record("leadership-handed-over", {{"fence", termFence.value}, {"lagMs", toMilliseconds(lag)}});
         lag = Duration(0);
-        if (const auto write = leadership.release()) {
+        if (auto write = leadership.release()) {
+            write->row.waiting = waitingCounts();
             writeLeader(*write);
         }
     }
 
+    membership::WaitingCounts waitingCounts() const
+    {
+        const auto now = ports.scheduler.now();
+        return term && term->isLoaded() ? term->waitingCounts(now) : leadership.waitingCounts(now);
+    }
+
     Duration claimDelay() const
     {
         const auto penalty = ports.scheduler.now() < lagClaimDelayUntil ? LagClaimDelay : Duration(0);
@@ -199,9 +208,7 @@
             return; // without a configuration this host could not place any task
         }
         if (auto write = leadership.dueWrite(claimDelay(), now)) {
-            if (term && term->isLoaded()) {
-                write->row.waiting = term->waitingCounts();
-            }
+            write->row.waiting = waitingCounts();
             write->row.bestShare = std::max(write->row.bestShare, options.processorShare);
             writeLeader(*write);
         }
@@ -313,6 +320,7 @@
     ExecutionPorts ports;
     ExecutionOptions options;
     JobRequestHandler requestHandler;
+    WaitingCounter waitingCounter;
     membership::Leadership leadership;
     std::function<void(ConfigurationPointer)> onConfiguration;
     ConfigurationPointer configuration;
@@ -353,7 +361,10 @@
 void ExecutionLoop::stop(std::function<void()> done)
 {
     d->isStopping = true;
-    const auto write = d->leadership.release();
+    auto write = d->leadership.release();
+    if (write) {
+        write->row.waiting = d->waitingCounts();
+    }
     d->term.reset();
     if (!write) {
         done();
@@ -371,13 +382,9 @@
     return d->requestHandler;
 }
 
-int ExecutionLoop::waitingJobs(std::string_view queue) const
+void ExecutionLoop::waitingJobs(std::string queue, TimePoint deadline, const ports::Handler<int> &reply)
 {
-    const auto counts = d->term && d->term->isLoaded() ? d->term->waitingCounts()
-        : d->leadership.row()                          ? d->leadership.row()->waiting
-                                                       : std::map<std::string, int>();
-    const auto it = counts.find(std::string(queue));
-    return it == counts.end() ? 0 : it->second;
+    d->waitingCounter.count(std::move(queue), deadline, reply);
 }
 
 bool ExecutionLoop::isReady() const
--- a/src/execution/executionloop.h
+++ b/src/execution/executionloop.h
@@ -47,9 +47,9 @@
     void stop(std::function<void()> done);
 
     JobRequestHandler &jobRequestHandler();
-    // Returns the number of the queue's accepted jobs that have not started. The value
-    // may be up to 2 s old.
-    int waitingJobs(std::string_view queue) const;
+    // Calls `reply` by `deadline` with the number of the queue's accepted jobs that have not
+    // started. Fails with StoreUnavailable if that is not known.
+    void waitingJobs(std::string queue, TimePoint deadline, const ports::Handler<int> &reply);
     // Returns whether this host can serve client requests.
     bool isReady() const;
     ExecutionSummary summary() const;
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -65,7 +65,11 @@
         jobWatcher.emplace(ports.store, ports.scheduler, ports.log, std::string(JobsTable), jobParts(), WatchTimeout,
                            TableWatcher::Hooks{[this](auto rows) { onJobSnapshot(rows); },
                                                [this](auto rows) { onJobRows(rows); }, [](Duration) {},
-                                               [this](TimePoint time) { fleet.noteJobsRead(time); }});
+                                               [this](TimePoint time, std::uint64_t version) {
+                                                   jobsReadAt = time;
+                                                   jobsReadVersion = version;
+                                                   fleet.noteJobsRead(time);
+                                               }});
     }
 
     void onJobSnapshot(std::span<const ports::StoredRow> rows)
@@ -90,11 +94,12 @@
                          {{"fence", fleet.fence().value},
                           {"openJobs", fleet.counts().openJobs},
                           {"workers", fleet.counts().workers}});
-        workerWatcher.emplace(ports.store, ports.scheduler, ports.log, ports.registry.workersTable(),
-                              std::vector<std::string>{std::string()}, WorkersWatchTimeout,
-                              TableWatcher::Hooks{[this](auto entries) { onWorkerSnapshot(entries); },
-                                                  [this](auto entries) { onWorkerRows(entries); }, [](Duration) {},
-                                                  [this](TimePoint time) { fleet.noteWorkersRead(time); }});
+        workerWatcher.emplace(
+            ports.store, ports.scheduler, ports.log, ports.registry.workersTable(),
+            std::vector<std::string>{std::string()}, WorkersWatchTimeout,
+            TableWatcher::Hooks{[this](auto entries) { onWorkerSnapshot(entries); },
+                                [this](auto entries) { onWorkerRows(entries); }, [](Duration) {},
+                                [this](TimePoint time, std::uint64_t) { fleet.noteWorkersRead(time); }});
         workerController->trackWorkers();
         tick();
         ports.scheduler.runAfter(Duration(0), [self = shared_from_this()] { self->progressReader.reset(); });
@@ -272,6 +277,8 @@
     std::optional<TableWatcher> progressReader;
     std::optional<TableWatcher> workerWatcher;
     StartLimiter startLimiter;
+    TimePoint jobsReadAt; // all jobs stored before this time have been read
+    std::uint64_t jobsReadVersion = 0; // of the store
     bool isCutByLimit = false; // the last plan left starts for later
     bool isLoaded = false;
     bool isPlanScheduled = false;
@@ -307,9 +314,9 @@
     d->fleet.noteTermRenewed(sentAt, termEnd);
 }
 
-std::map<std::string, int> LeaderTerm::waitingCounts() const
+membership::WaitingCounts LeaderTerm::waitingCounts(TimePoint now) const
 {
-    return d->fleet.waitingCounts();
+    return {d->fleet.waitingCounts(), d->jobsReadVersion, now - d->jobsReadAt};
 }
 
 bool LeaderTerm::isLoaded() const
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -66,7 +66,7 @@
     void noteRenewed(TimePoint sentAt, TimePoint termEnd);
     // Returns the number of jobs per queue that have not started; complete only once
     // isLoaded().
-    std::map<std::string, int> waitingCounts() const;
+    membership::WaitingCounts waitingCounts(TimePoint now) const;
     // Returns whether all stored jobs and their progress have been read.
     bool isLoaded() const;
     FleetCounts counts() const;
--- a/src/execution/rowlayout.h
+++ b/src/execution/rowlayout.h
@@ -12,7 +12,8 @@
 // Store rows that hold the persistent state of job execution.
 //
 //   table     part   key         written                       read
-//   jobs      0..3   ID          once, when a job is accepted  by the leader, as it changes
+//   jobs      0..3   ID          once, when a job is accepted  by the leader, as it changes; by a
+//                                                              host that is asked how many wait
 //   jobs      0..3   ID + "x"    when a job is cancelled       by the leader, as it changes
 //   progress  0..3   ID          by the leader, as tasks end;  by any host that is asked
 //                                by any host that cancels
--- a/src/execution/tablewatcher.cpp
+++ b/src/execution/tablewatcher.cpp
@@ -108,7 +108,7 @@
     void noteCaughtUp(TimePoint time)
     {
         if (hooks.onCaughtUp) {
-            hooks.onCaughtUp(time);
+            hooks.onCaughtUp(time, version);
         }
     }
 
--- a/src/execution/tablewatcher.h
+++ b/src/execution/tablewatcher.h
@@ -27,8 +27,9 @@
         std::function<void(std::span<const ports::StoredRow>)> onChanges;
         // The store answered this host after `roundTrip`, which is zero for a long poll.
         std::function<void(Duration roundTrip)> onContact;
-        // All rows stored before `time` were passed to the other hooks. Optional.
-        std::function<void(TimePoint time)> onCaughtUp = {};
+        // All rows stored before `time`, which include those up to `version`, were passed to the
+        // other hooks. Optional.
+        std::function<void(TimePoint time, std::uint64_t version)> onCaughtUp = {};
     };
 
     TableWatcher(ports::ChangeStore &store, ports::Scheduler &scheduler, DecisionLog &log, std::string table,
--- /dev/null
+++ b/src/execution/waitingcounter.cpp
@@ -0,0 +1,207 @@
+#include "execution/waitingcounter.h"
+
+#include "execution/rowlayout.h"
+
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace monsoonspool::execution {
+
+namespace {
+
+// By this measure, which starts with the call that read the jobs, the counts of a healthy leader
+// are up to 2.9 s old. The platform expects a job to be counted 5 s after it was accepted; the rest
+// is for the way of the leader's row to this host.
+constexpr Duration MaxCountAge = 3200ms;
+// Requests share a reading of the store for this time.
+constexpr Duration ReadingValidity = 1s;
+constexpr Duration RetryInterval = 200ms;
+// Limits what one reading costs. A page has up to 500 rows or 1 MB.
+constexpr int MaxPages = 4;
+
+} // namespace
+
+struct WaitingCounter::Private : std::enable_shared_from_this<WaitingCounter::Private>
+{
+    struct Request
+    {
+        std::uint64_t number = 0;
+        std::string queue;
+        ports::Handler<int> reply;
+    };
+
+    Private(ports::ChangeStore &changeStore, ports::Scheduler &s, const RowCodec &rowCodec, DecisionLog &decisionLog,
+            std::function<membership::WaitingCounts()> counts)
+        : store(changeStore), scheduler(s), codec(rowCodec), log(decisionLog), leaderCounts(std::move(counts))
+    {
+    }
+
+    void add(std::string queue, TimePoint deadline, const ports::Handler<int> &reply)
+    {
+        const auto number = ++lastRequest;
+        requests.push_back({number, std::move(queue), reply});
+        scheduler.runAfter(deadline - scheduler.now(), [self = shared_from_this(), number] {
+            self->failIf([number](const Request &it) { return it.number == number; },
+                         {ErrorKind::StoreUnavailable, "no reply from the store before the deadline"});
+        });
+        if (!isReading) {
+            isReading = true;
+            begin();
+        }
+    }
+
+    // Starts a reading if it is still needed.
+    void begin()
+    {
+        auto counts = leaderCounts();
+        if (requests.empty() || counts.age <= MaxCountAge) {
+            isReading = false;
+            answer(counts.byQueue);
+            return;
+        }
+        addedJobs.clear();
+        pageCount = 0;
+        const auto version = counts.version;
+        read(std::move(counts), version, scheduler.now());
+    }
+
+    // Reads the jobs accepted after `version`. A change feed that may return at once reads them
+    // from all parts in one call.
+    void read(membership::WaitingCounts counts, std::uint64_t version, TimePoint beganAt)
+    {
+        store.changes(JobsTable, version, Duration(0),
+                      [self = shared_from_this(), counts = std::move(counts),
+                       beganAt](const ports::AsyncResult<ports::RowPage> &result) {
+                          if (result.isOk()) {
+                              self->onPage(counts, result.value(), beganAt);
+                          } else {
+                              self->onFailure(result.failure());
+                          }
+                      });
+    }
+
+    void onPage(const membership::WaitingCounts &counts, const ports::RowPage &page, TimePoint beganAt)
+    {
+        for (const auto &it : page.rows) {
+            onRow(it);
+        }
+        if (page.isTruncated && ++pageCount < MaxPages) {
+            read(counts, page.version, beganAt);
+            return;
+        }
+        isReading = false;
+        if (page.isTruncated) {
+            failIf([](const Request &) { return true; },
+                   {ErrorKind::StoreUnavailable, "too many jobs since the leader's last count"});
+            return;
+        }
+        readCounts = counts.byQueue;
+        for (const auto &[key, queue] : addedJobs) {
+            ++readCounts[queue];
+        }
+        readAt = beganAt;
+        log.record("waiting-jobs-read", {{"leaderAgeMs", toMilliseconds(counts.age)}, {"addedJobs", addedJobs.size()}});
+        answer(readCounts);
+    }
+
+    void onRow(const ports::StoredRow &row)
+    {
+        const auto key = jobOfKey(row.name.key);
+        if (!key || row.isRemoved) {
+            return;
+        }
+        if (isCancelKey(row.name.key)) {
+            addedJobs.erase(*key);
+            return;
+        }
+        handleFailure(
+            [&]() -> Result<void> {
+                BOOST_LEAF_AUTO(job, codec.decodeJob(row.value));
+                addedJobs[*key] = std::move(job.policy.queue);
+                return {};
+            },
+            [&](const Failure &failure) {
+                log.record("row-unreadable", {{"key", row.name.key}, {"detail", failure.detail}});
+            });
+    }
+
+    void onFailure(const Failure &failure)
+    {
+        if (failure.kind == ErrorKind::StoreHistoryDropped) {
+            log.record("waiting-jobs-unknown", {{"detail", failure.detail}});
+            isReading = false;
+            failIf([](const Request &) { return true; }, {ErrorKind::StoreUnavailable, failure.detail});
+            return;
+        }
+        scheduler.runAfter(RetryInterval, [self = shared_from_this()] { self->begin(); });
+    }
+
+    void answer(const std::map<std::string, int> &counts)
+    {
+        for (const auto &it : std::exchange(requests, {})) {
+            it.reply(countOf(counts, it.queue));
+        }
+    }
+
+    template <typename F>
+    void failIf(F predicate, const Failure &failure)
+    {
+        std::vector<Request> failed;
+        std::vector<Request> others;
+        for (auto &it : requests) {
+            (predicate(it) ? failed : others).push_back(std::move(it));
+        }
+        requests = std::move(others);
+        for (const auto &it : failed) {
+            it.reply(failure);
+        }
+    }
+
+    static int countOf(const std::map<std::string, int> &counts, const std::string &queue)
+    {
+        const auto it = counts.find(queue);
+        return it == counts.end() ? 0 : it->second;
+    }
+
+    ports::ChangeStore &store;
+    ports::Scheduler &scheduler;
+    const RowCodec &codec;
+    DecisionLog &log;
+    std::function<membership::WaitingCounts()> leaderCounts;
+    std::vector<Request> requests;
+    std::uint64_t lastRequest = 0;
+    bool isReading = false;
+    std::map<jobs::JobKey, std::string> addedJobs; // with their queues
+    int pageCount = 0;
+    std::map<std::string, int> readCounts;
+    std::optional<TimePoint> readAt; // when the last complete reading began
+};
+
+WaitingCounter::WaitingCounter(ports::ChangeStore &store, ports::Scheduler &scheduler, const RowCodec &codec,
+                               DecisionLog &log, std::function<membership::WaitingCounts()> leaderCounts)
+    : d(std::make_shared<Private>(store, scheduler, codec, log, std::move(leaderCounts)))
+{
+}
+
+WaitingCounter::~WaitingCounter()
+{
+    d->requests.clear();
+    d->leaderCounts = [] { return membership::WaitingCounts(); };
+}
+
+void WaitingCounter::count(std::string queue, TimePoint deadline, const ports::Handler<int> &reply)
+{
+    const auto counts = d->leaderCounts();
+    const auto now = d->scheduler.now();
+    if (counts.age <= MaxCountAge) {
+        reply(Private::countOf(counts.byQueue, queue));
+    } else if (d->readAt && now - *d->readAt <= ReadingValidity) {
+        reply(Private::countOf(d->readCounts, queue));
+    } else {
+        d->add(std::move(queue), deadline, reply);
+    }
+}
+
+} // namespace monsoonspool::execution
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -18,6 +18,9 @@
 constexpr double DelayPerRoundTripMs = 12;
 constexpr double MinShare = 0.01;
 
+// Age of the counts while no leader has counted.
+constexpr Duration UnlimitedAge = 24h;
+
 } // namespace
 
 Duration claimDelay(double share, double bestShare, Duration storeRoundTrip)
@@ -82,6 +85,7 @@
         }
         Write write{m_version, *m_row, false};
         ++write.row.beat;
+        write.row.waiting = waitingCounts(now);
         write.row.formersDecideFor = formersDecideFor(now);
         m_isWriting = true;
         return write;
@@ -106,7 +110,7 @@
     write.row.incarnation = m_incarnation;
     write.row.fence = {m_row ? m_row->fence.value + 1 : 1};
     write.row.bestShare = m_row ? m_row->bestShare : 0;
-    write.row.waiting = m_row ? m_row->waiting : std::map<std::string, int>();
+    write.row.waiting = waitingCounts(now);
     write.row.formersDecideFor = formersDecideFor(now);
     if (write.row.fence != m_claimFence) {
         m_claimFence = write.row.fence;
@@ -162,6 +166,17 @@
     return m_isLeader && now < decidesUntil();
 }
 
+WaitingCounts Leadership::waitingCounts(TimePoint now) const
+{
+    if (!m_row) {
+        return {{}, 0, UnlimitedAge};
+    }
+    auto counts = m_row->waiting;
+    // A leader knows when it sent the row.
+    counts.age += std::max(now - (m_isLeader ? m_renewedAt : m_changedAt), Duration(0));
+    return counts;
+}
+
 Duration Leadership::formersDecideFor(TimePoint now) const
 {
     return std::max(m_formersDecideUntil - now, Duration(0));
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -10,6 +10,14 @@
 
 namespace monsoonspool::membership {
 
+// The jobs that have not started, as a leader has counted them.
+struct WaitingCounts
+{
+    std::map<std::string, int> byQueue;
+    std::uint64_t version = 0; // of the store; jobs accepted up to it are counted
+    Duration age{0}; // since the store was read up to it, from the writing of the row that holds this
+};
+
 // The table row that names the leader, the host that schedules. Only the leader and
 // hosts that claim leadership write it.
 struct LeaderRow
@@ -19,7 +27,7 @@
     Epoch fence; // fencing token, increases with each claim
     std::uint64_t beat = 0; // increases with each renewal
     double bestShare = 0; // the largest processor share of any leader so far
-    std::map<std::string, int> waiting; // number of jobs that have not started, by queue
+    WaitingCounts waiting;
     Duration formersDecideFor{0}; // from the writing of this row: how long earlier leaders may still decide
 };
 
@@ -106,6 +114,8 @@
     {
         return m_row;
     }
+    // Returns the counts of the row as last read or written, with their age at `now`.
+    WaitingCounts waitingCounts(TimePoint now) const;
     std::uint64_t claimVersion() const
     {
         return m_claimVersion;
