--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -76,7 +76,7 @@
     TimePoint leasesEnd() const;
     // Returns the number of jobs per queue that have not started; complete only once
     // isLoaded().
-    std::map<std::string, int> waitingCounts() const;
+    membership::WaitingCounts waitingCounts(TimePoint now) const;
     // Returns whether all stored jobs and their progress have been read.
     bool isLoaded() const;
     FleetCounts counts() const;
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -11,6 +11,14 @@
 
 namespace monsoonspool::membership {
 
+// The jobs that have not started, as a leader has counted them.
+struct WaitingCounts
+{
+    std::map<std::string, int> byQueue;
+    std::uint64_t version = 0; // of the store; jobs accepted up to it are counted
+    Duration age{0}; // since the store was read up to it, from the writing of the row that holds this
+};
+
 // A leader that may still decide although another host has claimed.
 struct FormerLeader
 {
@@ -28,7 +36,7 @@
     Epoch fence; // fencing token, increases with each claim
     std::uint64_t beat = 0; // increases with each renewal
     double bestShare = 0; // the largest processor share of any leader so far
-    std::map<std::string, int> waiting; // number of jobs that have not started, by queue
+    WaitingCounts waiting;
     Duration formersDecideFor{0}; // from the writing of this row: how long earlier leaders may still decide
     std::optional<FormerLeader> former; // replaced by this row's claim; none if it had stopped
 };
@@ -140,6 +148,8 @@
     {
         return m_row;
     }
+    // Returns the counts of the row as last read or written, with their age at `now`.
+    WaitingCounts waitingCounts(TimePoint now) const;
     std::uint64_t claimVersion() const
     {
         return m_claimVersion;
