The slot protocol's property admits holders again and has two leases

The model on an unreliable network never admitted a holder whose slots had expired, and its lease was shorter than the time limit of a request. Now a step that did nothing lets the latest owner admit the holders that wait for it, and each case is played with a lease of 1 s and of 6 s (time limit 2 s).

--- a/tests/grants/slotledgertest.cpp
+++ b/tests/grants/slotledgertest.cpp
@@ -306,8 +306,8 @@
 namespace {
 
 // Simulates holders and owners on a network that drops, delays, duplicates and
-// reorders messages, while holders pause and owners are replaced. Counts the slots in
-// use independently of holders and owners.
+// reorders messages, while holders pause, expire and are admitted again, and owners are
+// replaced. Counts the slots in use independently of holders and owners.
 class SlotProtocolModel
 {
 public:
@@ -315,7 +315,7 @@
     static constexpr int Targets = 2;
     static constexpr int Slots = 4;
 
-    SlotProtocolModel() : m_now(Start)
+    explicit SlotProtocolModel(const GrantTimes &times) : m_times(times), m_now(Start)
     {
         for (int n = 0; n < Holders; ++n) {
             m_holders.emplace_back(Key, holder(n));
@@ -355,6 +355,8 @@
         case 12:
             if (b % 7 == 0) {
                 replaceOwner(false);
+            } else {
+                admitHolders();
             }
             break;
         default:
@@ -390,16 +392,22 @@
             known.push_back(holder(n));
         }
         for (auto &it : m_owners) {
-            it.leaseEnd = std::min(it.leaseEnd, m_now + shortTimes().ownerLease);
+            it.leaseEnd = std::min(it.leaseEnd, m_now + m_times.ownerLease);
         }
         const Epoch epoch{m_owners.size() + 1};
-        m_owners.push_back(
-            {SlotLedger({epoch, shortTimes(), 4, !isFirst, isFirst ? std::vector<HolderId>() : known}, m_now),
-             TimePoint::max()});
+        m_owners.push_back({SlotLedger({epoch, m_times, 4, !isFirst, isFirst ? std::vector<HolderId>() : known}, m_now),
+                            TimePoint::max()});
         m_owners.back().ledger.setTargets(targets(Targets, Slots), m_now);
         m_owners.back().ledger.admit(known, m_now);
     }
 
+    // The owner that replaces all others admits; the store refuses the writes of a former one.
+    void admitHolders()
+    {
+        auto &ledger = m_owners.back().ledger;
+        ledger.admit(ledger.holdersToAdmit(), m_now);
+    }
+
     void send(std::size_t n, int wanted)
     {
         if (auto request = m_holders[n].nextRequest(wanted, false, m_now)) {
@@ -457,7 +465,7 @@
         const auto index = choice % it.slots().size();
         const auto target = it.slots()[index].target;
         if (it.tryAcquire(index, m_now)) {
-            m_running.push_back({n, target, m_now + shortTimes().timeLimit});
+            m_running.push_back({n, target, m_now + m_times.timeLimit});
         }
     }
 
@@ -494,6 +502,7 @@
         }
     }
 
+    GrantTimes m_times;
     TimePoint m_now;
     std::vector<GrantHolder> m_holders;
     std::vector<Owner> m_owners;
@@ -506,11 +515,15 @@
 TEST(SlotLedger, NeverExceedsTheSlotsOfATargetOnAnUnreliableNetwork)
 {
     const bool holds = rc::check([](const std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint16_t>> &steps) {
-        SlotProtocolModel model;
-        // Repeats the steps with varied arguments to get long runs.
-        for (int round = 0; round < 12; ++round) {
-            for (const auto &[action, a, b] : steps) {
-                model.step((action + round) % 14, a + round, b + round * 31);
+        for (const Duration ownerLease : {1s, 6s}) {
+            GrantTimes times = shortTimes(); // the time limit is 2 s
+            times.ownerLease = ownerLease;
+            SlotProtocolModel model(times);
+            // Repeats the steps with varied arguments to get long runs.
+            for (int round = 0; round < 12; ++round) {
+                for (const auto &[action, a, b] : steps) {
+                    model.step((action + round) % 14, a + round, b + round * 31);
+                }
             }
         }
     });
