Close the connections of peers that were moved or removed

What would be seen: after a peer's address changed, the connection to its former address stayed open as long as both processes lived; so did one that opened after its peer was removed from the list.

Cause: setPeers() closed open connections only of removed peers, not of moved ones, and an attempt that was under way was not stopped.

Change: both take the same path; the open handler closes the connection of a removed peer. PeerNode tells the number of its incoming connections.

--- a/src/peer/peernode.cpp
+++ b/src/peer/peernode.cpp
@@ -57,6 +57,7 @@
     bool isAuthorized(const std::string &authorization) const;
     void connect(const PeerPointer &peer);
     void scheduleReconnect(const PeerPointer &peer);
+    void remove(Peer &peer);
 
     boost::asio::io_context &io;
     PeerEvents &events;
@@ -162,8 +163,7 @@
             continue;
         }
         if (hasAddressChanged) {
-            peer->isRemoved = true;
-            peer->reconnectTimer.cancel();
+            d->remove(*peer);
         }
         peer = std::make_shared<Private::Peer>(d->io);
         peer->address = it;
@@ -174,16 +174,23 @@
             ++it;
             continue;
         }
-        it->second->isRemoved = true;
-        it->second->reconnectTimer.cancel();
-        websocketpp::lib::error_code ec;
-        if (it->second->isOpen) {
-            d->client.close(it->second->handle, websocketpp::close::status::going_away, "", ec);
-        }
+        d->remove(*it->second);
         it = d->peers.erase(it);
     }
 }
 
+// Closes the connection to `peer`, and opens no other. One that is being opened is
+// closed by its open handler.
+void PeerNode::Private::remove(Peer &peer)
+{
+    peer.isRemoved = true;
+    peer.reconnectTimer.cancel();
+    if (peer.isOpen) {
+        websocketpp::lib::error_code ec;
+        client.close(peer.handle, websocketpp::close::status::going_away, "", ec);
+    }
+}
+
 void PeerNode::Private::connect(const PeerPointer &peer)
 {
     if (isStopped || peer->isRemoved) {
@@ -202,6 +209,11 @@
     const std::weak_ptr<Private> weak = shared_from_this();
     connection->set_open_handler([weak, peer](Handle handle) {
         if (const auto self = weak.lock()) {
+            if (peer->isRemoved) {
+                websocketpp::lib::error_code ec;
+                self->client.close(handle, websocketpp::close::status::going_away, "", ec);
+                return;
+            }
             peer->handle = handle;
             peer->isOpen = true;
             peer->wasOpen = true;
@@ -278,11 +290,7 @@
     websocketpp::lib::error_code ec;
     d->server.stop_listening(ec);
     for (const auto &entry : d->peers) {
-        entry.second->isRemoved = true;
-        entry.second->reconnectTimer.cancel();
-        if (entry.second->isOpen) {
-            d->client.close(entry.second->handle, websocketpp::close::status::going_away, "", ec);
-        }
+        d->remove(*entry.second);
     }
     for (const auto &handle : d->incoming) {
         d->server.close(handle, websocketpp::close::status::going_away, "", ec);
@@ -294,5 +302,10 @@
     return d->counts;
 }
 
+std::size_t PeerNode::incomingCount() const
+{
+    return d->incoming.size();
+}
+
 } // namespace peer
 } // namespace monsoonspool
--- a/src/peer/peernode.h
+++ b/src/peer/peernode.h
@@ -83,6 +83,9 @@
 
     PeerCounts counts() const;
 
+    // Returns the number of open connections that peers have made to this node.
+    std::size_t incomingCount() const;
+
 private:
     struct Private;
     std::shared_ptr<Private> d;
