No task starts while cancellations are not read

The limit that exists for the workers' entries now covers the jobs: tasks start up to 2.8 s after the call that last read the jobs was sent, and orders expire then. While the store answers no call, no job can be cancelled, and starts go on as before.

Ruled out: a long poll of 700 ms for the jobs, as for the workers, so that the limit is further from calm times (2 s).

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -63,6 +63,7 @@
     d->lostRuns.clear();
     d->isRosterChanged = false;
     d->workersReadAt.reset();
+    d->jobsReadAt.reset();
     d->delayedAt.reset();
     for (const auto &it : roster) {
         auto &worker = d->addWorker(it.worker, now);
@@ -236,6 +237,7 @@
 
 void Fleet::noteJobsRead(TimePoint time)
 {
+    d->jobsReadAt = time;
     for (auto &[key, ends] : d->heldEnds) {
         std::erase_if(ends, [&](const HeldEnd &it) {
             if (it.listedAt > time) {
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -114,8 +114,9 @@
     void addUnreadableJob(jobs::JobKey key);
     // Returns whether the job's row was read in this term.
     bool hasRead(jobs::JobKey key) const;
-    // Records that all jobs stored before `time` have been read: what workers listed until then
-    // and that belongs to another job is not this system's.
+    // Records that all jobs and cancellations stored before `time` have been read: what workers
+    // listed until then and that belongs to another job is not this system's. While the store
+    // answers other calls, no task starts once this is too long ago.
     void noteJobsRead(TimePoint time);
     // Records that all entries of workers stored before `time` have been read. While the store
     // answers other calls, no task starts once this is too long ago, since workers may have
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -33,6 +33,9 @@
 // A task starts within this time after the entries of the workers were read. The platform
 // allows no start on a worker 2.5 s after its entry has announced that it leaves.
 constexpr Duration MaxEntryAge = 2300ms;
+// The same after the cancellations of jobs were read. The platform allows no start 3 s after a job's
+// cancellation was acknowledged.
+constexpr Duration MaxCancellationAge = 2800ms;
 // Shortest validity of a start order that is worth sending.
 constexpr Duration MinStartValidity = 300ms;
 // The store is taken as silent when it has answered no call that was sent later than this ago. One
@@ -133,28 +136,30 @@
     return orders;
 }
 
-// Returns until when tasks may start on the workers, by what their entries tell. While the store
-// is silent to all hosts, workers cannot announce that they leave either; if it is silent only to
-// this one, another host takes over.
-TimePoint Fleet::Private::entriesUsableUntil(TimePoint now) const
+// Returns until when tasks may start, by when the workers' entries and the cancellations were read.
+// While the store is silent to all hosts, workers cannot announce that they leave and jobs cannot be
+// cancelled either; if it is silent only to this one, another host takes over.
+TimePoint Fleet::Private::rowsUsableUntil(TimePoint now) const
 {
-    if (!workersReadAt) {
-        return TimePoint::max();
-    }
     const auto renewedAt = termRenewedAt == TimePoint::max() ? termBeganAt : termRenewedAt;
-    const auto storeAnsweredAt = std::max(renewedAt, *workersReadAt);
+    const auto storeAnsweredAt
+        = std::max({renewedAt, workersReadAt.value_or(renewedAt), jobsReadAt.value_or(renewedAt)});
     const bool isDelayed = delayedAt && now - *delayedAt < DelayMemory;
-    const bool isStoreSilent = !isDelayed && now - storeAnsweredAt > StoreSilence;
-    return isStoreSilent ? TimePoint::max() : *workersReadAt + MaxEntryAge;
+    if (!isDelayed && now - storeAnsweredAt > StoreSilence) {
+        return TimePoint::max();
+    }
+    return std::min(workersReadAt ? *workersReadAt + MaxEntryAge : TimePoint::max(),
+                    jobsReadAt ? *jobsReadAt + MaxCancellationAge : TimePoint::max());
 }
 
 bool Fleet::Private::mayStartTasks(TimePoint now)
 {
-    const bool mayStart = entriesUsableUntil(now) - now >= MinStartValidity;
+    const bool mayStart = rowsUsableUntil(now) - now >= MinStartValidity;
     if (mayStart == areStartsSuspended) {
         areStartsSuspended = !mayStart;
         log.record(mayStart ? "starts-resumed" : "starts-suspended",
-                   {{"workersReadMsAgo", toMilliseconds(now - workersReadAt.value_or(now))}});
+                   {{"workersReadMsAgo", toMilliseconds(now - workersReadAt.value_or(now))},
+                    {"jobsReadMsAgo", toMilliseconds(now - jobsReadAt.value_or(now))}});
     }
     return mayStart;
 }
@@ -636,7 +641,7 @@
     applyStepSpec(run, spec);
     run.orderedAt = now;
     run.progressedAt = now;
-    run.startDeadline = worker.startDeadline(now, std::min(termEnd, entriesUsableUntil(now)));
+    run.startDeadline = worker.startDeadline(now, std::min(termEnd, rowsUsableUntil(now)));
     run.crashCount = job.job.crashCount(task);
     job.keptApartSince.erase(waitingTask(job, task));
     worker.add(run);
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -160,7 +160,7 @@
     void orderStart(TrackedJob &job, const jobs::TaskId &task, workers::Worker &worker, jobs::RunNumber run,
                     TimePoint now, Orders &orders);
     void stopUnwantedRuns(workers::Worker &worker, TimePoint now, Orders &orders);
-    TimePoint entriesUsableUntil(TimePoint now) const;
+    TimePoint rowsUsableUntil(TimePoint now) const;
     bool mayStartTasks(TimePoint now);
     void drainWorker(workers::Worker &worker, TimePoint now);
     void stopStuckRuns(workers::Worker &worker, TimePoint now);
@@ -192,8 +192,9 @@
     std::set<jobs::JobKey> changedJobs;
     bool isRosterChanged = false;
     std::optional<TimePoint> workersReadAt; // all entries stored before this time have been read
+    std::optional<TimePoint> jobsReadAt; // all jobs and cancellations stored before this time have been read
     std::optional<TimePoint> delayedAt; // last time that events were handled late
-    bool areStartsSuspended = false; // since the entries were read too long ago
+    bool areStartsSuspended = false; // since rows were read too long ago
     jobs::RunTimeEstimator estimator;
     scheduling::InterferenceModel interference;
     scheduling::InterferenceFreeCapacity interferenceFreeCapacity;
--- a/tests/execution/executionlooptest.cpp
+++ b/tests/execution/executionlooptest.cpp
@@ -306,6 +306,40 @@
     EXPECT_EQ(cluster.workers.doneCount({7}), TasksPerJob);
 }
 
+// A leader that no longer reads the jobs starts tasks of cancelled ones.
+TEST(ExecutionLoop, NoTaskStartsWhileCancellationsAreNotRead)
+{
+    Cluster cluster;
+    cluster.taskModel.overrides[{7}] = {6s, false, TaskSize};
+    cluster.taskModel.overrides[{8}] = {6s, false, TaskSize};
+    cluster.scheduler.runFor(2s);
+    const int leader = cluster.leader();
+    ASSERT_GE(leader, 0);
+    cluster.submit(leader, 7);
+    cluster.submit(leader, 8);
+    cluster.scheduler.runFor(1s);
+    ASSERT_EQ(cluster.workers.startCount(), 2 * 3);
+    cluster.host(leader).storeFaults.rule = [](std::string_view call, TimePoint) {
+        return call == "changes jobs" || call == "scan jobs" ? std::optional(Fault{1600ms, false, true}) : std::nullopt;
+    };
+    cluster.scheduler.runFor(1100ms); // until the pending poll is over
+    const auto starts = cluster.workers.startCount();
+    std::optional<JobStatus> cancelled;
+    cluster.host((leader + 1) % HostCount)
+        .loop->jobRequestHandler()
+        .cancel({7}, cluster.scheduler.now() + 1s, [&](const auto &result) { cancelled = result.value(); });
+    cluster.scheduler.runFor(6s);
+    ASSERT_EQ(cluster.leader(), leader);
+    ASSERT_TRUE(cancelled);
+    EXPECT_EQ(cluster.workers.startCount(), starts) << "the second steps, after the first have ended";
+
+    cluster.host(leader).storeFaults.rule = {};
+    cluster.scheduler.runFor(10s);
+    EXPECT_EQ(violationsOf(cluster), "");
+    EXPECT_EQ(cluster.workers.startCount(), 3 + TasksPerJob);
+    EXPECT_EQ(cluster.workers.doneCount({8}), TasksPerJob);
+}
+
 // A partition leaves the leader and some workers on one side, and the store on the other. The
 // leader renews their leases until it may no longer decide; successors must wait for that.
 TEST(ExecutionLoop, TheLeasesOfALeaderThatStillDecidesAreWaitedFor)
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -1056,6 +1056,38 @@
     }
 }
 
+// The same for cancellations, which the platform allows 3 s.
+TEST(Fleet, StartsTasksOnlyIfCancellationsWereReadRecently)
+{
+    struct Case
+    {
+        const char *name;
+        Duration jobsReadAgo;
+        Duration renewedAgo;
+        std::size_t starts;
+        bool isDeadlineBounded;
+    };
+    for (const auto &it :
+         {Case{"read just now", 0s, 0s, 1, false}, Case{"read in time", 2s, 0s, 1, true},
+          Case{"read too long ago", 2900ms, 0s, 0, true}, Case{"the store is silent", 6s, 5500ms, 1, false}}) {
+        SCOPED_TRACE(it.name);
+        ReadyFleet f(1);
+        const auto now = Start + 10s;
+        f.list(WorkerId("w0"), {}, now);
+        f.fleet.noteWorkersRead(now - std::min<Duration>(it.jobsReadAgo, it.renewedAgo));
+        f.fleet.noteJobsRead(now - it.jobsReadAgo);
+        f.fleet.noteTermRenewed(now - it.renewedAgo, now + 12s);
+        f.submit(7, plainStep(), now);
+        const auto orders = f.fleet.plan(now, Wall);
+        ASSERT_EQ(orders.starts.size(), it.starts);
+        if (it.starts > 0 && it.isDeadlineBounded) {
+            const auto lastStart = toMilliseconds(now - it.jobsReadAgo + 3s - Start) + 1000;
+            EXPECT_LE(orders.starts.front().deadline, lastStart);
+        }
+        EXPECT_EQ(f.log.contains("starts-suspended"), it.starts == 0);
+    }
+}
+
 // A worker that had announced that it leaves started a task: while the poll that would tell is not
 // answered, orders were valid for longer than the entries, until a later renewal was answered.
 TEST(Fleet, StartOrdersExpireWithTheEntriesUnlessTheStoreIsKnownToBeSilent)
