A host that misses the leader's renewals reads its row before it counts

It now reads the leader's row again first, one small row, and reads the jobs only if the counts in it are too old as well.

The new test fails on the commit before: waitingcounttest.cpp:132: askWaiting(cluster, other): 8, expected 0

--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -40,7 +40,13 @@
     Private(ExecutionPorts executionPorts, ExecutionOptions o)
         : ports(std::move(executionPorts)), options(std::move(o)),
           requestHandler(ports.store, ports.scheduler, ports.codec, ports.log),
-          waitingCounter(ports.store, ports.scheduler, ports.codec, ports.log, [this] { return waitingCounts(); }),
+          waitingCounter(ports.store, ports.scheduler, ports.codec, ports.log,
+                         {[this] { return waitingCounts(); },
+                          [this](auto rows) {
+                              if (!isClosed) {
+                                  onLeaderRows(rows);
+                              }
+                          }}),
           leadership(options.self, options.incarnation, ports.scheduler.now())
     {
     }
--- a/src/execution/waitingcounter.cpp
+++ b/src/execution/waitingcounter.cpp
@@ -33,8 +33,8 @@
     };
 
     Private(ports::ChangeStore &changeStore, ports::Scheduler &s, const RowCodec &rowCodec, DecisionLog &decisionLog,
-            std::function<membership::WaitingCounts()> counts)
-        : store(changeStore), scheduler(s), codec(rowCodec), log(decisionLog), leaderCounts(std::move(counts))
+            Hooks h)
+        : store(changeStore), scheduler(s), codec(rowCodec), log(decisionLog), hooks(std::move(h))
     {
     }
 
@@ -52,13 +52,27 @@
         }
     }
 
-    // Starts a reading if it is still needed.
     void begin()
     {
-        auto counts = leaderCounts();
-        if (requests.empty() || counts.age <= MaxCountAge) {
-            isReading = false;
-            answer(counts.byQueue);
+        if (endIfAnswered(hooks.leaderCounts())) {
+            return;
+        }
+        // The row is small. Its own feed may be what is silent.
+        store.scan(LeaderTable, {}, LeaderKey, std::string(LeaderKey) + '\0',
+                   [self = shared_from_this()](const ports::AsyncResult<ports::RowPage> &result) {
+                       if (!result.isOk()) {
+                           self->onFailure(result.failure());
+                           return;
+                       }
+                       self->hooks.onLeaderRows(result.value().rows);
+                       self->beginJobs();
+                   });
+    }
+
+    void beginJobs()
+    {
+        auto counts = hooks.leaderCounts();
+        if (endIfAnswered(counts)) {
             return;
         }
         addedJobs.clear();
@@ -67,6 +81,17 @@
         read(std::move(counts), version, scheduler.now());
     }
 
+    // Ends the reading if nobody waits for it, or the leader's counts are recent again.
+    bool endIfAnswered(const membership::WaitingCounts &counts)
+    {
+        if (!requests.empty() && counts.age > MaxCountAge) {
+            return false;
+        }
+        isReading = false;
+        answer(counts.byQueue);
+        return true;
+    }
+
     // Reads the jobs accepted after `version`. A change feed that may return at once reads them
     // from all parts in one call.
     void read(membership::WaitingCounts counts, std::uint64_t version, TimePoint beganAt)
@@ -169,7 +194,7 @@
     ports::Scheduler &scheduler;
     const RowCodec &codec;
     DecisionLog &log;
-    std::function<membership::WaitingCounts()> leaderCounts;
+    Hooks hooks;
     std::vector<Request> requests;
     std::uint64_t lastRequest = 0;
     bool isReading = false;
@@ -180,20 +205,20 @@
 };
 
 WaitingCounter::WaitingCounter(ports::ChangeStore &store, ports::Scheduler &scheduler, const RowCodec &codec,
-                               DecisionLog &log, std::function<membership::WaitingCounts()> leaderCounts)
-    : d(std::make_shared<Private>(store, scheduler, codec, log, std::move(leaderCounts)))
+                               DecisionLog &log, Hooks hooks)
+    : d(std::make_shared<Private>(store, scheduler, codec, log, std::move(hooks)))
 {
 }
 
 WaitingCounter::~WaitingCounter()
 {
     d->requests.clear();
-    d->leaderCounts = [] { return membership::WaitingCounts(); };
+    d->hooks = {[] { return membership::WaitingCounts(); }, [](auto) {}};
 }
 
 void WaitingCounter::count(std::string queue, TimePoint deadline, const ports::Handler<int> &reply)
 {
-    const auto counts = d->leaderCounts();
+    const auto counts = d->hooks.leaderCounts();
     const auto now = d->scheduler.now();
     if (counts.age <= MaxCountAge) {
         reply(Private::countOf(counts.byQueue, queue));
--- a/tests/execution/waitingcounttest.cpp
+++ b/tests/execution/waitingcounttest.cpp
@@ -116,6 +116,22 @@
     EXPECT_EQ(askWaiting(cluster, other), JobCount);
 }
 
+// A host that no longer sees the leader's row counted jobs that the leader had long started.
+TEST(WaitingCount, IsNotTooHighOnAHostThatMissesTheLeadersRenewals)
+{
+    Cluster cluster;
+    cluster.scheduler.runFor(3s);
+    const int leader = cluster.leader();
+    ASSERT_GE(leader, 0);
+    const int other = (leader + 1) % HostCount;
+    loseAnswers(cluster, other, {"changes leader"});
+    cluster.scheduler.runFor(1100ms);
+    submitJobs(cluster, other, 1, JobCount);
+    cluster.scheduler.runFor(4500ms);
+    ASSERT_EQ(cluster.workers.doneCount({JobCount}), TasksPerJob);
+    EXPECT_EQ(askWaiting(cluster, other), 0);
+}
+
 TEST(WaitingCount, IsUnknownWhileTheJobsCannotBeRead)
 {
     Cluster cluster;
