--- a/tests/system/systemtest.cpp
+++ b/tests/system/systemtest.cpp
@@ -280,17 +280,17 @@
 // gave up working connections for it.
 TEST(System, KeepsItsPeerConnectionsWhenTheSystemChoosesThePorts)
 {
-    constexpr int Messages = 12;
+    constexpr int messages = 12;
     const auto system = start(options(2, 1, 5));
     ASSERT_TRUE(system);
     for (const auto &daemon : system->daemons()) {
         const auto first = state(daemon, "peers").at("peers");
         auto last = first;
-        for (int n = 0; n < 400 && last.at("received") < first.at("received").get<int>() + Messages; ++n) {
+        for (int n = 0; n < 400 && last.at("received") < first.at("received").get<int>() + messages; ++n) {
             std::this_thread::sleep_for(std::chrono::milliseconds(50));
             last = state(daemon, "peers").at("peers");
         }
-        EXPECT_GE(last.at("received"), first.at("received").get<int>() + Messages) << daemon.name;
+        EXPECT_GE(last.at("received"), first.at("received").get<int>() + messages) << daemon.name;
         EXPECT_EQ(last.at("connects"), 1) << daemon.name;
         EXPECT_EQ(last.at("dropped"), first.at("dropped")) << daemon.name;
     }
