A report of ended leases covers starts that cross a worker's restart

A worker restarts under its identifier, unnoticed, and carries out a start order whose deadline was counted for the former process. The deadline is far ahead on the new clock, so that the platform grants the longest lease, 10 s. The leader loses the store, is replaced, and reports when its leases end: it counted with 6 s by the former clock. Its successor, which does not reach the worker, starts the tasks again while they run. The full wait, from before, was long enough.

Cause: Worker::leaseRemaining() reads all deadlines by the clock of the process that answered last.

Change: a start that the worker has not listed as running since may be with a later process: it counts with MaxRunLease from its order. The successor's margin of 1 s covers an order that takes as long to arrive.

The suites of takeovers, workers, fleet and execution pass (132 tests).

Open: the same restart without a change of leader (leases are expired by the former clock), and a report by the next process of the former leader's host, which cannot know the orders: both run a task twice in trials of this test.

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -286,6 +286,7 @@
             }
             continue;
         }
+        run->isListed = true;
         if (run->state == workers::RunState::Ordered || run->state == workers::RunState::Unanswered) {
             markBegun(it.task.job);
             run->state = workers::RunState::Running;
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -241,14 +241,30 @@
     return m_clock.isKnown() && m_clock.earliest(now) > m_deadline + LeaseMargin;
 }
 
+namespace {
+
+// Returns an upper bound of a time that a worker has measured as `d`.
+Duration onHostClock(Duration d)
+{
+    const auto slowest = std::ceil(static_cast<double>(toMilliseconds(d)) / (1 - ports::MaxClockDrift));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(slowest));
+}
+
+} // namespace
+
 Duration Worker::leaseRemaining(TimePoint now) const
 {
     if (!m_clock.isKnown()) {
         return Duration(0); // no lease was granted
     }
     const auto remaining = std::max<ports::WorkerMillis>(m_deadline + LeaseMargin + 1 - m_clock.earliest(now), 0);
-    const auto slowest = std::ceil(static_cast<double>(remaining) / (1 - ports::MaxClockDrift));
-    return std::chrono::milliseconds(static_cast<std::int64_t>(slowest));
+    auto end = now + onHostClock(std::chrono::milliseconds(remaining));
+    for (const auto &it : m_runs) {
+        // A process that started since would read the deadline by another clock.
+        const bool isProcessKnown = it.startDeadline == 0 || it.isListed;
+        end = isProcessKnown ? end : std::max(end, it.orderedAt + onHostClock(MaxRunLease));
+    }
+    return end - now;
 }
 
 bool Worker::isTooLateToStart(const Run &run, TimePoint now) const
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -55,6 +55,7 @@
     TimePoint unansweredAt;
     TimePoint stopSentAt;
     TimePoint stopConfirmedAt; // the worker cannot start the run after this
+    bool isListed = false; // the worker has listed it as running since the start was ordered
     bool isStopSent = false;
     bool isStopConfirmed = false;
     int crashCount = 0; // of workers under earlier runs of the task
--- a/tests/execution/takeovertest.cpp
+++ b/tests/execution/takeovertest.cpp
@@ -526,6 +526,49 @@
     EXPECT_EQ(violationsOf(cluster), "");
 }
 
+// Guards against a task that runs twice: a worker restarts unnoticed and carries out a start order of
+// the former leader, by the former process's clock, so that it keeps the run for the longest time that
+// the platform grants. The former leader then reports the end of its leases.
+TEST(Takeover, AStartThatCrossesARestartOfItsWorkerIsPartOfTheFormerLeadersReport)
+{
+    for (const bool isAnswered : {false, true}) {
+        SCOPED_TRACE(isAnswered ? "accepted" : "unanswered");
+        SplitCluster cluster;
+        cluster.taskModel.overrides[{7}] = {60s, false, TaskSize};
+        cluster.scheduler.runFor(12s); // the former process's clock is ahead
+        for (int n = 1; n < WorkerCount; ++n) {
+            cluster.setCapacity(WorkerId("w" + std::to_string(n)), {0, 0, 0});
+        }
+        cluster.scheduler.runFor(2s);
+        cluster.former = cluster.leader();
+        ASSERT_GE(cluster.former, 0);
+        for (int n = 0; n < HostCount; ++n) {
+            const bool isFormer = n == cluster.former;
+            cluster.host(n).workerFaults.rule = [=](std::string_view call, TimePoint) -> std::optional<Fault> {
+                if (isFormer && call == "start w0") {
+                    return Fault{500ms, false, !isAnswered};
+                }
+                return call.ends_with(" w0") ? std::optional(Refused) : std::nullopt;
+            };
+        }
+        cluster.workers.crash(WorkerId("w0"), true); // the pending renewal gets no answer
+        cluster.workers.restart(WorkerId("w0"), 2);
+        cluster.submit(cluster.former, 7);
+        cluster.scheduler.runFor(100ms);
+        for (int n = 1; n < WorkerCount; ++n) {
+            cluster.setCapacity(WorkerId("w" + std::to_string(n)), {16000, 32000, 0});
+        }
+        cluster.host(cluster.former).storeFaults.isCut = true;
+        ASSERT_GE(cluster.awaitSuccessor(), 0);
+        ASSERT_EQ(cluster.workers.runningCount(), 3) << "on w0";
+        cluster.scheduler.runFor(300ms);
+        cluster.host(cluster.former).storeFaults.isCut = false;
+        cluster.scheduler.runFor(20s);
+        EXPECT_EQ(cluster.workers.runningCount(), 3);
+        EXPECT_EQ(violationsOf(cluster), "");
+    }
+}
+
 // Guards against a claim that leaves out the owner row of a part: no progress of its jobs could be
 // stored, or a former leader could go on storing it.
 TEST(Takeover, JobsOfAllPartsRunOnce)
