Orders meant for a worker's process no longer reach a later one

Callers saw: a task ran again after it was done (TWICE) when its worker restarted under its identifier while a call was under way (KNOWN-RED.txt, RandomTakeover.OrdersThatCrossARestartRunNoTaskTwice).

Cause: orders name the identifier, and so does Expect-Instance, so that the platform's check of the addressee passes for the next process too. That process carried out a start meant for the former one, or forgot ends that nobody had read since a renewal named the former one's number of the last acknowledged end.

Change: starts, and renewals with an acknowledgement or a deadline, carry the start time of the process that they are meant for. PooledWorkerLink sends them only on a connection on which that process has listed its runs. A connection ends with the process that accepted it, so that nothing sent on it reaches a later one. On any other connection a renewal with the fence only obtains a listing first; if another process answers, the start fails as not sent. A renewal then goes without acknowledgement, deadline and wait. Stops and paces do no harm to a process that does not know the run and go on any connection.

Ruled out: a renewal before each start (a call more each time); one that trusts any connection older than an answered renewal (saves no call, since renewals are long polls). Orders for a process with an unknown start time (0) go on any connection, as before.

The simulated link now models connections: an order on an open connection reaches the process that accepted it, or is reset; one that opens a connection reaches whichever process runs on arrival, also seconds later. Before, each order reached whichever process ran. This is what TCP does, and only orders sent on a connection that the link has chosen are kept from a later process. The link of a simulated host ends with the host's process, and its answers wait for the host's thread, those to the first listing included. As before, orders do not wait for each other there (64 connections per worker; the HTTP adapter has 3).

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -61,6 +61,7 @@
     if (worker == nullptr) {
         return order;
     }
+    order.startTimeMs = worker->isSilent() ? 0 : worker->startTimeMs();
     if (!worker->isSilent()) {
         // The worker may carry out an order without its answer arriving. While it is
         // silent, no order may extend the lease that has to expire.
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -656,7 +656,7 @@
                 {"unreported", unreportedWorkers.size()},
                 {"waitedMs", toMilliseconds(now - job.job.acceptedAt())},
                 {"freeCores", worker.freeResources().milliCores}});
-    orders.starts.push_back({worker.entry().id, task, number, checkpoint, {}, run.startDeadline});
+    orders.starts.push_back({worker.entry().id, task, number, checkpoint, {}, run.startDeadline, worker.startTimeMs()});
 }
 
 void Fleet::Private::placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, Orders &orders)
--- a/src/execution/orders.h
+++ b/src/execution/orders.h
@@ -20,6 +20,7 @@
     std::string checkpoint;
     std::string ticket;
     ports::WorkerMillis deadline = 0;
+    std::int64_t startTimeMs = 0; // of the worker process that is to start the run
 };
 
 struct StopTask
--- a/src/http/apiclient.cpp
+++ b/src/http/apiclient.cpp
@@ -65,6 +65,7 @@
     }
 
     Socket socket;
+    std::uint64_t number = 0;
     beast::flat_buffer buffer;
     bhttp::request<bhttp::string_body> request;
     std::optional<bhttp::request_serializer<bhttp::string_body>> serializer;
@@ -170,7 +171,7 @@
     }
 
     void startNext();
-    ConnectionPointer acquireIdle();
+    ConnectionPointer acquireIdle(std::uint64_t number);
     void connect(const ConnectionPointer &connection);
     void write(const ConnectionPointer &connection);
     void awaitResponse(const ConnectionPointer &connection);
@@ -184,6 +185,7 @@
     ports::Address address;
     int maxConnections;
     int openCount = 0;
+    std::uint64_t lastNumber = 0; // of the connections
     bool isClosed = false;
     std::deque<PendingCall> pending;
     std::vector<ConnectionPointer> idle;
@@ -207,14 +209,18 @@
     d->startNext();
 }
 
-// Returns an idle connection, or nullptr if there is none. Discards connections that the
-// server may have closed, because a call sent on one of them would be lost.
-ConnectionPointer ApiClient::Private::acquireIdle()
+// Returns an idle connection, that with `number` unless it is 0, or nullptr if there is none.
+// Discards connections that the server may have closed, because a call sent on one of them would
+// be lost.
+ConnectionPointer ApiClient::Private::acquireIdle(std::uint64_t number)
 {
     const auto now = Clock::now();
-    while (!idle.empty()) {
-        auto connection = idle.back();
-        idle.pop_back();
+    for (auto n = idle.size(); n-- > 0;) {
+        if (number != 0 && idle[n]->number != number) {
+            continue;
+        }
+        auto connection = idle[n];
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(n));
         const auto idleTime = now - connection->lastUsed;
         if (idleTime < MaxUncheckedIdleTime || (idleTime < MaxIdleTime && !isStale(*connection))) {
             return connection;
@@ -227,14 +233,26 @@
 void ApiClient::Private::startNext()
 {
     while (!pending.empty()) {
-        auto connection = acquireIdle();
+        const auto number = pending.front().call.connection;
+        auto connection = acquireIdle(number);
         const bool isNew = !connection;
+        if (isNew && number != 0) {
+            asio::post(io, [self = shared_from_this(), handler = std::move(pending.front().handler)] {
+                if (!self->isClosed) {
+                    handler(Failure{ErrorKind::DaemonUnreachable,
+                                    formatAddress(self->address) + ": the connection was closed"});
+                }
+            });
+            pending.pop_front();
+            continue;
+        }
         if (isNew) {
             if (openCount >= maxConnections) {
                 return;
             }
             ++openCount;
             connection = std::make_shared<Connection>(io);
+            connection->number = ++lastNumber;
         }
         auto next = std::move(pending.front());
         pending.pop_front();
@@ -366,6 +384,7 @@
     answer.status = static_cast<int>(message.result_int());
     const bool isReusable = message.keep_alive();
     answer.body = std::move(message.body());
+    answer.connection = connection->number;
     finish(connection, answer, isReusable);
 }
 
--- a/src/http/apiclient.h
+++ b/src/http/apiclient.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -23,12 +24,16 @@
     std::string body;
     std::vector<std::pair<std::string, std::string>> fields;
     std::chrono::milliseconds timeout{5000};
+    // If not 0, the call is made on the idle connection with this number, or fails with
+    // DaemonUnreachable.
+    std::uint64_t connection = 0;
 };
 
 struct ApiAnswer
 {
     int status = 0;
     std::string body;
+    std::uint64_t connection = 0; // on which it arrived; numbers are not reused by one client
 };
 
 // An HTTP/1.1 client for small requests to one address. Connections are reused. At most
--- a/src/ports/memory/simulatedworkers.cpp
+++ b/src/ports/memory/simulatedworkers.cpp
@@ -57,10 +57,12 @@
     auto entry = former.entry;
     const auto clockRate = former.clockRate;
     const bool isDisconnected = former.isDisconnected;
+    const auto process = former.process;
     entry.startTimeMs = startTimeMs;
     m_workers[id] = SimulatedWorker();
     addWorker(entry, clockRate);
     m_workers[id].isDisconnected = isDisconnected;
+    m_workers[id].process = process + 1;
     observe("process-started", m_workers[id], {}, 0, std::to_string(startTimeMs));
 }
 
@@ -91,6 +93,12 @@
     return !worker.isDisconnected && (worker.isUp || !worker.isSilent);
 }
 
+std::uint64_t SimulatedWorkers::processNumber(const WorkerId &id) const
+{
+    const auto &worker = m_workers.at(id);
+    return worker.isUp ? worker.process : 0;
+}
+
 std::optional<Failure> SimulatedWorkers::unreachable(const SimulatedWorker &worker) const
 {
     if (worker.isDisconnected) {
@@ -356,89 +364,153 @@
     });
 }
 
-MemoryWorkerLink::MemoryWorkerLink(SimulatedWorkers &workers, Scheduler &scheduler, FaultPlan &faults)
-    : m_workers(workers), m_scheduler(scheduler), m_faults(faults)
-{
-}
-
-Fault MemoryWorkerLink::nextFault(std::string_view name)
-{
-    return m_faults.next(name, ++m_calls, m_scheduler.now());
-}
-
 namespace {
 
 // Time until a sender gives up waiting for an answer.
 constexpr Duration OrderTimeout = 700ms;
+// A connection that was idle for longer is not used again.
+constexpr Duration MaxIdleTime = 5s;
 
-} // namespace
+struct MemoryConnection
+{
+    std::uint64_t process = 0; // that accepted it; 0 until an order has arrived
+    bool isOpen = true;
+    TimePoint lastUsed;
+};
 
-// Executes an order after the fault's delay and passes on the answer. If the order or its
-// answer is lost or late, the sender times out; the order may still be executed after that.
-template <typename T>
-void MemoryWorkerLink::deliver(const Fault &fault, Duration timeout, const WorkerId &id,
-                               std::function<void(Handler<T>)> effect, Handler<T> handler)
+class MemoryWorkerChannel : public WorkerChannel
 {
-    const auto isAnswered = std::make_shared<bool>(false);
-    const Handler<T> once = [isAnswered, handler = std::move(handler)](const AsyncResult<T> &result) {
-        if (!std::exchange(*isAnswered, true)) {
-            handler(result);
-        }
-    };
-    m_scheduler.runAfter(timeout, [once] { once(Failure{ErrorKind::StoreReplyLost, "no answer"}); });
-    if (fault.isRefused) {
-        return;
+public:
+    MemoryWorkerChannel(SimulatedWorkers &workers, Scheduler &scheduler, FaultPlan &faults,
+                        std::shared_ptr<std::uint64_t> calls)
+        : m_workers(workers), m_scheduler(scheduler), m_faults(faults), m_calls(std::move(calls))
+    {
+    }
+
+    void renew(const WorkerEntry &worker, ConnectionNumber connection, const LeaseOrder &order,
+               Handler<WorkerListing> handler) override
+    {
+        deliver<WorkerListing>(
+            "renew ", worker.id, connection, order.wait + OrderTimeout,
+            [&workers = m_workers, id = worker.id, order](Handler<WorkerListing> reply) {
+                workers.poll(id, order, std::move(reply));
+            },
+            std::move(handler));
+    }
+    void start(const WorkerEntry &worker, ConnectionNumber connection, const RunOrder &order,
+               Handler<StartResult> handler) override
+    {
+        deliver<StartResult>(
+            "start ", worker.id, connection, OrderTimeout,
+            [&workers = m_workers, id = worker.id, order](const Handler<StartResult> &reply) {
+                reply(workers.start(id, order));
+            },
+            std::move(handler));
+    }
+    void stop(const WorkerEntry &worker, Epoch fence, const jobs::TaskId &task, jobs::RunNumber run,
+              Handler<Done> handler) override
+    {
+        deliver<Done>(
+            "stop ", worker.id, AnyConnection, OrderTimeout,
+            [&workers = m_workers, id = worker.id, fence, task, run](const Handler<Done> &reply) {
+                reply(workers.stop(id, fence, task, run));
+            },
+            std::move(handler));
     }
-    const Handler<T> reply = [this, id, once, fault](const AsyncResult<T> &result) {
-        if (fault.isReplyLost || !m_workers.isAnswering(id)) {
+    void pace(const WorkerEntry &worker, Epoch, const jobs::TaskId &, jobs::RunNumber, int,
+              Handler<Done> handler) override
+    {
+        deliver<Done>(
+            "pace ", worker.id, AnyConnection, OrderTimeout, [](const Handler<Done> &reply) { reply(Done{}); },
+            std::move(handler));
+    }
+    ConnectionNumber connection() const override
+    {
+        return m_number;
+    }
+
+private:
+    // Executes an order after the fault's delay and passes on the answer. If the order or its
+    // answer is lost or late, the sender times out; the order may still be executed after that.
+    template <typename T>
+    void deliver(std::string_view name, const WorkerId &id, ConnectionNumber number, Duration timeout,
+                 std::function<void(Handler<T>)> effect, Handler<T> handler)
+    {
+        if (m_connection && (!m_connection->isOpen || m_scheduler.now() - m_connection->lastUsed > MaxIdleTime)) {
+            m_connection.reset();
+        }
+        if (number != AnyConnection && (!m_connection || number != m_number)) {
+            m_scheduler.runAfter(Duration(0), [handler = std::move(handler)] {
+                handler(Failure{ErrorKind::DaemonUnreachable, "the connection was closed"});
+            });
             return;
         }
-        m_scheduler.runAfter(fault.replyDelay, [once, result] { once(result); });
-    };
-    m_scheduler.runAfter(fault.delay, [this, id, effect = std::move(effect), reply] {
-        if (m_workers.isAnswering(id)) {
-            effect(reply);
+        if (!m_connection) {
+            m_connection = std::make_shared<MemoryConnection>();
+            ++m_number;
         }
-    });
-}
+        const auto fault = m_faults.next(std::string(name) + id.text(), ++*m_calls, m_scheduler.now());
+        const auto isAnswered = std::make_shared<bool>(false);
+        const Handler<T> once = [isAnswered, &scheduler = m_scheduler, connection = m_connection,
+                                 handler = std::move(handler)](const AsyncResult<T> &result) {
+            if (!std::exchange(*isAnswered, true)) {
+                connection->isOpen = result.isOk() || isAnswer(result.failure().kind);
+                connection->lastUsed = scheduler.now();
+                handler(result);
+            }
+        };
+        m_scheduler.runAfter(timeout, [once] { once(Failure{ErrorKind::StoreReplyLost, "no answer"}); });
+        if (fault.isRefused) {
+            return;
+        }
+        const Handler<T> reply
+            = [&workers = m_workers, &scheduler = m_scheduler, id, once, fault](const AsyncResult<T> &result) {
+                  if (!fault.isReplyLost && workers.isAnswering(id)) {
+                      scheduler.runAfter(fault.replyDelay, [once, result] { once(result); });
+                  }
+              };
+        m_scheduler.runAfter(fault.delay,
+                             [&workers = m_workers, id, connection = m_connection, effect = std::move(effect), reply] {
+                                 if (!workers.isAnswering(id)) {
+                                     return;
+                                 }
+                                 const auto process = workers.processNumber(id);
+                                 if (connection->process == 0) {
+                                     connection->process = process;
+                                 }
+                                 if (connection->process != process) {
+                                     reply(Failure{ErrorKind::StoreReplyLost, "the connection was reset"});
+                                 } else {
+                                     effect(reply);
+                                 }
+                             });
+    }
 
-void MemoryWorkerLink::renew(const WorkerEntry &worker, const LeaseOrder &order, Handler<WorkerListing> handler)
-{
-    deliver<WorkerListing>(
-        nextFault("renew " + worker.id.text()), order.wait + OrderTimeout, worker.id,
-        [this, id = worker.id, order](Handler<WorkerListing> reply) { m_workers.poll(id, order, std::move(reply)); },
-        std::move(handler));
-}
+    // Returns whether a worker answered, so that the connection remains open.
+    static bool isAnswer(ErrorKind kind)
+    {
+        return kind != ErrorKind::StoreReplyLost && kind != ErrorKind::DaemonUnreachable;
+    }
 
-void MemoryWorkerLink::start(const WorkerEntry &worker, const RunOrder &order, Handler<StartResult> handler)
-{
-    deliver<StartResult>(
-        nextFault("start " + worker.id.text()), OrderTimeout, worker.id,
-        [this, id = worker.id, order](const Handler<StartResult> &reply) { reply(m_workers.start(id, order)); },
-        std::move(handler));
-}
+    SimulatedWorkers &m_workers;
+    Scheduler &m_scheduler;
+    FaultPlan &m_faults;
+    std::shared_ptr<std::uint64_t> m_calls;
+    std::shared_ptr<MemoryConnection> m_connection;
+    ConnectionNumber m_number = AnyConnection;
+};
 
-void MemoryWorkerLink::stop(const WorkerEntry &worker, Epoch fence, const jobs::TaskId &task, jobs::RunNumber run,
-                            Handler<Done> handler)
-{
-    deliver<Done>(
-        nextFault("stop " + worker.id.text()), OrderTimeout, worker.id,
-        [this, id = worker.id, fence, task, run](const Handler<Done> &reply) {
-            reply(m_workers.stop(id, fence, task, run));
-        },
-        std::move(handler));
-}
+} // namespace
 
-void MemoryWorkerLink::pace(const WorkerEntry &worker, Epoch, const jobs::TaskId &, jobs::RunNumber, int,
-                            Handler<Done> handler)
+MemoryWorkerLink::MemoryWorkerLink(SimulatedWorkers &workers, Scheduler &scheduler, FaultPlan &faults)
+    : PooledWorkerLink(ConnectionsPerWorker), m_workers(workers), m_scheduler(scheduler), m_faults(faults),
+      m_calls(std::make_shared<std::uint64_t>(0))
 {
-    deliver<Done>(
-        nextFault("pace " + worker.id.text()), OrderTimeout, worker.id,
-        [](const Handler<Done> &reply) { reply(Done{}); }, std::move(handler));
 }
 
-void MemoryWorkerLink::closeConnections(const WorkerId &)
+std::unique_ptr<WorkerChannel> MemoryWorkerLink::openChannel(const WorkerEntry &)
 {
+    return std::make_unique<MemoryWorkerChannel>(m_workers, m_scheduler, m_faults, m_calls);
 }
 
 } // namespace monsoonspool::ports::memory
--- a/src/ports/memory/simulatedworkers.h
+++ b/src/ports/memory/simulatedworkers.h
@@ -3,11 +3,12 @@
 #include "ports/faultplan.h"
 #include "ports/memory/runchecker.h"
 #include "ports/memory/taskmodel.h"
+#include "ports/pooledworkerlink.h"
 #include "ports/scheduler.h"
-#include "ports/workerlink.h"
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -65,6 +66,9 @@
 
     // Returns whether the worker receives orders and answers them, be it with a refusal.
     bool isAnswering(const WorkerId &id) const;
+    // Returns the number of the worker's process, which no other process of the worker has; 0 if
+    // none runs.
+    std::uint64_t processNumber(const WorkerId &id) const;
 
     AsyncResult<WorkerListing> renew(const WorkerId &id, const LeaseOrder &order);
     // Answers once a run has ended or the order's wait is over.
@@ -125,6 +129,7 @@
     struct SimulatedWorker
     {
         WorkerEntry entry;
+        std::uint64_t process = 1;
         std::vector<FormerCapacity> formerCapacities;
         Epoch fence;
         bool isUp = true;
@@ -168,31 +173,27 @@
     int m_starts = 0;
 };
 
-// One host's connection to the workers, with its own faults. A fault's delay applies to the
+// One host's connections to the workers, with its own faults. A fault's delay applies to the
 // order; an order whose answer is lost or late is still executed.
-class MemoryWorkerLink : public WorkerLink
+//
+// As with TCP, a connection belongs to the process that accepted it and ends with it. An order on
+// an open connection reaches this process or none; one that opens a connection reaches the process
+// that runs when it arrives. A connection is not used again after a failure or a long idle time.
+class MemoryWorkerLink : public PooledWorkerLink
 {
 public:
+    // Enough that orders do not wait for each other, also with long delays.
+    static constexpr std::size_t ConnectionsPerWorker = 64;
+
     MemoryWorkerLink(SimulatedWorkers &workers, Scheduler &scheduler, FaultPlan &faults);
 
-    void renew(const WorkerEntry &worker, const LeaseOrder &order, Handler<WorkerListing> handler) override;
-    void start(const WorkerEntry &worker, const RunOrder &order, Handler<StartResult> handler) override;
-    void stop(const WorkerEntry &worker, Epoch fence, const jobs::TaskId &task, jobs::RunNumber run,
-              Handler<Done> handler) override;
-    void pace(const WorkerEntry &worker, Epoch fence, const jobs::TaskId &task, jobs::RunNumber run, int percent,
-              Handler<Done> handler) override;
-    void closeConnections(const WorkerId &worker) override;
+    std::unique_ptr<WorkerChannel> openChannel(const WorkerEntry &worker) override;
 
 private:
-    Fault nextFault(std::string_view name);
-    template <typename T>
-    void deliver(const Fault &fault, Duration timeout, const WorkerId &id, std::function<void(Handler<T>)> effect,
-                 Handler<T> handler);
-
     SimulatedWorkers &m_workers;
     Scheduler &m_scheduler;
     FaultPlan &m_faults;
-    std::uint64_t m_calls = 0;
+    std::shared_ptr<std::uint64_t> m_calls;
 };
 
 } // namespace monsoonspool::ports::memory
--- a/src/ports/workerlink.h
+++ b/src/ports/workerlink.h
@@ -67,6 +67,7 @@
     std::int64_t acknowledgedEnd = 0; // ends up to this number are no longer listed
     WorkerMillis deadline = 0; // the lease expires then and all runs are stopped; 0 keeps the current lease
     Duration wait{0}; // long poll: maximum time the worker may wait for a run to end before it answers
+    std::int64_t startTimeMs = 0; // of the process that the order is meant for; 0 for any
 };
 
 // A worker's answer to a lease renewal.
@@ -89,6 +90,7 @@
     std::string checkpoint;
     std::string ticket; // issued by the adviser; empty if the queue has no adviser
     WorkerMillis deadline = 0; // the worker rejects the order after this time
+    std::int64_t startTimeMs = 0; // of the process that the order is meant for; 0 for any
 };
 
 enum class StartResult {
@@ -104,6 +106,10 @@
 // Orders to workers. A worker rejects an order whose fence, the fencing token of the
 // sending leader, is lower than the highest it has received.
 //
+// A worker may restart while an order is under way. A later process than the one that an order
+// is meant for neither starts its run nor receives its acknowledgement and deadline: the start
+// fails with DaemonUnreachable, and the renewal is sent without them and without a wait.
+//
 // Failures:
 //  - StaleEpoch: the worker has received a higher fence,
 //  - Superseded: the address now belongs to another incarnation of the worker,
--- a/tests/execution/takeovercluster.h
+++ b/tests/execution/takeovercluster.h
@@ -142,7 +142,9 @@
          std::uint32_t seed)
         : name("host-" + std::to_string(n)), random(seed), thread(clock),
           store(rows, clock, thread, storeRules, random), orderFaults(orderRules, random),
-          link(workers, clock, thread, orderFaults), log(trace, name.text())
+          openLink(
+              [&workers, &clock, this] { return std::make_unique<HostLink>(workers, clock, thread, orderFaults); }),
+          log(trace, name.text())
     {
     }
     EntryHostId name;
@@ -152,7 +154,8 @@
     CallRules orderRules;
     HostStore store;
     OrderFaults orderFaults;
-    HostLink link;
+    std::function<std::unique_ptr<HostLink>()> openLink;
+    std::unique_ptr<HostLink> link; // of the present process
     HostLog log;
     std::uint64_t incarnation = 0;
     std::unique_ptr<ExecutionLoop> loop;
@@ -200,9 +203,11 @@
     void startHost(int n)
     {
         auto &host = *hosts[static_cast<std::size_t>(n)];
-        host.loop = std::make_unique<ExecutionLoop>(
-            ExecutionPorts{host.store, host.link, host.thread, registry, codec, host.log, [this] { return wallNow(); }},
-            ExecutionOptions{host.name, ++host.incarnation, 1.0}, [](const ExecutionLoop::ConfigurationPointer &) {});
+        host.link = host.openLink();
+        host.loop = std::make_unique<ExecutionLoop>(ExecutionPorts{host.store, *host.link, host.thread, registry, codec,
+                                                                   host.log, [this] { return wallNow(); }},
+                                                    ExecutionOptions{host.name, ++host.incarnation, 1.0},
+                                                    [](const ExecutionLoop::ConfigurationPointer &) {});
         host.loop->start();
     }
     void killHost(int n)
@@ -210,6 +215,7 @@
         auto &host = *hosts[static_cast<std::size_t>(n)];
         host.thread.endProcess();
         host.loop.reset();
+        host.link.reset();
     }
     // Returns the host whose row names it as leader, or -1.
     int leader() const
--- a/tests/execution/takeoverhost.h
+++ b/tests/execution/takeoverhost.h
@@ -317,34 +317,37 @@
     Random &m_random;
 };
 
-// The workers as one host reaches them.
-class HostLink : public WorkerLink
+// Passes a worker's answers to the control thread of one host.
+class HostChannel : public WorkerChannel
 {
 public:
-    HostLink(memory::SimulatedWorkers &workers, VirtualScheduler &clock, HostThread &thread, OrderFaults &faults)
-        : m_link(workers, clock, faults), m_thread(thread)
+    HostChannel(std::unique_ptr<WorkerChannel> channel, HostThread &thread)
+        : m_channel(std::move(channel)), m_thread(thread)
     {
     }
-    void renew(const WorkerEntry &worker, const LeaseOrder &order, Handler<WorkerListing> handler) override
+    void renew(const WorkerEntry &worker, ConnectionNumber connection, const LeaseOrder &order,
+               Handler<WorkerListing> handler) override
     {
-        m_link.renew(worker, order, onThread(std::move(handler)));
+        m_channel->renew(worker, connection, order, onThread(std::move(handler)));
     }
-    void start(const WorkerEntry &worker, const RunOrder &order, Handler<StartResult> handler) override
+    void start(const WorkerEntry &worker, ConnectionNumber connection, const RunOrder &order,
+               Handler<StartResult> handler) override
     {
-        m_link.start(worker, order, onThread(std::move(handler)));
+        m_channel->start(worker, connection, order, onThread(std::move(handler)));
     }
     void stop(const WorkerEntry &worker, Epoch fence, const jobs::TaskId &task, jobs::RunNumber run,
               Handler<Done> handler) override
     {
-        m_link.stop(worker, fence, task, run, onThread(std::move(handler)));
+        m_channel->stop(worker, fence, task, run, onThread(std::move(handler)));
     }
     void pace(const WorkerEntry &worker, Epoch fence, const jobs::TaskId &task, jobs::RunNumber run, int percent,
               Handler<Done> handler) override
     {
-        m_link.pace(worker, fence, task, run, percent, onThread(std::move(handler)));
+        m_channel->pace(worker, fence, task, run, percent, onThread(std::move(handler)));
     }
-    void closeConnections(const WorkerId &) override
+    ConnectionNumber connection() const override
     {
+        return m_channel->connection();
     }
 
 private:
@@ -360,6 +363,26 @@
         };
     }
 
+    std::unique_ptr<WorkerChannel> m_channel;
+    HostThread &m_thread;
+};
+
+// The workers as one host process reaches them.
+class HostLink : public PooledWorkerLink
+{
+public:
+    HostLink(memory::SimulatedWorkers &workers, VirtualScheduler &clock, HostThread &thread, OrderFaults &faults)
+        : PooledWorkerLink(memory::MemoryWorkerLink::ConnectionsPerWorker), m_link(workers, clock, faults),
+          m_thread(thread)
+    {
+    }
+
+private:
+    std::unique_ptr<WorkerChannel> openChannel(const WorkerEntry &worker) override
+    {
+        return std::make_unique<HostChannel>(m_link.openChannel(worker), m_thread);
+    }
+
     memory::MemoryWorkerLink m_link;
     HostThread &m_thread;
 };
