Reports of ended leases count bound starts with their deadline

Seen: with the review's bound of 10 s for starts that the worker has not listed, a former leader that wakes up and orders one start before it learns of the claim reports leasesEndInMs 10,114 to 10,152, and its successor waits as long as without a report.

--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -260,8 +260,9 @@
     const auto remaining = std::max<ports::WorkerMillis>(m_deadline + LeaseMargin + 1 - m_clock.earliest(now), 0);
     auto end = now + onHostClock(std::chrono::milliseconds(remaining));
     for (const auto &it : m_runs) {
-        // A process that started since would read the deadline by another clock.
-        const bool isProcessKnown = it.startDeadline == 0 || it.isListed;
+        // Orders for a process with a known start time reach no later process, which would read the
+        // deadline by another clock.
+        const bool isProcessKnown = it.startDeadline == 0 || it.isListed || m_startTimeMs != 0;
         end = isProcessKnown ? end : std::max(end, it.orderedAt + onHostClock(MaxRunLease));
     }
     return end - now;
