--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -61,6 +61,7 @@
     if (worker == nullptr) {
         return order;
     }
+    order.startTimeMs = worker->isSilent() ? 0 : worker->startTimeMs();
     if (!worker->isSilent()) {
         // The worker may carry out an order without its answer arriving. While it is
         // silent, no order may extend the lease that has to expire.
@@ -286,6 +287,7 @@
             }
             continue;
         }
+        run->isListed = true;
         if (run->state == workers::RunState::Ordered || run->state == workers::RunState::Unanswered) {
             markBegun(it.task.job);
             run->state = workers::RunState::Running;
