--- a/src/http/apiclient.cpp
+++ b/src/http/apiclient.cpp
@@ -27,11 +27,6 @@
 constexpr std::chrono::milliseconds MaxReadPause{1000};
 // Most responses are smaller, and take one read.
 constexpr std::size_t ReadBytes = 2048;
-// Most that one read takes of a response whose length is known.
-constexpr std::size_t MaxReadBytes = 64 * 1024;
-// What has arrived is read at once up to this size. Behind all other events of a busy thread, each
-// read would take a turn of its own.
-constexpr std::size_t MaxBytesPerTurn = 1024 * 1024;
 // A connection that was idle for longer is not reused.
 constexpr std::chrono::milliseconds MaxIdleTime{5000};
 // A connection that was idle for longer is checked before reuse: the server may have
@@ -75,7 +70,6 @@
     bhttp::request<bhttp::string_body> request;
     std::optional<bhttp::request_serializer<bhttp::string_body>> serializer;
     std::optional<bhttp::response_parser<bhttp::string_body>> parser;
-    std::size_t readSize = 0; // asked for by the read under way
     ports::Handler<ApiAnswer> handler;
     Clock::time_point lastUsed;
     std::chrono::milliseconds timeout{0}; // of the current call
@@ -161,12 +155,6 @@
     return ec != asio::error::would_block;
 }
 
-std::size_t nextReadSize(const Connection &connection)
-{
-    const auto remaining = connection.parser->content_length_remaining().value_or(0);
-    return static_cast<std::size_t>(std::clamp<std::uint64_t>(remaining, ReadBytes, MaxReadBytes));
-}
-
 std::string describeError(const Connection &connection, const beast::error_code &ec)
 {
     return connection.isTimedOut ? "timed out waiting for a response" : ec.message();
@@ -356,8 +344,8 @@
 // connection, which did not fill its buffer, has emptied the socket.
 void ApiClient::Private::readResponse(const ConnectionPointer &connection)
 {
-    connection->readSize = nextReadSize(*connection);
-    connection->socket.async_read_some(connection->buffer.prepare(connection->readSize),
+    const bool isLarge = connection->parser->content_length().value_or(0) > LargeResponseBytes;
+    connection->socket.async_read_some(connection->buffer.prepare(isLarge ? LargeResponseBytes : ReadBytes),
                                        [self = shared_from_this(), connection](beast::error_code ec, std::size_t n) {
                                            self->onRead(connection, ec, n);
                                        });
@@ -366,30 +354,18 @@
 void ApiClient::Private::onRead(const ConnectionPointer &connection, beast::error_code ec, std::size_t n)
 {
     auto &parser = *connection->parser;
-    std::size_t readBytes = 0;
-    for (;;) {
-        connection->buffer.commit(n);
-        readBytes += n;
-        connection->isOverdue = connection->isOverdue && n == 0;
-        if (ec == asio::error::eof && parser.got_some()) {
-            ec = {};
-            parser.put_eof(ec);
-        } else if (!ec) {
-            connection->buffer.consume(parser.put(connection->buffer.data(), ec));
-            ec = ec == bhttp::error::need_more ? beast::error_code() : ec;
-        }
-        if (ec || parser.is_done()) {
-            onResponse(connection, ec);
-            return;
-        }
-        if (n < connection->readSize || readBytes >= MaxBytesPerTurn) {
-            break; // a read that did not fill its buffer has emptied the socket
-        }
-        connection->readSize = nextReadSize(*connection);
-        n = connection->socket.read_some(connection->buffer.prepare(connection->readSize), ec);
-        if (ec == asio::error::would_block) {
-            break;
-        }
+    connection->buffer.commit(n);
+    connection->isOverdue = connection->isOverdue && n == 0;
+    if (ec == asio::error::eof && parser.got_some()) {
+        ec = {};
+        parser.put_eof(ec);
+    } else if (!ec) {
+        connection->buffer.consume(parser.put(connection->buffer.data(), ec));
+        ec = ec == bhttp::error::need_more ? beast::error_code() : ec;
+    }
+    if (ec || parser.is_done()) {
+        onResponse(connection, ec);
+        return;
     }
     if (parser.content_length().value_or(0) > LargeResponseBytes) {
         connection->deadline = std::max(connection->deadline, Clock::now() + MaxReadPause);
