--- /dev/null
+++ b/review/standin/cases.cpp
@@ -0,0 +1,239 @@
+#include "cases.h"
+
+#include "cluster.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+
+namespace standin {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int Held = 0;
+constexpr int Broken = 1;
+constexpr int CannotRun = 2;
+
+bool hasTrouble()
+{
+    const char *value = std::getenv("TROUBLE");
+    return value == nullptr || std::string(value) != "0";
+}
+
+std::string stateOf(const std::optional<Response> &answer)
+{
+    if (!answer) {
+        return "no answer";
+    }
+    if (answer->status != 200) {
+        return std::to_string(answer->status);
+    }
+    const auto json = Json::parse(answer->body, nullptr, false);
+    return json.is_object() ? json.value("state", "unreadable") : "unreadable";
+}
+
+// Two sound jobs of one task each: one that works for 12 s, and one that lasts. The runner that
+// runs a task crashes three times and comes back each time. No run ends as `failed`.
+int failedAfterCrashes(const std::string &record)
+{
+    constexpr int Runners = 16;
+    constexpr int Crashes = 3;
+    constexpr int WorkedFirstMs = 2000;
+    constexpr int DownMs = 1000;
+    constexpr int StartTimeoutMs = 15'000;
+    constexpr int EndTimeoutMs = 30'000;
+    const std::string plain = "00000000000000a1";
+    const std::string lasting = "00000000000000b2";
+    Cluster cluster(Runners, 3, record);
+    if (!cluster.awaitReady(15'000)) {
+        return CannotRun;
+    }
+    sleepMs(2000); // the runners are known
+    const Json plainJob
+        = {{"spec", "ms=12000"}, {"steps", {{{"count", 1}, {"cpu", 4000}, {"memMb", 4096}, {"estimateMs", 12000}}}}};
+    const Json lastingJob
+        = {{"spec", "lasts"},
+           {"steps", {{{"count", 1}, {"cpu", 4000}, {"memMb", 4096}, {"estimateMs", 1000}, {"daemon", true}}}}};
+    const auto first = cluster.submit(0, "/desk/" + plain, plainJob.dump());
+    const auto second = cluster.submit(1, "/desk/" + lasting, lastingJob.dump());
+    if (!first || first->status != 200 || !second || second->status != 200) {
+        return CannotRun;
+    }
+    for (int n = 0; hasTrouble() && n < Crashes; ++n) {
+        for (const auto &job : {plain, lasting}) {
+            const auto task = job + ".0.0.0";
+            const auto end = nowMs() + StartTimeoutMs;
+            auto runner = cluster.runnerOf(task);
+            while (!runner && nowMs() < end) {
+                sleepMs(50);
+                runner = cluster.runnerOf(task);
+            }
+            if (!runner) {
+                continue;
+            }
+            sleepMs(WorkedFirstMs);
+            cluster.note("runner " + cluster.runners[*runner].options.id + " crashes");
+            cluster.kill(cluster.runners[*runner]);
+            sleepMs(DownMs);
+            cluster.restartRunner(*runner);
+        }
+    }
+    std::string plainState;
+    std::string lastingState;
+    const auto end = nowMs() + EndTimeoutMs;
+    bool isBroken = false;
+    while (nowMs() < end) {
+        sleepMs(500);
+        plainState = stateOf(cluster.status(0, "/desk/" + plain));
+        lastingState = stateOf(cluster.status(2, "/desk/" + lasting));
+        isBroken = plainState == "failed" || lastingState == "failed";
+        const bool isOver = plainState == "completed" || plainState == "failed";
+        if (isOver && (lastingState == "failed" || plainState == "completed")) {
+            break;
+        }
+    }
+    cluster.note("client GET " + plain + ": " + plainState);
+    cluster.note("client GET " + lasting + ": " + lastingState);
+    if (isBroken) {
+        return Broken;
+    }
+    const bool isOpen = lastingState == "queued" || lastingState == "running";
+    return plainState == "completed" && isOpen ? Held : CannotRun;
+}
+
+// One job of many tasks is handed in, and then small jobs of other clients, of two steps each. The
+// progress of the large job does not fit into a row of the store.
+int largeJob(const std::string &record)
+{
+    constexpr std::size_t Runners = 8;
+    constexpr int SmallJobs = 10;
+    constexpr int Steps = 14;
+    constexpr int TasksPerStep = 5000;
+    constexpr int BeforeSmallJobsMs = 15'000;
+    constexpr int BetweenJobsMs = 500;
+    constexpr int FinishMs = 14'000;
+    constexpr int IdleMs = 3000;
+    constexpr std::size_t CoresPerRunner = 16;
+    Cluster cluster(Runners, 3, record);
+    if (!cluster.awaitReady(15'000)) {
+        return CannotRun;
+    }
+    sleepMs(2000);
+    if (hasTrouble()) {
+        Json steps = Json::array();
+        for (int n = 0; n < Steps; ++n) {
+            steps.push_back({{"count", TasksPerStep}, {"cpu", 1000}, {"memMb", 256}, {"estimateMs", 50}});
+        }
+        const auto answer
+            = cluster.submit(0, "/desk/00000000000000a1", Json{{"spec", "ms=50"}, {"steps", steps}}.dump());
+        if (!answer || answer->status != 200) {
+            return CannotRun;
+        }
+    }
+    sleepMs(BeforeSmallJobsMs);
+    const Json step = {{"count", 1}, {"cpu", 1000}, {"memMb", 256}, {"estimateMs", 300}};
+    auto second = step;
+    second["after"] = {0};
+    const auto body = Json{{"spec", "ms=300"}, {"steps", {step, second}}}.dump();
+    std::vector<std::string> names;
+    for (int n = 0; n < SmallJobs; ++n) {
+        const auto name = "00000000000010" + std::to_string(10 + n);
+        const auto answer = cluster.submit(static_cast<std::size_t>(n) % cluster.hosts.size(), "/desk/" + name, body);
+        if (answer && answer->status == 200) {
+            names.push_back(name);
+        }
+        sleepMs(BetweenJobsMs);
+    }
+    // finish_s after the end of the traffic, the rule looks at each job for 3 s.
+    sleepMs(FinishMs);
+    std::vector<std::string> idle;
+    std::size_t completed = 0;
+    for (const auto &it : names) {
+        const auto state = stateOf(cluster.status(0, "/desk/" + it));
+        cluster.note("client GET " + it + ": " + state);
+        completed += state == "completed" ? 1 : 0;
+        if (state == "queued" || state == "running") {
+            idle.push_back(it);
+        }
+    }
+    std::size_t mostRuns = 0;
+    const auto end = nowMs() + IdleMs;
+    while (nowMs() < end) {
+        std::erase_if(idle, [&](const std::string &it) { return cluster.isActive(it); });
+        mostRuns = std::max(mostRuns, cluster.activeRuns());
+        sleepMs(200);
+    }
+    cluster.note("accepted " + std::to_string(names.size()) + ", shown as completed " + std::to_string(completed)
+                 + ", with nothing running for 3 s " + std::to_string(idle.size()) + ", runs on all runners at most "
+                 + std::to_string(mostRuns));
+    if (!idle.empty() && mostRuns < Runners * CoresPerRunner / 2) {
+        return Broken;
+    }
+    return completed == names.size() ? Held : CannotRun;
+}
+
+// A client hands a job in at a host that is frozen, leaves before its deadline, and cancels the job
+// at another host, which acknowledges that.
+int cancelledBeforeStored(const std::string &record)
+{
+    constexpr int FreezeMs = 1500;
+    constexpr int LeaveMs = 900;
+    // contactMs after the freeze and then cancel_ms + stopGraceMs, with a reserve.
+    constexpr int CalmMs = 4000 + 3000 + 900 + 3000;
+    const std::string path = "/desk/00000000000000c3";
+    Cluster cluster(4, 3, record);
+    if (!cluster.awaitReady(15'000)) {
+        return CannotRun;
+    }
+    sleepMs(2000);
+    const auto leader = cluster.leader();
+    if (!leader) {
+        return CannotRun;
+    }
+    // Two hosts that don't lead.
+    const auto first = (*leader + 1) % cluster.hosts.size();
+    const auto second = (*leader + 2) % cluster.hosts.size();
+    const Json step = {{"count", 1}, {"cpu", 1000}, {"memMb", 256}, {"estimateMs", 60000}};
+    const auto frozenAt = nowMs();
+    if (hasTrouble()) {
+        cluster.freezeHost(cluster.hosts[first]);
+    }
+    cluster.submit(first, path, Json{{"spec", "ms=60000"}, {"steps", {step}}}.dump(), LeaveMs);
+    const auto answer = cluster.cancel(second, path);
+    sleepMs(static_cast<int>(std::max<std::int64_t>(frozenAt + FreezeMs - nowMs(), 0)));
+    if (hasTrouble()) {
+        cluster.thawHost(cluster.hosts[first]);
+    }
+    const bool isAcknowledged = answer && (answer->status / 100 == 2 || answer->status == 410);
+    if (!isAcknowledged) {
+        return CannotRun;
+    }
+    sleepMs(CalmMs);
+    const bool runs = cluster.isActive("00000000000000c3");
+    cluster.note(std::string("the cancelled job ") + (runs ? "has" : "has no") + " task at work, and is shown as "
+                 + stateOf(cluster.status(second, path)));
+    return runs ? Broken : Held;
+}
+
+} // namespace
+
+int runCase(const std::string &name, const std::string &record)
+{
+    if (name == "failed-after-crashes") {
+        return failedAfterCrashes(record);
+    }
+    if (name == "large-job") {
+        return largeJob(record);
+    }
+    if (name == "cancelled-before-stored") {
+        return cancelledBeforeStored(record);
+    }
+    std::cerr << "no such case: " << name << "\n";
+    return CannotRun;
+}
+
+} // namespace standin
