--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -5,8 +5,11 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <thread>
+#include <unistd.h>
 
 namespace standin {
 
@@ -219,10 +222,80 @@
     return runs ? Broken : Held;
 }
 
+// The registry has an entry of another writer, for a service that the configuration does not name.
+// After the end of the traffic, the entry hosts are restarted in turn, first that which leads.
+int foreignEntry(const std::string &record)
+{
+    constexpr int GraceMs = 6000;
+    constexpr int FirstStepMs = 3000;
+    constexpr int FirstRestartMs = 2000; // after the end of the traffic
+    constexpr int BetweenRestartsMs = 6500;
+    constexpr int FinishMs = 14'000;
+    constexpr int IdleMs = 3000;
+    constexpr int EndTimeoutMs = 40'000;
+    constexpr std::size_t Runners = 8;
+    constexpr std::size_t CoresPerRunner = 16;
+    const std::string job = "00000000000000e5";
+    Cluster cluster(Runners, 3, record);
+    if (!cluster.awaitReady(15'000)) {
+        return CannotRun;
+    }
+    if (hasTrouble()) {
+        cluster.writeForeignEntry("i-foreign", "service-of-others");
+    }
+    sleepMs(3000);
+    const Json first = {{"count", 1}, {"cpu", 1000}, {"memMb", 256}, {"estimateMs", FirstStepMs}};
+    auto second = first;
+    second["after"] = {0};
+    const auto body = Json{{"spec", "ms=" + std::to_string(FirstStepMs)}, {"steps", {first, second}}}.dump();
+    const auto answer = cluster.submit(0, "/desk/" + job, body);
+    if (!answer || answer->status != 200) {
+        return CannotRun;
+    }
+    const auto trafficEnd = nowMs();
+    std::thread restarts([&] {
+        for (int n = 0; n < 3; ++n) {
+            sleepMs(static_cast<int>(
+                std::max<std::int64_t>(trafficEnd + FirstRestartMs + n * BetweenRestartsMs - nowMs(), 0)));
+            if (const auto leader = cluster.leader()) {
+                cluster.restartHost(cluster.hosts[*leader], GraceMs);
+            }
+        }
+    });
+    sleepMs(static_cast<int>(trafficEnd + FinishMs - nowMs()));
+    bool isIdle = stateOf(cluster.status(0, "/desk/" + job)) != "completed";
+    std::size_t mostRuns = 0;
+    const auto idleEnd = nowMs() + IdleMs;
+    while (nowMs() < idleEnd) {
+        isIdle = isIdle && !cluster.isActive(job);
+        mostRuns = std::max(mostRuns, cluster.activeRuns());
+        sleepMs(200);
+    }
+    cluster.note(std::string("finish_s after the traffic, the job ")
+                 + (isIdle ? "has had nothing running for 3 s" : "runs or is over") + "; runs on all runners at most "
+                 + std::to_string(mostRuns));
+    restarts.join();
+    std::string state;
+    const auto end = nowMs() + EndTimeoutMs;
+    while (nowMs() < end && state != "completed") {
+        sleepMs(500);
+        state = stateOf(cluster.status(0, "/desk/" + job));
+    }
+    cluster.note("client GET " + job + ": " + state + ", " + std::to_string(nowMs() - trafficEnd)
+                 + " ms after the end of the traffic");
+    if (isIdle && mostRuns < Runners * CoresPerRunner / 2) {
+        return Broken;
+    }
+    return state == "completed" ? Held : CannotRun;
+}
+
 } // namespace
 
 int runCase(const std::string &name, const std::string &record)
 {
+    // A case that is ended early ends what it has started.
+    setpgid(0, 0);
+    std::signal(SIGTERM, [](int) { kill(0, SIGKILL); });
     if (name == "failed-after-crashes") {
         return failedAfterCrashes(record);
     }
@@ -232,6 +305,9 @@
     if (name == "cancelled-before-stored") {
         return cancelledBeforeStored(record);
     }
+    if (name == "foreign-entry") {
+        return foreignEntry(record);
+    }
     std::cerr << "no such case: " << name << "\n";
     return CannotRun;
 }
--- a/review/standin/cluster.cpp
+++ b/review/standin/cluster.cpp
@@ -228,16 +228,20 @@
     note("host " + host.name + " starts again");
 }
 
-void Cluster::pauseStore()
+void Cluster::writeForeignEntry(const std::string &id, const std::string &service)
 {
-    note("the store stops answering");
-    ::kill(m_store, SIGSTOP);
-}
-
-void Cluster::continueStore()
-{
-    ::kill(m_store, SIGCONT);
-    note("the store answers again");
+    const Json entry = {{"service", service},
+                        {"address", "127.0.0.1:" + std::to_string(freePort())},
+                        {"zone", Zones.front()},
+                        {"version", "v1"},
+                        {"slots", 8},
+                        {"state", "ready"},
+                        {"coldRemainingMs", 0},
+                        {"capacity", {{"cpu", 16000}, {"memMb", 32768}, {"gpu", 0}}},
+                        {"labels", {"a", "r1-0"}},
+                        {"born", 1'700'000'000'000}};
+    write("servers", id, entry.dump());
+    note("another writer writes servers/" + id + " for the service " + service);
 }
 
 void Cluster::write(const std::string &table, const std::string &key, const std::string &value)
--- a/review/standin/cluster.h
+++ b/review/standin/cluster.h
@@ -51,9 +51,8 @@
     void startHost(EntryHost &host);
     // Sends SIGTERM to a host and starts it again when it has ended, as the platform does.
     void restartHost(EntryHost &host, int graceMs);
-    // Stops and continues the store, which then answers nobody meanwhile.
-    void pauseStore();
-    void continueStore();
+    // Writes an entry of another writer, whose address nobody listens at.
+    void writeForeignEntry(const std::string &id, const std::string &service);
 
     // Writes a row for the operator or for another writer.
     void write(const std::string &table, const std::string &key, const std::string &value);
--- a/review/standin/runner.cpp
+++ b/review/standin/runner.cpp
@@ -205,7 +205,9 @@
         const auto work = spec.find("ms=");
         run.workMs = work == std::string::npos ? 1000 : std::max(1, std::atoi(spec.c_str() + work + 3));
         m_running[task] = run;
-        appendLine(m_options.record, "runner " + m_options.id + " started " + task + " run " + std::to_string(number));
+        appendLine(m_options.record,
+                   "runner " + m_options.id + " started " + task + " run " + std::to_string(number) + " kind "
+                       + m_options.kind);
         return {200, Json{{"clockMs", clockMs()}}.dump()};
     }
 
