Progress of jobs of any size fits into rows

Cause: the progress of a job was one row with a byte or more for each task. A value larger than the store takes is refused for ever, and a round of commits with a refused one acknowledges no end of any job. Each worker lists 500 ends without an acknowledgement, so that no later end was seen, and its runs were taken as active.

Ruled out: a leader that is too slow (no start-limit-lowered), and small jobs that rank behind the large one (nothing starts at all).

Change: progress is stored in sections of 1,000 tasks, one row each, which are merged as they are read. Commits are bounded in bytes. A job whose section does not fit because of its failures is given up.

--- a/bench/leaderbench.cpp
+++ b/bench/leaderbench.cpp
@@ -201,6 +201,10 @@
     MeasuredStore(ports::ChangeStore &store, PartClock &clock) : m_store(store), m_clock(clock)
     {
     }
+    std::size_t maxValueSize() const override
+    {
+        return m_store.maxValueSize();
+    }
     void commit(ports::Commit commit, ports::Handler<ports::CommitResult> handler) override
     {
         const PartScope scope(m_clock, LeaderPart::Store);
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -58,7 +58,7 @@
     d->changedWorkers.clear();
     d->timedVisits.clear();
     d->workersWithEnds.clear();
-    d->changedJobs.clear();
+    d->changedSections.clear();
     d->unreportedWorkers.clear();
     d->lostRuns.clear();
     d->isRosterChanged = false;
@@ -287,7 +287,7 @@
         job->isFinalStateStored = true;
         d->dropIfFinished(key);
     } else if (!job->job.isOpen() && !job->isFinalStateStored) {
-        d->changedJobs.insert(key); // the merged crashes failed the job
+        d->changedSections.insert({key, 0}); // the merged crashes failed the job
     }
 }
 
@@ -446,20 +446,39 @@
     return worker == nullptr ? nullptr : &worker->entry();
 }
 
-std::vector<jobs::JobKey> Fleet::consumeChangedJobs()
+std::vector<jobs::ProgressSection> Fleet::consumeChangedSections()
 {
-    std::vector<jobs::JobKey> keys(d->changedJobs.begin(), d->changedJobs.end());
-    d->changedJobs.clear();
-    return keys;
+    std::vector<jobs::ProgressSection> sections(d->changedSections.begin(), d->changedSections.end());
+    d->changedSections.clear();
+    return sections;
 }
 
-void Fleet::markChanged(jobs::JobKey key)
+void Fleet::markChanged(const jobs::ProgressSection &section)
 {
-    if (d->jobsByKey.contains(key)) {
-        d->changedJobs.insert(key);
+    if (d->jobsByKey.contains(section.job)) {
+        d->changedSections.insert(section);
     }
 }
 
+void Fleet::Private::markChanged(const TrackedJob &job, const jobs::TaskId &task)
+{
+    for (const int it : job.job.sectionsOf(task)) {
+        changedSections.insert({task.job, it});
+    }
+}
+
+void Fleet::abandonJob(jobs::JobKey key, TimePoint now)
+{
+    auto *job = d->findJob(key);
+    if (job == nullptr || !job->job.isOpen()) {
+        return;
+    }
+    job->job.abandon();
+    d->changedSections.insert({key, 0});
+    d->visitWorkersOf(*job);
+    d->recordIfOver(*job, true, "progress cannot be stored", now);
+}
+
 std::vector<EndCursor> Fleet::endCursors() const
 {
     std::vector<EndCursor> cursors;
@@ -501,7 +520,8 @@
 {
     const auto *job = findJob(key);
     if (job != nullptr && job->isFinalStateStored && job->activeRuns == 0 && unreportedWorkers.empty()) {
-        changedJobs.erase(key);
+        changedSections.erase(changedSections.lower_bound({key, 0}),
+                              changedSections.upper_bound({key, std::numeric_limits<int>::max()}));
         jobsByKey.erase(key);
     }
 }
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -183,9 +183,12 @@
     // for a gang that is larger.
     Orders plan(TimePoint now, jobs::WallTime wall, int maxStarts = std::numeric_limits<int>::max());
 
-    // Returns the jobs whose stored progress is outdated, and clears the list.
-    std::vector<jobs::JobKey> consumeChangedJobs();
-    void markChanged(jobs::JobKey key);
+    // Returns the sections of progress that are stored outdated, sorted, and clears the list.
+    std::vector<jobs::ProgressSection> consumeChangedSections();
+    void markChanged(const jobs::ProgressSection &section);
+    // Fails a job whose progress does not fit into a row. The ends of its runs would otherwise stay
+    // unacknowledged, and with them all later ends on the same workers.
+    void abandonJob(jobs::JobKey key, TimePoint now);
     // Returns the run ends applied so far and not acknowledged. They may be
     // acknowledged once their effects are stored.
     std::vector<EndCursor> endCursors() const;
--- a/src/execution/fleetcrashes.cpp
+++ b/src/execution/fleetcrashes.cpp
@@ -18,7 +18,7 @@
         const bool isKnown = job != nullptr && job->job.contains(it.task);
         const bool wasOpen = isKnown && job->job.isOpen();
         if (isKnown && job->job.noteWorkerCrash(it.task, it.number, it.ranFor)) {
-            changedJobs.insert(it.task.job);
+            markChanged(*job, it.task);
         }
         log.record("run-crashed",
                    {{"task", it.task},
@@ -62,7 +62,7 @@
         }
         auto *job = findJob(run.task.job);
         if (job != nullptr && job->job.noteHealthyRun(run.task, now - run.answeredAt)) {
-            changedJobs.insert(run.task.job);
+            markChanged(*job, run.task);
         }
     }
 }
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -232,7 +232,7 @@
     }
     const bool wasOpen = job->job.isOpen();
     if (job->job.noteRunEnd(task, run, how, checkpoint, policyOf(*job).maxAttempts, now)) {
-        changedJobs.insert(task.job);
+        markChanged(*job, task);
         jobsToPlace.insert(task.job);
         const bool isOver = wasOpen && !job->job.isOpen();
         const bool mayHaveOtherRuns = isActive(*job, task) || job->job.stepSpec(task.step).isGang;
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -108,6 +108,8 @@
     // Records which runs have been at work for long since the last crashes under their tasks.
     void noteHealthyRuns(workers::Worker &worker, TimePoint now);
     void recordIfOver(const TrackedJob &job, bool wasOpen, std::string_view cause, TimePoint now);
+    // Marks the stored progress that a run of the task has changed as outdated.
+    void markChanged(const TrackedJob &job, const jobs::TaskId &task);
     void markBegun(jobs::JobKey key);
     void dropIfFinished(jobs::JobKey key);
     void markReported(const WorkerId &id, TimePoint now);
@@ -197,7 +199,7 @@
     std::set<std::pair<TimePoint, WorkerId>> timedVisits; // see Worker::visitAt()
     std::set<WorkerId> workersWithEnds; // with ends that may not be acknowledged yet
     workers::LostRuns lostRuns;
-    std::set<jobs::JobKey> changedJobs;
+    std::set<jobs::ProgressSection> changedSections; // whose stored progress is outdated
     bool isRosterChanged = false;
     std::optional<TimePoint> workersReadAt; // all entries stored before this time have been read
     std::optional<TimePoint> jobsReadAt; // all jobs and cancellations stored before this time have been read
--- a/src/execution/jobrequesthandler.cpp
+++ b/src/execution/jobrequesthandler.cpp
@@ -81,7 +81,7 @@
     void finish(Submission &submission, SubmitResult answer, std::string_view why)
     {
         submission.isAnswered = true;
-        constexpr std::string_view names[] = {"accepted", "not accepted", "unknown"};
+        constexpr std::string_view names[] = {"accepted", "not accepted", "invalid", "unknown"};
         log.record("job-submitted",
                    {{"job", submission.key},
                     {"answer", names[static_cast<std::size_t>(answer)]},
@@ -224,11 +224,17 @@
     job.knownFence = d->fence;
     submission->key = job.key;
     submission->commit.conditions.push_back({progressRow(job.key), 0});
-    submission->commit.writes.push_back({jobRow(job.key), d->codec.encode(job)});
+    auto value = d->codec.encode(job);
+    const bool isTooLarge = value.size() > d->store.maxValueSize();
+    submission->commit.writes.push_back({jobRow(job.key), std::move(value)});
     submission->commit.writes.push_back({progressRow(job.key), d->codec.encode(jobs::JobProgress())});
     submission->startedAt = d->scheduler.now();
     submission->deadline = deadline;
     submission->reply = std::move(reply);
+    if (isTooLarge) {
+        d->finish(*submission, SubmitResult::Invalid, "larger than a row of the store");
+        return;
+    }
     if (d->isStoreUnreachable()) {
         d->finish(*submission, SubmitResult::NotAccepted, "store unreachable");
         return;
--- a/src/execution/jobrequesthandler.h
+++ b/src/execution/jobrequesthandler.h
@@ -18,6 +18,7 @@
 enum class SubmitResult {
     Accepted, // stored, by this call or an earlier one
     NotAccepted, // certainly not stored, and this call will not store it later
+    Invalid, // not stored, and cannot be, as the job is too large
     Unknown, // may have been stored; the client should retry with the same key
 };
 
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -106,15 +106,15 @@
 
     void onProgressRow(const ports::StoredRow &row)
     {
-        const auto key = jobOfKey(row.name.key);
-        if (!key || row.isRemoved) {
+        const auto section = progressSectionOfKey(row.name.key);
+        if (!section || row.isRemoved) {
             return;
         }
         handleFailure(
             [&]() -> Result<void> {
                 BOOST_LEAF_AUTO(progress, ports.codec.decodeProgress(row.value));
-                progressWriter->recordVersion(*key, row.version);
-                fleet.restoreProgress(*key, progress);
+                progressWriter->recordVersion(*section, row.version);
+                fleet.restoreProgress(section->job, progress);
                 return {};
             },
             [&](const Failure &failure) {
@@ -151,7 +151,7 @@
                         {{"job", key}, {"jobFence", job.knownFence.value}, {"fence", fleet.fence().value}});
                     hooks.onFenced();
                 }
-                progressWriter->recordVersion(key, row.version);
+                progressWriter->recordVersion({key, 0}, row.version);
                 fleet.addJob(std::move(job), ports.scheduler.now(), ports.wallNow());
                 return {};
             },
--- a/src/execution/progresswriter.cpp
+++ b/src/execution/progresswriter.cpp
@@ -4,7 +4,10 @@
 #include "jobs/names.h"
 
 #include <algorithm>
+#include <limits>
+#include <map>
 #include <unordered_map>
+#include <utility>
 
 namespace monsoonspool::execution {
 
@@ -14,9 +17,9 @@
 constexpr Duration BatchDelay = 10ms;
 constexpr Duration FirstRetry = 150ms;
 constexpr Duration MaxRetry = 1s;
-// The store accepts at most 100 entries per commit; each job needs a condition and a
-// write, and the owner row a condition.
-constexpr std::size_t JobsPerCommit = 40;
+// Each section needs a condition and a write, and the owner row a condition.
+constexpr std::size_t SectionsPerCommit = 40;
+static_assert(SectionsPerCommit * 2 + 1 <= ports::MaxCommitEntries);
 
 } // namespace
 
@@ -28,6 +31,15 @@
     {
     }
 
+    // Sections that are stored by one commit.
+    struct Batch
+    {
+        std::vector<jobs::ProgressSection> sections;
+        std::unordered_map<jobs::JobKey, jobs::JobState> states; // of the jobs whose section 0 is among them
+        std::size_t valueBytes = 0;
+        ports::Commit commit;
+    };
+
     void schedule(Duration delay)
     {
         if (isScheduled) {
@@ -47,68 +59,77 @@
         if (pendingCommits > 0) {
             return;
         }
-        const auto keys = fleet.consumeChangedJobs();
+        const auto sections = fleet.consumeChangedSections();
         cursors = fleet.endCursors();
         hasFailed = false;
-        if (keys.empty()) {
+        if (sections.empty()) {
             fleet.acknowledge(cursors);
             return;
         }
-        for (std::size_t n = 0; n < keys.size(); n += JobsPerCommit) {
-            const auto count = std::min(JobsPerCommit, keys.size() - n);
-            commit(
-                {keys.begin() + static_cast<std::ptrdiff_t>(n), keys.begin() + static_cast<std::ptrdiff_t>(n + count)});
+        Batch batch;
+        for (const auto &it : sections) {
+            const auto *job = fleet.find(it.job);
+            if (job == nullptr) {
+                continue;
+            }
+            auto value = codec.encode(job->progress(it.number));
+            if (value.size() > store.maxValueSize()) {
+                log.record("progress-too-large", {{"job", it.job}, {"section", it.number}, {"bytes", value.size()}});
+                fleet.abandonJob(it.job, scheduler.now());
+                value = codec.encode(job->progress(it.number));
+            }
+            if (batch.sections.size() == SectionsPerCommit
+                || batch.valueBytes + value.size() > ports::MaxCommitValueBytes) {
+                commit(std::exchange(batch, {}));
+            }
+            add(batch, it, job->state(), std::move(value));
         }
+        commit(std::move(batch));
     }
 
-    void commit(std::vector<jobs::JobKey> keys)
+    void add(Batch &batch, const jobs::ProgressSection &section, jobs::JobState state, std::string value)
     {
-        ports::Commit commit;
-        std::unordered_map<jobs::JobKey, jobs::JobState> states;
-        for (const auto &key : keys) {
-            const auto *job = fleet.find(key);
-            if (job == nullptr) {
-                continue;
-            }
-            states[key] = job->state();
-            commit.conditions.push_back({progressRow(key), versions[key]});
-            commit.writes.push_back({progressRow(key), codec.encode(job->progress())});
+        batch.sections.push_back(section);
+        if (section.number == 0) {
+            batch.states[section.job] = state;
         }
-        if (commit.writes.empty()) {
+        batch.valueBytes += value.size();
+        const auto name = progressRow(section);
+        batch.commit.conditions.push_back({name, versions[section]});
+        batch.commit.writes.push_back({name, std::move(value)});
+    }
+
+    void commit(Batch batch)
+    {
+        if (batch.sections.empty()) {
             return;
         }
+        auto commit = std::move(batch.commit);
         commit.conditions.push_back({progressOwnerRow(commit.writes.front().name.part), claimVersion});
         ++pendingCommits;
         store.commit(std::move(commit),
-                     [self = shared_from_this(), keys = std::move(keys),
-                      states = std::move(states)](const ports::AsyncResult<ports::CommitResult> &result) {
+                     [self = shared_from_this(), sections = std::move(batch.sections),
+                      states = std::move(batch.states)](const ports::AsyncResult<ports::CommitResult> &result) {
                          --self->pendingCommits;
                          if (!self->isClosed) {
-                             self->onCommitted(keys, states, result);
+                             self->onCommitted(sections, states, result);
                          }
                      });
     }
 
-    void onCommitted(std::span<const jobs::JobKey> keys, const std::unordered_map<jobs::JobKey, jobs::JobState> &states,
+    void onCommitted(std::span<const jobs::ProgressSection> sections,
+                     const std::unordered_map<jobs::JobKey, jobs::JobState> &states,
                      const ports::AsyncResult<ports::CommitResult> &result)
     {
         if (result.isOk() && result.value().isApplied) {
-            log.record("progress-stored",
-                       {{"fence", fleet.fence().value}, {"version", result.value().version}, {"jobs", keys.size()}});
-            for (const auto &[key, state] : states) {
-                versions[key] = result.value().version;
-                if (jobs::isFinal(state)) {
-                    fleet.markStored(key);
-                    forgetIfDropped(key);
-                }
-            }
+            onStored(sections, states, result.value().version);
         } else {
             hasFailed = true;
-            for (const auto &it : keys) {
+            for (const auto &it : sections) {
                 fleet.markChanged(it);
             }
             if (result.isOk() && hasSuccessor(result.value().current)) {
-                log.record("progress-fenced", {{"fence", fleet.fence().value}, {"jobs", keys.size()}});
+                log.record("progress-fenced", {{"fence", fleet.fence().value}, {"sections", sections.size()}});
                 onFenced();
                 return;
             }
@@ -118,7 +139,7 @@
                 log.record("progress-unstored",
                            {{"error", errorInfo(result.failure().kind).name},
                             {"detail", result.failure().detail},
-                            {"jobs", keys.size()}});
+                            {"sections", sections.size()}});
             }
         }
         if (pendingCommits > 0) {
@@ -135,6 +156,22 @@
         schedule(BatchDelay);
     }
 
+    void onStored(std::span<const jobs::ProgressSection> sections,
+                  const std::unordered_map<jobs::JobKey, jobs::JobState> &states, std::uint64_t version)
+    {
+        log.record("progress-stored",
+                   {{"fence", fleet.fence().value}, {"version", version}, {"sections", sections.size()}});
+        for (const auto &it : sections) {
+            versions[it] = version;
+        }
+        for (const auto &[key, state] : states) {
+            if (jobs::isFinal(state)) {
+                fleet.markStored(key);
+                forgetIfDropped(key);
+            }
+        }
+    }
+
     // Returns whether the rows that caused a conflict show a later claim.
     bool hasSuccessor(std::span<const ports::StoredRow> rows) const
     {
@@ -148,15 +185,15 @@
     void applyCurrentRows(std::span<const ports::StoredRow> rows)
     {
         for (const auto &row : rows) {
-            const auto key = jobOfKey(row.name.key);
-            if (!key) {
+            const auto section = progressSectionOfKey(row.name.key);
+            if (!section) {
                 continue;
             }
-            versions[*key] = row.isRemoved ? 0 : row.version;
+            versions[*section] = row.isRemoved ? 0 : row.version;
             handleFailure(
                 [&]() -> Result<void> {
                     BOOST_LEAF_AUTO(progress, codec.decodeProgress(row.value));
-                    fleet.applyForeignProgress(*key, progress, row.version);
+                    fleet.applyForeignProgress(section->job, progress, row.version);
                     return {};
                 },
                 [&](const Failure &failure) {
@@ -168,7 +205,8 @@
     void forgetIfDropped(jobs::JobKey key)
     {
         if (fleet.find(key) == nullptr) {
-            versions.erase(key);
+            versions.erase(versions.lower_bound({key, 0}),
+                           versions.upper_bound({key, std::numeric_limits<int>::max()}));
         }
     }
 
@@ -179,7 +217,7 @@
     DecisionLog &log;
     std::uint64_t claimVersion = 0;
     std::function<void()> onFenced;
-    std::unordered_map<jobs::JobKey, std::uint64_t> versions;
+    std::map<jobs::ProgressSection, std::uint64_t> versions;
     std::vector<EndCursor> cursors; // of the current round
     int pendingCommits = 0;
     bool hasFailed = false;
@@ -202,9 +240,9 @@
     d->isClosed = true;
 }
 
-void ProgressWriter::recordVersion(jobs::JobKey key, std::uint64_t version)
+void ProgressWriter::recordVersion(const jobs::ProgressSection &section, std::uint64_t version)
 {
-    auto &known = d->versions[key];
+    auto &known = d->versions[section];
     known = std::max(known, version);
 }
 
--- a/src/execution/progresswriter.h
+++ b/src/execution/progresswriter.h
@@ -10,8 +10,9 @@
 
 namespace monsoonspool::execution {
 
-// Persists the fleet's job progress in rounds: stores the progress of all changed jobs,
-// and only then acknowledges the run ends that changed it. Each row is written on the
+// Persists the fleet's job progress in rounds: stores all changed sections, in several
+// commits if they exceed the limits of one, and only then acknowledges the run ends that
+// changed them. A job whose progress does not fit into rows is given up. Each row is written on the
 // condition that it has not changed since it was last read, so that neither a former
 // leader's write nor a cancellation is overwritten, and that no other host has claimed
 // leadership: a successor reads the progress once.
@@ -28,8 +29,8 @@
     ProgressWriter(const ProgressWriter &) = delete;
     ProgressWriter &operator=(const ProgressWriter &) = delete;
 
-    // Records the version of a job's progress row.
-    void recordVersion(jobs::JobKey key, std::uint64_t version);
+    // Records the version of the row of a section.
+    void recordVersion(const jobs::ProgressSection &section, std::uint64_t version);
     // Schedules a round unless one is in progress.
     void requestWrite();
 
--- a/src/execution/rowlayout.cpp
+++ b/src/execution/rowlayout.cpp
@@ -47,6 +47,15 @@
     return {std::string(ProgressTable), partOf(job), jobs::jobName(job)};
 }
 
+ports::RowName progressRow(const jobs::ProgressSection &section)
+{
+    auto row = progressRow(section.job);
+    if (section.number > 0) {
+        row.key += SectionSeparator + std::to_string(section.number);
+    }
+    return row;
+}
+
 ports::RowName progressOwnerRow(std::string_view part)
 {
     return {std::string(ProgressTable), std::string(part), std::string(ProgressOwnerKey)};
@@ -97,6 +106,23 @@
     return job;
 }
 
+std::optional<jobs::ProgressSection> progressSectionOfKey(std::string_view key)
+{
+    const auto job = jobOfKey(key);
+    if (!job) {
+        return std::nullopt;
+    }
+    const auto suffix = key.substr(KeyDigits);
+    if (suffix.empty()) {
+        return jobs::ProgressSection{*job, 0};
+    }
+    jobs::ProgressSection section{*job, 0};
+    const auto *end = suffix.data() + suffix.size();
+    const auto [stop, ec] = std::from_chars(suffix.data() + 1, end, section.number);
+    const bool isSection = suffix.front() == SectionSeparator && ec == std::errc() && stop == end && section.number > 0;
+    return isSection ? std::optional(section) : std::nullopt;
+}
+
 bool isCancelKey(std::string_view key)
 {
     return key.size() == KeyDigits + 1 && key.back() == CancelSuffix;
--- a/src/execution/rowlayout.h
+++ b/src/execution/rowlayout.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "common/identifiers.h"
-#include "jobs/taskid.h"
+#include "jobs/job.h"
 #include "ports/changestore.h"
 
 #include <optional>
@@ -17,6 +17,8 @@
 //   jobs      0..3   ID + "x"    when a job is cancelled       by the leader, as it changes
 //   progress  0..3   ID          by the leader, as tasks end;  by any host that is asked
 //                                by any host that cancels
+//   progress  0..3   ID + "." +  by the leader, as tasks end   by a new leader
+//                    number
 //   progress  0..3   "owner"     at a claim                    as a write condition of the leader
 //   leader    ""     "leader"    at a claim and each renewal   by all hosts, as it changes
 //   leader    ""     "ended/" +  when a host learns that its    by all hosts, as it changes
@@ -42,6 +44,7 @@
 inline constexpr std::string_view LearnedKey = "presses";
 inline constexpr int RosterBuckets = 16; // a joining worker rewrites one sixteenth of the roster
 inline constexpr char CancelSuffix = 'x';
+inline constexpr char SectionSeparator = '.';
 
 // Returns the store partition for the rows of `job`. One partition sustains a few
 // hundred commits per second; four sustain several times the current peak load.
@@ -51,7 +54,9 @@
 
 ports::RowName jobRow(jobs::JobKey job);
 ports::RowName cancelRow(jobs::JobKey job);
+// Returns the row of the job's state and of section 0 of its progress.
 ports::RowName progressRow(jobs::JobKey job);
+ports::RowName progressRow(const jobs::ProgressSection &section);
 // Returns the row of a part that every claim writes. The leader's writes of progress are
 // conditional on its version, so that a former leader cannot store progress after a newer
 // claim. A claim writes the rows of all parts, so a commit over several parts needs only
@@ -70,6 +75,9 @@
 
 // Returns the job identified by a row's key, or nullopt if it is not a job's key.
 std::optional<jobs::JobKey> jobOfKey(std::string_view key);
+// Returns the section of progress identified by the key of a row of the progress table, or nullopt
+// if it is no section's key.
+std::optional<jobs::ProgressSection> progressSectionOfKey(std::string_view key);
 // Returns whether the key belongs to the row that records a job's cancellation.
 bool isCancelKey(std::string_view key);
 
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -46,6 +46,10 @@
 Job::Job(JobKey key, JobSpec spec, std::string queue, TimePoint acceptedAt)
     : m_key(key), m_spec(std::move(spec)), m_queue(std::move(queue)), m_acceptedAt(acceptedAt)
 {
+    m_stepPositions.push_back(0);
+    for (const auto &it : m_spec.steps) {
+        m_stepPositions.push_back(m_stepPositions.back() + it.count);
+    }
     if (!m_spec.isTimed()) {
         openOccurrence();
     }
@@ -303,34 +307,92 @@
     }
 }
 
+void Job::abandon()
+{
+    if (isOpen()) {
+        m_state = JobState::Failed;
+    }
+}
+
+std::int64_t Job::positionOf(int occurrence, int step) const
+{
+    return occurrence * m_stepPositions.back() + m_stepPositions[static_cast<std::size_t>(step)];
+}
+
+std::vector<int> Job::sectionsOf(const TaskId &id) const
+{
+    const auto position = positionOf(id.occurrence, id.step);
+    const bool isGang = stepSpec(id.step).isGang;
+    const auto first = (position + (isGang ? 0 : id.index)) / TasksPerSection;
+    const auto last = (position + (isGang ? stepSpec(id.step).count - 1 : id.index)) / TasksPerSection;
+    std::vector<int> sections{0};
+    for (auto n = std::max<std::int64_t>(first, 1); n <= last; ++n) {
+        sections.push_back(static_cast<int>(n));
+    }
+    return sections;
+}
+
 JobProgress Job::progress() const
+{
+    return progressBetween(0, positionOf(static_cast<int>(m_occurrences.size()), 0));
+}
+
+JobProgress Job::progress(int section) const
+{
+    if (m_state == JobState::Failed) {
+        return {m_state, {}}; // nothing starts any more, whatever tasks were done
+    }
+    const auto first = static_cast<std::int64_t>(section) * TasksPerSection;
+    return progressBetween(first, first + TasksPerSection);
+}
+
+JobProgress Job::progressBetween(std::int64_t first, std::int64_t last) const
 {
     JobProgress progress;
     progress.state = m_state;
-    for (const auto &occurrence : m_occurrences) {
+    const int occurrences = static_cast<int>(m_occurrences.size());
+    for (int k = 0; k < occurrences && positionOf(k, 0) < last; ++k) {
         auto &steps = progress.occurrences.emplace_back();
-        for (const auto &step : occurrence.steps) {
-            auto &stored = steps.emplace_back();
-            if (!step.failedRuns.empty()) {
-                stored.failedRuns[StepProgress::GangIndex] = step.failedRuns;
-            }
-            if (!step.crashedRuns.empty()) {
-                stored.crashedRuns[StepProgress::GangIndex] = step.crashedRuns;
-            }
-            for (std::size_t n = 0; n < step.tasks.size(); ++n) {
-                stored.tasks += step.tasks[n].isDone ? StepProgress::DoneMark : StepProgress::OpenMark;
-                if (!step.tasks[n].failedRuns.empty()) {
-                    stored.failedRuns[static_cast<int>(n)] = step.tasks[n].failedRuns;
-                }
-                if (!step.tasks[n].crashedRuns.empty()) {
-                    stored.crashedRuns[static_cast<int>(n)] = step.tasks[n].crashedRuns;
-                }
-            }
+        if (positionOf(k + 1, 0) <= first) {
+            continue;
+        }
+        for (int s = 0; s < static_cast<int>(m_spec.steps.size()) && positionOf(k, s) < last; ++s) {
+            steps.push_back(stepProgress(k, s, first, last));
         }
     }
     return progress;
 }
 
+StepProgress Job::stepProgress(int occurrence, int step, std::int64_t first, std::int64_t last) const
+{
+    StepProgress stored;
+    const auto position = positionOf(occurrence, step);
+    const auto &own = this->step(occurrence, step);
+    const auto end = std::min<std::int64_t>(last - position, static_cast<std::int64_t>(own.tasks.size()));
+    const auto begin = std::clamp<std::int64_t>(first - position, 0, end);
+    if (begin == end) {
+        return stored;
+    }
+    if (begin == 0 && !own.failedRuns.empty()) {
+        stored.failedRuns[StepProgress::GangIndex] = own.failedRuns;
+    }
+    if (begin == 0 && !own.crashedRuns.empty()) {
+        stored.crashedRuns[StepProgress::GangIndex] = own.crashedRuns;
+    }
+    stored.tasks.assign(static_cast<std::size_t>(begin), StepProgress::OpenMark);
+    for (auto n = begin; n < end; ++n) {
+        const auto &task = own.tasks[static_cast<std::size_t>(n)];
+        stored.tasks += task.isDone ? StepProgress::DoneMark : StepProgress::OpenMark;
+        if (!task.failedRuns.empty()) {
+            stored.failedRuns[static_cast<int>(n)] = task.failedRuns;
+        }
+        if (!task.crashedRuns.empty()) {
+            stored.crashedRuns[static_cast<int>(n)] = task.crashedRuns;
+        }
+    }
+    return stored;
+}
+
 void Job::restoreStep(int occurrence, int step, const StepProgress &stored)
 {
     auto &own = mutableStep(occurrence, step);
@@ -339,6 +401,13 @@
             markDone(occurrence, step, own.tasks[n]);
         }
     }
+    // The members of a gang are done together, also if only one of their sections was stored.
+    const auto isDone = [](const Task &it) { return it.isDone; };
+    if (stepSpec(step).isGang && std::ranges::any_of(own.tasks, isDone)) {
+        for (auto &it : own.tasks) {
+            markDone(occurrence, step, it);
+        }
+    }
     for (const auto &[index, runs] : stored.failedRuns) {
         if (index == StepProgress::GangIndex) {
             mergeRuns(own.failedRuns, runs);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -109,6 +109,19 @@
     bool operator==(const JobProgress &) const = default;
 };
 
+// The progress of a job is stored in sections of this many consecutive tasks, counted over all
+// steps and occurrences, so that each fits into a row of the store: a task takes a byte, and some
+// bytes for each run that failed or crashed.
+constexpr int TasksPerSection = 1000;
+
+// A section of a job's progress. Section 0 also holds the job's state.
+struct ProgressSection
+{
+    JobKey job;
+    int number = 0;
+    auto operator<=>(const ProgressSection &) const = default;
+};
+
 // A job and the state of its tasks. Invariants:
 //  - a step starts only after the steps it depends on are done,
 //  - a task that is done gets no further run,
@@ -199,14 +212,26 @@
     void cancel();
 
     JobProgress progress() const;
-    // Merges the progress stored by an earlier scheduler: done tasks stay done, and the counts of
-    // failures and crashes never decrease, whichever side is more recent.
+    // Returns the state and the progress of the tasks of one section; that of other tasks is left out.
+    JobProgress progress(int section) const;
+    // Returns the sections that the end of a run of the task may change: those of all its members
+    // for a gang, and section 0, whose state may change with it.
+    std::vector<int> sectionsOf(const TaskId &id) const;
+    // Fails the job, whose progress cannot be stored.
+    void abandon();
+    // Merges the progress stored by an earlier scheduler, whole or of one section: done tasks stay
+    // done, and the counts of failures and crashes never decrease, whichever side is more recent.
     void restore(const JobProgress &progress);
 
 private:
     Task &mutableTask(const TaskId &id);
     Step &mutableStep(int occurrence, int step);
     void openOccurrence();
+    // Returns the position of a step's first task among the tasks of all steps and occurrences.
+    std::int64_t positionOf(int occurrence, int step) const;
+    // Returns the progress of the tasks whose position is in the range.
+    JobProgress progressBetween(std::int64_t first, std::int64_t last) const;
+    StepProgress stepProgress(int occurrence, int step, std::int64_t first, std::int64_t last) const;
     void markDone(int occurrence, int step, Task &task);
     void restoreStep(int occurrence, int step, const StepProgress &stored);
     bool markFailed(const TaskId &id, RunNumber run, int maxAttempts);
@@ -219,6 +244,7 @@
     TimePoint m_acceptedAt;
     JobState m_state = JobState::Queued;
     bool m_hasBegun = false;
+    std::vector<std::int64_t> m_stepPositions; // in an occurrence; the last entry is the number of its tasks
     std::vector<Occurrence> m_occurrences; // those that have been due or reported
 };
 
--- a/src/ports/changestore.h
+++ b/src/ports/changestore.h
@@ -69,12 +69,19 @@
     std::uint64_t version = 0; // newest version of the whole store
 };
 
+// Most conditions, writes and removals of one commit.
+inline constexpr std::size_t MaxCommitEntries = 100;
+// Most bytes of values in one commit. The store takes calls of 1 MB, in which values are encoded as
+// base64, which adds a third.
+inline constexpr std::size_t MaxCommitValueBytes = 512UL * 1024;
+
 // A transactional row store with a change feed.
 //
 // Failures:
 //  - StoreUnavailable: the call had no effect,
 //  - StoreReplyLost: a commit may have been applied, or may still be seconds later,
-//  - StoreHistoryDropped: the store no longer has all changes after the given version.
+//  - StoreHistoryDropped: the store no longer has all changes after the given version,
+//  - Internal: the store does not take the call in this form; it exceeds a limit, for example.
 //
 // Not thread-safe. Handlers are called on the thread that makes the calls.
 class ChangeStore
@@ -82,6 +89,9 @@
 public:
     virtual ~ChangeStore() = default;
 
+    // Returns the size in bytes of the largest value that a row can have.
+    virtual std::size_t maxValueSize() const = 0;
+
     virtual void commit(Commit commit, Handler<CommitResult> handler) = 0;
 
     // Reads rows with first <= key < last; an empty `last` means no upper bound.
--- a/src/ports/memory/memorychangestore.cpp
+++ b/src/ports/memory/memorychangestore.cpp
@@ -11,6 +11,19 @@
 
 constexpr Duration PollInterval = 5ms;
 constexpr std::size_t MaxPageRows = 50; // small, so that tests read several pages
+constexpr std::size_t MaxValueSize = 65536;
+
+bool exceedsLimits(const Commit &commit)
+{
+    std::size_t bytes = 0;
+    bool isValueTooLarge = false;
+    for (const auto &it : commit.writes) {
+        bytes += it.value.size();
+        isValueTooLarge = isValueTooLarge || it.value.size() > MaxValueSize;
+    }
+    const auto entries = commit.conditions.size() + commit.writes.size() + commit.removals.size();
+    return isValueTooLarge || entries > MaxCommitEntries || bytes > MaxCommitValueBytes;
+}
 
 } // namespace
 
@@ -53,11 +66,20 @@
 {
 }
 
+std::size_t MemoryChangeStore::maxValueSize() const
+{
+    return MaxValueSize;
+}
+
 void MemoryChangeStore::commit(Commit commit, Handler<CommitResult> handler)
 {
     callWithFault<CommitResult>(
         m_scheduler, m_faults.next("commit", ++m_calls, m_scheduler.now()), ErrorKind::StoreReplyLost,
-        [this, commit = std::move(commit)] { return AsyncResult<CommitResult>(m_rows.apply(commit)); },
+        [this, commit = std::move(commit)] {
+            return exceedsLimits(commit)
+                ? AsyncResult<CommitResult>(Failure{ErrorKind::Internal, "the commit exceeds a limit of the store"})
+                : AsyncResult<CommitResult>(m_rows.apply(commit));
+        },
         std::move(handler));
 }
 
--- a/src/ports/memory/memorychangestore.h
+++ b/src/ports/memory/memorychangestore.h
@@ -29,6 +29,7 @@
 public:
     MemoryChangeStore(SharedRows &rows, Scheduler &scheduler, FaultPlan &faults);
 
+    std::size_t maxValueSize() const override;
     void commit(Commit commit, Handler<CommitResult> handler) override;
     void scan(std::string_view table, std::string_view part, std::string_view first, std::string_view last,
               Handler<RowPage> handler) override;
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -287,12 +287,12 @@
     EXPECT_EQ(fleet.find({7})->state(), jobs::JobState::Completed) << "later ends are applied";
     ASSERT_EQ(fleet.endCursors().size(), 1U);
     EXPECT_EQ(fleet.endCursors().front().lastEnd, 1);
-    fleet.consumeChangedJobs();
+    fleet.consumeChangedSections();
 
     ready.submit(9, plainStep(), Start + 20ms);
     EXPECT_TRUE(fleet.plan(Start + 20ms, Wall).starts.empty());
     EXPECT_EQ(fleet.find({9})->state(), jobs::JobState::Completed);
-    EXPECT_EQ(fleet.consumeChangedJobs(), std::vector<jobs::JobKey>{{9}});
+    EXPECT_EQ(fleet.consumeChangedSections(), (std::vector<jobs::ProgressSection>{{{9}, 0}}));
     ASSERT_EQ(fleet.endCursors().size(), 1U);
     EXPECT_EQ(fleet.endCursors().front().lastEnd, 3);
 }
--- a/tests/execution/takeoverhost.h
+++ b/tests/execution/takeoverhost.h
@@ -197,6 +197,10 @@
     {
     }
 
+    std::size_t maxValueSize() const override
+    {
+        return m_store.maxValueSize();
+    }
     void commit(Commit commit, Handler<CommitResult> handler) override
     {
         const auto table = commit.writes.empty() ? std::string() : commit.writes.front().name.table;
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -365,13 +365,17 @@
         "processorShare":0.1,"logLinesPerSecond":100,"stopGraceSeconds":6})";
     EXPECT_TRUE(decodeSettings(valid).errors.empty());
     EXPECT_EQ(decodeSettings(valid).settings.stopGrace, std::chrono::milliseconds(6000));
+    EXPECT_EQ(decodeSettings(valid).settings.storeRowBytes, 65536U);
+    const auto withRowBytes = decodeSettings(valid.substr(0, valid.size() - 1) + R"(,"storeRowBytes":4096})");
+    EXPECT_TRUE(withRowBytes.errors.empty());
+    EXPECT_EQ(withRowBytes.settings.storeRowBytes, 4096U);
     const auto invalid = decodeSettings(
-        R"({"name":"","storeAddress":"nowhere","processorShare":0,"logLinesPerSecond":0,"colour":"red"})");
+        R"({"name":"","storeAddress":"nowhere","storeRowBytes":1,"processorShare":0,"logLinesPerSecond":0,"colour":"red"})");
     std::vector<std::string> keys;
     for (const auto &it : invalid.errors) {
         keys.push_back(it.key);
     }
-    for (const auto *it : {"name", "region", "storeAddress", "processorShare", "logLinesPerSecond", "colour"}) {
+    for (const auto *it : {"name", "region", "storeAddress", "storeRowBytes", "processorShare", "logLinesPerSecond", "colour"}) {
         EXPECT_NE(std::ranges::find(keys, it), keys.end()) << it;
     }
     EXPECT_FALSE(decodeSettings("{").errors.empty());
