A job that was cancelled before it was stored is never accepted

Seen: a client hands a job in at a host that is frozen, leaves, and cancels it at another host, which answers 410.

Cause: tryCancel() answered 410 from the absence of a row and stored nothing, while the submission's only condition is that the row does not exist.

Ruled out: a cancellation that the leader does not read (none was stored). A frozen host is not needed: a commit that the store performs 1 s late has the same effect in the test.

Change: the cancellation of an unknown job stores a row which keeps the submission from being accepted.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -175,6 +175,7 @@
 std::string CborJobs::encode(const jobs::JobProgress &progress) const
 {
     Json json = {{"state", static_cast<int>(progress.state)}};
+    putUnlessDefault(json, "accepted", progress.isAccepted, true);
     for (const auto &steps : progress.occurrences) {
         Json encoded = Json::array();
         for (const auto &it : steps) {
@@ -194,6 +195,7 @@
     return decodeWith(value, [](const Json &json) {
         jobs::JobProgress progress;
         progress.state = static_cast<jobs::JobState>(json.at("state").get<int>());
+        progress.isAccepted = json.value("accepted", true);
         for (const auto &steps : json.value("occurrences", Json::array())) {
             auto &decoded = progress.occurrences.emplace_back();
             for (const auto &it : steps) {
--- a/src/execution/jobrequesthandler.cpp
+++ b/src/execution/jobrequesthandler.cpp
@@ -24,6 +24,11 @@
     jobs::JobProgress progress;
 };
 
+JobStatus statusOf(const jobs::JobProgress &progress)
+{
+    return progress.isAccepted ? JobStatus{true, progress.state} : JobStatus{};
+}
+
 } // namespace
 
 struct JobRequestHandler::Private : std::enable_shared_from_this<JobRequestHandler::Private>
@@ -61,8 +66,13 @@
     {
         if (result.isOk()) {
             // A refused commit means that the rows exist, written by an earlier attempt or
-            // by an earlier request of the client to this or another host.
-            finish(*submission, SubmitResult::Accepted, result.value().isApplied ? "stored" : "already stored");
+            // by an earlier request of the client to this or another host, or that the job was
+            // cancelled before.
+            if (isCancelled(result.value().current)) {
+                finish(*submission, SubmitResult::Cancelled, "cancelled before it was accepted");
+            } else {
+                finish(*submission, SubmitResult::Accepted, result.value().isApplied ? "stored" : "already stored");
+            }
             return;
         }
         const bool isLost = result.failure().kind == ErrorKind::StoreReplyLost;
@@ -78,10 +88,26 @@
         submission->pause = std::min(submission->pause * 2, MaxRetry);
     }
 
+    // Returns whether the rows that caused a conflict show a job that was cancelled before it was accepted.
+    bool isCancelled(std::span<const ports::StoredRow> rows) const
+    {
+        return std::ranges::any_of(rows, [&](const ports::StoredRow &row) {
+            return handleFailure(
+                [&]() -> Result<bool> {
+                    BOOST_LEAF_AUTO(progress, codec.decodeProgress(row.value));
+                    return !progress.isAccepted;
+                },
+                [&](const Failure &failure) {
+                    log.record("row-unreadable", {{"key", row.name.key}, {"detail", failure.detail}});
+                    return false;
+                });
+        });
+    }
+
     void finish(Submission &submission, SubmitResult answer, std::string_view why)
     {
         submission.isAnswered = true;
-        constexpr std::string_view names[] = {"accepted", "not accepted", "invalid", "unknown"};
+        constexpr std::string_view names[] = {"accepted", "not accepted", "invalid", "cancelled", "unknown"};
         log.record("job-submitted",
                    {{"job", submission.key},
                     {"answer", names[static_cast<std::size_t>(answer)]},
@@ -157,9 +183,13 @@
                          if (!result.isOk()) {
                              reply(result.failure());
                          } else if (!result.value()) {
-                             reply(JobStatus{});
+                             // A submission may still be under way at any host. The row keeps it from
+                             // being accepted after the client was told that there is no such job.
+                             StoredProgress absent;
+                             absent.progress.isAccepted = false;
+                             self->writeCancel(key, std::move(absent), deadline, reply);
                          } else if (jobs::isFinal(result.value()->progress.state)) {
-                             reply(JobStatus{true, result.value()->progress.state});
+                             reply(statusOf(result.value()->progress));
                          } else {
                              self->writeCancel(key, *result.value(), deadline, reply);
                          }
@@ -173,16 +203,20 @@
         ports::Commit commit;
         commit.conditions.push_back({progressRow(key), stored.version});
         commit.writes.push_back({progressRow(key), codec.encode(stored.progress)});
-        commit.writes.push_back({cancelRow(key), {}});
+        if (stored.progress.isAccepted) {
+            commit.writes.push_back({cancelRow(key), {}});
+        }
+        const auto status = statusOf(stored.progress);
         store.commit(
             std::move(commit),
-            [self = shared_from_this(), key, deadline, reply](const ports::AsyncResult<ports::CommitResult> &result) {
+            [self = shared_from_this(), key, status, deadline,
+             reply](const ports::AsyncResult<ports::CommitResult> &result) {
                 if (result.isOk() && result.value().isApplied) {
-                    self->log.record("job-cancelled", {{"job", key}});
-                    reply(JobStatus{true, jobs::JobState::Cancelled});
+                    self->log.record("job-cancelled", {{"job", key}, {"isAccepted", status.isKnown ? 1 : 0}});
+                    reply(status);
                     return;
                 }
-                // The leader wrote the row concurrently, or the outcome is unknown: read again.
+                // Another host wrote the row concurrently, or the outcome is unknown: read again.
                 if (self->scheduler.now() + FirstRetry >= deadline) {
                     reply(result.isOk() ? Failure{ErrorKind::StoreConflict, jobs::jobName(key)} : result.failure());
                     return;
@@ -261,7 +295,7 @@
                         } else if (!result.value()) {
                             once(JobStatus{});
                         } else {
-                            once(JobStatus{true, result.value()->progress.state});
+                            once(statusOf(result.value()->progress));
                         }
                     });
 }
--- a/src/execution/jobrequesthandler.h
+++ b/src/execution/jobrequesthandler.h
@@ -19,6 +19,7 @@
     Accepted, // stored, by this call or an earlier one
     NotAccepted, // certainly not stored, and this call will not store it later
     Invalid, // not stored, and cannot be, as the job is too large
+    Cancelled, // not stored, and never will be, as the job was cancelled before
     Unknown, // may have been stored; the client should retry with the same key
 };
 
@@ -30,7 +31,9 @@
 
 // Serves client requests for jobs on any host. Each request is answered from the store,
 // which arbitrates between hosts. A job is accepted once despite retried, delayed or
-// lost calls: its rows are written on the condition that they do not exist.
+// lost calls: its rows are written on the condition that they do not exist. A cancellation
+// of a job that is not stored stores that it is cancelled, so that a submission which is
+// still under way is not accepted later.
 //
 // Used only on the control thread.
 class JobRequestHandler
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -113,6 +113,9 @@
         handleFailure(
             [&]() -> Result<void> {
                 BOOST_LEAF_AUTO(progress, ports.codec.decodeProgress(row.value));
+                if (!progress.isAccepted) {
+                    return {}; // there is no such job
+                }
                 progressWriter->recordVersion(*section, row.version);
                 fleet.restoreProgress(section->job, progress);
                 return {};
--- a/src/execution/rowlayout.h
+++ b/src/execution/rowlayout.h
@@ -16,7 +16,8 @@
 //                                                              host that is asked how many wait
 //   jobs      0..3   ID + "x"    when a job is cancelled       by the leader, as it changes
 //   progress  0..3   ID          by the leader, as tasks end;  by any host that is asked
-//                                by any host that cancels
+//                                by any host that cancels,
+//                                also before the submission
 //   progress  0..3   ID + "." +  by the leader, as tasks end   by a new leader
 //                    number
 //   progress  0..3   "owner"     at a claim                    as a write condition of the leader
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -105,6 +105,9 @@
 {
     JobState state = JobState::Queued;
     std::vector<std::vector<StepProgress>> occurrences; // empty until an occurrence is due or reported
+    // False for a job that was cancelled before it was accepted. It is not known to its clients, and
+    // is never accepted.
+    bool isAccepted = true;
 
     bool operator==(const JobProgress &) const = default;
 };
--- a/tests/execution/executionlooptest.cpp
+++ b/tests/execution/executionlooptest.cpp
@@ -65,6 +65,78 @@
     EXPECT_EQ(cluster.workers.startCount(), 3);
 }
 
+// Guards against a job that is accepted and runs after its cancellation was answered with "no such
+// job": its submission is still under way at a host that is paused, or the store performs it late.
+TEST(ExecutionLoop, AJobCancelledBeforeItIsStoredIsNeverAccepted)
+{
+    enum class Delay { InTheHost, InTheStore };
+    for (const auto delay : {Delay::InTheHost, Delay::InTheStore}) {
+        for (const bool isAnswerLost : {false, true}) {
+            SCOPED_TRACE(static_cast<int>(delay));
+            SCOPED_TRACE(isAnswerLost);
+            Cluster cluster;
+            cluster.scheduler.runFor(2s);
+            if (delay == Delay::InTheStore) {
+                cluster.host(0).storeFaults.rule = [](std::string_view call, TimePoint) {
+                    return call == "commit" ? std::optional(Fault{1s, false, true}) : std::nullopt;
+                };
+                cluster.submit(0, 7);
+                cluster.host(0).storeFaults.rule = nullptr;
+            }
+            if (isAnswerLost) {
+                const auto lostUntil = cluster.scheduler.now() + 50ms;
+                cluster.host(1).storeFaults.rule = [lostUntil](std::string_view call, TimePoint now) {
+                    return call == "commit" && now < lostUntil ? std::optional(Fault{2ms, false, true}) : std::nullopt;
+                };
+            }
+            std::optional<JobStatus> cancelled;
+            cluster.host(1).loop->jobRequestHandler().cancel({7}, cluster.scheduler.now() + 800ms,
+                                                             [&](const auto &result) { cancelled = result.value(); });
+            cluster.scheduler.runFor(500ms);
+            ASSERT_TRUE(cancelled);
+            EXPECT_FALSE(cancelled->isKnown);
+            if (delay == Delay::InTheHost) {
+                cluster.submit(0, 7);
+            }
+            cluster.scheduler.runFor(5s);
+            EXPECT_EQ(cluster.answers[7], SubmitResult::Cancelled);
+            EXPECT_EQ(cluster.workers.startCount(), 0);
+            EXPECT_FALSE(cluster.status(2, 7)->isKnown) << "nobody has handed the job in with success";
+
+            cluster.killHost(cluster.leader());
+            cluster.scheduler.runFor(15s);
+            const int survivor = cluster.leader();
+            ASSERT_GE(survivor, 0);
+            cluster.submit(survivor, 7);
+            cluster.scheduler.runFor(2s);
+            EXPECT_EQ(cluster.answers[7], SubmitResult::Cancelled);
+            EXPECT_EQ(cluster.workers.startCount(), 0);
+        }
+    }
+}
+
+// Guards against a cancellation that is lost to a submission which the store performs in between.
+TEST(ExecutionLoop, ACancellationThatMeetsTheSubmissionEndsTheJob)
+{
+    Cluster cluster;
+    cluster.taskModel.overrides[{7}] = {60s, false, TaskSize};
+    cluster.scheduler.runFor(2s);
+    cluster.host(1).storeFaults.rule = [](std::string_view call, TimePoint) {
+        return call == "commit" ? std::optional(Fault{100ms, false, false}) : std::nullopt;
+    };
+    std::optional<JobStatus> cancelled;
+    cluster.host(1).loop->jobRequestHandler().cancel({7}, cluster.scheduler.now() + 1s,
+                                                     [&](const auto &result) { cancelled = result.value(); });
+    cluster.scheduler.runFor(20ms);
+    cluster.submit(0, 7);
+    cluster.scheduler.runFor(3s);
+    EXPECT_EQ(cluster.answers[7], SubmitResult::Accepted);
+    ASSERT_TRUE(cancelled);
+    EXPECT_TRUE(cancelled->isKnown);
+    EXPECT_EQ(cancelled->state, jobs::JobState::Cancelled);
+    EXPECT_EQ(cluster.workers.runningCount(), 0);
+}
+
 // A host that cannot reach the store answers by the client's deadline, and immediately
 // once the store is known to be unreachable.
 TEST(ExecutionLoop, AHostWithoutTheStoreAnswersByTheDeadline)
