--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -66,6 +66,7 @@
     d->jobsReadAt.reset();
     d->delayedAt.reset();
     d->takeoverReportDueAt = now + TakeoverReportInterval;
+    d->lastingReportDueAt = now + TakeoverReportInterval;
     for (const auto &it : roster) {
         auto &worker = d->addWorker(it.worker, now);
         worker.setListed(false);
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -112,6 +112,7 @@
         d->scheduleNextVisit(*it, now);
     }
     if (!d->mayStartTasks(now) || maxStarts <= 0) {
+        d->reportLastingTasks(now);
         return orders;
     }
     d->unplaceableDemands.clear();
@@ -131,6 +132,7 @@
             break; // its turn comes before that of the work behind it
         }
     }
+    d->reportLastingTasks(now);
     d->counts.starts += orders.starts.size();
     d->counts.startsDuringTakeover += d->unreportedWorkers.empty() ? 0 : orders.starts.size();
     d->counts.paces += orders.paces.size();
@@ -270,6 +272,44 @@
                 {"formerLeasesEndInMs", toMilliseconds(formerLeasesEnd - now)}});
 }
 
+void Fleet::Private::reportLastingTasks(TimePoint now)
+{
+    if (now < lastingReportDueAt) {
+        return;
+    }
+    lastingReportDueAt = now + TakeoverReportInterval;
+    for (const auto &key : jobsToPlace) {
+        const auto *job = findJob(key);
+        if (job == nullptr || !job->job.isOpen() || !job->job.spec().isLasting()) {
+            continue;
+        }
+        std::size_t waiting = 0;
+        std::size_t delayed = 0; // after a failure
+        for (const auto &occurrence : job->job.occurrences()) {
+            for (const auto &step : occurrence.steps) {
+                const auto isWaiting = [](const jobs::Task &it) { return it.isWaiting(); };
+                const auto isDelayed = [&](const jobs::Task &it) { return it.isWaiting() && now < it.retryAt; };
+                waiting += static_cast<std::size_t>(std::ranges::count_if(step.tasks, isWaiting));
+                delayed += static_cast<std::size_t>(std::ranges::count_if(step.tasks, isDelayed));
+            }
+        }
+        if (waiting > 0) {
+            const std::string_view cause = isBlockedByTakeover(*job) ? "takeover"
+                : areStartsSuspended                                 ? "starts suspended"
+                : delayed == waiting                                 ? "failures"
+                                                                     : "no worker";
+            const auto isSchedulable = [&](const workers::Worker *it) { return it->isSchedulable(now); };
+            log.record("lasting-tasks-wait",
+                       {{"job", key},
+                        {"tasks", waiting},
+                        {"cause", cause},
+                        {"unreported", unreportedWorkers.size()},
+                        {"usableWorkers", static_cast<std::size_t>(std::ranges::count_if(workers, isSchedulable))},
+                        {"ageMs", toMilliseconds(now - job->job.acceptedAt())}});
+        }
+    }
+}
+
 std::size_t Fleet::Private::heldBackJobs() const
 {
     if (unreportedWorkers.empty()) {
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -70,7 +70,7 @@
 
 // State of Fleet, shared by its event handling (fleetlistings.cpp, fleetcrashes.cpp) and
 // planning (fleetplan.cpp).
-// Time between two log lines about a takeover that waits for workers.
+// Time between two log lines about a takeover that waits for workers, or about lasting tasks that wait.
 inline constexpr Duration TakeoverReportInterval = 2s;
 
 struct Fleet::Private
@@ -147,6 +147,8 @@
     void endFormerLeases(TimePoint now);
     // Logs what a takeover waits for, at intervals until it is complete.
     void reportTakeover(TimePoint now);
+    // Logs at intervals why lasting tasks do not run.
+    void reportLastingTasks(TimePoint now);
     // Returns the number of open jobs that wait for the workers that have not reported.
     std::size_t heldBackJobs() const;
     // Returns the workers that are still known.
@@ -186,6 +188,7 @@
     TimePoint termEnd;
     TimePoint formerLeasesEnd;
     TimePoint takeoverReportDueAt;
+    TimePoint lastingReportDueAt;
     std::set<WorkerId> unreportedWorkers; // on the former leader's roster; have not reported their runs
     std::map<std::string, jobs::QueuePolicy, std::less<>> queues;
     std::unordered_map<jobs::JobKey, std::unique_ptr<TrackedJob>> jobsByKey;
