A new leader waits for silent workers only until their leases end

Cause: a new leader starts no older job before all workers of the roster have reported, or the leases of former leaders have ended, counted from its own start. Each hand-over began that wait again, though the former leader had not heard of these workers either.

Change: the leader's row names the workers that it does not hear, with the time within which their leases end. A successor waits for each only that long. While the stored row may name a worker, no lease is extended and nothing is started there; a row without it is written at once when it answers.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -227,6 +227,10 @@
                           {"incarnation", row.former->incarnation},
                           {"fence", row.former->fence.value}};
     }
+    for (const auto &it : row.silentWorkers) {
+        json["silent"].push_back(
+            Json::array({it.worker.text(), std::chrono::ceil<std::chrono::milliseconds>(it.leasesEndIn).count()}));
+    }
     return writeCbor(json);
 }
 
@@ -248,6 +252,10 @@
                           former->at("incarnation").get<std::uint64_t>(),
                           {former->at("fence").get<std::uint64_t>()}};
         }
+        for (const auto &it : json.value("silent", Json::array())) {
+            row.silentWorkers.push_back(
+                {WorkerId(it.at(0).get<std::string>()), std::chrono::milliseconds(it.at(1).get<std::int64_t>())});
+        }
         return row;
     });
 }
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -29,6 +29,10 @@
 // Weight of the newest tick in the moving average.
 constexpr double LagSmoothing = 0.3;
 
+// A worker is named in the leader's row once it has been silent for this time. When it answers again,
+// its leases cannot be extended before a later row is stored, and the store may be away by then.
+constexpr Duration MinSilence = 1s;
+
 // Backoff after the end of a term was not stored; doubles up to the maximum.
 constexpr Duration FirstReportRetry = 150ms;
 constexpr Duration MaxReportRetry = 1s;
@@ -191,11 +195,21 @@
         ports.log.record("leadership-handed-over", {{"fence", termFence.value}, {"lagMs", toMilliseconds(lag)}});
         lag = Duration(0);
         if (auto write = leadership.release()) {
-            write->row.waiting = waitingCounts();
+            fillRow(write->row);
             writeLeader(*write);
         }
     }
 
+    // Sets what the term knows in a row that is about to be written.
+    void fillRow(membership::LeaderRow &row)
+    {
+        row.waiting = waitingCounts();
+        if (term) {
+            const bool isReleased = row.host.isEmpty();
+            row.silentWorkers = term->takeSilentWorkers(ports.scheduler.now(), isReleased ? Duration(0) : MinSilence);
+        }
+    }
+
     membership::WaitingCounts waitingCounts() const
     {
         const auto now = ports.scheduler.now();
@@ -236,8 +250,8 @@
         if (isStopping || !configuration) {
             return; // without a configuration this host could not place any task
         }
-        if (auto write = leadership.dueWrite(claimDelay(), now)) {
-            write->row.waiting = waitingCounts();
+        if (auto write = leadership.dueWrite(claimDelay(), now, term && term->awaitsRowRenewal())) {
+            fillRow(write->row);
             write->row.bestShare = std::max(write->row.bestShare, options.processorShare);
             writeLeader(*write);
         }
@@ -343,6 +357,9 @@
                 }
                 if (result.isOk() && result.value().isApplied) {
                     self->leadership.noteWritten(write, result.value().version, sentAt, now);
+                    if (self->term && !write.isClaim) {
+                        self->term->markSilentWorkersStored();
+                    }
                 } else {
                     self->leadership.noteFailed(now);
                     if (result.isOk()) {
@@ -357,8 +374,8 @@
     {
         termFence = leadership.fence();
         termBeganAt = ports.scheduler.now();
-        LeaderTermStart start{termFence, leadership.claimVersion(), claimedRoster, queues(),
-                              leadership.formersDecideUntil()};
+        LeaderTermStart start{termFence, leadership.claimVersion(),       claimedRoster,
+                              queues(),  leadership.formersDecideUntil(), leadership.silentWorkers(termBeganAt)};
         ports.log.record(
             "leadership-won",
             {{"fence", termFence.value}, {"claimVersion", start.claimVersion}, {"rosterRows", start.roster.size()}});
@@ -431,7 +448,7 @@
     d->isStopping = true;
     auto write = d->leadership.release();
     if (write) {
-        write->row.waiting = d->waitingCounts();
+        d->fillRow(write->row);
     }
     d->term.reset();
     if (!write) {
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -13,6 +13,9 @@
 // Bounds the age that is computed for a job when the clocks of hosts differ.
 constexpr Duration MaxJobAge = 120s;
 
+// Every host reads the row.
+constexpr std::size_t MaxSilentWorkers = 64;
+
 TimePoint acceptedAtOf(const AcceptedJob &job, TimePoint now, jobs::WallTime wall)
 {
     const Duration age = std::chrono::duration_cast<Duration>(wall - job.acceptedAt);
@@ -40,7 +43,7 @@
 Fleet::~Fleet() = default;
 
 void Fleet::beginTerm(Epoch fence, std::uint64_t claimVersion, std::span<const RosterEntry> roster,
-                      TimePoint formerLeasesEnd, TimePoint now)
+                      TimePoint formerLeasesEnd, TimePoint now, std::span<const membership::SilentWorker> silentWorkers)
 {
     d->fence = fence;
     d->termBeganAt = now;
@@ -67,6 +70,13 @@
     d->delayedAt.reset();
     d->takeoverReportDueAt = now + TakeoverReportInterval;
     d->lastingReportDueAt = now + TakeoverReportInterval;
+    d->formerLeaseEnds.clear();
+    d->namedSilent.clear();
+    d->takenSilent.clear();
+    for (const auto &it : silentWorkers) {
+        d->formerLeaseEnds[it.worker] = now + it.leasesEndIn;
+        d->namedSilent.insert(it.worker);
+    }
     for (const auto &it : roster) {
         auto &worker = d->addWorker(it.worker, now);
         worker.setListed(false);
@@ -82,6 +92,7 @@
     d->log.record("takeover-begun",
                   {{"fence", fence.value},
                    {"workers", roster.size()},
+                   {"silentWorkers", silentWorkers.size()},
                    {"closedWorkers", closed},
                    {"formerLeasesEndInMs", toMilliseconds(formerLeasesEnd - now)}});
 }
@@ -95,6 +106,55 @@
     }
 }
 
+std::vector<membership::SilentWorker> Fleet::takeSilentWorkers(TimePoint now, Duration minSilence)
+{
+    std::vector<membership::SilentWorker> silent;
+    d->takenSilent.clear();
+    for (const auto *it : d->workers) {
+        if (silent.size() == MaxSilentWorkers) {
+            break;
+        }
+        const auto &id = it->entry().id;
+        if (!it->isSilent() || (now - it->heardUntil(now) < minSilence && !d->namedSilent.contains(id))) {
+            continue;
+        }
+        const auto formerEnd = d->unreportedWorkers.contains(id) ? d->formerLeasesEndOn(id) : now;
+        const auto end = std::max(formerEnd, now + it->leaseRemaining(now));
+        silent.push_back({id, std::max(end - now, Duration(0))});
+        d->takenSilent.insert(id);
+    }
+    // The write may be carried out even if it is reported as failed.
+    auto named = d->namedSilent;
+    named.insert(d->takenSilent.begin(), d->takenSilent.end());
+    d->setNamedSilent(std::move(named));
+    return silent;
+}
+
+void Fleet::markSilentWorkersStored()
+{
+    d->setNamedSilent(d->takenSilent);
+}
+
+bool Fleet::awaitsRowRenewal() const
+{
+    return std::ranges::any_of(d->namedSilent, [&](const WorkerId &id) {
+        const auto *worker = d->findWorker(id);
+        return worker != nullptr && worker->isConfirmed() && !worker->isSilent();
+    });
+}
+
+void Fleet::Private::setNamedSilent(std::set<WorkerId> named)
+{
+    namedSilent = std::move(named);
+    for (auto *it : workers) {
+        const bool isNamed = namedSilent.contains(it->entry().id);
+        if (it->isNamedSilent() != isNamed) {
+            it->setNamedSilent(isNamed);
+            changedWorkers.insert(it);
+        }
+    }
+}
+
 Epoch Fleet::fence() const
 {
     return d->fence;
@@ -112,7 +172,10 @@
 
 TimePoint Fleet::leasesEnd(TimePoint now) const
 {
-    auto end = d->unreportedWorkers.empty() ? now : std::max(now, d->formerLeasesEnd);
+    auto end = now;
+    for (const auto &it : d->unreportedWorkers) {
+        end = std::max(end, d->formerLeasesEndOn(it));
+    }
     for (const auto *it : d->workers) {
         end = std::max(end, now + it->leaseRemaining(now));
     }
@@ -160,6 +223,7 @@
     const auto idOf = [](const workers::Worker *it) -> const WorkerId & { return it->entry().id; };
     workers.insert(std::ranges::lower_bound(workers, entry.id, {}, idOf), worker.get());
     changedWorkers.insert(worker.get());
+    worker->setNamedSilent(namedSilent.contains(entry.id));
     isRosterChanged = true;
     return *worker;
 }
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -4,6 +4,7 @@
 #include "execution/orders.h"
 #include "jobs/job.h"
 #include "jobs/queuepolicy.h"
+#include "membership/leadership.h"
 #include "metrics/latencyhistogram.h"
 #include "ports/workerlink.h"
 #include "scheduling/interferencemodel.h"
@@ -85,6 +86,8 @@
 //    before every worker on which it may run has reported its runs or its lease has expired,
 //  - no task is started of a job whose accepting host knew of a later leader, which may
 //    start it without waiting for this one,
+//  - no lease is extended and nothing is started on a worker that the stored row of the leader may
+//    name as silent: a successor waits there only as long as the row says,
 //  - the end of a run is acknowledged only after its job was read and its effects were stored.
 //
 // Not thread-safe: owned by the control thread.
@@ -100,8 +103,10 @@
     // `claimVersion`. Jobs with a lower knownFence may be running on the workers of `roster`,
     // which the former leader stored; the leases of these runs expire at `formerLeasesEnd`
     // at the latest.
+    // Those on the workers that the claimed row names as silent end as the row says.
     void beginTerm(Epoch fence, std::uint64_t claimVersion, std::span<const RosterEntry> roster,
-                   TimePoint formerLeasesEnd, TimePoint now);
+                   TimePoint formerLeasesEnd, TimePoint now,
+                   std::span<const membership::SilentWorker> silentWorkers = {});
     // Records that the leadership was renewed by a write that was sent at `sentAt`, and lasts
     // until `termEnd`, when all leases must have ended. After `sentAt`, a successor may have
     // claimed it and extended leases.
@@ -111,6 +116,14 @@
     TimePoint formerLeasesEnd() const;
     // Records that they end earlier. Never extends them.
     void shortenFormerLeases(TimePoint end);
+    // Returns the workers to name as silent in the leader's row, which is about to be written: those
+    // that have not answered for `minSilence`. A successor waits for each of them only until its
+    // leases have ended.
+    std::vector<membership::SilentWorker> takeSilentWorkers(TimePoint now, Duration minSilence);
+    // Records that the row with the workers taken last was stored.
+    void markSilentWorkersStored();
+    // Returns whether a worker that answers waits for a row that does not name it.
+    bool awaitsRowRenewal() const;
     // Returns until when a worker may keep or accept anything that this leader or a former one has
     // ordered, if this leader orders nothing any more.
     TimePoint leasesEnd(TimePoint now) const;
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -19,6 +19,8 @@
 constexpr double NearTargetRatio = 0.7;
 // The leases of a draining worker are short, and its progress decides which tasks are moved.
 constexpr Duration DrainingWait = 500ms;
+// The leases of a worker that the leader's row names as silent are extended once a later row is stored.
+constexpr Duration NamedSilentWait = 100ms;
 // Near the end of the term, a renewal waits for this part of the remaining time at most: the
 // next one must reach the worker before its lease ends if the term is extended.
 constexpr int RenewalsPerTermEnd = 4;
@@ -62,7 +64,7 @@
         return order;
     }
     order.startTimeMs = worker->isSilent() ? 0 : worker->startTimeMs();
-    if (!worker->isSilent()) {
+    if (!worker->isSilent() && !worker->isNamedSilent()) {
         // The worker may carry out an order without its answer arriving. While it is
         // silent, no order may extend the lease that has to expire.
         order.deadline = worker->nextDeadline(now, d->termEnd);
@@ -72,7 +74,8 @@
         order.acknowledgedEnd = worker->acknowledgedEnd();
     }
     if (worker->isConfirmed() && !worker->isSilent()) {
-        order.wait = std::min(listingWait(*worker), (d->termEnd - now) / RenewalsPerTermEnd);
+        const auto wait = worker->isNamedSilent() ? NamedSilentWait : listingWait(*worker);
+        order.wait = std::min(wait, (d->termEnd - now) / RenewalsPerTermEnd);
     }
     return order;
 }
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -233,12 +233,15 @@
 
 void Fleet::Private::endFormerLeases(TimePoint now)
 {
-    const auto certain = soleLeaderTime(now);
-    if (unreportedWorkers.empty() || certain < formerLeasesEnd) {
+    if (unreportedWorkers.empty()) {
         return;
     }
+    const auto certain = soleLeaderTime(now);
     // A worker that answers has a lease of this leader; its list of ends is cut.
     const auto unheard = std::erase_if(unreportedWorkers, [&](const WorkerId &id) {
+        if (certain < formerLeasesEndOn(id)) {
+            return false;
+        }
         auto *worker = findWorker(id);
         const bool isUnheard
             = worker == nullptr || !worker->isConfirmed() || (worker->isSilent() && worker->hasLapsed(certain));
@@ -255,6 +258,12 @@
     }
 }
 
+TimePoint Fleet::Private::formerLeasesEndOn(const WorkerId &worker) const
+{
+    const auto it = formerLeaseEnds.find(worker);
+    return it == formerLeaseEnds.end() ? formerLeasesEnd : std::min(formerLeasesEnd, it->second);
+}
+
 void Fleet::Private::reportTakeover(TimePoint now)
 {
     if (unreportedWorkers.empty() || now < takeoverReportDueAt) {
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -145,6 +145,9 @@
     // a run counts as stuck.
     void scheduleNextVisit(workers::Worker &worker, TimePoint now);
     void endFormerLeases(TimePoint now);
+    // Returns until when leases of former leaders may last on the worker.
+    TimePoint formerLeasesEndOn(const WorkerId &worker) const;
+    void setNamedSilent(std::set<WorkerId> named);
     // Logs what a takeover waits for, at intervals until it is complete.
     void reportTakeover(TimePoint now);
     // Logs at intervals why lasting tasks do not run.
@@ -190,6 +193,9 @@
     TimePoint takeoverReportDueAt;
     TimePoint lastingReportDueAt;
     std::set<WorkerId> unreportedWorkers; // on the former leader's roster; have not reported their runs
+    std::map<WorkerId, TimePoint> formerLeaseEnds; // on workers that the claimed row names as silent
+    std::set<WorkerId> namedSilent; // workers that the stored row may name as silent
+    std::set<WorkerId> takenSilent; // those of the row that was taken last
     std::map<std::string, jobs::QueuePolicy, std::less<>> queues;
     std::unordered_map<jobs::JobKey, std::unique_ptr<TrackedJob>> jobsByKey;
     std::unordered_set<jobs::JobKey> readJobs; // in this term, including those that were dropped
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -53,7 +53,8 @@
         // A leader that has stopped may have granted a lease just before the claim. The leases of
         // one that has not end with its right to decide.
         const auto formerLeasesEnd = std::max(now + LongestLease, start.formersDecideUntil) + FormerLeaseSlack;
-        fleet.beginTerm(start.fence, start.claimVersion, rosterWriter->entries(), formerLeasesEnd, now);
+        fleet.beginTerm(start.fence, start.claimVersion, rosterWriter->entries(), formerLeasesEnd, now,
+                        start.silentWorkers);
         fleet.setQueues(start.queues);
         interferencePersister.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
         progressWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion,
@@ -332,6 +333,22 @@
     }
 }
 
+std::vector<membership::SilentWorker> LeaderTerm::takeSilentWorkers(TimePoint now, Duration minSilence)
+{
+    return d->fleet.takeSilentWorkers(now, minSilence);
+}
+
+void LeaderTerm::markSilentWorkersStored()
+{
+    d->fleet.markSilentWorkersStored();
+    d->requestPlan();
+}
+
+bool LeaderTerm::awaitsRowRenewal() const
+{
+    return d->fleet.awaitsRowRenewal();
+}
+
 TimePoint LeaderTerm::leasesEnd() const
 {
     return d->fleet.leasesEnd(d->ports.scheduler.now());
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -37,6 +37,7 @@
     std::vector<ports::StoredRow> roster; // as stored by the former leader
     std::vector<jobs::QueuePolicy> queues;
     TimePoint formersDecideUntil; // see membership::Leadership
+    std::vector<membership::SilentWorker> silentWorkers; // of the claimed row, from the term's begin
 };
 
 // How busy a leader is.
@@ -72,6 +73,10 @@
     // Records that the former leader has reported its end and that the leases of all leaders before
     // this one end at `time`.
     void noteFormersEnd(TimePoint time);
+    // See Fleet.
+    std::vector<membership::SilentWorker> takeSilentWorkers(TimePoint now, Duration minSilence);
+    void markSilentWorkersStored();
+    bool awaitsRowRenewal() const;
     // Returns when all leases of this and former leaders have ended if the term ends now.
     TimePoint leasesEnd() const;
     // Returns the number of jobs per queue that have not started; complete only once
--- a/src/execution/rowlayout.h
+++ b/src/execution/rowlayout.h
@@ -21,7 +21,8 @@
 //   progress  0..3   ID + "." +  by the leader, as tasks end   by a new leader
 //                    number
 //   progress  0..3   "owner"     at a claim                    as a write condition of the leader
-//   leader    ""     "leader"    at a claim and each renewal   by all hosts, as it changes
+//   leader    ""     "leader"    at a claim, each renewal and  by all hosts, as it changes
+//                                when a silent worker answers
 //   leader    ""     "ended/" +  when a host learns that its    by all hosts, as it changes
 //                    host        term was replaced
 //   roster    ""     "owner"     at a claim                    as a write condition of the leader
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -92,19 +92,20 @@
     m_contactAt = now;
 }
 
-std::optional<Leadership::Write> Leadership::dueWrite(Duration delay, TimePoint now)
+std::optional<Leadership::Write> Leadership::dueWrite(Duration delay, TimePoint now, bool isUrgent)
 {
     if (!m_isRead || m_isWriting || now < m_retryAt) {
         return std::nullopt;
     }
     if (m_isLeader) {
-        if (now - m_renewedAt < RenewInterval) {
+        if (now - m_renewedAt < (isUrgent ? UrgentRenewInterval : RenewInterval)) {
             return std::nullopt;
         }
         Write write{m_version, *m_row, false};
         ++write.row.beat;
         write.row.waiting = waitingCounts(now);
         write.row.formersDecideFor = formersDecideFor(now);
+        write.row.silentWorkers = silentWorkers(now);
         m_isWriting = true;
         return write;
     }
@@ -130,6 +131,7 @@
     write.row.bestShare = m_row ? m_row->bestShare : 0;
     write.row.waiting = waitingCounts(now);
     write.row.formersDecideFor = formersDecideFor(now);
+    write.row.silentWorkers = silentWorkers(now);
     if (!isFree && !isOwnEarlierRun) {
         write.row.former = m_former;
     }
@@ -223,6 +225,16 @@
     return m_isLeader && now < decidesUntil();
 }
 
+std::vector<SilentWorker> Leadership::silentWorkers(TimePoint now) const
+{
+    auto workers = m_row ? m_row->silentWorkers : std::vector<SilentWorker>();
+    for (auto &it : workers) {
+        // The row was written before `m_changedAt`.
+        it.leasesEndIn = std::max(m_changedAt + stretched(it.leasesEndIn) - now, Duration(0));
+    }
+    return workers;
+}
+
 WaitingCounts Leadership::waitingCounts(TimePoint now) const
 {
     if (!m_row) {
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace monsoonspool::membership {
 
@@ -27,6 +28,14 @@
     Epoch fence;
 };
 
+// A worker that the leader does not reach, with a bound on the leases that any leader has granted
+// there. The leader extends none and starts nothing there until a row without this entry is stored.
+struct SilentWorker
+{
+    WorkerId worker;
+    Duration leasesEndIn{0}; // from the writing of the row
+};
+
 // The table row that names the leader, the host that schedules. Only the leader and
 // hosts that claim leadership write it.
 struct LeaderRow
@@ -39,6 +48,7 @@
     WaitingCounts waiting;
     Duration formersDecideFor{0}; // from the writing of this row: how long earlier leaders may still decide
     std::optional<FormerLeader> former; // replaced by this row's claim; none if it had stopped
+    std::vector<SilentWorker> silentWorkers;
 };
 
 // A term that has certainly ended: nothing is ordered under its fence any more.
@@ -52,6 +62,8 @@
 // usually restarts in less than a second and then claims at once.
 constexpr Duration LeaderStaleAfter = 2200ms;
 constexpr Duration RenewInterval = 800ms;
+// The same while a worker waits for the row to be renewed.
+constexpr Duration UrgentRenewInterval = 200ms;
 // How long a leader that cannot reach the store keeps deciding from its state in
 // memory. A successor waits as long for workers that it cannot reach.
 constexpr Duration StoreOutageGracePeriod = 12s;
@@ -92,8 +104,9 @@
     void noteStoreContact(TimePoint now);
 
     // Returns the claim or renewal to write now, if any. Claims wait for `delay`, see
-    // claimDelay(); a row that names an earlier run of this host is claimed at once.
-    std::optional<Write> dueWrite(Duration delay, TimePoint now);
+    // claimDelay(); a row that names an earlier run of this host is claimed at once. A renewal is
+    // due earlier if it `isUrgent`.
+    std::optional<Write> dueWrite(Duration delay, TimePoint now, bool isUrgent = false);
     // Gives up leadership. Returns the write that releases the row, if this host leads.
     std::optional<Write> release();
     // Gives up leadership without a write: another host has a higher fencing token.
@@ -148,6 +161,9 @@
     {
         return m_row;
     }
+    // Returns the silent workers of the row as last read or written, with a bound on their leases
+    // from `now`.
+    std::vector<SilentWorker> silentWorkers(TimePoint now) const;
     // Returns the counts of the row as last read or written, with their age at `now`.
     WaitingCounts waitingCounts(TimePoint now) const;
     std::uint64_t claimVersion() const
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -300,6 +300,16 @@
     {
         return m_isSilent;
     }
+    // Sets whether the stored row of the leader may name the worker as silent. Until it does not,
+    // no lease is extended and nothing is started on the worker.
+    void setNamedSilent(bool isNamedSilent)
+    {
+        m_isNamedSilent = isNamedSilent;
+    }
+    bool isNamedSilent() const
+    {
+        return m_isNamedSilent;
+    }
     // Returns when the worker stopped answering; `now` if it answers.
     TimePoint heardUntil(TimePoint now) const
     {
@@ -382,6 +392,7 @@
     std::int64_t m_acknowledgedEnd = 0;
     std::set<std::int64_t> m_heldEnds;
     TimePoint m_silentSince;
+    bool m_isNamedSilent = false;
     TimePoint m_observedAt;
     std::optional<TimePoint> m_visitAt;
     TimePoint m_unschedulableUntil;
--- a/tests/execution/takeovertest.cpp
+++ b/tests/execution/takeovertest.cpp
@@ -353,7 +353,7 @@
 class LostWorkerCluster : public SplitCluster
 {
 public:
-    void loseWorkerAndLeader()
+    void startJob()
     {
         taskModel.overrides[{7}] = {60s, false, TaskSize};
         workers.setObserver([this](std::string_view event, const WorkerId &worker, const auto &, auto, auto) {
@@ -365,16 +365,24 @@
         former = leader();
         submit(former, 7);
         scheduler.runFor(2s);
+    }
+    void loseWorker()
+    {
+        startJob();
         workers.crash(lost, true);
+    }
+    void loseWorkerAndLeader()
+    {
+        loseWorker();
         scheduler.runFor(100ms);
         host(former).storeFaults.isCut = true;
     }
 
-    // Returns for how long after now some task does not run.
-    Duration timeUntilAllRun()
+    // Returns for how long after now some task does not run; `limit` at most.
+    Duration timeUntilAllRun(Duration limit = 30s)
     {
         const auto since = scheduler.now();
-        while (workers.runningCount() < 3 && scheduler.now() - since < 30s) {
+        while (workers.runningCount() < 3 && scheduler.now() - since < limit) {
             scheduler.runFor(10ms);
         }
         return scheduler.now() - since;
@@ -431,6 +439,177 @@
     }
 }
 
+// Guards against jobs that wait again after each hand-over for workers that are long gone: no leader
+// told the next one that it had not heard of them either, and until when their leases lasted.
+TEST(Takeover, WorkersThatAreGoneHoldBackNoJobsAgainAfterFurtherHandovers)
+{
+    constexpr Duration termLength = 4s;
+    // The lease by the slowest clock, its margin, and a renewal of the row and a plan.
+    constexpr Duration maxWait = 8s;
+    for (const bool isKilled : {false, true}) {
+        SCOPED_TRACE(isKilled ? "killed" : "stopped");
+        LostWorkerCluster cluster;
+        cluster.loseWorker();
+        Duration wait{0};
+        for (int n = 0; n < 4 && cluster.workers.runningCount() < 3; ++n) {
+            wait += cluster.timeUntilAllRun(termLength);
+            const int leader = cluster.leader();
+            ASSERT_GE(leader, 0);
+            if (!isKilled) {
+                cluster.host(leader).loop->stop([] {});
+                cluster.scheduler.runFor(50ms);
+            }
+            cluster.killHost(leader);
+            cluster.startHost(leader);
+        }
+        EXPECT_EQ(cluster.workers.runningCount(), 3);
+        EXPECT_LT(wait, maxWait);
+        EXPECT_EQ(violationsOf(cluster), "");
+    }
+}
+
+// Guards against a task that runs twice: a worker that the leaders do not reach for a while goes on,
+// and answers one of them again shortly before or after its leases end.
+TEST(Takeover, AWorkerThatAnswersAgainAfterAHandoverRunsNoTaskTwice)
+{
+    for (const Duration silence :
+         {Duration(1500ms), Duration(3s), Duration(5s), Duration(6s), Duration(7s), Duration(9s)}) {
+        for (const Duration untilHandover : {Duration(200ms), Duration(1300ms), Duration(2500ms), Duration(4s)}) {
+            for (const Duration untilNext : {Duration(500ms), Duration(2s)}) {
+                SCOPED_TRACE(std::to_string(toMilliseconds(silence)) + " ms, hand-over after "
+                             + std::to_string(toMilliseconds(untilHandover)) + " ms and "
+                             + std::to_string(toMilliseconds(untilNext)) + " ms");
+                LostWorkerCluster cluster;
+                cluster.startJob();
+                cluster.workers.setDisconnected(cluster.lost, true);
+                cluster.scheduler.runAfter(silence, [&] { cluster.workers.setDisconnected(cluster.lost, false); });
+                for (const auto delay : {untilHandover, untilNext}) {
+                    cluster.scheduler.runFor(delay);
+                    if (const int leader = cluster.leader(); leader >= 0) {
+                        cluster.host(leader).loop->stop([] {});
+                        cluster.scheduler.runFor(50ms);
+                        cluster.killHost(leader);
+                        cluster.startHost(leader);
+                    }
+                }
+                cluster.scheduler.runFor(20s);
+                EXPECT_EQ(cluster.workers.runningCount(), 3);
+                EXPECT_EQ(violationsOf(cluster), "");
+            }
+        }
+    }
+}
+
+// What the row promises a successor: no lease is extended and nothing starts on a worker that the stored
+// row may name as silent, until one that does not is stored.
+TEST(Takeover, AWorkerThatTheRowNamesAsSilentGetsNoLease)
+{
+    constexpr TimePoint start{1h};
+    constexpr Duration minSilence = 1s;
+    std::vector<RosterEntry> roster(1);
+    auto &worker = roster.front().worker;
+    worker.id = WorkerId("w0");
+    worker.service = Service;
+    worker.capacity = {16000, 32000, 0};
+    worker.startTimeMs = 1;
+    NullLog log;
+    Fleet fleet(log);
+    auto now = start;
+    const auto answer = [&] {
+        WorkerListing listing;
+        listing.clock = 1000 + toMilliseconds(now - start);
+        listing.startTimeMs = 1;
+        fleet.applyListing(worker.id, listing, now, now);
+    };
+    fleet.beginTerm({5}, 10, roster, start + 7s, start);
+    fleet.updateWorker(worker, now);
+    EXPECT_TRUE(fleet.takeSilentWorkers(now, minSilence).empty());
+    answer();
+    fleet.markSilentWorkersStored();
+    EXPECT_GT(fleet.leaseOrder(worker.id, now).deadline, 0);
+
+    now += 100ms;
+    fleet.markSilent(worker.id, now);
+    EXPECT_TRUE(fleet.takeSilentWorkers(now + 900ms, minSilence).empty());
+    EXPECT_EQ(fleet.takeSilentWorkers(now + 900ms, Duration(0)).size(), 1U) << "a row that releases the leadership";
+    now += 1s;
+    const auto silent = fleet.takeSilentWorkers(now, minSilence);
+    ASSERT_EQ(silent.size(), 1U);
+    EXPECT_EQ(silent.front().worker, worker.id);
+    EXPECT_EQ(silent.front().leasesEndIn, fleet.leasesEnd(now) - now);
+
+    AcceptedJob job;
+    job.key = {7};
+    job.policy.service = Service;
+    job.spec.steps.resize(1);
+    job.spec.steps[0].needs = TaskSize;
+    job.knownFence = {5};
+    fleet.addJob(job, now, {});
+    answer();
+    EXPECT_TRUE(fleet.awaitsRowRenewal());
+    EXPECT_EQ(fleet.leaseOrder(worker.id, now).deadline, 0) << "the write may be carried out although it failed";
+    EXPECT_TRUE(fleet.plan(now, {}).starts.empty());
+    fleet.markSilentWorkersStored();
+    EXPECT_EQ(fleet.leaseOrder(worker.id, now).deadline, 0) << "the stored row names it";
+    EXPECT_TRUE(fleet.takeSilentWorkers(now, minSilence).empty());
+    EXPECT_EQ(fleet.leaseOrder(worker.id, now).deadline, 0) << "the new row is not stored yet";
+    fleet.removeWorker(worker.id, now);
+    fleet.updateWorker(worker, now);
+    answer();
+    EXPECT_EQ(fleet.leaseOrder(worker.id, now).deadline, 0) << "it has left and joined again";
+    fleet.markSilentWorkersStored();
+    EXPECT_FALSE(fleet.awaitsRowRenewal());
+    EXPECT_GT(fleet.leaseOrder(worker.id, now).deadline, 0);
+}
+
+// A new leader waits for each worker as long as the row says, and names those that it does not reach
+// either with the rest of that time.
+TEST(Takeover, WaitsForASilentWorkerAsLongAsTheRowSays)
+{
+    constexpr TimePoint start{1h};
+    std::vector<RosterEntry> roster(3);
+    NullLog log;
+    Fleet fleet(log);
+    for (std::size_t n = 0; n < roster.size(); ++n) {
+        roster[n].worker.id = WorkerId("w" + std::to_string(n));
+        roster[n].worker.service = Service;
+        roster[n].worker.capacity = {16000, 32000, 0};
+        roster[n].worker.startTimeMs = 1;
+    }
+    fleet.beginTerm({5}, 10, roster, start + 7s, start,
+                    std::vector<membership::SilentWorker>{{roster[0].worker.id, Duration(2s)},
+                                                          {roster[1].worker.id, Duration(9s)}});
+    AcceptedJob job;
+    job.key = {7};
+    job.policy.service = Service;
+    job.spec.steps.resize(1);
+    job.spec.steps[0].needs = TaskSize;
+    fleet.addJob(job, start, {});
+    WorkerListing listing;
+    listing.clock = 1000;
+    listing.startTimeMs = 1;
+    for (const auto &it : roster) {
+        fleet.updateWorker(it.worker, start);
+    }
+    fleet.applyListing(roster[2].worker.id, listing, start, start);
+    for (const int n : {0, 1}) {
+        fleet.markSilent(roster[static_cast<std::size_t>(n)].worker.id, start);
+    }
+    const auto silent = fleet.takeSilentWorkers(start + 1s, 1s);
+    ASSERT_EQ(silent.size(), 2U);
+    EXPECT_EQ(silent[0].leasesEndIn, Duration(1s));
+    EXPECT_EQ(silent[1].leasesEndIn, Duration(6s)) << "no later than all leases of former leaders";
+    fleet.plan(start + 1999ms, {});
+    EXPECT_EQ(fleet.fullCounts().unreportedWorkers, 2U);
+    fleet.plan(start + 2s, {});
+    EXPECT_EQ(fleet.fullCounts().unreportedWorkers, 1U);
+    EXPECT_EQ(fleet.takeSilentWorkers(start + 3s, 1s)[0].leasesEndIn, Duration(0));
+    fleet.plan(start + 6999ms, {});
+    EXPECT_EQ(fleet.fullCounts().unreportedWorkers, 1U);
+    fleet.plan(start + 7s, {});
+    EXPECT_EQ(fleet.fullCounts().unreportedWorkers, 0U);
+}
+
 // A leader that has not reported its end may still renew the leases of a worker that its successor
 // does not reach.
 TEST(Takeover, OnlyTheReportOfTheLeaderThatWasReplacedShortensTheWait)
--- a/tests/membership/leadershiptest.cpp
+++ b/tests/membership/leadershiptest.cpp
@@ -162,6 +162,29 @@
 }
 
 // A claimant waits for the leases of every leader that may still decide, and no longer.
+// Guards against a successor that takes leases on silent workers as over too early: the time counts from
+// its own reading of the row, by a clock that may be faster than the one by which it was measured.
+TEST(Leadership, CountsTheLeasesOfSilentWorkersFromItsReadingOfTheRow)
+{
+    const WorkerId worker("w");
+    auto row = rowOf(EntryHostId(), 1, 4);
+    row.silentWorkers = {{worker, 5s}};
+    Leadership a(A, 2, Start);
+    a.noteRow(row, 9, Start);
+    EXPECT_EQ(a.silentWorkers(Start + 100ms).front().leasesEndIn, Duration(5s)); // 5.1 s at most
+    const auto claim = a.dueWrite(0ms, Start + 1s);
+    ASSERT_TRUE(claim);
+    ASSERT_EQ(claim->row.silentWorkers.size(), 1U);
+    EXPECT_EQ(claim->row.silentWorkers.front().worker, worker);
+    EXPECT_EQ(claim->row.silentWorkers.front().leasesEndIn, Duration(4100ms));
+    a.noteWritten(*claim, 10, Start + 1s, Start + 2s);
+    EXPECT_GE(a.silentWorkers(Start + 2s).front().leasesEndIn, Duration(4100ms));
+    EXPECT_EQ(a.silentWorkers(Start + 10s).front().leasesEndIn, Duration(0));
+    EXPECT_FALSE(a.dueWrite(0ms, Start + 1s + UrgentRenewInterval - 1ms, true));
+    EXPECT_FALSE(a.dueWrite(0ms, Start + 1s + UrgentRenewInterval, false));
+    EXPECT_TRUE(a.dueWrite(0ms, Start + 1s + UrgentRenewInterval, true));
+}
+
 TEST(Leadership, KnowsHowLongFormerLeadersMayDecide)
 {
     const auto full = StoreOutageGracePeriod + StoreOutageGracePeriod / 50; // by a clock that is 2% slow
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -322,6 +322,11 @@
     EXPECT_EQ(former->host, EntryHostId("g"));
     EXPECT_EQ(former->incarnation, 5U);
     EXPECT_EQ(former->fence, Epoch{2});
+    row.silentWorkers = {{WorkerId("w"), 1500us}};
+    const auto silent = valueOf([&] { return rows.decodeLeader(rows.encode(row)); }).silentWorkers;
+    ASSERT_EQ(silent.size(), 1U);
+    EXPECT_EQ(silent.front().worker, WorkerId("w"));
+    EXPECT_EQ(silent.front().leasesEndIn, 2ms) << "rounded up";
     const auto older = codec::writeCbor({{"host", "h"},
                                          {"incarnation", 1},
                                          {"fence", 3},
@@ -332,6 +337,7 @@
     EXPECT_EQ(decoded.fence, Epoch{3});
     EXPECT_EQ(decoded.formersDecideFor, Duration(0));
     EXPECT_FALSE(decoded.former);
+    EXPECT_TRUE(decoded.silentWorkers.empty());
 }
 
 TEST(CborJobs, RoundsTheEndOfLeasesUp)
@@ -375,7 +381,8 @@
     for (const auto &it : invalid.errors) {
         keys.push_back(it.key);
     }
-    for (const auto *it : {"name", "region", "storeAddress", "storeRowBytes", "processorShare", "logLinesPerSecond", "colour"}) {
+    for (const auto *it :
+         {"name", "region", "storeAddress", "storeRowBytes", "processorShare", "logLinesPerSecond", "colour"}) {
         EXPECT_NE(std::ranges::find(keys, it), keys.end()) << it;
     }
     EXPECT_FALSE(decodeSettings("{").errors.empty());
