A new leader orders a pace for the leftover work that it adopts

Cause: adoptRun() left the pace of an adopted run at its default, 100%. The former leader may have set it to 0. The new leader then ordered no pace, since the run already had the wanted one in its view, so the run stood still for good and counted as stuck.

Change: the pace of an adopted run on leftover cores is unknown, as after a pace order without an answer. The next plan orders one, the run counts as stuck only from then on, and until then it reserves its full cores.

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -24,7 +24,7 @@
 // Near the end of the term, a renewal waits for this part of the remaining time at most: the
 // next one must reach the worker before its lease ends if the term is extended.
 constexpr int RenewalsPerTermEnd = 4;
-constexpr int FullPace = 100;
+constexpr int FullPercent = 100;
 // A worker's measurements cover its last 500 ms.
 constexpr Duration ObserveInterval = 500ms;
 constexpr double MaxObservedRatio = 2;
@@ -35,8 +35,6 @@
 constexpr Duration AssumedOverTargetTime = 1500ms;
 // Weight of the newest measurement in a serving task's smoothed tail latency.
 constexpr double SmoothingWeight = 0.4;
-// Differs from every valid pace, so that the next plan orders one.
-constexpr int UnknownPace = -1;
 
 Duration listingWait(const workers::Worker &worker)
 {
@@ -49,7 +47,7 @@
         return IdleWait;
     }
     const bool isPaced = std::ranges::any_of(
-        worker.runs(), [](const workers::Run &it) { return it.usesLeftover && it.pace != FullPace; });
+        worker.runs(), [](const workers::Run &it) { return it.usesLeftover && it.pace != workers::FullPace; });
     return isPaced || worker.tailRatio() >= NearTargetRatio ? NearTargetWait : ServingWait;
 }
 
@@ -173,7 +171,7 @@
     worker.noteDone(now);
     const auto *job = findJob(run.task.job);
     const bool wasOrderedHere = run.startDeadline != 0;
-    const bool isRepresentative = run.pace == FullPace && !run.usesLeftover && wasOrderedHere;
+    const bool isRepresentative = run.pace == workers::FullPace && !run.usesLeftover && wasOrderedHere;
     if (job != nullptr && isRepresentative && job->job.contains(run.task)) {
         estimator.learn(job->job.queue(), job->job.stepSpec(run.task.step), now - run.answeredAt);
     }
@@ -333,7 +331,7 @@
         return; // measured before the worker's capacity shrank
     }
     for (const auto &it : worker.runs()) {
-        const bool isServing = it.isLasting && it.tailTarget > Duration(0) && it.percent == FullPace;
+        const bool isServing = it.isLasting && it.tailTarget > Duration(0) && it.percent == FullPercent;
         if (isServing) {
             // Above twice the target the worker is overloaded, whatever runs beside the task.
             const auto maxTail = MaxObservedRatio * static_cast<double>(toMilliseconds(it.tailTarget));
@@ -371,6 +369,8 @@
     if (isKnown) {
         const auto &spec = job->job.stepSpec(listed.task.step);
         applyStepSpec(run, spec);
+        // A former leader may have paced it, and its successor is the only one that will raise the pace.
+        run.pace = run.usesLeftover ? workers::UnknownPace : workers::FullPace;
         const bool isOpenOccurrence = listed.task.occurrence < static_cast<int>(job->job.occurrences().size());
         if (isOpenOccurrence) {
             const auto &task = job->job.task(listed.task);
@@ -587,7 +587,7 @@
 {
     auto *run = d->findRun(order.worker, order.task, order.run);
     if (run != nullptr && run->pace == order.percent) {
-        d->findWorker(order.worker)->setPace(*run, UnknownPace);
+        d->findWorker(order.worker)->setPace(*run, workers::UnknownPace);
     }
 }
 
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -48,7 +48,6 @@
 // work as lost that waits for 3 s beside free capacity.
 constexpr Duration MaxTimeKeptApart = 2s;
 
-constexpr int FullPace = 100;
 constexpr int FullPercent = 100;
 // A run at this pace in percent or more that makes no progress for StuckTime is stuck.
 // Workers list progress every 1.5 s at least.
@@ -461,9 +460,9 @@
             continue;
         }
         const bool isDisturbing = maxInterference(interference, worker, run) > DisturbanceThreshold;
-        const int wanted = isDisturbing ? pace : measured.appliesToAll ? measured.percent : FullPace;
+        const int wanted = isDisturbing ? pace : measured.appliesToAll ? measured.percent : workers::FullPace;
         const bool isSignificant = std::abs(run.pace - wanted) >= MinPaceChange || run.pace < 0
-            || (run.pace != wanted && (wanted == FullPace || wanted == 0));
+            || (run.pace != wanted && (wanted == workers::FullPace || wanted == 0));
         if (isSignificant) {
             worker.setPace(run, wanted);
             run.paceChangedAt = now;
@@ -496,7 +495,7 @@
         }
     }
     const auto room = std::max<std::int64_t>(worker.leftoverMilliCores() - harmless, 0);
-    return disturbing <= room ? FullPace : static_cast<int>(room * FullPace / disturbing);
+    return disturbing <= room ? workers::FullPace : static_cast<int>(room * workers::FullPace / disturbing);
 }
 
 void Fleet::Private::refreshExpectedRunTimes(TrackedJob &job, TimePoint now) const
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -18,7 +18,6 @@
 // Mean fraction of their cores that serving tasks use. Their load varies around it, and
 // they take what they need beyond it from tasks on leftover cores.
 constexpr double MeanServingUtilization = 0.42;
-constexpr int FullPace = 100;
 
 } // namespace
 
@@ -177,7 +176,7 @@
 Resources reservedBy(const Run &run)
 {
     auto reserved = run.needs;
-    if (run.usesLeftover && run.pace >= 0) {
+    if (run.usesLeftover && run.pace != UnknownPace) {
         reserved.milliCores = reserved.milliCores * run.pace / FullPace;
     }
     return reserved;
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -30,6 +30,11 @@
     Stopping, // a stop is required; resources stay reserved until the worker lists the end
 };
 
+// Paces, in percent.
+constexpr int FullPace = 100;
+// Differs from every valid pace, so that the next plan orders one.
+constexpr int UnknownPace = -1;
+
 // A run that may be active on a worker.
 struct Run
 {
@@ -47,7 +52,7 @@
     ports::WorkerMillis startDeadline = 0; // the worker rejects the start order after it
     int percent = 0;
     TimePoint progressedAt; // last increase of percent
-    int pace = 100; // percent of full pace; -1 if unknown
+    int pace = FullPace; // UnknownPace if the worker may apply another one than the last ordered
     TimePoint paceChangedAt; // last change of pace
     std::int64_t level = 0; // see ports::ListedRun
     double smoothedLevel = 0; // moving average for a serving task, since measurements are noisy
@@ -277,7 +282,7 @@
         return m_runs;
     }
 
-    // Sets the pace of a run in percent; -1 if the worker may not have applied the last one.
+    // Sets the pace of a run in percent, or UnknownPace.
     void setPace(Run &run, int percent);
 
     void add(const Run &run);
