A run is stopped as stuck only if a later listing shows it

What callers saw: where a worker was slow to answer for 2.5 s, or the leader read the answer late, runs that were making progress were stopped and their workers were taken as failing.

Cause: stopStuckRuns() compared the last progress with the present time. Without a newer listing, that says nothing about the run.

Change: a run counts as stuck once a listing at least 1 s after its last progress still shows the same percentage; idle workers list every 1.5 s, so a stall is noticed as soon as before.

Evidence: AdoptedRun.IsNotStuckWhileNoListingShowsIt fails without the change: the run is stopped at 3 s although its next listing shows it 20 points further.

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -289,6 +289,7 @@
             continue;
         }
         run->isListed = true;
+        run->listedAt = now;
         if (run->state == workers::RunState::Ordered || run->state == workers::RunState::Unanswered) {
             markBegun(it.task.job);
             run->state = workers::RunState::Running;
@@ -362,6 +363,7 @@
     run.orderedAt = now;
     run.answeredAt = now;
     run.progressedAt = now;
+    run.listedAt = now;
     run.percent = listed.percent;
     run.level = listed.level;
     const bool isKnown = job != nullptr && job->job.contains(listed.task);
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -53,6 +53,9 @@
 // Workers list progress every 1.5 s at least.
 constexpr int MinProgressPace = 50;
 constexpr Duration StuckTime = 2500ms;
+// A listing must show that it stands still this long after its last progress. Without one, its worker
+// is slow to answer or this host is late to read the answer.
+constexpr Duration MinObservedStandstill = 1s;
 // A run whose maxInterference() of its neighbours is at most this is treated as harmless.
 constexpr double DisturbanceThreshold = 0.08;
 // Smaller changes of pace, in percent, are not worth a call.
@@ -96,6 +99,18 @@
         && run.percent < FullPercent;
 }
 
+// Returns since when the run should have made progress.
+TimePoint progressDueSince(const workers::Run &run)
+{
+    return std::max(run.progressedAt, run.paceChangedAt);
+}
+
+bool isStuck(const workers::Run &run, TimePoint now)
+{
+    const auto since = progressDueSince(run);
+    return isExpectedToProgress(run) && now - since > StuckTime && run.listedAt - since >= MinObservedStandstill;
+}
+
 } // namespace
 
 Orders Fleet::plan(TimePoint now, jobs::WallTime wall, int maxStarts)
@@ -214,7 +229,7 @@
     for (const auto &it : worker.runs()) {
         hasStop = hasStop || it.state == workers::RunState::Stopping;
         if (isExpectedToProgress(it)) {
-            const auto stuckAt = std::max(it.progressedAt, it.paceChangedAt) + StuckTime + Duration(1);
+            const auto stuckAt = progressDueSince(it) + StuckTime + Duration(1);
             visitAt = stuckAt > now ? std::min(visitAt, stuckAt) : visitAt;
         }
     }
@@ -390,8 +405,7 @@
     }
     for (auto &run : worker.runs()) {
         auto *job = findJob(run.task.job);
-        if (!isExpectedToProgress(run) || now - run.paceChangedAt <= StuckTime || job == nullptr
-            || now - run.progressedAt < StuckTime || job->avoidedWorkers[run.task].size() >= MaxAvoidedWorkers) {
+        if (!isStuck(run, now) || job == nullptr || job->avoidedWorkers[run.task].size() >= MaxAvoidedWorkers) {
             continue;
         }
         log.record("run-stuck",
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -52,6 +52,7 @@
     ports::WorkerMillis startDeadline = 0; // the worker rejects the start order after it
     int percent = 0;
     TimePoint progressedAt; // last increase of percent
+    TimePoint listedAt; // last listing that contains the run
     int pace = FullPace; // UnknownPace if the worker may apply another one than the last ordered
     TimePoint paceChangedAt; // last change of pace
     std::int64_t level = 0; // see ports::ListedRun
--- a/tests/execution/adoptedruntest.cpp
+++ b/tests/execution/adoptedruntest.cpp
@@ -125,4 +125,18 @@
     EXPECT_EQ(term.log.count("run-stuck"), 1);
 }
 
+// Guards against taking a run as stuck because its worker was slow to answer, or this leader was late
+// to read the answer: only a later listing shows that the run stands still.
+TEST(AdoptedRun, IsNotStuckWhileNoListingShowsIt)
+{
+    auto step = leftoverStep();
+    step.usesLeftover = false;
+    NewTerm term(step);
+    term.readJob(Start);
+    term.list(40, Start + 100ms);
+    EXPECT_TRUE(term.fleet.plan(Start + 3s, Wall).stops.empty());
+    EXPECT_TRUE(term.list(60, Start + 3100ms).stops.empty());
+    EXPECT_EQ(term.log.count("run-stuck"), 0);
+}
+
 } // namespace monsoonspool::execution
