A late pace order of its own leader makes no run count as stuck

What callers saw: where workers carry out unanswered orders seconds later, leftover runs stood still at an old pace although full pace had been ordered since. They were stopped as stuck, lost the work since their last checkpoint, and their workers were taken as failing.

Cause: a pace order without an answer is repeated, but the first one may still be carried out after the repetition. Nothing noticed that.

Change: a run that had an unanswered pace order gets its pace once more before it counts as stuck.

Evidence: AdoptedRun.GetsItsPaceAgainIfALateOrderMayHaveChangedIt fails without the change.

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -588,7 +588,11 @@
 void Fleet::applyPaceFailure(const PaceTask &order)
 {
     auto *run = d->findRun(order.worker, order.task, order.run);
-    if (run != nullptr && run->pace == order.percent) {
+    if (run == nullptr) {
+        return;
+    }
+    run->mayPaceChangeLate = true;
+    if (run->pace == order.percent) {
         d->findWorker(order.worker)->setPace(*run, workers::UnknownPace);
     }
 }
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -408,6 +408,13 @@
         if (!isStuck(run, now) || job == nullptr || job->avoidedWorkers[run.task].size() >= MaxAvoidedWorkers) {
             continue;
         }
+        if (run.mayPaceChangeLate) {
+            run.mayPaceChangeLate = false;
+            worker.setPace(run, workers::UnknownPace);
+            log.record("pace-repeated",
+                       {{"task", run.task}, {"run", run.number}, {"worker", worker.entry().id.view()}});
+            continue;
+        }
         log.record("run-stuck",
                    {{"task", run.task},
                     {"run", run.number},
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -55,6 +55,7 @@
     TimePoint listedAt; // last listing that contains the run
     int pace = FullPace; // UnknownPace if the worker may apply another one than the last ordered
     TimePoint paceChangedAt; // last change of pace
+    bool mayPaceChangeLate = false; // a pace order got no answer and may be carried out after later ones
     std::int64_t level = 0; // see ports::ListedRun
     double smoothedLevel = 0; // moving average for a serving task, since measurements are noisy
     TimePoint withinTargetAt; // last time that a serving task was below its target
--- a/tests/execution/adoptedruntest.cpp
+++ b/tests/execution/adoptedruntest.cpp
@@ -139,4 +139,24 @@
     EXPECT_EQ(term.log.count("run-stuck"), 0);
 }
 
+// Guards against blaming a run for a pace order of this leader that got no answer: the worker may
+// carry it out after later ones, and the run then stands still although a full pace was ordered.
+TEST(AdoptedRun, GetsItsPaceAgainIfALateOrderMayHaveChangedIt)
+{
+    NewTerm term(leftoverStep());
+    term.readJob(Start);
+    const auto first = term.list(40, Start + 100ms);
+    ASSERT_EQ(first.paces.size(), 1U);
+    term.fleet.applyPaceFailure(first.paces.front());
+    ASSERT_EQ(term.list(41, Start + 1100ms).paces.size(), 1U);
+    std::size_t repeated = 0;
+    for (auto now = Start + 2100ms; now < Start + 5s; now += 1s) {
+        const auto orders = term.list(41, now);
+        EXPECT_TRUE(orders.stops.empty());
+        repeated += orders.paces.size();
+    }
+    EXPECT_EQ(repeated, 1U);
+    EXPECT_EQ(term.log.count("run-stuck"), 0);
+}
+
 } // namespace monsoonspool::execution
