A new leader keeps runs of jobs that it has not read yet

What callers saw: a job that a former leader started after the new one had read the jobs was stopped as unwanted once a worker listed it, and lost its work, although its row arrived a moment later. A leftover run of such a job was taken as one with cores of its own for good: it got no pace, and counted as stuck if it had been paused.

Cause: adoptRun() took a run whose job is unknown as one that nobody needs, and the reading of the job did not apply its step to the run.

Change: such a run is kept, with unknown needs, until the jobs have been read at a later time than its listing. When its job is read, the run is taken over like any other.

Evidence: AdoptedRun.IsKeptUntilItsJobIsReadAndPacedThen and .IsTreatedAsItsStepSaysOnceItsJobIsRead fail without the change; runs of no job are stopped as before (IsStoppedOnceAllJobsAreReadAndNoneIsItsOwn).

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -286,20 +286,23 @@
     tracked = std::make_unique<TrackedJob>(std::move(job), acceptedAt);
     d->jobsToPlace.insert(key);
     if (d->unreadJobs.erase(key) > 0) {
-        d->noteRunsOf(*tracked);
+        d->takeOverRunsOf(*tracked);
     }
     d->applyHeldEnds(key, now);
 }
 
 // A former leader may have started its tasks before this leader read its row.
-void Fleet::Private::noteRunsOf(TrackedJob &job) const
+void Fleet::Private::takeOverRunsOf(TrackedJob &job)
 {
-    for (const auto *worker : workers) {
-        for (const auto &run : worker->runs()) {
-            if (run.task.job == job.job.key() && job.job.contains(run.task)) {
-                job.job.noteRunOrdered(run.task, run.number);
-                ++job.activeRuns;
-            }
+    for (auto *worker : workers) {
+        std::vector<workers::Run> runs;
+        std::ranges::copy_if(worker->runs(), std::back_inserter(runs), [&](const workers::Run &it) {
+            return it.task.job == job.job.key() && job.job.contains(it.task);
+        });
+        for (auto &it : runs) {
+            worker->remove(it.task);
+            takeOverRun(*worker, it, &job);
+            changedWorkers.insert(worker);
         }
     }
 }
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -352,10 +352,13 @@
 }
 
 // Takes over a run that this leader did not order: it was started under a former leader,
-// or by an order that was given up. It is kept if its task still needs it.
+// or by an order that was given up.
 void Fleet::Private::adoptRun(workers::Worker &worker, const ports::ListedRun &listed, TimePoint now)
 {
     auto *job = findJob(listed.task.job);
+    if (job != nullptr && !job->job.contains(listed.task)) {
+        job = nullptr;
+    }
     workers::Run run;
     run.task = listed.task;
     run.number = listed.run;
@@ -366,42 +369,52 @@
     run.listedAt = now;
     run.percent = listed.percent;
     run.level = listed.level;
-    const bool isKnown = job != nullptr && job->job.contains(listed.task);
-    bool isWanted = isKnown && job->job.isOpen();
-    if (isKnown) {
-        const auto &spec = job->job.stepSpec(listed.task.step);
+    if (job == nullptr) {
+        unreadJobs.insert(listed.task.job);
+    }
+    takeOverRun(worker, run, job);
+    if (job != nullptr && !listed.checkpoint.empty()) {
+        job->job.noteCheckpoint(listed.task, listed.checkpoint);
+    }
+}
+
+// Adds a run of a former leader to its worker. It is kept if its task still needs it. `job` is
+// nullptr if its row has not been read.
+void Fleet::Private::takeOverRun(workers::Worker &worker, workers::Run run, TrackedJob *job)
+{
+    bool isWanted = run.state != workers::RunState::Stopping;
+    run.areNeedsKnown = job != nullptr;
+    if (job != nullptr) {
+        const auto &spec = job->job.stepSpec(run.task.step);
         applyStepSpec(run, spec);
         // A former leader may have paced it, and its successor is the only one that will raise the pace.
         run.pace = run.usesLeftover ? workers::UnknownPace : workers::FullPace;
-        const bool isOpenOccurrence = listed.task.occurrence < static_cast<int>(job->job.occurrences().size());
+        const bool isOpenOccurrence = run.task.occurrence < static_cast<int>(job->job.occurrences().size());
+        bool isNeeded = job->job.isOpen();
         if (isOpenOccurrence) {
-            const auto &task = job->job.task(listed.task);
-            isWanted = isWanted && !task.isDone && (task.activeRuns == 0 || spec.maySpeculate || spec.isGang);
+            const auto &task = job->job.task(run.task);
+            isNeeded = isNeeded && !task.isDone && (task.activeRuns == 0 || spec.maySpeculate || spec.isGang);
         }
-        run.crashCount = job->job.crashCount(listed.task);
-        job->job.noteRunOrdered(listed.task, listed.run);
+        run.crashCount = job->job.crashCount(run.task);
+        job->job.noteRunOrdered(run.task, run.number);
         job->job.noteRunStarted();
-        if (!listed.checkpoint.empty()) {
-            job->job.noteCheckpoint(listed.task, listed.checkpoint);
-        }
         ++job->activeRuns;
-    } else {
-        run.areNeedsKnown = false;
-        unreadJobs.insert(listed.task.job);
-    }
-    const bool isDuplicate = isKnown && job->job.isOpen() && !isWanted;
-    if (isDuplicate) {
-        ++counts.duplicateRuns;
-        log.record(
-            "run-duplicate",
-            {{"task", listed.task}, {"run", listed.run}, {"worker", worker.entry().id.view()}, {"fence", fence.value}});
+        isWanted = isWanted && isNeeded;
+        if (job->job.isOpen() && !isNeeded) {
+            ++counts.duplicateRuns;
+            log.record("run-duplicate",
+                       {{"task", run.task},
+                        {"run", run.number},
+                        {"worker", worker.entry().id.view()},
+                        {"fence", fence.value}});
+        }
     }
     log.record(isWanted ? "run-adopted" : "run-unwanted",
-               {{"task", listed.task},
-                {"run", listed.run},
+               {{"task", run.task},
+                {"run", run.number},
                 {"worker", worker.entry().id.view()},
                 {"fence", fence.value},
-                {"isKnownJob", isKnown ? 1 : 0}});
+                {"isKnownJob", job != nullptr ? 1 : 0}});
     if (!isWanted) {
         run.state = workers::RunState::Stopping;
     }
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -427,6 +427,13 @@
     }
 }
 
+// A former leader may have started a job that was stored after this leader read the jobs.
+bool Fleet::Private::mayBelongToUnreadJob(const workers::Run &run) const
+{
+    const bool areAllJobsRead = jobsReadAt && *jobsReadAt > run.orderedAt;
+    return !run.areNeedsKnown && !areAllJobsRead && !readJobs.contains(run.task.job);
+}
+
 void Fleet::Private::stopUnwantedRuns(workers::Worker &worker, TimePoint now, Orders &orders)
 {
     if (worker.isSilent() || !worker.isConfirmed()) {
@@ -434,7 +441,8 @@
     }
     for (auto &run : worker.runs()) {
         const auto *job = findJob(run.task.job);
-        const bool isWanted = job != nullptr && job->job.isOpen() && !job->job.task(run.task).isDone;
+        const bool isWanted
+            = job == nullptr ? mayBelongToUnreadJob(run) : job->job.isOpen() && !job->job.task(run.task).isDone;
         if (!isWanted && run.state != workers::RunState::Stopping && run.state != workers::RunState::Ordered) {
             requestStop(run);
         }
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -117,7 +117,7 @@
     // Lets the next plan look at all workers with runs of a job, of which some may not be needed
     // any more.
     void visitWorkersOf(const TrackedJob &job);
-    void noteRunsOf(TrackedJob &job) const;
+    void takeOverRunsOf(TrackedJob &job);
 
     // Steps of applyListing().
     void applyEnds(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint now);
@@ -125,6 +125,7 @@
     void observeInterference(workers::Worker &worker, TimePoint now);
     void applyStepSpec(workers::Run &run, const jobs::StepSpec &spec);
     void adoptRun(workers::Worker &worker, const ports::ListedRun &listed, TimePoint now);
+    void takeOverRun(workers::Worker &worker, workers::Run run, TrackedJob *job);
     void resolveUnlistedRuns(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint sentAt,
                              TimePoint now);
 
@@ -173,6 +174,7 @@
                                   TimePoint now, std::optional<scheduling::RankedWorkers> *ranked = nullptr);
     void orderStart(TrackedJob &job, const jobs::TaskId &task, workers::Worker &worker, jobs::RunNumber run,
                     TimePoint now, Orders &orders);
+    bool mayBelongToUnreadJob(const workers::Run &run) const;
     void stopUnwantedRuns(workers::Worker &worker, TimePoint now, Orders &orders);
     TimePoint rowsUsableUntil(TimePoint now) const;
     bool mayStartTasks(TimePoint now);
--- a/tests/execution/adoptedruntest.cpp
+++ b/tests/execution/adoptedruntest.cpp
@@ -159,4 +159,47 @@
     EXPECT_EQ(term.log.count("run-stuck"), 0);
 }
 
+// Guards against taking a run with unknown needs as one of a task with cores of its own, and a lasting
+// task in its startup as stuck, once the job is read after the run was listed.
+TEST(AdoptedRun, IsTreatedAsItsStepSaysOnceItsJobIsRead)
+{
+    auto step = leftoverStep();
+    step.usesLeftover = false;
+    step.hasCheckpoints = false;
+    step.isLasting = true;
+    NewTerm term(step);
+    term.list(0, Start + 100ms);
+    term.readJob(Start + 200ms);
+    for (auto now = Start + 1100ms; now < Start + 6s; now += 1s) {
+        EXPECT_TRUE(term.list(0, now).stops.empty());
+    }
+    EXPECT_EQ(term.log.count("run-stuck"), 0);
+}
+
+// Guards against stopping the runs of a job that a former leader has started before this one has read
+// its row, and against taking them as runs with cores of their own once it has.
+TEST(AdoptedRun, IsKeptUntilItsJobIsReadAndPacedThen)
+{
+    NewTerm term(leftoverStep());
+    term.fleet.noteJobsRead(Start);
+    auto orders = term.list(40, Start + 100ms);
+    EXPECT_TRUE(orders.stops.empty());
+    EXPECT_TRUE(orders.paces.empty());
+    term.readJob(Start + 300ms);
+    term.fleet.noteJobsRead(Start + 300ms);
+    orders = term.list(40, Start + 1100ms);
+    EXPECT_TRUE(orders.stops.empty());
+    EXPECT_EQ(orders.paces.size(), 1U);
+    EXPECT_TRUE(orders.starts.empty());
+}
+
+// Guards against keeping a run for good that belongs to no stored job.
+TEST(AdoptedRun, IsStoppedOnceAllJobsAreReadAndNoneIsItsOwn)
+{
+    NewTerm term(leftoverStep());
+    EXPECT_TRUE(term.list(40, Start + 100ms).stops.empty());
+    term.fleet.noteJobsRead(Start + 200ms);
+    EXPECT_EQ(term.list(40, Start + 300ms).stops.size(), 1U);
+}
+
 } // namespace monsoonspool::execution
