--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -13,9 +13,6 @@
 // Bounds the age that is computed for a job when the clocks of hosts differ.
 constexpr Duration MaxJobAge = 120s;
 
-// Every host reads the row.
-constexpr std::size_t MaxSilentWorkers = 64;
-
 TimePoint acceptedAtOf(const AcceptedJob &job, TimePoint now, jobs::WallTime wall)
 {
     const Duration age = std::chrono::duration_cast<Duration>(wall - job.acceptedAt);
@@ -97,91 +94,11 @@
                    {"formerLeasesEndInMs", toMilliseconds(formerLeasesEnd - now)}});
 }
 
-void Fleet::noteTermRenewed(TimePoint sentAt, TimePoint termEnd)
-{
-    d->termRenewedAt = sentAt;
-    d->termEnd = termEnd;
-    for (auto *it : d->workers) {
-        it->noteTermRenewed(sentAt);
-    }
-}
-
-std::vector<membership::SilentWorker> Fleet::takeSilentWorkers(TimePoint now, Duration minSilence)
-{
-    std::vector<membership::SilentWorker> silent;
-    d->takenSilent.clear();
-    for (const auto *it : d->workers) {
-        if (silent.size() == MaxSilentWorkers) {
-            break;
-        }
-        const auto &id = it->entry().id;
-        if (!it->isSilent() || (now - it->heardUntil(now) < minSilence && !d->namedSilent.contains(id))) {
-            continue;
-        }
-        const auto formerEnd = d->unreportedWorkers.contains(id) ? d->formerLeasesEndOn(id) : now;
-        const auto end = std::max(formerEnd, now + it->leaseRemaining(now));
-        silent.push_back({id, std::max(end - now, Duration(0))});
-        d->takenSilent.insert(id);
-    }
-    // The write may be carried out even if it is reported as failed.
-    auto named = d->namedSilent;
-    named.insert(d->takenSilent.begin(), d->takenSilent.end());
-    d->setNamedSilent(std::move(named));
-    return silent;
-}
-
-void Fleet::markSilentWorkersStored()
-{
-    d->setNamedSilent(d->takenSilent);
-}
-
-bool Fleet::awaitsRowRenewal() const
-{
-    return std::ranges::any_of(d->namedSilent, [&](const WorkerId &id) {
-        const auto *worker = d->findWorker(id);
-        return worker != nullptr && worker->isConfirmed() && !worker->isSilent();
-    });
-}
-
-void Fleet::Private::setNamedSilent(std::set<WorkerId> named)
-{
-    namedSilent = std::move(named);
-    for (auto *it : workers) {
-        const bool isNamed = namedSilent.contains(it->entry().id);
-        if (it->isNamedSilent() != isNamed) {
-            it->setNamedSilent(isNamed);
-            changedWorkers.insert(it);
-        }
-    }
-}
-
 Epoch Fleet::fence() const
 {
     return d->fence;
 }
 
-TimePoint Fleet::formerLeasesEnd() const
-{
-    return d->formerLeasesEnd;
-}
-
-void Fleet::shortenFormerLeases(TimePoint end)
-{
-    d->formerLeasesEnd = std::min(d->formerLeasesEnd, end);
-}
-
-TimePoint Fleet::leasesEnd(TimePoint now) const
-{
-    auto end = now;
-    for (const auto &it : d->unreportedWorkers) {
-        end = std::max(end, d->formerLeasesEndOn(it));
-    }
-    for (const auto *it : d->workers) {
-        end = std::max(end, now + it->leaseRemaining(now));
-    }
-    return end;
-}
-
 void Fleet::setQueues(std::span<const jobs::QueuePolicy> queues)
 {
     // Removed queues keep their policy for their remaining jobs.
@@ -291,22 +208,6 @@
     d->applyHeldEnds(key, now);
 }
 
-// A former leader may have started its tasks before this leader read its row.
-void Fleet::Private::takeOverRunsOf(TrackedJob &job)
-{
-    for (auto *worker : workers) {
-        std::vector<workers::Run> runs;
-        std::ranges::copy_if(worker->runs(), std::back_inserter(runs), [&](const workers::Run &it) {
-            return it.task.job == job.job.key() && job.job.contains(it.task);
-        });
-        for (auto &it : runs) {
-            worker->remove(it.task);
-            takeOverRun(*worker, it, &job);
-            changedWorkers.insert(worker);
-        }
-    }
-}
-
 void Fleet::addUnreadableJob(jobs::JobKey key)
 {
     d->readJobs.insert(key);
@@ -606,14 +507,6 @@
     }
 }
 
-void Fleet::Private::markReported(const WorkerId &id, TimePoint now)
-{
-    if (unreportedWorkers.erase(id) > 0 && unreportedWorkers.empty()) {
-        log.record("takeover-complete", {{"fence", fence.value}, {"afterMs", toMilliseconds(now - termBeganAt)}});
-        dropFinishedJobs();
-    }
-}
-
 void Fleet::Private::dropFinishedJobs()
 {
     std::vector<jobs::JobKey> keys;
--- /dev/null
+++ b/src/execution/fleetpacing.cpp
@@ -0,0 +1,169 @@
+// Paces of tasks on leftover cores, and runs that make no progress.
+#include "execution/fleetstate.h"
+#include "jobs/names.h"
+#include "scheduling/tailforecast.h"
+
+#include <algorithm>
+
+namespace monsoonspool::execution {
+
+namespace {
+
+constexpr int FullPercent = 100;
+// A run at this pace in percent or more that makes no progress for StuckTime is stuck.
+// Workers list progress every 1.5 s at least.
+constexpr int MinProgressPace = 50;
+constexpr Duration StuckTime = 2500ms;
+// A listing must show that it stands still this long after its last progress. Without one, its worker
+// is slow to answer or this host is late to read the answer.
+constexpr Duration MinObservedStandstill = 1s;
+// A run whose maxInterference() of its neighbours is at most this is treated as harmless.
+constexpr double DisturbanceThreshold = 0.08;
+// Smaller changes of pace, in percent, are not worth a call.
+constexpr int MinPaceChange = 8;
+
+// Returns whether the worker lists the run with a higher percentage after some time.
+bool isExpectedToProgress(const workers::Run &run)
+{
+    return run.state == workers::RunState::Running && !run.isLasting && run.pace >= MinProgressPace
+        && run.percent < FullPercent;
+}
+
+// Returns since when the run should have made progress.
+TimePoint progressDueSince(const workers::Run &run)
+{
+    return std::max(run.progressedAt, run.paceChangedAt);
+}
+
+bool isStuck(const workers::Run &run, TimePoint now)
+{
+    const auto since = progressDueSince(run);
+    return isExpectedToProgress(run) && now - since > StuckTime && run.listedAt - since >= MinObservedStandstill;
+}
+
+} // namespace
+
+void Fleet::Private::scheduleNextVisit(workers::Worker &worker, TimePoint now)
+{
+    bool hasStop = false;
+    auto visitAt = TimePoint::max();
+    for (const auto &it : worker.runs()) {
+        hasStop = hasStop || it.state == workers::RunState::Stopping;
+        if (isExpectedToProgress(it)) {
+            const auto stuckAt = progressDueSince(it) + StuckTime + Duration(1);
+            visitAt = stuckAt > now ? std::min(visitAt, stuckAt) : visitAt;
+        }
+    }
+    if (hasStop || worker.isSilent() || !worker.isListed() || worker.remainingJobs() || worker.entry().isDraining) {
+        changedWorkers.insert(&worker);
+    }
+    if (const auto formerVisitAt = worker.visitAt()) {
+        timedVisits.erase({*formerVisitAt, worker.entry().id});
+    }
+    worker.setVisitAt(visitAt == TimePoint::max() ? std::nullopt : std::optional(visitAt));
+    if (const auto nextVisitAt = worker.visitAt()) {
+        timedVisits.insert({*nextVisitAt, worker.entry().id});
+    }
+}
+
+// Stops tasks that make no progress on a worker that answers. They are started
+// elsewhere, and the worker gets few tasks until one of them completes.
+void Fleet::Private::stopStuckRuns(workers::Worker &worker, TimePoint now)
+{
+    if (worker.isSilent() || !worker.isConfirmed()) {
+        return;
+    }
+    for (auto &run : worker.runs()) {
+        auto *job = findJob(run.task.job);
+        if (!isStuck(run, now) || job == nullptr || job->avoidedWorkers[run.task].size() >= MaxAvoidedWorkers) {
+            continue;
+        }
+        if (run.mayPaceChangeLate) {
+            run.mayPaceChangeLate = false;
+            worker.setPace(run, workers::UnknownPace);
+            log.record("pace-repeated",
+                       {{"task", run.task}, {"run", run.number}, {"worker", worker.entry().id.view()}});
+            continue;
+        }
+        log.record("run-stuck",
+                   {{"task", run.task},
+                    {"run", run.number},
+                    {"worker", worker.entry().id.view()},
+                    {"percent", run.percent},
+                    {"standsStillMs", toMilliseconds(now - run.progressedAt)}});
+        job->avoidedWorkers[run.task].push_back(worker.entry().id);
+        worker.noteFailure(now);
+        requestStop(run);
+    }
+}
+
+void Fleet::Private::adjustPaces(workers::Worker &worker, TimePoint now, Orders &orders)
+{
+    if (worker.isSilent() || !worker.isConfirmed() || !worker.consumeNewListing()) {
+        return;
+    }
+    scheduling::PaceRegulator::TailState tails;
+    bool hasLeftover = false;
+    for (const auto &run : worker.runs()) {
+        if (run.usesLeftover) {
+            hasLeftover = true;
+            tails.isCauseKnown
+                = tails.isCauseKnown || maxInterference(interference, worker, run) > DisturbanceThreshold;
+        } else if (run.tailTarget > Duration(0) && run.state == workers::RunState::Running && run.smoothedLevel > 0) {
+            tails.worstRatio
+                = std::max(tails.worstRatio, run.smoothedLevel / static_cast<double>(toMilliseconds(run.tailTarget)));
+            tails.longestViolation = std::max(tails.longestViolation, now - run.withinTargetAt);
+        }
+    }
+    worker.setTailRatio(tails.worstRatio);
+    if (!hasLeftover) {
+        return;
+    }
+    const auto measured = worker.paceRegulator().update(tails, now);
+    const int safe = safePace(interference, worker);
+    const int room = capacityPace(worker);
+    const int pace = std::min({measured.percent, safe, room});
+    for (auto &run : worker.runs()) {
+        if (!run.usesLeftover || run.state != workers::RunState::Running) {
+            continue;
+        }
+        const bool isDisturbing = maxInterference(interference, worker, run) > DisturbanceThreshold;
+        const int wanted = isDisturbing ? pace : measured.appliesToAll ? measured.percent : workers::FullPace;
+        const bool isSignificant = std::abs(run.pace - wanted) >= MinPaceChange || run.pace < 0
+            || (run.pace != wanted && (wanted == workers::FullPace || wanted == 0));
+        if (isSignificant) {
+            worker.setPace(run, wanted);
+            run.paceChangedAt = now;
+            log.record("pace",
+                       {{"task", run.task},
+                        {"run", run.number},
+                        {"worker", worker.entry().id.view()},
+                        {"percent", wanted},
+                        {"measuredPercent", measured.percent},
+                        {"safePercent", safe},
+                        {"roomPercent", room},
+                        {"tailPercentOfTarget", static_cast<int>(tails.worstRatio * FullPercent)},
+                        {"overMs", toMilliseconds(tails.longestViolation)},
+                        {"isDisturbing", isDisturbing ? 1 : 0}});
+            orders.paces.push_back({worker.entry().id, run.task, run.number, wanted});
+        }
+    }
+}
+
+// Returns the pace in percent at which disturbing leftover work fits beside harmless
+// leftover work.
+int Fleet::Private::capacityPace(const workers::Worker &worker) const
+{
+    std::int64_t disturbing = 0;
+    std::int64_t harmless = 0;
+    for (const auto &run : worker.runs()) {
+        if (run.usesLeftover) {
+            const bool isDisturbing = maxInterference(interference, worker, run) > DisturbanceThreshold;
+            (isDisturbing ? disturbing : harmless) += run.needs.milliCores;
+        }
+    }
+    const auto room = std::max<std::int64_t>(worker.leftoverMilliCores() - harmless, 0);
+    return disturbing <= room ? workers::FullPace : static_cast<int>(room * workers::FullPace / disturbing);
+}
+
+} // namespace monsoonspool::execution
--- /dev/null
+++ b/src/execution/fleetqueue.cpp
@@ -0,0 +1,142 @@
+// The order in which waiting work is placed.
+#include "execution/fleetstate.h"
+#include "jobs/names.h"
+
+#include <algorithm>
+
+namespace monsoonspool::execution {
+
+namespace {
+
+// A job that completes within this multiple of its objective is late but still useful,
+// as defined by the platform's accounting.
+constexpr int LateFactor = 3;
+// Expected run times are recomputed after this time.
+constexpr Duration ExpectedRunTimeValidity = 2s;
+// A waiting job's rank is recomputed after this time.
+constexpr Duration RankValidity = 250ms;
+
+double seconds(Duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+} // namespace
+
+void Fleet::Private::refreshExpectedRunTimes(TrackedJob &job, TimePoint now) const
+{
+    if (!job.expectedRunTimes.empty() && now - job.expectedUpdatedAt < ExpectedRunTimeValidity) {
+        return;
+    }
+    const auto &steps = job.job.spec().steps;
+    job.expectedUpdatedAt = now;
+    job.expectedRunTimes.resize(steps.size());
+    job.criticalPath = Duration(0);
+    std::vector<Duration> pathTimes(steps.size());
+    for (std::size_t n = 0; n < steps.size(); ++n) {
+        job.expectedRunTimes[n] = estimator.expected(job.job.queue(), steps[n]);
+        for (const int before : steps[n].after) {
+            pathTimes[n] = std::max(pathTimes[n], pathTimes[static_cast<std::size_t>(before)]);
+        }
+        pathTimes[n] += job.expectedRunTimes[n];
+        job.criticalPath = std::max(job.criticalPath, pathTimes[n]);
+    }
+}
+
+scheduling::RankInput Fleet::Private::outlook(const TrackedJob &job, int occurrence, TimePoint now,
+                                              jobs::WallTime wall) const
+{
+    const auto &policy = policyOf(job);
+    const auto &spec = job.job.spec();
+    scheduling::RankInput outlook;
+    outlook.priority = policy.priority;
+    outlook.isLasting = spec.isLasting();
+    outlook.hasStarted = job.job.state() == jobs::JobState::Running;
+    outlook.acceptedAt = job.job.acceptedAt();
+    if (spec.isTimed()) {
+        outlook.acceptedAt
+            = now + std::chrono::duration_cast<Duration>(spec.firstDue + spec.interval * occurrence - wall);
+    }
+    const Duration objective = policy.targetLatency
+        + Duration(static_cast<Duration::rep>(policy.stretch * static_cast<double>(job.criticalPath.count())));
+    outlook.softDeadline = outlook.acceptedAt + objective;
+    outlook.hardDeadline = outlook.acceptedAt + objective * LateFactor;
+    std::vector<Duration> pathTimes(spec.steps.size());
+    for (std::size_t n = 0; n < spec.steps.size(); ++n) {
+        const auto &step = job.job.step(occurrence, static_cast<int>(n));
+        for (const int before : spec.steps[n].after) {
+            pathTimes[n] = std::max(pathTimes[n], pathTimes[static_cast<std::size_t>(before)]);
+        }
+        if (!step.isDone()) {
+            pathTimes[n] += job.expectedRunTimes[n];
+            const auto open = static_cast<double>(spec.steps[n].count - step.doneCount);
+            outlook.work += open * seconds(job.expectedRunTimes[n])
+                * static_cast<double>(std::max<std::int64_t>(spec.steps[n].needs.milliCores, 1)) / 1000;
+        }
+        outlook.remaining = std::max(outlook.remaining, pathTimes[n]);
+    }
+    return outlook;
+}
+
+scheduling::Rank Fleet::Private::rankOf(TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall)
+{
+    const bool isFresh = job.rankedOccurrence == occurrence && now - job.rankedAt < RankValidity;
+    if (!isFresh) {
+        refreshExpectedRunTimes(job, now);
+        job.rank = waitingOrder->rank(outlook(job, occurrence, now, wall), now);
+        job.rankedOccurrence = occurrence;
+        job.rankedAt = now;
+    }
+    return job.rank;
+}
+
+std::vector<Fleet::Private::WaitingStep> Fleet::Private::waitingSteps(TimePoint now, jobs::WallTime wall)
+{
+    std::vector<WaitingStep> waiting;
+    if (termEnd - now < workers::StartValidity) {
+        return waiting; // the workers would reject the orders
+    }
+    std::erase_if(jobsToPlace, [&](const jobs::JobKey &key) {
+        auto *job = findJob(key);
+        if (job == nullptr || !job->job.isOpen()) {
+            return true;
+        }
+        return !isBlockedByTakeover(*job) && !addWaitingSteps(*job, now, wall, waiting);
+    });
+    std::ranges::sort(waiting, [](const WaitingStep &a, const WaitingStep &b) {
+        return std::tuple(a.rank, a.job->job.key(), a.occurrence, a.step)
+            < std::tuple(b.rank, b.job->job.key(), b.occurrence, b.step);
+    });
+    return waiting;
+}
+
+bool Fleet::Private::addWaitingSteps(TrackedJob &job, TimePoint now, jobs::WallTime wall,
+                                     std::vector<WaitingStep> &waiting)
+{
+    const auto &spec = job.job.spec();
+    if (spec.isTimed()) {
+        job.job.openDueOccurrences(wall);
+    }
+    const auto countBefore = waiting.size();
+    for (int k = 0; k < static_cast<int>(job.job.occurrences().size()); ++k) {
+        if (job.job.occurrences()[static_cast<std::size_t>(k)].openSteps == 0) {
+            continue;
+        }
+        scheduling::Rank rank;
+        bool isRanked = false;
+        for (int s = 0; s < static_cast<int>(spec.steps.size()); ++s) {
+            if (!job.job.step(k, s).hasWaiting() || !job.job.isReady(k, s)) {
+                continue;
+            }
+            if (!isRanked) {
+                rank = rankOf(job, k, now, wall);
+                isRanked = true;
+            }
+            waiting.push_back({&job, k, s, rank});
+        }
+    }
+    const bool hasLaterOccurrence = static_cast<int>(job.job.occurrences().size()) < spec.occurrenceCount();
+    return waiting.size() > countBefore || hasLaterOccurrence;
+}
+
+} // namespace monsoonspool::execution
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -68,11 +68,12 @@
     Resources needs;
 };
 
-// State of Fleet, shared by its event handling (fleetlistings.cpp, fleetcrashes.cpp) and
-// planning (fleetplan.cpp).
 // Time between two log lines about a takeover that waits for workers, or about lasting tasks that wait.
 inline constexpr Duration TakeoverReportInterval = 2s;
 
+// State of Fleet. Its event handling is in fleet.cpp, fleetlistings.cpp, fleetcrashes.cpp and
+// fleettakeover.cpp; fleetplan.cpp makes a plan by the steps in fleetdraining.cpp, fleetpacing.cpp,
+// fleetqueue.cpp and fleetplacement.cpp.
 struct Fleet::Private
 {
     explicit Private(DecisionLog &decisionLog);
