Leftover work that interferes with nothing keeps its pace

Cause: where no task on a worker was known to interfere, the pace regulator slowed all work on leftover cores once a tail had been over its target for 1.2 s, and raised it slowly afterwards. The load of serving tasks alone brings their tails there at each peak.

Ruled out: waiting for room (task waits 0.02 s in the middle, 0.7 s for 9 of 10), failed attempts (7% of the steps), adopted paces.

Change: tasks without known interference follow no gradual pace. All are still paused while a tail stays over its target for 1.8 s (2.5 s if a known cause was paused first), so that pairs that are not learned yet do no harm for 4 s.

--- a/src/scheduling/paceregulator.cpp
+++ b/src/scheduling/paceregulator.cpp
@@ -16,11 +16,9 @@
 constexpr Duration RecoveryInterval = 1200ms;
 constexpr int RecoveryStep = 25;
 constexpr int MinUsefulPace = 10; // percent; a lower pace is rounded down to 0
-// Most peaks are caused by the serving task's own load and end within this time.
-constexpr Duration UnknownCauseDelay = 1200ms;
-// Tasks with known interference are paused after this time. The platform allows tasks
-// on leftover cores to keep a tail over its target for 4 s; the remainder covers the
-// measurement lag and the time for the pace to take effect.
+// Tasks with known interference are paused after this time, and all of them if there are none. The
+// platform allows tasks on leftover cores to keep a tail over its target for 4 s; the remainder
+// covers the measurement lag and the time for the pace to take effect.
 constexpr Duration PauseInterferingDelay = 1800ms;
 // All tasks on leftover cores are paused after this time.
 constexpr Duration PauseAllDelay = 2500ms;
@@ -42,11 +40,10 @@
         m_decision = {0, !tails.isCauseKnown || tails.longestViolation >= PauseAllDelay};
         return m_decision;
     }
-    m_decision.appliesToAll = !tails.isCauseKnown;
-    const bool mayReduce = tails.isCauseKnown || tails.longestViolation >= UnknownCauseDelay;
+    m_decision.appliesToAll = false;
     int next = m_decision.percent;
     if (tails.worstRatio >= BackoffRatio) {
-        if (mayReduce && sinceChange >= SettleTime) {
+        if (tails.isCauseKnown && sinceChange >= SettleTime) {
             next = tails.worstRatio >= ViolationRatio ? next / 4 : next * 2 / 3;
         }
     } else if (tails.worstRatio < RecoveryRatio && sinceChange >= RecoveryInterval) {
--- a/src/scheduling/paceregulator.h
+++ b/src/scheduling/paceregulator.h
@@ -7,8 +7,8 @@
 // The pace allowed to tasks on the leftover cores of one worker.
 struct PaceDecision
 {
-    int percent = 100;
-    bool appliesToAll = false; // applies also to tasks without known interference
+    int percent = 100; // of tasks with known interference
+    bool appliesToAll = false; // applies also to the other tasks
 };
 
 // Feedback controller for the pace of tasks on the leftover cores of one worker. It is
@@ -16,9 +16,12 @@
 // covers the interference that forecasts miss: interference changes within seconds, and
 // measurements are half a second old.
 //
-// The pace is cut as soon as a tail approaches its target and raised slowly while all
-// tails are well below theirs, which avoids oscillation. If a tail stays over its target,
-// all tasks on leftover cores are eventually paused, with or without known interference.
+// The pace of tasks with known interference is cut as soon as a tail approaches its target and
+// raised slowly while all tails are well below theirs, which avoids oscillation. Other tasks
+// keep their full pace: most peaks are caused by the serving task's own load, and slowing down
+// work that does not interfere lowers no tail. If a tail stays over its target, all tasks on
+// leftover cores are eventually paused, with or without known interference, until the tail is
+// below its target again.
 class PaceRegulator
 {
 public:
@@ -29,9 +32,6 @@
         Duration longestViolation{0}; // longest time that a single task has been over its target
         bool isCauseKnown = false; // a task with known interference runs on the worker
     };
-    // Without a known cause all tasks on leftover cores are slowed down, but only after a
-    // tail has been over its target for a while: most such peaks are caused by the serving
-    // task's own load.
     PaceDecision update(const TailState &tails, TimePoint now);
 
 private:
