Throttled runs move to workers that take them at full pace

What callers saw: a batch job waited for one task that was paused for seconds beside a busy serving task, while leftover cores were idle on other workers.

New optional settings checkpointIntervalSeconds, restoreMs and runStopMs; without them nothing moves.

--- a/src/execution/executionloop.h
+++ b/src/execution/executionloop.h
@@ -13,6 +13,7 @@
     EntryHostId self;
     std::uint64_t incarnation = 0; // drawn anew at each process start
     double processorShare = 1; // in cores; hosts with a small share claim later
+    std::optional<scheduling::MoveCost> moveCost = {}; // of a run with checkpoints; runs are not moved if it is not set
 };
 
 // Values shown in the state dump and metrics.
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -57,6 +57,7 @@
     d->workers.clear();
     d->changedWorkers.clear();
     d->timedVisits.clear();
+    d->throttlingWorkers.clear();
     d->workersWithEnds.clear();
     d->changedSections.clear();
     d->unreportedWorkers.clear();
@@ -107,6 +108,11 @@
     }
 }
 
+void Fleet::setMoveCost(const std::optional<scheduling::MoveCost> &cost)
+{
+    d->movePolicy = cost ? std::make_unique<scheduling::BreakEvenMove>(*cost) : nullptr;
+}
+
 const jobs::QueuePolicy &Fleet::Private::policyOf(const TrackedJob &job) const
 {
     const auto it = queues.find(job.job.queue());
@@ -183,6 +189,7 @@
 {
     const auto it = workersById.find(id);
     std::erase(workers, it->second.get());
+    throttlingWorkers.erase(id);
     changedWorkers.erase(it->second.get());
     if (const auto visitAt = it->second->visitAt()) {
         timedVisits.erase({*visitAt, id});
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -8,6 +8,7 @@
 #include "metrics/latencyhistogram.h"
 #include "ports/workerlink.h"
 #include "scheduling/interferencemodel.h"
+#include "scheduling/throttledrun.h"
 
 #include <limits>
 #include <map>
@@ -60,6 +61,7 @@
     std::uint64_t stopped = 0;
     std::uint64_t unansweredStarts = 0; // starts that got no reply
     std::uint64_t paces = 0;
+    std::uint64_t moves = 0; // of throttled runs to other workers
     std::uint64_t startsDuringTakeover = 0; // ordered while a worker of the former leader's roster had not reported
     std::uint64_t endsOfUnknownJobs = 0; // listed by workers before this leader had read the job's row
     std::uint64_t duplicateRuns = 0; // of tasks that were done or active elsewhere when a worker listed the run
@@ -129,6 +131,8 @@
     TimePoint leasesEnd(TimePoint now) const;
 
     void setQueues(std::span<const jobs::QueuePolicy> queues);
+    // Sets what it costs to move a run with checkpoints. Throttled runs are not moved if it is not known.
+    void setMoveCost(const std::optional<scheduling::MoveCost> &cost);
 
     // Jobs. A job is added once in a term, even if it was dropped after its end.
     void addJob(AcceptedJob job, TimePoint now, jobs::WallTime wall);
--- a/src/execution/fleetpacing.cpp
+++ b/src/execution/fleetpacing.cpp
@@ -127,6 +127,7 @@
         if (!run.usesLeftover || run.state != workers::RunState::Running) {
             continue;
         }
+        noteThrottling(worker, run, now);
         const bool isDisturbing = maxInterference(interference, worker, run) > DisturbanceThreshold;
         const int wanted = isDisturbing ? pace : measured.appliesToAll ? measured.percent : workers::FullPace;
         const bool isSignificant = std::abs(run.pace - wanted) >= MinPaceChange || run.pace < 0
@@ -166,4 +167,16 @@
     return disturbing <= room ? workers::FullPace : static_cast<int>(room * workers::FullPace / disturbing);
 }
 
+// Counts the run time that a run loses to its pace, which decides when it is moved.
+void Fleet::Private::noteThrottling(workers::Worker &worker, workers::Run &run, TimePoint now)
+{
+    if (run.pace == workers::FullPace) {
+        run.lostToPace = Duration(0);
+    } else if (run.pace != workers::UnknownPace) {
+        run.lostToPace += (now - run.lostToPaceUntil) * (workers::FullPace - run.pace) / workers::FullPace;
+        throttlingWorkers.insert(worker.entry().id);
+    }
+    run.lostToPaceUntil = now;
+}
+
 } // namespace monsoonspool::execution
--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -54,9 +54,14 @@
     demand.crashCount = job.job.crashCount(task);
     demand.interference = usesInterference ? &interference : nullptr;
     demand.interferenceFreeCapacity = &interferenceFreeCapacity;
+    std::vector<WorkerId> avoided;
     if (const auto it = job.avoidedWorkers.find(task); it != job.avoidedWorkers.end()) {
-        demand.avoided = it->second;
+        avoided = it->second;
     }
+    if (const auto it = job.movedFrom.find(task); it != job.movedFrom.end()) {
+        avoided.push_back(it->second);
+    }
+    demand.avoided = avoided;
     // Which workers can take disturbing leftover work depends on its image.
     const auto failedImage
         = spec.usesLeftover && usesInterference ? std::optional(image) : std::optional<scheduling::ImageNumber>();
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -59,6 +59,7 @@
             break; // its turn comes before that of the work behind it
         }
     }
+    d->moveThrottledRuns(now);
     d->reportLastingTasks(now);
     d->counts.starts += orders.starts.size();
     d->counts.startsDuringTakeover += d->unreportedWorkers.empty() ? 0 : orders.starts.size();
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -4,6 +4,7 @@
 #include "jobs/runtimeestimator.h"
 #include "scheduling/interferencefreecapacity.h"
 #include "scheduling/interferencemodel.h"
+#include "scheduling/throttledrun.h"
 #include "scheduling/waitingorder.h"
 #include "scheduling/workerchooser.h"
 #include "workers/lostruns.h"
@@ -44,6 +45,7 @@
     TimePoint expectedUpdatedAt;
     scheduling::Rank rank;
     std::map<jobs::TaskId, std::vector<WorkerId>> avoidedWorkers; // workers on which a task failed or stalled
+    std::map<jobs::TaskId, WorkerId> movedFrom; // workers that throttled the task
     std::map<jobs::TaskId, TimePoint> keptApartSince; // tasks that wait for a worker without a crash suspect
     int rankedOccurrence = -1;
     TimePoint rankedAt;
@@ -73,7 +75,7 @@
 
 // State of Fleet. Its event handling is in fleet.cpp, fleetlistings.cpp, fleetcrashes.cpp and
 // fleettakeover.cpp; fleetplan.cpp makes a plan by the steps in fleetdraining.cpp, fleetpacing.cpp,
-// fleetqueue.cpp and fleetplacement.cpp.
+// fleetqueue.cpp, fleetplacement.cpp and fleetmoves.cpp.
 struct Fleet::Private
 {
     explicit Private(DecisionLog &decisionLog);
@@ -183,6 +185,12 @@
     void stopStuckRuns(workers::Worker &worker, TimePoint now);
     void adjustPaces(workers::Worker &worker, TimePoint now, Orders &orders);
     int capacityPace(const workers::Worker &worker) const;
+    void noteThrottling(workers::Worker &worker, workers::Run &run, TimePoint now);
+    // Stops throttled runs that another worker can take at full pace.
+    void moveThrottledRuns(TimePoint now);
+    workers::Worker *moveTarget(const workers::Worker &worker, const workers::Run &run, TimePoint now);
+    bool isWorthMoving(TrackedJob &job, const workers::Run &run, TimePoint now) const;
+    bool hasUnplaceableLeftoverWork() const;
     void requestStop(workers::Run &run);
     jobs::RunNumber nextRun(const jobs::Task &task) const;
 
@@ -209,6 +217,9 @@
     std::vector<workers::Worker *> workers; // the values of workersById, ordered by identifier
     std::unordered_set<workers::Worker *> changedWorkers; // since the last plan
     std::set<std::pair<TimePoint, WorkerId>> timedVisits; // see Worker::visitAt()
+    std::set<WorkerId> throttlingWorkers; // with runs below full pace
+    TimePoint movesDueAt;
+    std::unique_ptr<scheduling::MovePolicy> movePolicy; // nullptr if runs are not moved
     std::set<WorkerId> workersWithEnds; // with ends that may not be acknowledged yet
     workers::LostRuns lostRuns;
     std::set<jobs::ProgressSection> changedSections; // whose stored progress is outdated
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -56,6 +56,7 @@
         fleet.beginTerm(start.fence, start.claimVersion, rosterWriter->entries(), formerLeasesEnd, now,
                         start.silentWorkers);
         fleet.setQueues(start.queues);
+        fleet.setMoveCost(start.moveCost);
         interferencePersister.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
         progressWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion,
                                hooks.onFenced);
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -38,6 +38,7 @@
     std::vector<jobs::QueuePolicy> queues;
     TimePoint formersDecideUntil; // see membership::Leadership
     std::vector<membership::SilentWorker> silentWorkers; // of the claimed row, from the term's begin
+    std::optional<scheduling::MoveCost> moveCost = {}; // see ExecutionOptions
 };
 
 // How busy a leader is.
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -55,6 +55,8 @@
     TimePoint listedAt; // last listing that contains the run
     int pace = FullPace; // UnknownPace if the worker may apply another one than the last ordered
     TimePoint paceChangedAt; // last change of pace
+    Duration lostToPace{0}; // run time lost to paces below full speed, since the last run at full speed
+    TimePoint lostToPaceUntil; // up to which it is counted
     bool mayPaceChangeLate = false; // a pace order got no answer and may be carried out after later ones
     std::int64_t level = 0; // see ports::ListedRun
     double smoothedLevel = 0; // moving average for a serving task, since measurements are noisy
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -375,6 +375,16 @@
     const auto withRowBytes = decodeSettings(valid.substr(0, valid.size() - 1) + R"(,"storeRowBytes":4096})");
     EXPECT_TRUE(withRowBytes.errors.empty());
     EXPECT_EQ(withRowBytes.settings.storeRowBytes, 4096U);
+    EXPECT_FALSE(decodeSettings(valid).settings.moveCost);
+    const auto withMoveCost = decodeSettings(valid.substr(0, valid.size() - 1)
+                                             + R"(,"checkpointIntervalSeconds":0.5,"restoreMs":100,"runStopMs":200})");
+    EXPECT_TRUE(withMoveCost.errors.empty());
+    ASSERT_TRUE(withMoveCost.settings.moveCost);
+    EXPECT_EQ(withMoveCost.settings.moveCost->checkpointInterval, 500ms);
+    EXPECT_EQ(withMoveCost.settings.moveCost->restore, 100ms);
+    EXPECT_EQ(withMoveCost.settings.moveCost->stop, 200ms);
+    const auto incomplete = decodeSettings(valid.substr(0, valid.size() - 1) + R"(,"checkpointIntervalSeconds":0.5})");
+    EXPECT_EQ(incomplete.errors.size(), 2U) << "the other two are missing";
     const auto invalid = decodeSettings(
         R"({"name":"","storeAddress":"nowhere","storeRowBytes":1,"processorShare":0,"logLinesPerSecond":0,"colour":"red"})");
     std::vector<std::string> keys;
