Operators can evacuate a failure domain

What callers saw: there was no way to ask that nothing more is sent to the workers of a failure domain, short of draining each of them.

Change: a row evacuate/ZONE in the operators' table keeps new tasks off the domain's workers while it is stored. Every host reads these rows with the configuration, so that a new leader knows them before its first start. membership::Evacuations holds the domains and the time of the last complete reading. A start is valid only until less than the bound has passed since then, so that it cannot begin too late whatever has been stored since and however long the order is under way. Nothing starts before the table was read, nor once the reading is too old, unless the store answers nothing to this host. Runs in the domain keep their leases.

The operators' table is asked for changes twice a second, formerly once, so that two lost answers in a row suspend no starts.

Existing tests are unchanged, except that the test clusters decode the new rows, their workers have a failure domain, and the state dump's list of sections has one more.

--- a/bench/leaderbench.cpp
+++ b/bench/leaderbench.cpp
@@ -85,6 +85,10 @@
     {
         return ports::Configuration();
     }
+    Result<std::optional<FailureDomain>> decodeEvacuation(const ports::RowName &) const override
+    {
+        return std::optional<FailureDomain>();
+    }
     Result<ports::WorkerEntry> decodeWorker(std::string_view key, std::string_view) const override
     {
         return *std::ranges::find(m_entries, key, [](const ports::WorkerEntry &it) { return it.id.view(); });
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -1,5 +1,6 @@
 #include "execution/executionloop.h"
 
+#include "execution/evacuationreader.h"
 #include "execution/rowlayout.h"
 #include "execution/tablewatcher.h"
 #include "execution/waitingcounter.h"
@@ -55,6 +56,7 @@
                                   onLeaderRows(rows);
                               }
                           }}),
+          evacuationReader(ports.registry, ports.log, options.evacuationBound),
           leadership(options.self, options.incarnation, ports.scheduler.now())
     {
     }
@@ -63,10 +65,21 @@
     {
         const auto row = ports.registry.configurationRow();
         configurationWatcher.emplace(ports.store, ports.scheduler, ports.log, row.table,
-                                     std::vector<std::string>{row.part}, WatchTimeout,
-                                     TableWatcher::Hooks{[this](auto rows) { onConfigurationRows(rows); },
-                                                         [this](auto rows) { onConfigurationRows(rows); },
-                                                         [this](Duration roundTrip) { onContact(roundTrip); }});
+                                     std::vector<std::string>{row.part},
+                                     std::min(WatchTimeout, evacuationReader.evacuations().maxReadingInterval()),
+                                     TableWatcher::Hooks{[this](auto rows) {
+                                                             evacuationReader.readAll(rows);
+                                                             onConfigurationRows(rows);
+                                                         },
+                                                         [this](auto rows) {
+                                                             evacuationReader.readChanges(rows);
+                                                             onConfigurationRows(rows);
+                                                         },
+                                                         [this](Duration roundTrip) { onContact(roundTrip); },
+                                                         [this](TimePoint time, std::uint64_t) {
+                                                             evacuationReader.noteRead(time);
+                                                             updateEvacuations();
+                                                         }});
         leaderWatcher.emplace(ports.store, ports.scheduler, ports.log, std::string(LeaderTable),
                               std::vector<std::string>{std::string()}, WatchTimeout,
                               TableWatcher::Hooks{[this](auto rows) { onLeaderSnapshot(rows); },
@@ -86,8 +99,16 @@
         }
     }
 
+    void updateEvacuations()
+    {
+        if (term) {
+            term->setEvacuations(evacuationReader.evacuations());
+        }
+    }
+
     void onConfigurationRows(std::span<const ports::StoredRow> rows)
     {
+        updateEvacuations();
         const auto name = ports.registry.configurationRow();
         for (const auto &row : rows) {
             if (row.name.key != name.key || row.isRemoved) {
@@ -374,8 +395,13 @@
     {
         termFence = leadership.fence();
         termBeganAt = ports.scheduler.now();
-        LeaderTermStart start{termFence, leadership.claimVersion(),       claimedRoster,
-                              queues(),  leadership.formersDecideUntil(), leadership.silentWorkers(termBeganAt)};
+        LeaderTermStart start{termFence,
+                              leadership.claimVersion(),
+                              claimedRoster,
+                              queues(),
+                              leadership.formersDecideUntil(),
+                              leadership.silentWorkers(termBeganAt),
+                              evacuationReader.evacuations()};
         ports.log.record(
             "leadership-won",
             {{"fence", termFence.value}, {"claimVersion", start.claimVersion}, {"rosterRows", start.roster.size()}});
@@ -403,6 +429,7 @@
     ExecutionOptions options;
     JobRequestHandler requestHandler;
     WaitingCounter waitingCounter;
+    EvacuationReader evacuationReader;
     membership::Leadership leadership;
     std::function<void(ConfigurationPointer)> onConfiguration;
     ConfigurationPointer configuration;
@@ -485,6 +512,11 @@
     summary.fence = d->termFence.value;
     summary.configurationVersion = d->configuration ? d->configuration->version : -1;
     summary.timeSinceStoreContact = d->ports.scheduler.now() - d->lastContactAt;
+    const auto &evacuations = d->evacuationReader.evacuations();
+    summary.evacuatedDomains = evacuations.domains();
+    if (evacuations.readAt()) {
+        summary.evacuationsReadAgo = d->ports.scheduler.now() - *evacuations.readAt();
+    }
     if (d->term) {
         summary.fleet = d->term->counts();
         summary.load = d->term->load();
--- a/src/execution/executionloop.h
+++ b/src/execution/executionloop.h
@@ -2,9 +2,12 @@
 
 #include "execution/jobrequesthandler.h"
 #include "execution/leaderterm.h"
+#include "membership/evacuations.h"
 #include "membership/leadership.h"
 
 #include <memory>
+#include <optional>
+#include <vector>
 
 namespace monsoonspool::execution {
 
@@ -13,6 +16,8 @@
     EntryHostId self;
     std::uint64_t incarnation = 0; // drawn anew at each process start
     double processorShare = 1; // in cores; hosts with a small share claim later
+    // No task starts in a failure domain later than this after its evacuation was stored.
+    Duration evacuationBound = membership::DefaultEvacuationBound;
 };
 
 // Values shown in the state dump and metrics.
@@ -23,6 +28,8 @@
     std::uint64_t fence = 0;
     std::int64_t configurationVersion = -1; // -1 until one has been read
     Duration timeSinceStoreContact{0};
+    std::vector<FailureDomain> evacuatedDomains; // as read by this host
+    std::optional<Duration> evacuationsReadAgo; // nothing before the first reading
     FleetCounts fleet;
     LeaderLoad load; // while this host leads
 };
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -65,6 +65,8 @@
     d->workersReadAt.reset();
     d->jobsReadAt.reset();
     d->delayedAt.reset();
+    d->evacuations.reset();
+    d->reportedEvacuations.clear();
     d->takeoverReportDueAt = now + TakeoverReportInterval;
     d->lastingReportDueAt = now + TakeoverReportInterval;
     d->formerLeaseEnds.clear();
@@ -141,6 +143,7 @@
     workers.insert(std::ranges::lower_bound(workers, entry.id, {}, idOf), worker.get());
     changedWorkers.insert(worker.get());
     worker->setNamedSilent(namedSilent.contains(entry.id));
+    applyEvacuations(*worker);
     isRosterChanged = true;
     return *worker;
 }
@@ -346,6 +349,7 @@
         d->isRosterChanged = true;
     }
     worker->setEntry(entry, now);
+    d->applyEvacuations(*worker);
 }
 
 void Fleet::removeWorker(const WorkerId &id, TimePoint now)
@@ -548,6 +552,7 @@
     }
     counts.unreportedWorkers = d->unreportedWorkers.size();
     counts.heldBackJobs = d->heldBackJobs();
+    counts.evacuatedDomains = d->evacuatedDomains();
     return counts;
 }
 
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -4,6 +4,7 @@
 #include "execution/orders.h"
 #include "jobs/job.h"
 #include "jobs/queuepolicy.h"
+#include "membership/evacuations.h"
 #include "membership/leadership.h"
 #include "metrics/latencyhistogram.h"
 #include "ports/workerlink.h"
@@ -48,6 +49,15 @@
     std::int64_t lastEnd = 0;
 };
 
+// The state of an evacuated failure domain.
+struct EvacuatedDomain
+{
+    FailureDomain domain;
+    std::size_t workers = 0;
+    std::size_t unheardWorkers = 0; // that do not answer, or have not answered this leader yet
+    std::size_t runs = 0; // that may be active there
+};
+
 struct FleetCounts
 {
     std::size_t openJobs = 0;
@@ -72,6 +82,7 @@
     std::size_t silentWorkers = 0;
     std::size_t unreportedWorkers = 0; // of the former leader's roster
     std::size_t heldBackJobs = 0; // whose tasks may still be active on one of these
+    std::vector<EvacuatedDomain> evacuatedDomains; // by name
     metrics::LatencyHistogram firstStart; // from acceptance to the first start order
 };
 
@@ -86,6 +97,7 @@
 //    before every worker on which it may run has reported its runs or its lease has expired,
 //  - no task is started of a job whose accepting host knew of a later leader, which may
 //    start it without waiting for this one,
+//  - no task is started on a worker of an evacuated failure domain,
 //  - no lease is extended and nothing is started on a worker that the stored row of the leader may
 //    name as silent: a successor waits there only as long as the row says,
 //  - the end of a run is acknowledged only after its job was read and its effects were stored.
@@ -144,6 +156,10 @@
     // answers other calls, no task starts once this is too long ago, since workers may have
     // announced that they leave.
     void noteWorkersRead(TimePoint time);
+    // Replaces the evacuated failure domains. No task starts on their workers, and while the store
+    // answers other calls, none starts anywhere once their last reading is too long ago. Before the
+    // first call, nothing is evacuated.
+    void setEvacuations(const membership::Evacuations &evacuations);
     // Records that this host handles events late, so that answers of the store may wait unread.
     void noteDelayed(TimePoint now);
     // Applies the stored progress of a job.
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -31,6 +31,7 @@
     Orders orders;
     d->endFormerLeases(now);
     d->reportTakeover(now);
+    d->reportEvacuations();
     for (auto *it : d->expireLeases(d->workersToVisit(now), now)) {
         d->drainWorker(*it, now);
         d->stopStuckRuns(*it, now);
@@ -66,30 +67,39 @@
     return orders;
 }
 
-// Returns until when tasks may start, by when the workers' entries and the cancellations were read.
-// While the store is silent to all hosts, workers cannot announce that they leave and jobs cannot be
-// cancelled either; if it is silent only to this one, another host takes over.
+// Returns until when tasks may start, by when the workers' entries, the cancellations and the
+// evacuations were read. While the store is silent to all hosts, workers cannot announce that they
+// leave, jobs cannot be cancelled and nothing can be evacuated either; if it is silent only to this
+// one, another host takes over. Nothing starts before the evacuations were read once.
 TimePoint Fleet::Private::rowsUsableUntil(TimePoint now) const
 {
     const auto renewedAt = termRenewedAt == TimePoint::max() ? termBeganAt : termRenewedAt;
+    const bool areEvacuationsUnread = evacuations && !evacuations->readAt();
+    if (areEvacuationsUnread) {
+        return TimePoint::min();
+    }
+    const auto evacuationsReadAt = evacuations ? *evacuations->readAt() : renewedAt;
     const auto storeAnsweredAt
-        = std::max({renewedAt, workersReadAt.value_or(renewedAt), jobsReadAt.value_or(renewedAt)});
+        = std::max({renewedAt, workersReadAt.value_or(renewedAt), jobsReadAt.value_or(renewedAt), evacuationsReadAt});
     const bool isDelayed = delayedAt && now - *delayedAt < DelayMemory;
     if (!isDelayed && now - storeAnsweredAt > StoreSilence) {
         return TimePoint::max();
     }
-    return std::min(workersReadAt ? *workersReadAt + MaxEntryAge : TimePoint::max(),
-                    jobsReadAt ? *jobsReadAt + MaxCancellationAge : TimePoint::max());
+    return std::min({workersReadAt ? *workersReadAt + MaxEntryAge : TimePoint::max(),
+                     jobsReadAt ? *jobsReadAt + MaxCancellationAge : TimePoint::max(), evacuationsUsableUntil()});
 }
 
 bool Fleet::Private::mayStartTasks(TimePoint now)
 {
-    const bool mayStart = rowsUsableUntil(now) - now >= MinStartValidity;
+    const bool mayStart = rowsUsableUntil(now) >= now + MinStartValidity;
     if (mayStart == areStartsSuspended) {
         areStartsSuspended = !mayStart;
         log.record(mayStart ? "starts-resumed" : "starts-suspended",
                    {{"workersReadMsAgo", toMilliseconds(now - workersReadAt.value_or(now))},
-                    {"jobsReadMsAgo", toMilliseconds(now - jobsReadAt.value_or(now))}});
+                    {"jobsReadMsAgo", toMilliseconds(now - jobsReadAt.value_or(now))},
+                    {"areEvacuationsRead", !evacuations || evacuations->readAt()},
+                    {"evacuationsReadMsAgo",
+                     toMilliseconds(now - (evacuations ? evacuations->readAt().value_or(now) : now))}});
     }
     return mayStart;
 }
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -71,8 +71,8 @@
 // Time between two log lines about a takeover that waits for workers, or about lasting tasks that wait.
 inline constexpr Duration TakeoverReportInterval = 2s;
 
-// State of Fleet. Its event handling is in fleet.cpp, fleetlistings.cpp, fleetcrashes.cpp and
-// fleettakeover.cpp; fleetplan.cpp makes a plan by the steps in fleetdraining.cpp, fleetpacing.cpp,
+// State of Fleet. Its event handling is in fleet.cpp, fleetlistings.cpp, fleetcrashes.cpp,
+// fleetevacuation.cpp and fleettakeover.cpp; fleetplan.cpp makes a plan by the steps in fleetdraining.cpp, fleetpacing.cpp,
 // fleetqueue.cpp and fleetplacement.cpp.
 struct Fleet::Private
 {
@@ -179,6 +179,10 @@
     void stopUnwantedRuns(workers::Worker &worker, TimePoint now, Orders &orders);
     TimePoint rowsUsableUntil(TimePoint now) const;
     bool mayStartTasks(TimePoint now);
+    void applyEvacuations(workers::Worker &worker) const;
+    TimePoint evacuationsUsableUntil() const;
+    std::vector<EvacuatedDomain> evacuatedDomains() const;
+    void reportEvacuations();
     void drainWorker(workers::Worker &worker, TimePoint now);
     void stopStuckRuns(workers::Worker &worker, TimePoint now);
     void adjustPaces(workers::Worker &worker, TimePoint now, Orders &orders);
@@ -215,6 +219,8 @@
     bool isRosterChanged = false;
     std::optional<TimePoint> workersReadAt; // all entries stored before this time have been read
     std::optional<TimePoint> jobsReadAt; // all jobs and cancellations stored before this time have been read
+    std::optional<membership::Evacuations> evacuations; // unset if none are followed
+    std::set<FailureDomain> reportedEvacuations; // that were logged in this term
     std::optional<TimePoint> delayedAt; // last time that events were handled late
     bool areStartsSuspended = false; // since rows were read too long ago
     jobs::RunTimeEstimator estimator;
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -56,6 +56,9 @@
         fleet.beginTerm(start.fence, start.claimVersion, rosterWriter->entries(), formerLeasesEnd, now,
                         start.silentWorkers);
         fleet.setQueues(start.queues);
+        if (start.evacuations) {
+            fleet.setEvacuations(*start.evacuations);
+        }
         interferencePersister.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
         progressWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion,
                                hooks.onFenced);
@@ -312,6 +315,11 @@
     d->requestPlan();
 }
 
+void LeaderTerm::setEvacuations(const membership::Evacuations &evacuations)
+{
+    d->fleet.setEvacuations(evacuations);
+}
+
 void LeaderTerm::noteRenewed(TimePoint sentAt, TimePoint termEnd)
 {
     d->fleet.noteTermRenewed(sentAt, termEnd);
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -2,6 +2,7 @@
 
 #include "execution/fleet.h"
 #include "execution/rowcodec.h"
+#include "membership/evacuations.h"
 #include "ports/changestore.h"
 #include "ports/registry.h"
 #include "ports/scheduler.h"
@@ -10,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace monsoonspool::execution {
 
@@ -38,6 +40,7 @@
     std::vector<jobs::QueuePolicy> queues;
     TimePoint formersDecideUntil; // see membership::Leadership
     std::vector<membership::SilentWorker> silentWorkers; // of the claimed row, from the term's begin
+    std::optional<membership::Evacuations> evacuations = {}; // as read so far; none are followed if it is unset
 };
 
 // How busy a leader is.
@@ -67,6 +70,8 @@
     LeaderTerm &operator=(const LeaderTerm &) = delete;
 
     void setQueues(std::span<const jobs::QueuePolicy> queues);
+    // Replaces the evacuated failure domains.
+    void setEvacuations(const membership::Evacuations &evacuations);
     // Records that the leadership was renewed by a write that was sent at `sentAt`, and lasts
     // until `termEnd`.
     void noteRenewed(TimePoint sentAt, TimePoint termEnd);
--- a/src/ports/registry.h
+++ b/src/ports/registry.h
@@ -6,6 +6,7 @@
 #include "ports/workerlink.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,7 +29,7 @@
     std::vector<QueueRoute> routes;
 };
 
-// Location and encoding of the configuration and of the list of workers in the store.
+// Location and encoding of the configuration, of the evacuations and of the list of workers in the store.
 // Decoding fails with InvalidDocument or MalformedMessage.
 class Registry
 {
@@ -38,6 +39,9 @@
     virtual RowName configurationRow() const = 0;
     virtual std::string workersTable() const = 0;
     virtual Result<Configuration> decodeConfiguration(std::string_view value) const = 0;
+    // Decodes the name of a row in the table of the configuration. Returns the failure domain that
+    // the row evacuates while it is stored, whatever its value, or nothing for a row of another kind.
+    virtual Result<std::optional<FailureDomain>> decodeEvacuation(const RowName &name) const = 0;
     virtual Result<WorkerEntry> decodeWorker(std::string_view key, std::string_view value) const = 0;
 };
 
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -60,6 +60,7 @@
     fresh.m_deadline = std::min<ports::WorkerMillis>(m_deadline, clock + toMilliseconds(MaxRunLease));
     fresh.m_isListed = m_isListed;
     fresh.m_isNamedSilent = m_isNamedSilent;
+    fresh.m_isEvacuated = m_isEvacuated;
     fresh.m_isRostered = m_isRostered;
     fresh.m_isOnTakenRoster = m_isOnTakenRoster;
     fresh.m_remainingJobs = std::move(m_remainingJobs);
@@ -89,7 +90,7 @@
         || now < m_unschedulableUntil) {
         return false;
     }
-    if (isRestartAnnounced() || m_awaitsTermRenewalSince || m_isNamedSilent) {
+    if (isRestartAnnounced() || m_awaitsTermRenewalSince || m_isNamedSilent || m_isEvacuated) {
         return false;
     }
     if (!isSuspect() || now - m_lastFailureAt > SuspicionTimeout) {
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -228,6 +228,11 @@
     {
         return m_paceRegulator;
     }
+    // Sets whether the worker's failure domain is evacuated, in which case it gets no new tasks.
+    void setEvacuated(bool isEvacuated)
+    {
+        m_isEvacuated = isEvacuated;
+    }
     void setListed(bool isListed)
     {
         m_isListed = isListed;
@@ -412,6 +417,7 @@
     bool m_isListed = true;
     bool m_isRostered = false;
     bool m_isOnTakenRoster = false;
+    bool m_isEvacuated = false;
     bool m_isConfirmed = false;
     bool m_isSilent = false;
     bool m_hasNewListing = false;
--- a/tests/execution/takeovercluster.h
+++ b/tests/execution/takeovercluster.h
@@ -82,6 +82,10 @@
         configuration.routes.push_back(route);
         return configuration;
     }
+    Result<std::optional<FailureDomain>> decodeEvacuation(const RowName &) const override
+    {
+        return std::optional<FailureDomain>();
+    }
     Result<WorkerEntry> decodeWorker(std::string_view key, std::string_view value) const override
     {
         auto entry = m_workers.entry(WorkerId(key));
--- a/tests/execution/testcluster.h
+++ b/tests/execution/testcluster.h
@@ -55,6 +55,8 @@
 // again; other entries have the worker's present capacity.
 inline constexpr std::string_view CapacityPrefix = "capacity ";
 inline constexpr std::string_view Draining = "draining";
+// A row beside the configuration whose key has this before the name of a failure domain evacuates it.
+inline constexpr std::string_view EvacuationPrefix = "evacuate ";
 
 // Decodes the rows that this test writes. The value of a configuration is its version, that of a
 // worker its capacity or state; after "draining" may follow the remaining time in milliseconds.
@@ -85,6 +87,15 @@
         configuration.routes.push_back(route);
         return configuration;
     }
+    Result<std::optional<FailureDomain>> decodeEvacuation(const RowName &name) const override
+    {
+        if (name.key == "unreadable") {
+            return fail(ErrorKind::InvalidDocument, "not a domain");
+        }
+        return name.key.starts_with(EvacuationPrefix)
+            ? std::optional(FailureDomain(name.key.substr(EvacuationPrefix.size())))
+            : std::nullopt;
+    }
     Result<WorkerEntry> decodeWorker(std::string_view key, std::string_view value) const override
     {
         if (value == "unreadable") {
@@ -159,6 +170,7 @@
             entry.service = Service;
             entry.capacity = {16000, 32000, 0};
             entry.rack = "r" + std::to_string(n / 2);
+            entry.domain = FailureDomain("z" + std::to_string(n / 2));
             entry.startTimeMs = 1;
             workers.addWorker(entry);
             put({"workers", "", entry.id.text()}, "ready");
--- a/tests/platform/controlapitest.cpp
+++ b/tests/platform/controlapitest.cpp
@@ -30,10 +30,37 @@
     EXPECT_EQ(valueLines, helpLines + 3) << "the summary has three quantiles and a count";
 }
 
+// Guards against an evacuated domain that looks empty because its numbers are missing, and against
+// names that break the text format.
+TEST(ControlApi, ShowsTheEvacuatedDomains)
+{
+    execution::ExecutionSummary summary;
+    summary.evacuatedDomains = {FailureDomain("a\"\\\n"), FailureDomain("b")};
+    summary.evacuationsReadAgo = 400ms;
+    auto json = codec::Json::parse(encodeState(summary, EntryHostId("h")));
+    EXPECT_EQ(json.at("evacuations").at("readMsAgo"), 400);
+    EXPECT_EQ(json.at("evacuations").at("domains").size(), 2U);
+    EXPECT_FALSE(json.at("evacuations").at("domains").at(1).contains("runs")) << "only the leader knows them";
+    EXPECT_EQ(encodeMetrics(summary).find("evacuated_domain_runs"), std::string::npos);
+    EXPECT_NE(encodeMetrics(summary).find("\nmonsoonspool_evacuated_domains 2\n"), std::string::npos);
+
+    summary.fleet.evacuatedDomains = {{FailureDomain("a\"\\\n"), 3, 1, 2}, {FailureDomain("b"), 0, 0, 0}};
+    json = codec::Json::parse(encodeState(summary, EntryHostId("h")));
+    EXPECT_EQ(json.at("evacuations").at("domains").at(0).at("runs"), 2);
+    EXPECT_EQ(json.at("evacuations").at("domains").at(0).at("workers"), 3);
+    EXPECT_EQ(json.at("evacuations").at("domains").at(0).at("unheardWorkers"), 1);
+    EXPECT_EQ(json.at("evacuations").at("domains").at(1).at("runs"), 0);
+    const auto metrics = encodeMetrics(summary);
+    EXPECT_NE(metrics.find("\nmonsoonspool_evacuated_domain_runs{domain=\"a\\\"\\\\\\n\"} 2\n"), std::string::npos);
+    EXPECT_NE(metrics.find("\nmonsoonspool_evacuated_domain_runs{domain=\"b\"} 0\n"), std::string::npos);
+    EXPECT_NE(metrics.find("\nmonsoonspool_evacuated_domain_unheard_workers{domain=\"b\"} 0\n"), std::string::npos);
+}
+
 TEST(ControlApi, StateHasAllSections)
 {
     const auto json = codec::Json::parse(encodeState({}, EntryHostId("h")));
-    for (const auto *it : {"host", "leadership", "configuration", "store", "load", "jobs", "workers", "runs"}) {
+    for (const auto *it :
+         {"host", "leadership", "configuration", "store", "evacuations", "load", "jobs", "workers", "runs"}) {
         EXPECT_TRUE(json.contains(it)) << it;
     }
 }
