A job's age counts from its reading, not from clocks that may have jumped

What callers saw: a job that was accepted while the clock of its host was some seconds behind, or read while the leader's was ahead, counted as that much older for as long as it was open. Jobs with a short objective counted as late at once, and jobs that were accepted earlier waited behind it.

Cause: the age was computed once from the wall clocks of two hosts and bounded only by 120 s.

Change: a job that is read in the course of a term is no older than the last reading of all jobs, which did not contain it. Its age counts from its own reading unless the jobs could not be read for longer than clocks differ (5 s); then clocks decide, bounded by that time. For jobs from before the term, clocks decide as before.

Evidence: JobAge.AJumpDoesNotChangeTheOrderOfJobs fails if the time of the last reading is left out; JobAge.ClocksDecideOnlyWhatTheReadingsDoNotTell tests the decision.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -1,6 +1,7 @@
 #include "execution/fleet.h"
 
 #include "execution/fleetstate.h"
+#include "execution/jobage.h"
 #include "jobs/names.h"
 
 #include <algorithm>
@@ -8,19 +9,6 @@
 
 namespace monsoonspool::execution {
 
-namespace {
-
-// Bounds the age that is computed for a job when the clocks of hosts differ.
-constexpr Duration MaxJobAge = 120s;
-
-TimePoint acceptedAtOf(const AcceptedJob &job, TimePoint now, jobs::WallTime wall)
-{
-    const Duration age = std::chrono::duration_cast<Duration>(wall - job.acceptedAt);
-    return now - std::clamp(age, Duration(0), MaxJobAge);
-}
-
-} // namespace
-
 TrackedJob::TrackedJob(AcceptedJob accepted, TimePoint acceptedAt)
     : job(accepted.key, std::move(accepted.spec), accepted.policy.queue, acceptedAt),
       acceptedPolicy(std::move(accepted.policy)), knownFence(accepted.knownFence), version(accepted.version)
@@ -201,7 +189,8 @@
         return;
     }
     const auto key = job.key;
-    const auto acceptedAt = acceptedAtOf(job, now, wall);
+    const auto unreadFor = d->jobsReadAt ? std::optional(now - *d->jobsReadAt) : std::nullopt;
+    const auto acceptedAt = now - ageAtReading(job.acceptedAt, wall, unreadFor);
     auto &tracked = d->jobsByKey[key];
     tracked = std::make_unique<TrackedJob>(std::move(job), acceptedAt);
     d->jobsToPlace.insert(key);
