--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -1,6 +1,7 @@
 #include "execution/fleet.h"
 
 #include "execution/fleetstate.h"
+#include "execution/jobage.h"
 #include "jobs/names.h"
 
 #include <algorithm>
@@ -8,19 +9,6 @@
 
 namespace monsoonspool::execution {
 
-namespace {
-
-// Bounds the age that is computed for a job when the clocks of hosts differ.
-constexpr Duration MaxJobAge = 120s;
-
-TimePoint acceptedAtOf(const AcceptedJob &job, TimePoint now, jobs::WallTime wall)
-{
-    const Duration age = std::chrono::duration_cast<Duration>(wall - job.acceptedAt);
-    return now - std::clamp(age, Duration(0), MaxJobAge);
-}
-
-} // namespace
-
 TrackedJob::TrackedJob(AcceptedJob accepted, TimePoint acceptedAt)
     : job(accepted.key, std::move(accepted.spec), accepted.policy.queue, acceptedAt),
       acceptedPolicy(std::move(accepted.policy)), knownFence(accepted.knownFence), version(accepted.version)
@@ -66,6 +54,8 @@
     d->workersReadAt.reset();
     d->jobsReadAt.reset();
     d->delayedAt.reset();
+    d->evacuations.reset();
+    d->reportedEvacuations.clear();
     d->takeoverReportDueAt = now + TakeoverReportInterval;
     d->lastingReportDueAt = now + TakeoverReportInterval;
     d->formerLeaseEnds.clear();
@@ -147,6 +137,7 @@
     workers.insert(std::ranges::lower_bound(workers, entry.id, {}, idOf), worker.get());
     changedWorkers.insert(worker.get());
     worker->setNamedSilent(namedSilent.contains(entry.id));
+    applyEvacuations(*worker);
     isRosterChanged = true;
     return *worker;
 }
@@ -205,7 +196,8 @@
         return;
     }
     const auto key = job.key;
-    const auto acceptedAt = acceptedAtOf(job, now, wall);
+    const auto unreadFor = d->jobsReadAt ? std::optional(now - *d->jobsReadAt) : std::nullopt;
+    const auto acceptedAt = now - ageAtReading(job.acceptedAt, wall, unreadFor);
     auto &tracked = d->jobsByKey[key];
     tracked = std::make_unique<TrackedJob>(std::move(job), acceptedAt);
     d->jobsToPlace.insert(key);
@@ -353,6 +345,7 @@
         d->isRosterChanged = true;
     }
     worker->setEntry(entry, now);
+    d->applyEvacuations(*worker);
 }
 
 void Fleet::removeWorker(const WorkerId &id, TimePoint now)
@@ -555,6 +548,7 @@
     }
     counts.unreportedWorkers = d->unreportedWorkers.size();
     counts.heldBackJobs = d->heldBackJobs();
+    counts.evacuatedDomains = d->evacuatedDomains();
     return counts;
 }
 
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -57,6 +57,9 @@
                         start.silentWorkers);
         fleet.setQueues(start.queues);
         fleet.setMoveCost(start.moveCost);
+        if (start.evacuations) {
+            fleet.setEvacuations(*start.evacuations);
+        }
         interferencePersister.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
         progressWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion,
                                hooks.onFenced);
@@ -313,6 +316,11 @@
     d->requestPlan();
 }
 
+void LeaderTerm::setEvacuations(const membership::Evacuations &evacuations)
+{
+    d->fleet.setEvacuations(evacuations);
+}
+
 void LeaderTerm::noteRenewed(TimePoint sentAt, TimePoint termEnd)
 {
     d->fleet.noteTermRenewed(sentAt, termEnd);
