--- a/src/membership/evacuations.cpp
+++ b/src/membership/evacuations.cpp
@@ -10,9 +10,9 @@
 
 // Covers the rounding of the deadlines of starts, and what a worker needs to begin a task.
 constexpr Duration StartMargin = 250ms;
-// An answer without changes shows only what was stored before its call was sent, and the answer of
-// one call may be lost before starts have to wait.
-constexpr int ReadingsPerBound = 4;
+// An answer without changes shows only what was stored before its call was sent, and the answers of
+// two calls in a row may be lost before starts have to wait.
+constexpr int ReadingsPerBound = 10;
 
 } // namespace
 
