Short jumps of a wall clock have no effect

What callers saw: while the clock of the leader was some seconds ahead, occurrences of timed jobs started that much before their time (7 s after two jumps in the same direction, where the platform allows 5.25 s), and while it was behind, as much later. A leader that took over meanwhile ranked all open jobs by wrong ages for as long as they were open.

Cause: due times and ages were taken from the clock as it was.

A lasting change is followed within half a minute.

Evidence: with the clock as it is, WallClock.OccurrencesOfTimedJobsRunOnceAndInTimeWhateverClocksDo and WallClock.ShortJumpsDoNotChangeATakeover fail. WallClock.JumpsDoNotChangeWhatHappensToOtherJobs passes with and without the change: nothing else depends on the wall clock. The test cluster's hosts have clocks of their own; existing tests are unchanged.

--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -1,6 +1,7 @@
 #include "execution/executionloop.h"
 
 #include "execution/evacuationreader.h"
+#include "execution/hostwallclock.h"
 #include "execution/rowlayout.h"
 #include "execution/tablewatcher.h"
 #include "execution/waitingcounter.h"
@@ -57,8 +58,10 @@
                               }
                           }}),
           evacuationReader(ports.registry, ports.log, options.evacuationBound),
-          leadership(options.self, options.incarnation, ports.scheduler.now())
+          leadership(options.self, options.incarnation, ports.scheduler.now()),
+          wallClock(ports.scheduler, ports.log, std::move(ports.wallNow))
     {
+        ports.wallNow = [this] { return wallClock.now(); };
     }
 
     void start()
@@ -199,6 +202,7 @@
         ports.scheduler.runAfter(TickInterval, [self = shared_from_this(), dueAt] {
             if (!self->isClosed) {
                 self->updateLag(self->ports.scheduler.now() - dueAt);
+                self->wallClock.update();
                 self->reconcileLeadership();
                 self->tick();
             }
@@ -431,6 +435,7 @@
     WaitingCounter waitingCounter;
     EvacuationReader evacuationReader;
     membership::Leadership leadership;
+    HostWallClock wallClock;
     std::function<void(ConfigurationPointer)> onConfiguration;
     ConfigurationPointer configuration;
     std::optional<TableWatcher> configurationWatcher;
@@ -499,6 +504,11 @@
     d->waitingCounter.count(std::move(queue), deadline, reply);
 }
 
+jobs::WallTime ExecutionLoop::wallNow() const
+{
+    return d->wallClock.now();
+}
+
 bool ExecutionLoop::isReady() const
 {
     return d->configuration && !d->isStopping && d->ports.scheduler.now() - d->lastContactAt < ReadyContactTimeout;
@@ -512,6 +522,7 @@
     summary.fence = d->termFence.value;
     summary.configurationVersion = d->configuration ? d->configuration->version : -1;
     summary.timeSinceStoreContact = d->ports.scheduler.now() - d->lastContactAt;
+    summary.clockJump = d->wallClock.jump();
     const auto &evacuations = d->evacuationReader.evacuations();
     summary.evacuatedDomains = evacuations.domains();
     if (evacuations.readAt()) {
--- a/src/execution/executionloop.h
+++ b/src/execution/executionloop.h
@@ -30,6 +30,7 @@
     Duration timeSinceStoreContact{0};
     std::vector<FailureDomain> evacuatedDomains; // as read by this host
     std::optional<Duration> evacuationsReadAgo; // nothing before the first reading
+    Duration clockJump{0}; // how far the wall clock is ahead of the time that is used
     FleetCounts fleet;
     LeaderLoad load; // while this host leads
 };
@@ -57,6 +58,8 @@
     // Calls `reply` by `deadline` with the number of the queue's accepted jobs that have not
     // started. Fails with StoreUnavailable if that is not known.
     void waitingJobs(std::string queue, TimePoint deadline, const ports::Handler<int> &reply);
+    // Returns the time of the host's wall clock without its short jumps.
+    jobs::WallTime wallNow() const;
     // Returns whether this host can serve client requests.
     bool isReady() const;
     ExecutionSummary summary() const;
--- a/tests/execution/testcluster.h
+++ b/tests/execution/testcluster.h
@@ -11,6 +11,7 @@
 #include <boost/random/uniform_01.hpp>
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -202,7 +203,11 @@
     {
         auto &host = *hosts[static_cast<std::size_t>(n)];
         host.loop = std::make_unique<ExecutionLoop>(
-            ExecutionPorts{host.store, host.link, scheduler, registry, codec, log, [this] { return wallNow(); }},
+            ExecutionPorts{host.store, host.link, scheduler, registry, codec, log,
+                           [this, n] {
+                               const auto error = clockErrors[static_cast<std::size_t>(n)];
+                               return wallNow() + std::chrono::duration_cast<std::chrono::milliseconds>(error);
+                           }},
             ExecutionOptions{host.name, ++host.incarnation, 1.0}, [](const ExecutionLoop::ConfigurationPointer &) {});
         host.loop->start();
     }
@@ -278,6 +283,7 @@
         return found;
     }
 
+    std::array<Duration, HostCount> clockErrors{}; // of the hosts' wall clocks
     VirtualScheduler scheduler;
     TestTaskModel taskModel;
     SharedRows rows;
