A leader that was paused starts no task of a job cancelled meanwhile

What callers saw: a job whose cancellation another host had answered started tasks 4 s later, when its leader had been frozen for 4 s and no other host could claim in that time.

Cause: while the store answers nothing, starts go on without a recent reading of the cancellations, unless the host itself is late. Lateness was noted by the tick only. A plan that was scheduled before the pause is due before the tick, so it ran first and took the pause for a silent store.

Change: each plan looks at whether the tick is overdue.

Tests: tests/execution/cancellationracetest.cpp has one row for each path by which a job may run after its cancellation was answered, each without a takeover and with the leader killed, frozen and stopped in between.

--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -206,22 +206,19 @@
 
     void tick()
     {
-        const auto dueAt = ports.scheduler.now() + PlanInterval;
-        ports.scheduler.runAfter(PlanInterval, [self = shared_from_this(), dueAt] {
+        tickDueAt = ports.scheduler.now() + PlanInterval;
+        ports.scheduler.runAfter(PlanInterval, [self = shared_from_this()] {
             if (!self->isClosed) {
                 const auto now = self->ports.scheduler.now();
-                self->noteLateness(now - dueAt, now);
+                self->updateStartLimit(now - self->tickDueAt, now);
                 self->plan();
                 self->tick();
             }
         });
     }
 
-    void noteLateness(Duration lateness, TimePoint now)
+    void updateStartLimit(Duration lateness, TimePoint now)
     {
-        if (lateness > MaxTickDelay) {
-            fleet.noteDelayed(now);
-        }
         const int formerLimit = startLimiter.limit();
         startLimiter.update(lateness, workerController->takeStartRoundTrips(), now);
         workerController->setLateness(startLimiter.lateness());
@@ -257,11 +254,19 @@
 
     void plan()
     {
-        if (!isLoaded || !hooks.mayDecide()) {
+        if (!isLoaded) {
+            return;
+        }
+        const auto now = ports.scheduler.now();
+        // A plan that was scheduled before the host was paused runs before the tick that is overdue.
+        if (now - tickDueAt > MaxTickDelay) {
+            fleet.noteDelayed(now);
+        }
+        if (!hooks.mayDecide()) {
             return;
         }
         const int maxStarts = startLimiter.available(workerController->startsUnderWay());
-        const auto orders = fleet.plan(ports.scheduler.now(), ports.wallNow(), maxStarts);
+        const auto orders = fleet.plan(now, ports.wallNow(), maxStarts);
         isCutByLimit = static_cast<int>(orders.starts.size()) >= maxStarts;
         workerController->dispatch(orders);
         progressWriter->requestWrite();
@@ -280,6 +285,7 @@
     std::optional<TableWatcher> progressReader;
     std::optional<TableWatcher> workerWatcher;
     StartLimiter startLimiter;
+    TimePoint tickDueAt;
     TimePoint jobsReadAt; // all jobs stored before this time have been read
     std::uint64_t jobsReadVersion = 0; // of the store
     bool isCutByLimit = false; // the last plan left starts for later
