A submission is answered as accepted only if an accepted row was read

What callers saw: a submission that met a row which the host cannot read was answered 200. The row may be the one that keeps a cancelled job out, written by a later release.

Cause: any row that was no readable cancellation counted as an earlier acceptance, and so did a refused commit without rows.

Change: without a readable row the outcome is unknown. The submission is repeated until its deadline and answered 504 then.

Evidence: CancelledSubmission.IsNotAnsweredAsAcceptedIfTheRowCannotBeRead fails without the change ("Which is: { 4-byte object <00-00 00-00> }", that is Accepted, instead of Unknown). CancellationRace, ExecutionLoop, ExecutionFaults and Takeover pass.

--- a/src/execution/jobrequesthandler.cpp
+++ b/src/execution/jobrequesthandler.cpp
@@ -64,44 +64,52 @@
 
     void onSubmitted(const SubmissionPointer &submission, const ports::AsyncResult<ports::CommitResult> &result)
     {
+        if (result.isOk() && result.value().isApplied) {
+            finish(*submission, SubmitResult::Accepted, "stored");
+            return;
+        }
         if (result.isOk()) {
-            // A refused commit means that the rows exist, written by an earlier attempt or
-            // by an earlier request of the client to this or another host, or that the job was
-            // cancelled before.
-            if (isCancelled(result.value().current)) {
-                finish(*submission, SubmitResult::Cancelled, "cancelled before it was accepted");
-            } else {
-                finish(*submission, SubmitResult::Accepted, result.value().isApplied ? "stored" : "already stored");
+            // The rows exist: they were written by an earlier attempt or by an earlier request of the
+            // client to this or another host, or the job was cancelled before.
+            if (const auto isAccepted = isAcceptedBy(result.value().current)) {
+                finish(*submission, *isAccepted ? SubmitResult::Accepted : SubmitResult::Cancelled,
+                       *isAccepted ? "already stored" : "cancelled before it was accepted");
+                return;
             }
-            return;
         }
-        const bool isLost = result.failure().kind == ErrorKind::StoreReplyLost;
-        submission->maybeStored = submission->maybeStored || isLost;
+        const auto kind = result.isOk() ? ErrorKind::StoreConflict : result.failure().kind;
+        const bool isUnknown = kind == ErrorKind::StoreReplyLost || kind == ErrorKind::StoreConflict;
+        submission->maybeStored = submission->maybeStored || isUnknown;
         const auto now = scheduler.now();
         const bool isRefusedTooLong = !submission->maybeStored && now - submission->startedAt > RefusalTimeout;
         if (isRefusedTooLong || now + submission->pause >= submission->deadline) {
             finish(*submission, submission->maybeStored ? SubmitResult::Unknown : SubmitResult::NotAccepted,
-                   errorInfo(result.failure().kind).name);
+                   errorInfo(kind).name);
             return;
         }
         scheduler.runAfter(submission->pause, [self = shared_from_this(), submission] { self->trySubmit(submission); });
         submission->pause = std::min(submission->pause * 2, MaxRetry);
     }
 
-    // Returns whether the rows that caused a conflict show a job that was cancelled before it was accepted.
-    bool isCancelled(std::span<const ports::StoredRow> rows) const
+    // Returns whether the rows that caused a conflict show an accepted job, or one that was cancelled
+    // before it was accepted; nullopt if they cannot be read.
+    std::optional<bool> isAcceptedBy(std::span<const ports::StoredRow> rows) const
     {
-        return std::ranges::any_of(rows, [&](const ports::StoredRow &row) {
-            return handleFailure(
-                [&]() -> Result<bool> {
+        for (const auto &row : rows) {
+            const auto isAccepted = handleFailure(
+                [&]() -> Result<std::optional<bool>> {
                     BOOST_LEAF_AUTO(progress, codec.decodeProgress(row.value));
-                    return !progress.isAccepted;
+                    return std::optional(progress.isAccepted);
                 },
                 [&](const Failure &failure) {
                     log.record("row-unreadable", {{"key", row.name.key}, {"detail", failure.detail}});
-                    return false;
+                    return std::optional<bool>();
                 });
-        });
+            if (isAccepted) {
+                return isAccepted;
+            }
+        }
+        return std::nullopt;
     }
 
     void finish(Submission &submission, SubmitResult answer, std::string_view why)
--- a/tests/execution/cancellationracetest.cpp
+++ b/tests/execution/cancellationracetest.cpp
@@ -501,4 +501,15 @@
 INSTANTIATE_TEST_SUITE_P(Paths, CancellationRace, testing::ValuesIn(paths()),
                          [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against a client that is told that its job was accepted although the row that kept the job out
+// only could not be read. It may be one of a later release.
+TEST(CancelledSubmission, IsNotAnsweredAsAcceptedIfTheRowCannotBeRead)
+{
+    Race race(1);
+    race.cluster.put(progressRow(Key), "of a later release");
+    race.submit(race.other(1));
+    race.run(4s);
+    EXPECT_EQ(race.submissions, std::vector{SubmitResult::Unknown});
+}
+
 } // namespace monsoonspool::execution::takeover
