The leader removes tombstones that can no longer be needed

What callers saw: each cancellation of a job that is not stored left a row for good, and a new leader reads all of them.

Cause: nothing removed the row that keeps such a job out, here called a tombstone, and the leader did not know of it.

Its age counts from when the leader first read it, on the leader's steady clock, since wall clocks jump; this covers rows of earlier releases, and a takeover can only lengthen it. The time of the cancellation is in the row for the operator. The commit that writes a tombstone also writes a row in the table of jobs, which the leader watches. A cancellation that finds a tombstone writes it again: otherwise it would be answered by a row that is about to be removed.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -176,6 +176,9 @@
 {
     Json json = {{"state", static_cast<int>(progress.state)}};
     putUnlessDefault(json, "accepted", progress.isAccepted, true);
+    if (progress.cancelledAt) {
+        json["cancelledAt"] = progress.cancelledAt->time_since_epoch().count();
+    }
     for (const auto &steps : progress.occurrences) {
         Json encoded = Json::array();
         for (const auto &it : steps) {
@@ -196,6 +199,10 @@
         jobs::JobProgress progress;
         progress.state = static_cast<jobs::JobState>(json.at("state").get<int>());
         progress.isAccepted = json.value("accepted", true);
+        if (json.contains("cancelledAt")) {
+            progress.cancelledAt
+                = jobs::WallTime(std::chrono::milliseconds(json.at("cancelledAt").get<std::int64_t>()));
+        }
         for (const auto &steps : json.value("occurrences", Json::array())) {
             auto &decoded = progress.occurrences.emplace_back();
             for (const auto &it : steps) {
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -47,7 +47,7 @@
 {
     Private(ExecutionPorts executionPorts, ExecutionOptions o)
         : ports(std::move(executionPorts)), options(std::move(o)),
-          requestHandler(ports.store, ports.scheduler, ports.codec, ports.log),
+          requestHandler(ports.store, ports.scheduler, ports.codec, ports.log, ports.wallNow),
           waitingCounter(ports.store, ports.scheduler, ports.codec, ports.log,
                          {[this] { return waitingCounts(); },
                           [this](auto rows) {
@@ -488,6 +488,7 @@
     if (d->term) {
         summary.fleet = d->term->counts();
         summary.load = d->term->load();
+        summary.tombstones = d->term->tombstones();
     }
     return summary;
 }
--- a/src/execution/executionloop.h
+++ b/src/execution/executionloop.h
@@ -25,6 +25,7 @@
     Duration timeSinceStoreContact{0};
     FleetCounts fleet;
     LeaderLoad load; // while this host leads
+    TombstoneCounts tombstones; // while this host leads
 };
 
 // Control state of job execution on one host: the configuration, client requests, and
--- a/src/execution/jobrequesthandler.cpp
+++ b/src/execution/jobrequesthandler.cpp
@@ -33,8 +33,9 @@
 
 struct JobRequestHandler::Private : std::enable_shared_from_this<JobRequestHandler::Private>
 {
-    Private(ports::ChangeStore &changeStore, ports::Scheduler &s, const RowCodec &rowCodec, DecisionLog &decisionLog)
-        : store(changeStore), scheduler(s), codec(rowCodec), log(decisionLog)
+    Private(ports::ChangeStore &changeStore, ports::Scheduler &s, const RowCodec &rowCodec, DecisionLog &decisionLog,
+            std::function<jobs::WallTime()> wallClock)
+        : store(changeStore), scheduler(s), codec(rowCodec), log(decisionLog), wallNow(std::move(wallClock))
     {
     }
 
@@ -183,68 +184,104 @@
             });
     }
 
-    void tryCancel(jobs::JobKey key, TimePoint deadline, const ports::Handler<JobStatus> &reply)
+    // A cancellation and the state of its attempts.
+    struct Cancellation
     {
-        readProgress(key, deadline, FirstRetry,
-                     [self = shared_from_this(), key, deadline,
-                      reply](const ports::AsyncResult<std::optional<StoredProgress>> &result) {
-                         if (!result.isOk()) {
-                             reply(result.failure());
-                         } else if (!result.value()) {
-                             // A submission may still be under way at any host. The row keeps it from
-                             // being accepted after the client was told that there is no such job.
-                             StoredProgress absent;
-                             absent.progress.isAccepted = false;
-                             self->writeCancel(key, std::move(absent), deadline, reply);
-                         } else if (jobs::isFinal(result.value()->progress.state)) {
-                             reply(statusOf(result.value()->progress));
-                         } else {
-                             self->writeCancel(key, *result.value(), deadline, reply);
-                         }
-                     });
+        jobs::JobKey key;
+        TimePoint deadline;
+        std::optional<std::uint64_t> firstVersion; // of the row as first read; 0 if there was none
+        ports::Handler<JobStatus> reply;
+    };
+    using CancellationPointer = std::shared_ptr<Cancellation>;
+
+    void tryCancel(const CancellationPointer &cancellation)
+    {
+        readProgress(
+            cancellation->key, cancellation->deadline, FirstRetry,
+            [self = shared_from_this(), cancellation](const ports::AsyncResult<std::optional<StoredProgress>> &result) {
+                if (result.isOk()) {
+                    self->onProgressRead(cancellation, result.value());
+                } else {
+                    cancellation->reply(result.failure());
+                }
+            });
+    }
+
+    void onProgressRead(const CancellationPointer &cancellation, const std::optional<StoredProgress> &stored)
+    {
+        const auto version = stored ? stored->version : 0;
+        const auto firstVersion = cancellation->firstVersion.value_or(version);
+        cancellation->firstVersion = firstVersion;
+        if (stored && stored->progress.isAccepted) {
+            if (jobs::isFinal(stored->progress.state)) {
+                cancellation->reply(statusOf(stored->progress));
+            } else {
+                writeCancel(cancellation, *stored);
+            }
+        } else if (stored && version != firstVersion) {
+            cancellation->reply(JobStatus{}); // the tombstone was written since this request was read
+        } else {
+            writeTombstone(cancellation, version);
+        }
     }
 
-    void writeCancel(jobs::JobKey key, StoredProgress stored, TimePoint deadline,
-                     const ports::Handler<JobStatus> &reply)
+    // A submission may still be under way at any host, and must not be accepted after the client was
+    // told that there is no such job. An existing tombstone is written again, since it may be about to be
+    // removed.
+    void writeTombstone(const CancellationPointer &cancellation, std::uint64_t version)
     {
+        StoredProgress tombstone{version, {}};
+        tombstone.progress.isAccepted = false;
+        tombstone.progress.cancelledAt = wallNow();
+        writeCancel(cancellation, std::move(tombstone));
+    }
+
+    void writeCancel(const CancellationPointer &cancellation, StoredProgress stored)
+    {
+        const auto key = cancellation->key;
         stored.progress.state = jobs::JobState::Cancelled;
         ports::Commit commit;
         commit.conditions.push_back({progressRow(key), stored.version});
         commit.writes.push_back({progressRow(key), codec.encode(stored.progress)});
-        if (stored.progress.isAccepted) {
-            commit.writes.push_back({cancelRow(key), {}});
-        }
+        commit.writes.push_back({stored.progress.isAccepted ? cancelRow(key) : tombstoneRow(key), {}});
         const auto status = statusOf(stored.progress);
         store.commit(
             std::move(commit),
-            [self = shared_from_this(), key, status, deadline,
-             reply](const ports::AsyncResult<ports::CommitResult> &result) {
-                if (result.isOk() && result.value().isApplied) {
-                    self->log.record("job-cancelled", {{"job", key}, {"isAccepted", status.isKnown ? 1 : 0}});
-                    reply(status);
-                    return;
-                }
-                // Another host wrote the row concurrently, or the outcome is unknown: read again.
-                if (self->scheduler.now() + FirstRetry >= deadline) {
-                    reply(result.isOk() ? Failure{ErrorKind::StoreConflict, jobs::jobName(key)} : result.failure());
-                    return;
-                }
-                self->scheduler.runAfter(result.isOk() ? Duration(0) : FirstRetry,
-                                         [self, key, deadline, reply] { self->tryCancel(key, deadline, reply); });
+            [self = shared_from_this(), cancellation, status](const ports::AsyncResult<ports::CommitResult> &result) {
+                self->onCancelWritten(cancellation, status, result);
             });
     }
 
+    void onCancelWritten(const CancellationPointer &cancellation, const JobStatus &status,
+                         const ports::AsyncResult<ports::CommitResult> &result)
+    {
+        if (result.isOk() && result.value().isApplied) {
+            log.record("job-cancelled", {{"job", cancellation->key}, {"isAccepted", status.isKnown ? 1 : 0}});
+            cancellation->reply(status);
+            return;
+        }
+        // Another host wrote the row concurrently, or the outcome is unknown: read again.
+        if (scheduler.now() + FirstRetry >= cancellation->deadline) {
+            cancellation->reply(result.isOk() ? Failure{ErrorKind::StoreConflict, jobs::jobName(cancellation->key)}
+                                              : result.failure());
+            return;
+        }
+        scheduler.runAfter(result.isOk() ? Duration(0) : FirstRetry,
+                           [self = shared_from_this(), cancellation] { self->tryCancel(cancellation); });
+    }
+
     ports::ChangeStore &store;
     ports::Scheduler &scheduler;
     const RowCodec &codec;
     DecisionLog &log;
+    std::function<jobs::WallTime()> wallNow;
     TimePoint lastContactAt;
     Epoch fence; // of the leader row as last read
 };
 
 JobRequestHandler::JobRequestHandler(ports::ChangeStore &store, ports::Scheduler &scheduler, const RowCodec &codec,
-                                     DecisionLog &log)
-    : d(std::make_shared<Private>(store, scheduler, codec, log))
+                                     DecisionLog &log, std::function<jobs::WallTime()> wallNow)
+    : d(std::make_shared<Private>(store, scheduler, codec, log, std::move(wallNow)))
 {
 }
 
@@ -314,7 +351,11 @@
         reply(Failure{ErrorKind::StoreUnavailable, "the store is silent"});
         return;
     }
-    d->tryCancel(key, deadline, d->withDeadline(deadline, std::move(reply)));
+    auto cancellation = std::make_shared<Private::Cancellation>();
+    cancellation->key = key;
+    cancellation->deadline = deadline;
+    cancellation->reply = d->withDeadline(deadline, std::move(reply));
+    d->tryCancel(cancellation);
 }
 
 } // namespace monsoonspool::execution
--- a/src/execution/jobrequesthandler.h
+++ b/src/execution/jobrequesthandler.h
@@ -32,14 +32,15 @@
 // Serves client requests for jobs on any host. Each request is answered from the store,
 // which arbitrates between hosts. A job is accepted once despite retried, delayed or
 // lost calls: its rows are written on the condition that they do not exist. A cancellation
-// of a job that is not stored stores that it is cancelled, so that a submission which is
-// still under way is not accepted later.
+// of a job that is not stored writes a tombstone, so that a submission which is still under way is not
+// accepted later.
 //
 // Used only on the control thread.
 class JobRequestHandler
 {
 public:
-    JobRequestHandler(ports::ChangeStore &store, ports::Scheduler &scheduler, const RowCodec &codec, DecisionLog &log);
+    JobRequestHandler(ports::ChangeStore &store, ports::Scheduler &scheduler, const RowCodec &codec, DecisionLog &log,
+                      std::function<jobs::WallTime()> wallNow);
     ~JobRequestHandler();
     JobRequestHandler(const JobRequestHandler &) = delete;
     JobRequestHandler &operator=(const JobRequestHandler &) = delete;
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -56,6 +56,7 @@
         fleet.beginTerm(start.fence, start.claimVersion, rosterWriter->entries(), formerLeasesEnd, now,
                         start.silentWorkers);
         fleet.setQueues(start.queues);
+        tombstoneRemover.emplace(ports.store, ports.scheduler, ports.codec, ports.log);
         interferencePersister.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
         progressWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion,
                                hooks.onFenced);
@@ -115,7 +116,8 @@
             [&]() -> Result<void> {
                 BOOST_LEAF_AUTO(progress, ports.codec.decodeProgress(row.value));
                 if (!progress.isAccepted) {
-                    return {}; // there is no such job
+                    tombstoneRemover->noteRead(section->job, row.version); // there is no such job
+                    return {};
                 }
                 progressWriter->recordVersion(*section, row.version);
                 fleet.restoreProgress(section->job, progress);
@@ -129,6 +131,14 @@
     void onJobRows(std::span<const ports::StoredRow> rows)
     {
         for (const auto &row : rows) {
+            if (const auto cancelled = jobOfTombstoneKey(row.name.key)) {
+                if (row.isRemoved) {
+                    tombstoneRemover->noteRemoved(*cancelled, row.version);
+                } else {
+                    tombstoneRemover->noteRead(*cancelled, row.version);
+                }
+                continue;
+            }
             const auto key = jobOfKey(row.name.key);
             if (!key || row.isRemoved) {
                 continue;
@@ -271,13 +281,15 @@
         workerController->dispatch(orders);
         progressWriter->requestWrite();
         rosterWriter->requestWrite();
-        interferencePersister->writeIfDue(ports.scheduler.now());
+        interferencePersister->writeIfDue(now);
+        tombstoneRemover->removeIfDue(now);
     }
 
     ExecutionPorts ports;
     Hooks hooks;
     Fleet fleet;
     std::optional<RosterWriter> rosterWriter;
+    std::optional<TombstoneRemover> tombstoneRemover;
     std::optional<InterferencePersister> interferencePersister;
     std::optional<ProgressWriter> progressWriter;
     std::optional<WorkerController> workerController;
@@ -309,6 +321,7 @@
     d->workerController.reset();
     d->progressWriter.reset();
     d->interferencePersister.reset();
+    d->tombstoneRemover.reset();
     d->rosterWriter.reset();
 }
 
@@ -380,6 +393,11 @@
     return {d->startLimiter.lateness(), d->startLimiter.limit(), d->workerController->startsUnderWay()};
 }
 
+TombstoneCounts LeaderTerm::tombstones() const
+{
+    return d->tombstoneRemover->counts(d->ports.scheduler.now());
+}
+
 bool LeaderTerm::isOverloaded() const
 {
     return d->startLimiter.isAtMinimum();
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -2,6 +2,7 @@
 
 #include "execution/fleet.h"
 #include "execution/rowcodec.h"
+#include "execution/tombstoneremover.h"
 #include "ports/changestore.h"
 #include "ports/registry.h"
 #include "ports/scheduler.h"
@@ -86,6 +87,8 @@
     bool isLoaded() const;
     FleetCounts counts() const;
     LeaderLoad load() const;
+    // Returns the tombstones known; complete only once isLoaded().
+    TombstoneCounts tombstones() const;
     // Returns whether the control thread runs late although it starts as little as possible.
     bool isOverloaded() const;
 
--- a/src/execution/rowlayout.cpp
+++ b/src/execution/rowlayout.cpp
@@ -42,6 +42,11 @@
     return {std::string(JobsTable), partOf(job), jobs::jobName(job) + CancelSuffix};
 }
 
+ports::RowName tombstoneRow(jobs::JobKey job)
+{
+    return {std::string(JobsTable), partOf(job), std::string(TombstonePrefix) + jobs::jobName(job)};
+}
+
 ports::RowName progressRow(jobs::JobKey job)
 {
     return {std::string(ProgressTable), partOf(job), jobs::jobName(job)};
@@ -123,6 +128,11 @@
     return isSection ? std::optional(section) : std::nullopt;
 }
 
+std::optional<jobs::JobKey> jobOfTombstoneKey(std::string_view key)
+{
+    return key.starts_with(TombstonePrefix) ? jobOfKey(key.substr(TombstonePrefix.size())) : std::nullopt;
+}
+
 bool isCancelKey(std::string_view key)
 {
     return key.size() == KeyDigits + 1 && key.back() == CancelSuffix;
--- a/src/execution/rowlayout.h
+++ b/src/execution/rowlayout.h
@@ -15,9 +15,13 @@
 //   jobs      0..3   ID          once, when a job is accepted  by the leader, as it changes; by a
 //                                                              host that is asked how many wait
 //   jobs      0..3   ID + "x"    when a job is cancelled       by the leader, as it changes
+//   jobs      0..3   "tombstone/" with a tombstone: when a       by the leader, as it changes
+//                    + ID        job is cancelled that is not
+//                                stored
 //   progress  0..3   ID          by the leader, as tasks end;  by any host that is asked
 //                                by any host that cancels,
 //                                also before the submission
+//                                (a tombstone, removed later)
 //   progress  0..3   ID + "." +  by the leader, as tasks end   by a new leader
 //                    number
 //   progress  0..3   "owner"     at a claim                    as a write condition of the leader
@@ -46,6 +50,7 @@
 inline constexpr std::string_view LearnedKey = "presses";
 inline constexpr int RosterBuckets = 16; // a joining worker rewrites one sixteenth of the roster
 inline constexpr char CancelSuffix = 'x';
+inline constexpr std::string_view TombstonePrefix = "tombstone/"; // no hexadecimal digit, so the key of no job
 inline constexpr char SectionSeparator = '.';
 
 // Returns the store partition for the rows of `job`. One partition sustains a few
@@ -56,6 +61,10 @@
 
 ports::RowName jobRow(jobs::JobKey job);
 ports::RowName cancelRow(jobs::JobKey job);
+// Returns the row that tells the leader of a tombstone, which is the progress row of a job that was
+// never accepted. One commit writes both, so they have the same version. It is in the jobs table
+// because the leader watches only that one.
+ports::RowName tombstoneRow(jobs::JobKey job);
 // Returns the row of the job's state and of section 0 of its progress.
 ports::RowName progressRow(jobs::JobKey job);
 ports::RowName progressRow(const jobs::ProgressSection &section);
@@ -80,6 +89,8 @@
 // Returns the section of progress identified by the key of a row of the progress table, or nullopt
 // if it is no section's key.
 std::optional<jobs::ProgressSection> progressSectionOfKey(std::string_view key);
+// Returns the job whose tombstone row the key belongs to, or nullopt if it is another key.
+std::optional<jobs::JobKey> jobOfTombstoneKey(std::string_view key);
 // Returns whether the key belongs to the row that records a job's cancellation.
 bool isCancelKey(std::string_view key);
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -108,6 +108,9 @@
     // False for a job that was cancelled before it was accepted. It is not known to its clients, and
     // is never accepted.
     bool isAccepted = true;
+    // When such a job was cancelled, by the wall clock of the host that wrote it. For the operator: hosts
+    // do not decide by it. Rows of earlier releases lack it.
+    std::optional<WallTime> cancelledAt = std::nullopt;
 
     bool operator==(const JobProgress &) const = default;
 };
