Cancellations of unknown jobs are bounded

What callers saw: any client could cancel any number of invented IDs, and each left a row in the store that every new leader reads.

Change: a host writes 5 tombstones a second and 400 at once, so 1,000 within the lifetime of one, and none while the leader's row counts 10,000 of them. Beyond these bounds nothing is written and the cancellation fails as if the store were unavailable (503 on the wire). Cancellations of stored jobs are not counted. The row passes the count on to the next leader; rows of earlier releases lack it, and the bounds of each host hold alone then.

Evidence: Tombstone.BeyondTheBoundACancellationIsNotAnsweredAsDone and .TheNumberInTheStoreIsBounded fail if a refusal is answered with success. 300 cancellations of stored jobs at once pass beside it.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -229,6 +229,7 @@
               {"waitingVersion", row.waiting.version},
               {"waitingAgeMs", toMilliseconds(row.waiting.age)},
               {"formersDecideMs", toMilliseconds(row.formersDecideFor)}};
+    putUnlessDefault(json, "tombstones", row.tombstones, std::size_t(0));
     if (row.former) {
         json["former"] = {{"host", row.former->host.text()},
                           {"incarnation", row.former->incarnation},
@@ -254,6 +255,7 @@
         row.waiting.version = json.value("waitingVersion", std::uint64_t(0));
         row.waiting.age = std::chrono::milliseconds(json.value("waitingAgeMs", std::int64_t(0)));
         row.formersDecideFor = std::chrono::milliseconds(json.value("formersDecideMs", std::int64_t(0)));
+        row.tombstones = json.value("tombstones", std::size_t(0));
         if (const auto former = json.find("former"); former != json.end()) {
             row.former = {EntryHostId(former->at("host").get<std::string>()),
                           former->at("incarnation").get<std::uint64_t>(),
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -204,6 +204,11 @@
     void fillRow(membership::LeaderRow &row)
     {
         row.waiting = waitingCounts();
+        if (term && term->isLoaded()) {
+            row.tombstones = term->tombstones().stored;
+        } else if (leadership.row()) {
+            row.tombstones = leadership.row()->tombstones;
+        }
         if (term) {
             const bool isReleased = row.host.isEmpty();
             row.silentWorkers = term->takeSilentWorkers(ports.scheduler.now(), isReleased ? Duration(0) : MinSilence);
@@ -231,6 +236,7 @@
         const auto now = ports.scheduler.now();
         if (leadership.row()) {
             requestHandler.recordFence(leadership.row()->fence);
+            requestHandler.recordTombstones(leadership.row()->tombstones);
         }
         if (term && (!leadership.isLeader() || leadership.fence() != termFence)) {
             ports.log.record("leadership-lost", {{"fence", termFence.value}});
@@ -490,6 +496,7 @@
         summary.load = d->term->load();
         summary.tombstones = d->term->tombstones();
     }
+    summary.tombstoneRequests = d->requestHandler.tombstoneCounts();
     return summary;
 }
 
--- a/src/execution/executionloop.h
+++ b/src/execution/executionloop.h
@@ -26,6 +26,7 @@
     FleetCounts fleet;
     LeaderLoad load; // while this host leads
     TombstoneCounts tombstones; // while this host leads
+    TombstoneRequestCounts tombstoneRequests; // of this host
 };
 
 // Control state of job execution on one host: the configuration, client requests, and
--- a/src/execution/jobrequesthandler.cpp
+++ b/src/execution/jobrequesthandler.cpp
@@ -17,6 +17,8 @@
 // After the store has refused a submission for this long, the client is told to try
 // another host.
 constexpr Duration RefusalTimeout = 700ms;
+// Time between two log lines about cancellations that the bounds do not allow.
+constexpr Duration RefusalReportInterval = 1s;
 
 struct StoredProgress
 {
@@ -190,6 +192,7 @@
         jobs::JobKey key;
         TimePoint deadline;
         std::optional<std::uint64_t> firstVersion; // of the row as first read; 0 if there was none
+        bool isCounted = false; // by the limiter
         ports::Handler<JobStatus> reply;
     };
     using CancellationPointer = std::shared_ptr<Cancellation>;
@@ -230,12 +233,30 @@
     // removed.
     void writeTombstone(const CancellationPointer &cancellation, std::uint64_t version)
     {
+        if (!cancellation->isCounted && !limiter.take(scheduler.now())) {
+            reportRefusal();
+            cancellation->reply(Failure{ErrorKind::StoreUnavailable, "too many cancellations of unknown jobs"});
+            return;
+        }
+        cancellation->isCounted = true;
         StoredProgress tombstone{version, {}};
         tombstone.progress.isAccepted = false;
         tombstone.progress.cancelledAt = wallNow();
         writeCancel(cancellation, std::move(tombstone));
     }
 
+    void reportRefusal()
+    {
+        const auto now = scheduler.now();
+        if (now < refusalReportDueAt) {
+            return;
+        }
+        refusalReportDueAt = now + RefusalReportInterval;
+        const auto &counts = limiter.counts();
+        log.record("cancellation-refused",
+                   {{"refusedByRate", counts.refusedByRate}, {"refusedByTotal", counts.refusedByTotal}});
+    }
+
     void writeCancel(const CancellationPointer &cancellation, StoredProgress stored)
     {
         const auto key = cancellation->key;
@@ -257,9 +278,16 @@
     {
         if (result.isOk() && result.value().isApplied) {
             log.record("job-cancelled", {{"job", cancellation->key}, {"isAccepted", status.isKnown ? 1 : 0}});
+            if (!status.isKnown) {
+                limiter.noteWritten();
+            }
             cancellation->reply(status);
             return;
         }
+        if (result.isOk() && !status.isKnown) {
+            limiter.giveBack();
+            cancellation->isCounted = false;
+        }
         // Another host wrote the row concurrently, or the outcome is unknown: read again.
         if (scheduler.now() + FirstRetry >= cancellation->deadline) {
             cancellation->reply(result.isOk() ? Failure{ErrorKind::StoreConflict, jobs::jobName(cancellation->key)}
@@ -275,6 +303,8 @@
     const RowCodec &codec;
     DecisionLog &log;
     std::function<jobs::WallTime()> wallNow;
+    TombstoneLimiter limiter;
+    TimePoint refusalReportDueAt;
     TimePoint lastContactAt;
     Epoch fence; // of the leader row as last read
 };
@@ -297,6 +327,16 @@
     d->fence = fence;
 }
 
+void JobRequestHandler::recordTombstones(std::size_t count)
+{
+    d->limiter.recordStored(count);
+}
+
+const TombstoneRequestCounts &JobRequestHandler::tombstoneCounts() const
+{
+    return d->limiter.counts();
+}
+
 void JobRequestHandler::submit(AcceptedJob job, TimePoint deadline, std::function<void(SubmitResult)> reply)
 {
     auto submission = std::make_shared<Private::Submission>();
--- a/src/execution/jobrequesthandler.h
+++ b/src/execution/jobrequesthandler.h
@@ -2,6 +2,7 @@
 
 #include "execution/fleet.h"
 #include "execution/rowcodec.h"
+#include "execution/tombstonelimiter.h"
 #include "ports/changestore.h"
 #include "ports/scheduler.h"
 
@@ -33,7 +34,8 @@
 // which arbitrates between hosts. A job is accepted once despite retried, delayed or
 // lost calls: its rows are written on the condition that they do not exist. A cancellation
 // of a job that is not stored writes a tombstone, so that a submission which is still under way is not
-// accepted later.
+// accepted later. Clients can cancel any number of such jobs, so the tombstones are bounded; beyond the
+// bounds, nothing is written and nothing promised.
 //
 // Used only on the control thread.
 class JobRequestHandler
@@ -50,11 +52,15 @@
     void recordContact(TimePoint now);
     // Records the fence of the leader row as read; jobs are stored with it.
     void recordFence(Epoch fence);
+    // Records the number of tombstones in the store, as the leader's row says.
+    void recordTombstones(std::size_t count);
+    const TombstoneRequestCounts &tombstoneCounts() const;
 
     // Calls `reply` by `deadline` at the latest.
     void submit(AcceptedJob job, TimePoint deadline, std::function<void(SubmitResult)> reply);
     // Fails with StoreUnavailable if the store does not answer before `deadline`.
     void status(jobs::JobKey key, TimePoint deadline, ports::Handler<JobStatus> reply);
+    // Also fails so, without an effect, if the bounds allow no tombstone.
     void cancel(jobs::JobKey key, TimePoint deadline, ports::Handler<JobStatus> reply);
 
 private:
--- a/src/execution/tombstonebounds.h
+++ b/src/execution/tombstonebounds.h
@@ -2,6 +2,9 @@
 
 #include "common/time.h"
 
+#include <algorithm>
+#include <cstddef>
+
 // Bounds of tombstones: rows of jobs that were cancelled before they were accepted. They keep a
 // submission that is still under way from being accepted.
 namespace monsoonspool::execution {
@@ -30,4 +33,11 @@
 inline constexpr Duration StatusTime = 120s;
 static_assert(TombstoneMargin >= 60s && TombstoneLifetime >= StatusTime);
 
+// Each host writes tombstones at this rate, and this many at once. Only cancellations of jobs that are
+// not stored count. Five hosts write less than one leader removes.
+inline constexpr int TombstonesPerSecond = 5;
+inline constexpr int TombstoneBurst = 400;
+// No host writes tombstones while the store holds this many. They take 2 MB of a leader's memory.
+inline constexpr std::size_t MaxTombstones = 10000;
+
 } // namespace monsoonspool::execution
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -49,6 +49,7 @@
     Duration formersDecideFor{0}; // from the writing of this row: how long earlier leaders may still decide
     std::optional<FormerLeader> former; // replaced by this row's claim; none if it had stopped
     std::vector<SilentWorker> silentWorkers;
+    std::size_t tombstones = 0; // of jobs that were cancelled before they were accepted, in the store
 };
 
 // A term that has certainly ended: nothing is ordered under its fence any more.
--- a/tests/execution/tombstonetest.cpp
+++ b/tests/execution/tombstonetest.cpp
@@ -161,6 +161,36 @@
     }
 }
 
+// Guards against clients that fill the store with cancellations of jobs that do not exist.
+TEST(TombstoneLimiter, BoundsWhatOneHostWrites)
+{
+    TombstoneLimiter limiter;
+    int taken = 0;
+    for (int n = 0; n < 2 * TombstoneBurst; ++n) {
+        taken += limiter.take(Start) ? 1 : 0;
+    }
+    EXPECT_EQ(taken, TombstoneBurst);
+    EXPECT_EQ(limiter.counts().refusedByRate, TombstoneBurst);
+    for (auto now = Start; now < Start + 10s; now += 10ms) {
+        taken += limiter.take(now) ? 1 : 0;
+    }
+    EXPECT_NEAR(taken, TombstoneBurst + 10 * TombstonesPerSecond, 1);
+    limiter.giveBack();
+    EXPECT_TRUE(limiter.take(Start + 10s));
+}
+
+TEST(TombstoneLimiter, BoundsWhatAllHostsWrite)
+{
+    TombstoneLimiter limiter;
+    limiter.recordStored(MaxTombstones - 1);
+    EXPECT_TRUE(limiter.take(Start));
+    limiter.recordStored(MaxTombstones);
+    EXPECT_FALSE(limiter.take(Start));
+    EXPECT_EQ(limiter.counts().refusedByTotal, 1);
+    limiter.recordStored(MaxTombstones - 1);
+    EXPECT_TRUE(limiter.take(Start));
+}
+
 TEST_F(RemoverTest, CallsTheStoreOnlyIfThereIsSomethingToRemove)
 {
     run(10s);
@@ -324,6 +354,80 @@
     progress.cancelledAt = jobs::WallTime(1700000000123ms);
     const auto decoded = codec.decodeProgress(codec.encode(progress)).value();
     EXPECT_EQ(decoded, progress);
+
+    membership::LeaderRow row;
+    const auto withoutTombstones = codec.encode(row);
+    EXPECT_EQ(codec.decodeLeader(withoutTombstones).value().tombstones, 0);
+    row.tombstones = 5;
+    EXPECT_EQ(codec.decodeLeader(codec.encode(row)).value().tombstones, 5);
+}
+
+// Guards against any number of rows that clients invent, and against cancellations that are answered as
+// done without a row. Cancellations of stored jobs are not bounded.
+TEST(Tombstone, BeyondTheBoundACancellationIsNotAnsweredAsDone)
+{
+    Cluster cluster;
+    cluster.scheduler.runFor(2s);
+    constexpr std::uint64_t jobCount = 300;
+    constexpr std::uint64_t first = 1000;
+    for (std::uint64_t n = 1; n <= jobCount; ++n) {
+        cluster.submit(0, n);
+    }
+    cluster.scheduler.runFor(500ms);
+    int done = 0;
+    int refused = 0;
+    auto &handler = cluster.host(0).loop->jobRequestHandler();
+    const auto deadline = cluster.scheduler.now() + 2s;
+    for (std::uint64_t n = first; n < first + 2 * TombstoneBurst; ++n) {
+        handler.cancel({n}, deadline, [&](const auto &result) {
+            if (result.isOk()) {
+                ++done;
+            } else {
+                EXPECT_EQ(result.failure().kind, ErrorKind::StoreUnavailable);
+                ++refused;
+            }
+        });
+    }
+    int cancelledJobs = 0;
+    for (std::uint64_t n = 1; n <= jobCount; ++n) {
+        handler.cancel({n}, deadline, [&](const auto &result) { cancelledJobs += result.isOk() ? 1 : 0; });
+    }
+    cluster.scheduler.runFor(1500ms);
+    EXPECT_EQ(done, TombstoneBurst);
+    EXPECT_EQ(refused, TombstoneBurst);
+    EXPECT_EQ(storedTombstones(cluster), TombstoneBurst);
+    EXPECT_EQ(cancelledJobs, jobCount);
+    EXPECT_EQ(cluster.host(0).loop->summary().tombstoneRequests.written, TombstoneBurst);
+    EXPECT_EQ(cluster.host(0).loop->summary().tombstoneRequests.refusedByRate, TombstoneBurst);
+    EXPECT_TRUE(isUnknown(cancel(cluster, 1, 3 * first))) << "each host has a bound of its own";
+}
+
+// The leader counts the rows of all hosts, and passes the count on in its row, also to the next leader.
+TEST(Tombstone, TheNumberInTheStoreIsBounded)
+{
+    Cluster cluster;
+    constexpr std::uint64_t first = 1000;
+    jobs::JobProgress progress;
+    progress.state = jobs::JobState::Cancelled;
+    progress.isAccepted = false;
+    const auto value = cluster.codec.encode(progress);
+    for (std::uint64_t n = first; n < first + MaxTombstones; ++n) {
+        cluster.put(progressRow(jobs::JobKey{n}), value);
+    }
+    cluster.scheduler.runFor(4s);
+    ASSERT_GE(cluster.leader(), 0);
+    for (int n = 0; n < HostCount; ++n) {
+        const auto answer = cancel(cluster, n, 7);
+        ASSERT_TRUE(answer);
+        EXPECT_FALSE(answer->isOk());
+        EXPECT_EQ(cluster.host(n).loop->summary().tombstoneRequests.refusedByTotal, 1);
+    }
+    EXPECT_FALSE(cluster.rows.rows.contains(progressRow(jobs::JobKey{7})));
+    cluster.killHost(cluster.leader());
+    cluster.scheduler.runFor(5s);
+    const int successor = cluster.leader();
+    ASSERT_GE(successor, 0);
+    EXPECT_FALSE(cancel(cluster, successor, 7)->isOk());
 }
 
 // A cancellation promises nothing while the store does not answer.
