Metrics and state dump tell of tombstones and refused cancellations

The leader shows how many tombstones it knows, the age of the oldest and how many it has removed; each host how many it has written and how many cancellations each bound has refused.

Evidence: ControlApi.TellsWhichBoundRefusesCancellations.

--- a/tests/platform/controlapitest.cpp
+++ b/tests/platform/controlapitest.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <sstream>
+#include <string>
 
 namespace monsoonspool::platform {
 
@@ -33,9 +34,28 @@
 TEST(ControlApi, StateHasAllSections)
 {
     const auto json = codec::Json::parse(encodeState({}, EntryHostId("h")));
-    for (const auto *it : {"host", "leadership", "configuration", "store", "load", "jobs", "workers", "runs"}) {
+    for (const auto *it :
+         {"host", "leadership", "configuration", "store", "load", "jobs", "tombstones", "workers", "runs"}) {
         EXPECT_TRUE(json.contains(it)) << it;
     }
 }
 
+TEST(ControlApi, TellsWhichBoundRefusesCancellations)
+{
+    execution::ExecutionSummary summary;
+    summary.tombstones = {5, 7s, 11};
+    summary.tombstoneRequests = {13, 17, 19};
+    const auto metrics = encodeMetrics(summary);
+    for (const auto *it : {"tombstones 5", "tombstone_oldest_age_seconds 7", "tombstones_removed_total 11",
+                           "tombstones_written_total 13", "cancellations_refused_by_host_bound_total 17",
+                           "cancellations_refused_by_total_bound_total 19"}) {
+        EXPECT_NE(metrics.find("\nmonsoonspool_" + std::string(it) + "\n"), std::string::npos) << it;
+    }
+    const auto state = codec::Json::parse(encodeState(summary, EntryHostId("h"))).at("tombstones");
+    EXPECT_EQ(state.at("stored"), 5);
+    EXPECT_EQ(state.at("oldestAgeMs"), 7000);
+    EXPECT_EQ(state.at("refusedByHostBound"), 17);
+    EXPECT_EQ(state.at("refusedByTotalBound"), 19);
+}
+
 } // namespace monsoonspool::platform
