--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -176,6 +176,9 @@
 {
     Json json = {{"state", static_cast<int>(progress.state)}};
     putUnlessDefault(json, "accepted", progress.isAccepted, true);
+    if (progress.cancelledAt) {
+        json["cancelledAt"] = progress.cancelledAt->time_since_epoch().count();
+    }
     for (const auto &steps : progress.occurrences) {
         Json encoded = Json::array();
         for (const auto &it : steps) {
@@ -196,6 +199,10 @@
         jobs::JobProgress progress;
         progress.state = static_cast<jobs::JobState>(json.at("state").get<int>());
         progress.isAccepted = json.value("accepted", true);
+        if (json.contains("cancelledAt")) {
+            progress.cancelledAt
+                = jobs::WallTime(std::chrono::milliseconds(json.at("cancelledAt").get<std::int64_t>()));
+        }
         for (const auto &steps : json.value("occurrences", Json::array())) {
             auto &decoded = progress.occurrences.emplace_back();
             for (const auto &it : steps) {
@@ -222,6 +229,7 @@
               {"waitingVersion", row.waiting.version},
               {"waitingAgeMs", toMilliseconds(row.waiting.age)},
               {"formersDecideMs", toMilliseconds(row.formersDecideFor)}};
+    putUnlessDefault(json, "tombstones", row.tombstones, std::size_t(0));
     if (row.former) {
         json["former"] = {{"host", row.former->host.text()},
                           {"incarnation", row.former->incarnation},
@@ -247,6 +255,7 @@
         row.waiting.version = json.value("waitingVersion", std::uint64_t(0));
         row.waiting.age = std::chrono::milliseconds(json.value("waitingAgeMs", std::int64_t(0)));
         row.formersDecideFor = std::chrono::milliseconds(json.value("formersDecideMs", std::int64_t(0)));
+        row.tombstones = json.value("tombstones", std::size_t(0));
         if (const auto former = json.find("former"); former != json.end()) {
             row.former = {EntryHostId(former->at("host").get<std::string>()),
                           former->at("incarnation").get<std::uint64_t>(),
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -49,7 +49,7 @@
 {
     Private(ExecutionPorts executionPorts, ExecutionOptions o)
         : ports(std::move(executionPorts)), options(std::move(o)),
-          requestHandler(ports.store, ports.scheduler, ports.codec, ports.log),
+          requestHandler(ports.store, ports.scheduler, ports.codec, ports.log, [this] { return wallClock.now(); }),
           waitingCounter(ports.store, ports.scheduler, ports.codec, ports.log,
                          {[this] { return waitingCounts(); },
                           [this](auto rows) {
@@ -229,6 +229,11 @@
     void fillRow(membership::LeaderRow &row)
     {
         row.waiting = waitingCounts();
+        if (term && term->isLoaded()) {
+            row.tombstones = term->tombstones().stored;
+        } else if (leadership.row()) {
+            row.tombstones = leadership.row()->tombstones;
+        }
         if (term) {
             const bool isReleased = row.host.isEmpty();
             row.silentWorkers = term->takeSilentWorkers(ports.scheduler.now(), isReleased ? Duration(0) : MinSilence);
@@ -256,6 +261,7 @@
         const auto now = ports.scheduler.now();
         if (leadership.row()) {
             requestHandler.recordFence(leadership.row()->fence);
+            requestHandler.recordTombstones(leadership.row()->tombstones);
         }
         if (term && (!leadership.isLeader() || leadership.fence() != termFence)) {
             ports.log.record("leadership-lost", {{"fence", termFence.value}});
@@ -527,7 +533,9 @@
     if (d->term) {
         summary.fleet = d->term->counts();
         summary.load = d->term->load();
+        summary.tombstones = d->term->tombstones();
     }
+    summary.tombstoneRequests = d->requestHandler.tombstoneCounts();
     return summary;
 }
 
--- a/src/execution/executionloop.h
+++ b/src/execution/executionloop.h
@@ -34,6 +34,8 @@
     Duration clockJump{0}; // how far the wall clock is ahead of the time that is used
     FleetCounts fleet;
     LeaderLoad load; // while this host leads
+    TombstoneCounts tombstones; // while this host leads
+    TombstoneRequestCounts tombstoneRequests; // of this host
 };
 
 // Control state of job execution on one host: the configuration, client requests, and
--- a/src/execution/jobrequesthandler.cpp
+++ b/src/execution/jobrequesthandler.cpp
@@ -17,6 +17,8 @@
 // After the store has refused a submission for this long, the client is told to try
 // another host.
 constexpr Duration RefusalTimeout = 700ms;
+// Time between two log lines about cancellations that the bounds do not allow.
+constexpr Duration RefusalReportInterval = 1s;
 
 struct StoredProgress
 {
@@ -33,8 +35,9 @@
 
 struct JobRequestHandler::Private : std::enable_shared_from_this<JobRequestHandler::Private>
 {
-    Private(ports::ChangeStore &changeStore, ports::Scheduler &s, const RowCodec &rowCodec, DecisionLog &decisionLog)
-        : store(changeStore), scheduler(s), codec(rowCodec), log(decisionLog)
+    Private(ports::ChangeStore &changeStore, ports::Scheduler &s, const RowCodec &rowCodec, DecisionLog &decisionLog,
+            std::function<jobs::WallTime()> wallClock)
+        : store(changeStore), scheduler(s), codec(rowCodec), log(decisionLog), wallNow(std::move(wallClock))
     {
     }
 
@@ -64,44 +67,52 @@
 
     void onSubmitted(const SubmissionPointer &submission, const ports::AsyncResult<ports::CommitResult> &result)
     {
+        if (result.isOk() && result.value().isApplied) {
+            finish(*submission, SubmitResult::Accepted, "stored");
+            return;
+        }
         if (result.isOk()) {
-            // A refused commit means that the rows exist, written by an earlier attempt or
-            // by an earlier request of the client to this or another host, or that the job was
-            // cancelled before.
-            if (isCancelled(result.value().current)) {
-                finish(*submission, SubmitResult::Cancelled, "cancelled before it was accepted");
-            } else {
-                finish(*submission, SubmitResult::Accepted, result.value().isApplied ? "stored" : "already stored");
+            // The rows exist: they were written by an earlier attempt or by an earlier request of the
+            // client to this or another host, or the job was cancelled before.
+            if (const auto isAccepted = isAcceptedBy(result.value().current)) {
+                finish(*submission, *isAccepted ? SubmitResult::Accepted : SubmitResult::Cancelled,
+                       *isAccepted ? "already stored" : "cancelled before it was accepted");
+                return;
             }
-            return;
         }
-        const bool isLost = result.failure().kind == ErrorKind::StoreReplyLost;
-        submission->maybeStored = submission->maybeStored || isLost;
+        const auto kind = result.isOk() ? ErrorKind::StoreConflict : result.failure().kind;
+        const bool isUnknown = kind == ErrorKind::StoreReplyLost || kind == ErrorKind::StoreConflict;
+        submission->maybeStored = submission->maybeStored || isUnknown;
         const auto now = scheduler.now();
         const bool isRefusedTooLong = !submission->maybeStored && now - submission->startedAt > RefusalTimeout;
         if (isRefusedTooLong || now + submission->pause >= submission->deadline) {
             finish(*submission, submission->maybeStored ? SubmitResult::Unknown : SubmitResult::NotAccepted,
-                   errorInfo(result.failure().kind).name);
+                   errorInfo(kind).name);
             return;
         }
         scheduler.runAfter(submission->pause, [self = shared_from_this(), submission] { self->trySubmit(submission); });
         submission->pause = std::min(submission->pause * 2, MaxRetry);
     }
 
-    // Returns whether the rows that caused a conflict show a job that was cancelled before it was accepted.
-    bool isCancelled(std::span<const ports::StoredRow> rows) const
+    // Returns whether the rows that caused a conflict show an accepted job, or one that was cancelled
+    // before it was accepted; nullopt if they cannot be read.
+    std::optional<bool> isAcceptedBy(std::span<const ports::StoredRow> rows) const
     {
-        return std::ranges::any_of(rows, [&](const ports::StoredRow &row) {
-            return handleFailure(
-                [&]() -> Result<bool> {
+        for (const auto &row : rows) {
+            const auto isAccepted = handleFailure(
+                [&]() -> Result<std::optional<bool>> {
                     BOOST_LEAF_AUTO(progress, codec.decodeProgress(row.value));
-                    return !progress.isAccepted;
+                    return std::optional(progress.isAccepted);
                 },
                 [&](const Failure &failure) {
                     log.record("row-unreadable", {{"key", row.name.key}, {"detail", failure.detail}});
-                    return false;
+                    return std::optional<bool>();
                 });
-        });
+            if (isAccepted) {
+                return isAccepted;
+            }
+        }
+        return std::nullopt;
     }
 
     void finish(Submission &submission, SubmitResult answer, std::string_view why)
@@ -175,68 +186,132 @@
             });
     }
 
-    void tryCancel(jobs::JobKey key, TimePoint deadline, const ports::Handler<JobStatus> &reply)
+    // A cancellation and the state of its attempts.
+    struct Cancellation
     {
-        readProgress(key, deadline, FirstRetry,
-                     [self = shared_from_this(), key, deadline,
-                      reply](const ports::AsyncResult<std::optional<StoredProgress>> &result) {
-                         if (!result.isOk()) {
-                             reply(result.failure());
-                         } else if (!result.value()) {
-                             // A submission may still be under way at any host. The row keeps it from
-                             // being accepted after the client was told that there is no such job.
-                             StoredProgress absent;
-                             absent.progress.isAccepted = false;
-                             self->writeCancel(key, std::move(absent), deadline, reply);
-                         } else if (jobs::isFinal(result.value()->progress.state)) {
-                             reply(statusOf(result.value()->progress));
-                         } else {
-                             self->writeCancel(key, *result.value(), deadline, reply);
-                         }
-                     });
+        jobs::JobKey key;
+        TimePoint deadline;
+        std::optional<std::uint64_t> firstVersion; // of the row as first read; 0 if there was none
+        bool isCounted = false; // by the limiter
+        ports::Handler<JobStatus> reply;
+    };
+    using CancellationPointer = std::shared_ptr<Cancellation>;
+
+    void tryCancel(const CancellationPointer &cancellation)
+    {
+        readProgress(
+            cancellation->key, cancellation->deadline, FirstRetry,
+            [self = shared_from_this(), cancellation](const ports::AsyncResult<std::optional<StoredProgress>> &result) {
+                if (result.isOk()) {
+                    self->onProgressRead(cancellation, result.value());
+                } else {
+                    cancellation->reply(result.failure());
+                }
+            });
     }
 
-    void writeCancel(jobs::JobKey key, StoredProgress stored, TimePoint deadline,
-                     const ports::Handler<JobStatus> &reply)
+    void onProgressRead(const CancellationPointer &cancellation, const std::optional<StoredProgress> &stored)
     {
+        const auto version = stored ? stored->version : 0;
+        const auto firstVersion = cancellation->firstVersion.value_or(version);
+        cancellation->firstVersion = firstVersion;
+        if (stored && stored->progress.isAccepted) {
+            if (jobs::isFinal(stored->progress.state)) {
+                cancellation->reply(statusOf(stored->progress));
+            } else {
+                writeCancel(cancellation, *stored);
+            }
+        } else if (stored && version != firstVersion) {
+            cancellation->reply(JobStatus{}); // the tombstone was written since this request was read
+        } else {
+            writeTombstone(cancellation, version);
+        }
+    }
+
+    // A submission may still be under way at any host, and must not be accepted after the client was
+    // told that there is no such job. An existing tombstone is written again, since it may be about to be
+    // removed.
+    void writeTombstone(const CancellationPointer &cancellation, std::uint64_t version)
+    {
+        if (!cancellation->isCounted && !limiter.take(scheduler.now())) {
+            reportRefusal();
+            cancellation->reply(Failure{ErrorKind::StoreUnavailable, "too many cancellations of unknown jobs"});
+            return;
+        }
+        cancellation->isCounted = true;
+        StoredProgress tombstone{version, {}};
+        tombstone.progress.isAccepted = false;
+        tombstone.progress.cancelledAt = wallNow();
+        writeCancel(cancellation, std::move(tombstone));
+    }
+
+    void reportRefusal()
+    {
+        const auto now = scheduler.now();
+        if (now < refusalReportDueAt) {
+            return;
+        }
+        refusalReportDueAt = now + RefusalReportInterval;
+        const auto &counts = limiter.counts();
+        log.record("cancellation-refused",
+                   {{"refusedByRate", counts.refusedByRate}, {"refusedByTotal", counts.refusedByTotal}});
+    }
+
+    void writeCancel(const CancellationPointer &cancellation, StoredProgress stored)
+    {
+        const auto key = cancellation->key;
         stored.progress.state = jobs::JobState::Cancelled;
         ports::Commit commit;
         commit.conditions.push_back({progressRow(key), stored.version});
         commit.writes.push_back({progressRow(key), codec.encode(stored.progress)});
-        if (stored.progress.isAccepted) {
-            commit.writes.push_back({cancelRow(key), {}});
-        }
+        commit.writes.push_back({stored.progress.isAccepted ? cancelRow(key) : tombstoneRow(key), {}});
         const auto status = statusOf(stored.progress);
         store.commit(
             std::move(commit),
-            [self = shared_from_this(), key, status, deadline,
-             reply](const ports::AsyncResult<ports::CommitResult> &result) {
-                if (result.isOk() && result.value().isApplied) {
-                    self->log.record("job-cancelled", {{"job", key}, {"isAccepted", status.isKnown ? 1 : 0}});
-                    reply(status);
-                    return;
-                }
-                // Another host wrote the row concurrently, or the outcome is unknown: read again.
-                if (self->scheduler.now() + FirstRetry >= deadline) {
-                    reply(result.isOk() ? Failure{ErrorKind::StoreConflict, jobs::jobName(key)} : result.failure());
-                    return;
-                }
-                self->scheduler.runAfter(result.isOk() ? Duration(0) : FirstRetry,
-                                         [self, key, deadline, reply] { self->tryCancel(key, deadline, reply); });
+            [self = shared_from_this(), cancellation, status](const ports::AsyncResult<ports::CommitResult> &result) {
+                self->onCancelWritten(cancellation, status, result);
             });
     }
 
+    void onCancelWritten(const CancellationPointer &cancellation, const JobStatus &status,
+                         const ports::AsyncResult<ports::CommitResult> &result)
+    {
+        if (result.isOk() && result.value().isApplied) {
+            log.record("job-cancelled", {{"job", cancellation->key}, {"isAccepted", status.isKnown ? 1 : 0}});
+            if (!status.isKnown) {
+                limiter.noteWritten();
+            }
+            cancellation->reply(status);
+            return;
+        }
+        if (result.isOk() && !status.isKnown) {
+            limiter.giveBack();
+            cancellation->isCounted = false;
+        }
+        // Another host wrote the row concurrently, or the outcome is unknown: read again.
+        if (scheduler.now() + FirstRetry >= cancellation->deadline) {
+            cancellation->reply(result.isOk() ? Failure{ErrorKind::StoreConflict, jobs::jobName(cancellation->key)}
+                                              : result.failure());
+            return;
+        }
+        scheduler.runAfter(result.isOk() ? Duration(0) : FirstRetry,
+                           [self = shared_from_this(), cancellation] { self->tryCancel(cancellation); });
+    }
+
     ports::ChangeStore &store;
     ports::Scheduler &scheduler;
     const RowCodec &codec;
     DecisionLog &log;
+    std::function<jobs::WallTime()> wallNow;
+    TombstoneLimiter limiter;
+    TimePoint refusalReportDueAt;
     TimePoint lastContactAt;
     Epoch fence; // of the leader row as last read
 };
 
 JobRequestHandler::JobRequestHandler(ports::ChangeStore &store, ports::Scheduler &scheduler, const RowCodec &codec,
-                                     DecisionLog &log)
-    : d(std::make_shared<Private>(store, scheduler, codec, log))
+                                     DecisionLog &log, std::function<jobs::WallTime()> wallNow)
+    : d(std::make_shared<Private>(store, scheduler, codec, log, std::move(wallNow)))
 {
 }
 
@@ -252,6 +327,16 @@
     d->fence = fence;
 }
 
+void JobRequestHandler::recordTombstones(std::size_t count)
+{
+    d->limiter.recordStored(count);
+}
+
+const TombstoneRequestCounts &JobRequestHandler::tombstoneCounts() const
+{
+    return d->limiter.counts();
+}
+
 void JobRequestHandler::submit(AcceptedJob job, TimePoint deadline, std::function<void(SubmitResult)> reply)
 {
     auto submission = std::make_shared<Private::Submission>();
@@ -306,7 +391,11 @@
         reply(Failure{ErrorKind::StoreUnavailable, "the store is silent"});
         return;
     }
-    d->tryCancel(key, deadline, d->withDeadline(deadline, std::move(reply)));
+    auto cancellation = std::make_shared<Private::Cancellation>();
+    cancellation->key = key;
+    cancellation->deadline = deadline;
+    cancellation->reply = d->withDeadline(deadline, std::move(reply));
+    d->tryCancel(cancellation);
 }
 
 } // namespace monsoonspool::execution
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -60,6 +60,7 @@
         if (start.evacuations) {
             fleet.setEvacuations(*start.evacuations);
         }
+        tombstoneRemover.emplace(ports.store, ports.scheduler, ports.codec, ports.log);
         interferencePersister.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
         progressWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion,
                                hooks.onFenced);
@@ -119,7 +120,8 @@
             [&]() -> Result<void> {
                 BOOST_LEAF_AUTO(progress, ports.codec.decodeProgress(row.value));
                 if (!progress.isAccepted) {
-                    return {}; // there is no such job
+                    tombstoneRemover->noteRead(section->job, row.version); // there is no such job
+                    return {};
                 }
                 progressWriter->recordVersion(*section, row.version);
                 fleet.restoreProgress(section->job, progress);
@@ -133,6 +135,14 @@
     void onJobRows(std::span<const ports::StoredRow> rows)
     {
         for (const auto &row : rows) {
+            if (const auto cancelled = jobOfTombstoneKey(row.name.key)) {
+                if (row.isRemoved) {
+                    tombstoneRemover->noteRemoved(*cancelled, row.version);
+                } else {
+                    tombstoneRemover->noteRead(*cancelled, row.version);
+                }
+                continue;
+            }
             const auto key = jobOfKey(row.name.key);
             if (!key || row.isRemoved) {
                 continue;
@@ -210,22 +220,19 @@
 
     void tick()
     {
-        const auto dueAt = ports.scheduler.now() + PlanInterval;
-        ports.scheduler.runAfter(PlanInterval, [self = shared_from_this(), dueAt] {
+        tickDueAt = ports.scheduler.now() + PlanInterval;
+        ports.scheduler.runAfter(PlanInterval, [self = shared_from_this()] {
             if (!self->isClosed) {
                 const auto now = self->ports.scheduler.now();
-                self->noteLateness(now - dueAt, now);
+                self->updateStartLimit(now - self->tickDueAt, now);
                 self->plan();
                 self->tick();
             }
         });
     }
 
-    void noteLateness(Duration lateness, TimePoint now)
+    void updateStartLimit(Duration lateness, TimePoint now)
     {
-        if (lateness > MaxTickDelay) {
-            fleet.noteDelayed(now);
-        }
         const int formerLimit = startLimiter.limit();
         startLimiter.update(lateness, workerController->takeStartRoundTrips(), now);
         workerController->setLateness(startLimiter.lateness());
@@ -261,22 +268,32 @@
 
     void plan()
     {
-        if (!isLoaded || !hooks.mayDecide()) {
+        if (!isLoaded) {
+            return;
+        }
+        const auto now = ports.scheduler.now();
+        // A plan that was scheduled before the host was paused runs before the tick that is overdue.
+        if (now - tickDueAt > MaxTickDelay) {
+            fleet.noteDelayed(now);
+        }
+        if (!hooks.mayDecide()) {
             return;
         }
         const int maxStarts = startLimiter.available(workerController->startsUnderWay());
-        const auto orders = fleet.plan(ports.scheduler.now(), ports.wallNow(), maxStarts);
+        const auto orders = fleet.plan(now, ports.wallNow(), maxStarts);
         isCutByLimit = static_cast<int>(orders.starts.size()) >= maxStarts;
         workerController->dispatch(orders);
         progressWriter->requestWrite();
         rosterWriter->requestWrite();
-        interferencePersister->writeIfDue(ports.scheduler.now());
+        interferencePersister->writeIfDue(now);
+        tombstoneRemover->removeIfDue(now);
     }
 
     ExecutionPorts ports;
     Hooks hooks;
     Fleet fleet;
     std::optional<RosterWriter> rosterWriter;
+    std::optional<TombstoneRemover> tombstoneRemover;
     std::optional<InterferencePersister> interferencePersister;
     std::optional<ProgressWriter> progressWriter;
     std::optional<WorkerController> workerController;
@@ -284,6 +301,7 @@
     std::optional<TableWatcher> progressReader;
     std::optional<TableWatcher> workerWatcher;
     StartLimiter startLimiter;
+    TimePoint tickDueAt;
     TimePoint jobsReadAt; // all jobs stored before this time have been read
     std::uint64_t jobsReadVersion = 0; // of the store
     bool isCutByLimit = false; // the last plan left starts for later
@@ -307,6 +325,7 @@
     d->workerController.reset();
     d->progressWriter.reset();
     d->interferencePersister.reset();
+    d->tombstoneRemover.reset();
     d->rosterWriter.reset();
 }
 
@@ -383,6 +402,11 @@
     return {d->startLimiter.lateness(), d->startLimiter.limit(), d->workerController->startsUnderWay()};
 }
 
+TombstoneCounts LeaderTerm::tombstones() const
+{
+    return d->tombstoneRemover->counts(d->ports.scheduler.now());
+}
+
 bool LeaderTerm::isOverloaded() const
 {
     return d->startLimiter.isAtMinimum();
