A start without an answer is charged only if its worker was alive

Cause: a start order without an answer counted as a run under which the worker crashed, also if the worker had crashed before the order was sent.

Change: a crash is charged if the worker had answered the start or listed the run. A start without an answer makes its task suspect, which is stored with the job. Each later start of a suspect, and of a task whose run was lost with a silent worker, is verified: the link asks the worker for a listing on the connection right before it sends the order, and does not send it without an answer. A crash under a verified start without an answer is charged. run-crashed says what showed the run, and whether it was charged.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -180,9 +180,12 @@
         Json encoded = Json::array();
         for (const auto &it : steps) {
             Json step = Json::array({it.tasks, encodeRunsByTask(it.failedRuns)});
-            if (!it.crashedRuns.empty()) {
+            if (!it.crashedRuns.empty() || !it.possiblyCrashedRuns.empty()) {
                 step.push_back(encodeRunsByTask(it.crashedRuns));
             }
+            if (!it.possiblyCrashedRuns.empty()) {
+                step.push_back(encodeRunsByTask(it.possiblyCrashedRuns));
+            }
             encoded.push_back(std::move(step));
         }
         json["occurrences"].push_back(std::move(encoded));
@@ -205,6 +208,9 @@
                 if (it.size() > 2) {
                     step.crashedRuns = decodeRunsByTask(it.at(2));
                 }
+                if (it.size() > 3) {
+                    step.possiblyCrashedRuns = decodeRunsByTask(it.at(3));
+                }
             }
         }
         return progress;
--- a/src/execution/fleetcrashes.cpp
+++ b/src/execution/fleetcrashes.cpp
@@ -17,7 +17,11 @@
         auto *job = findJob(it.task.job);
         const bool isKnown = job != nullptr && job->job.contains(it.task);
         const bool wasOpen = isKnown && job->job.isOpen();
-        if (isKnown && job->job.noteWorkerCrash(it.task, it.number, it.ranFor)) {
+        const bool mayCharge = it.evidence != workers::RunEvidence::None;
+        const bool isNoted = isKnown
+            && (mayCharge ? job->job.noteWorkerCrash(it.task, it.number, it.ranFor)
+                          : job->job.notePossibleCrash(it.task, it.number, it.ranFor));
+        if (isNoted) {
             markChanged(*job, it.task);
         }
         log.record("run-crashed",
@@ -26,6 +30,8 @@
                     {"worker", worker.view()},
                     {"ranForMs", toMilliseconds(it.ranFor)},
                     {"besides", runs.size() - 1},
+                    {"evidence", workers::runEvidenceName(it.evidence)},
+                    {"charged", mayCharge && isNoted ? 1 : 0},
                     {"crashes", isKnown ? job->job.crashCount(it.task) : 0}});
         if (isKnown) {
             jobsToPlace.insert(it.task.job);
@@ -43,13 +49,20 @@
         return;
     }
     const auto process = worker.process();
+    const auto possible = worker.possibleRuns(now);
+    for (const auto &it : possible) {
+        auto *job = findJob(it.task.job);
+        if (job != nullptr && job->job.contains(it.task)) {
+            job->job.noteRunLost(it.task);
+        }
+    }
     const bool isReplaced = std::ranges::any_of(workers, [&](const workers::Worker *it) {
         return it != &worker && it->isConfirmed() && process.isReplacedBy(it->process());
     });
     if (isReplaced) {
-        chargeCrash(process.worker, worker.possibleRuns(now), now);
+        chargeCrash(process.worker, possible, now);
     } else {
-        lostRuns.remember(process, worker.possibleRuns(now), now);
+        lostRuns.remember(process, possible, now);
     }
 }
 
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -395,7 +395,7 @@
             const auto &task = job->job.task(run.task);
             isNeeded = isNeeded && !task.isDone && (task.activeRuns == 0 || spec.maySpeculate || spec.isGang);
         }
-        run.crashCount = job->job.crashCount(run.task);
+        run.crashCount = job->job.crashSuspicion(run.task);
         job->job.noteRunOrdered(run.task, run.number);
         job->job.noteRunStarted();
         ++job->activeRuns;
--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -51,7 +51,7 @@
     demand.image = image;
     demand.service = policyOf(job).service.view();
     demand.preferredRack = preferredRack;
-    demand.crashCount = job.job.crashCount(task);
+    demand.crashCount = job.job.crashSuspicion(task);
     demand.interference = usesInterference ? &interference : nullptr;
     demand.interferenceFreeCapacity = &interferenceFreeCapacity;
     if (const auto it = job.avoidedWorkers.find(task); it != job.avoidedWorkers.end()) {
@@ -109,7 +109,8 @@
     run.orderedAt = now;
     run.progressedAt = now;
     run.startDeadline = worker.startDeadline(now, std::min(termEnd, rowsUsableUntil(now)));
-    run.crashCount = job.job.crashCount(task);
+    run.crashCount = job.job.crashSuspicion(task);
+    run.isVerified = worker.startTimeMs() != 0 && job.job.needsVerifiedStart(task);
     job.keptApartSince.erase(waitingTask(job, task));
     worker.add(run);
     ++job.activeRuns;
@@ -127,8 +128,10 @@
                 {"jobVersion", job.version},
                 {"unreported", unreportedWorkers.size()},
                 {"waitedMs", toMilliseconds(now - job.job.acceptedAt())},
-                {"freeCores", worker.freeResources().milliCores}});
-    orders.starts.push_back({worker.entry().id, task, number, checkpoint, {}, run.startDeadline, worker.startTimeMs()});
+                {"freeCores", worker.freeResources().milliCores},
+                {"isVerified", run.isVerified ? 1 : 0}});
+    orders.starts.push_back(
+        {worker.entry().id, task, number, checkpoint, {}, run.startDeadline, worker.startTimeMs(), run.isVerified});
 }
 
 void Fleet::Private::placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, Orders &orders)
@@ -144,7 +147,7 @@
             continue;
         }
         auto *worker = chooseWorker(job, id, {}, now, &ranked);
-        if (worker == nullptr && job.job.crashCount(id) > 0) {
+        if (worker == nullptr && job.job.crashSuspicion(id) > 0) {
             continue; // waits for a worker of its own, which the others need not
         }
         if (worker == nullptr) {
--- a/src/execution/orders.h
+++ b/src/execution/orders.h
@@ -21,6 +21,7 @@
     std::string ticket;
     ports::WorkerMillis deadline = 0;
     std::int64_t startTimeMs = 0; // of the worker process that is to start the run
+    bool verifiesProcess = false; // see ports::RunOrder
 };
 
 struct StopTask
--- a/src/execution/workercontroller.cpp
+++ b/src/execution/workercontroller.cpp
@@ -129,8 +129,9 @@
         if (entry == nullptr || job == nullptr) {
             return;
         }
-        const ports::RunOrder run{fleet.fence(),    order.task,   order.run,      job->spec().payload,
-                                  order.checkpoint, order.ticket, order.deadline, order.startTimeMs};
+        const ports::RunOrder run{fleet.fence(),       order.task,        order.run,
+                                  job->spec().payload, order.checkpoint,  order.ticket,
+                                  order.deadline,      order.startTimeMs, order.verifiesProcess};
         ++startsUnderWay;
         link.start(*entry, run,
                    [self = shared_from_this(), order,
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -258,10 +258,15 @@
     }
 }
 
+bool Job::countsCrash(const TaskId &id, Duration ranFor) const
+{
+    return isOpen() && !task(id).isDone && !(stepSpec(id.step).isLasting && ranFor > LastingTrialTime);
+}
+
 bool Job::noteWorkerCrash(const TaskId &id, RunNumber run, Duration ranFor)
 {
     auto &task = mutableTask(id);
-    if (!isOpen() || task.isDone || (stepSpec(id.step).isLasting && ranFor > LastingTrialTime)) {
+    if (!countsCrash(id, ranFor)) {
         return false;
     }
     if (std::ranges::find(task.crashedRuns, run) != task.crashedRuns.end()) {
@@ -273,19 +278,59 @@
     return true;
 }
 
+bool Job::notePossibleCrash(const TaskId &id, RunNumber run, Duration ranFor)
+{
+    auto &task = mutableTask(id);
+    if (!countsCrash(id, ranFor) || !task.possiblyCrashedRuns.empty()) {
+        return false;
+    }
+    task.possiblyCrashedRuns.push_back(run);
+    return true;
+}
+
+void Job::noteRunLost(const TaskId &id)
+{
+    mutableTask(id).wasLost = true;
+}
+
+template <typename F>
+bool Job::isAnyMember(const TaskId &id, F isMet) const
+{
+    if (id.occurrence >= static_cast<int>(m_occurrences.size())) {
+        return false;
+    }
+    return stepSpec(id.step).isGang ? std::ranges::any_of(step(id.occurrence, id.step).tasks, isMet) : isMet(task(id));
+}
+
+bool Job::needsVerifiedStart(const TaskId &id) const
+{
+    return crashSuspicion(id) > 0 || isAnyMember(id, [](const Task &it) { return it.wasLost; });
+}
+
+int Job::crashSuspicion(const TaskId &id) const
+{
+    const bool isPossible = isAnyMember(id, [](const Task &it) { return !it.possiblyCrashedRuns.empty(); });
+    return crashCount(id) + (isPossible ? 1 : 0);
+}
+
 bool Job::noteHealthyRun(const TaskId &id, Duration ranFor)
 {
-    auto &crashed = crashedRuns(id);
-    if (!stepSpec(id.step).isLasting || ranFor <= LastingTrialTime || crashed.empty()) {
+    if (!stepSpec(id.step).isLasting || ranFor <= LastingTrialTime || !needsVerifiedStart(id)) {
         return false;
     }
-    crashed.clear();
+    const bool isChanged = crashSuspicion(id) > 0;
+    crashedRuns(id).clear();
+    const auto clear = [](Task &it) {
+        it.crashedRuns.clear();
+        it.possiblyCrashedRuns.clear();
+        it.wasLost = false;
+    };
     if (stepSpec(id.step).isGang) {
-        for (auto &it : mutableStep(id.occurrence, id.step).tasks) {
-            it.crashedRuns.clear();
-        }
+        std::ranges::for_each(mutableStep(id.occurrence, id.step).tasks, clear);
+    } else {
+        clear(mutableTask(id));
     }
-    return true;
+    return isChanged;
 }
 
 void Job::noteCheckpoint(const TaskId &id, std::string_view checkpoint)
@@ -389,6 +434,9 @@
         if (!task.crashedRuns.empty()) {
             stored.crashedRuns[static_cast<int>(n)] = task.crashedRuns;
         }
+        if (!task.possiblyCrashedRuns.empty()) {
+            stored.possiblyCrashedRuns[static_cast<int>(n)] = task.possiblyCrashedRuns;
+        }
     }
     return stored;
 }
@@ -422,6 +470,11 @@
             mergeRuns(own.tasks[static_cast<std::size_t>(index)].crashedRuns, runs);
         }
     }
+    for (const auto &[index, runs] : stored.possiblyCrashedRuns) {
+        if (index >= 0 && index < static_cast<int>(own.tasks.size())) {
+            mergeRuns(own.tasks[static_cast<std::size_t>(index)].possiblyCrashedRuns, runs);
+        }
+    }
     for (int n = 0; n < static_cast<int>(own.tasks.size()); ++n) {
         failAfterCrashes({m_key, occurrence, step, n});
     }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -51,6 +51,9 @@
     std::optional<RunNumber> doneRun; // the run that was done, if this scheduler has seen its end
     std::vector<RunNumber> failedRuns; // without duplicates, since an end may be listed repeatedly
     std::vector<RunNumber> crashedRuns; // under which a worker crashed, without duplicates
+    // Runs that are not known to have begun on a worker that crashed: the first one only.
+    std::vector<RunNumber> possiblyCrashedRuns;
+    bool wasLost = false; // a run was lost with a worker that is not known to have crashed
     std::uint8_t activeRuns = 0; // runs that may be active on a worker
     RunNumber lastRun = 0;
     std::string checkpoint; // to resume from; empty to start from the beginning
@@ -92,6 +95,7 @@
     std::string tasks; // one character per task: DoneMark or OpenMark
     std::map<int, std::vector<RunNumber>> failedRuns; // by task index; GangIndex for a whole gang
     std::map<int, std::vector<RunNumber>> crashedRuns; // likewise; of a gang also by member
+    std::map<int, std::vector<RunNumber>> possiblyCrashedRuns; // by task index, also of a gang
 
     static constexpr char DoneMark = 'D';
     static constexpr char OpenMark = '.';
@@ -130,7 +134,8 @@
 //  - a task that is done gets no further run,
 //  - a task or gang that failed `maxAttempts` times fails the job,
 //  - a task or gang under which MaxWorkerCrashes workers crashed fails the job, of a gang if two
-//    of them crashed under the same member; these runs are no failed attempts,
+//    of them crashed under the same member; these runs are no failed attempts, and each is known to
+//    have begun, or to have been ordered from a process that was alive,
 //  - nothing starts after the job's state is final.
 //
 // Not thread-safe: owned by the control thread.
@@ -205,10 +210,22 @@
     // Records that the worker of a run crashed `ranFor` after the run's start. A crash that is
     // reported repeatedly counts once. Returns whether the persistent state changed.
     bool noteWorkerCrash(const TaskId &id, RunNumber run, Duration ranFor);
+    // Records that a worker crashed on which a run was ordered, but is not known to have begun: the
+    // worker may have crashed before. Such a crash does not fail the job, but makes the task suspect.
+    // Returns whether the persistent state changed.
+    bool notePossibleCrash(const TaskId &id, RunNumber run, Duration ranFor);
+    // Records that a run was lost with a worker that is silent and may have crashed.
+    void noteRunLost(const TaskId &id);
+    // Returns whether the next start of the task, or of its gang, must show whether its worker was
+    // alive when the order was sent: otherwise a crash before the answer could not be charged.
+    bool needsVerifiedStart(const TaskId &id) const;
     // Records that a run has been at work for `ranFor`. Returns whether the persistent state changed.
     bool noteHealthyRun(const TaskId &id, Duration ranFor);
     // Returns the number of crashes of workers under the task, or under its gang.
     int crashCount(const TaskId &id) const;
+    // Returns the same, and one more if a worker may have crashed under a run that is not known to
+    // have begun.
+    int crashSuspicion(const TaskId &id) const;
     // Records the latest checkpoint of a running task.
     void noteCheckpoint(const TaskId &id, std::string_view checkpoint);
 
@@ -238,6 +255,10 @@
     void markDone(int occurrence, int step, Task &task);
     void restoreStep(int occurrence, int step, const StepProgress &stored);
     bool markFailed(const TaskId &id, RunNumber run, int maxAttempts);
+    bool countsCrash(const TaskId &id, Duration ranFor) const;
+    // Returns whether `isMet` holds for the task, or for a member of its gang.
+    template <typename F>
+    bool isAnyMember(const TaskId &id, F isMet) const;
     std::vector<RunNumber> &crashedRuns(const TaskId &id);
     void failAfterCrashes(const TaskId &id);
 
--- a/src/ports/memory/simulatedworkers.cpp
+++ b/src/ports/memory/simulatedworkers.cpp
@@ -3,6 +3,7 @@
 #include "jobs/names.h"
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 #include <utility>
 
@@ -163,13 +164,18 @@
         if (!isRunning) {
             return;
         }
-        m_checker.noteCrash(task);
-        crash(id, true);
-        m_scheduler.runAfter(m_crashDowntime, [this, id, startTimeMs] {
-            if (!m_workers.at(id).isUp) {
-                restart(id, startTimeMs + 1);
-            }
-        });
+        crashUnder(task, id);
+    });
+}
+
+void SimulatedWorkers::crashUnder(const jobs::TaskId &task, const WorkerId &id)
+{
+    m_checker.noteCrash(task);
+    crash(id, true);
+    m_scheduler.runAfter(m_crashDowntime, [this, id, startTimeMs = m_workers.at(id).entry.startTimeMs] {
+        if (!m_workers.at(id).isUp) {
+            restart(id, startTimeMs + 1);
+        }
     });
 }
 
@@ -201,6 +207,23 @@
     answerWaiters(worker);
 }
 
+void SimulatedWorkers::breakGang(const jobs::TaskId &member)
+{
+    const auto isMember = [&](const Run &it) {
+        return it.task.job == member.job && it.task.occurrence == member.occurrence && it.task.step == member.step;
+    };
+    for (auto &[id, worker] : m_workers) {
+        advance(worker);
+        std::vector<Run> broken;
+        std::ranges::copy_if(worker.runs, std::back_inserter(broken), isMember);
+        std::erase_if(worker.runs, isMember);
+        for (const auto &it : broken) {
+            endRun(worker, it, jobs::RunEnd::Broken);
+        }
+        answerWaiters(worker);
+    }
+}
+
 void SimulatedWorkers::advance()
 {
     for (auto &[id, worker] : m_workers) {
@@ -319,6 +342,10 @@
     worker.runs.push_back({order.task, order.run, profile.needs, m_scheduler.now(), m_scheduler.now() + profile.runTime,
                            profile.alwaysFails, false});
     advanceLater(worker, profile.runTime);
+    if (profile.crashesWorkerAfter == Duration(0)) {
+        crashUnder(order.task, id);
+        return *unreachable(worker);
+    }
     if (profile.crashesWorkerAfter) {
         crashLater(worker, order.task, order.run, *profile.crashesWorkerAfter);
     }
--- a/src/ports/memory/simulatedworkers.h
+++ b/src/ports/memory/simulatedworkers.h
@@ -76,6 +76,9 @@
     AsyncResult<StartResult> start(const WorkerId &id, const RunOrder &order);
     AsyncResult<Done> stop(const WorkerId &id, Epoch fence, const jobs::TaskId &task, jobs::RunNumber run);
 
+    // Ends the runs of all members of a gang, of which one has ended.
+    void breakGang(const jobs::TaskId &member);
+
     // Ends the tasks that are finished by now, and those whose lease has expired.
     void advance();
 
@@ -150,6 +153,8 @@
     void extendLease(SimulatedWorker &worker, WorkerMillis deadline);
     void advance(SimulatedWorker &worker);
     void crashLater(const SimulatedWorker &worker, const jobs::TaskId &task, jobs::RunNumber run, Duration delay);
+    // Ends the worker's process, which starts again after the downtime.
+    void crashUnder(const jobs::TaskId &task, const WorkerId &id);
     void advanceLater(const SimulatedWorker &worker, Duration delay);
     void endRun(SimulatedWorker &worker, const Run &run, jobs::RunEnd outcome);
     // Returns whether a start may bring the worker to `needs`.
--- a/src/ports/memory/taskmodel.h
+++ b/src/ports/memory/taskmodel.h
@@ -15,7 +15,8 @@
     Duration runTime{1s};
     bool alwaysFails = false;
     Resources needs;
-    std::optional<Duration> crashesWorkerAfter = std::nullopt; // crashes its worker's process at this age
+    std::optional<Duration> crashesWorkerAfter
+        = std::nullopt; // crashes its worker's process at this age; at 0, before the start is answered
 };
 
 // Provides the actual behaviour of tasks, which the scheduler under test does not know.
--- a/src/ports/pooledworkerlink.cpp
+++ b/src/ports/pooledworkerlink.cpp
@@ -157,7 +157,7 @@
     void start(Channel &channel, const WorkerEntry &worker, const RunOrder &order, Handler<StartResult> handler)
     {
         const bool isForAnyProcess = order.startTimeMs == 0;
-        if (!isForAnyProcess && !channel.belongsTo(order.startTimeMs)) {
+        if (!isForAnyProcess && (order.verifiesProcess || !channel.belongsTo(order.startTimeMs))) {
             identifyAndStart(channel, worker, order, std::move(handler));
             return;
         }
--- a/src/ports/workerlink.h
+++ b/src/ports/workerlink.h
@@ -91,6 +91,10 @@
     std::string ticket; // issued by the adviser; empty if the queue has no adviser
     WorkerMillis deadline = 0; // the worker rejects the order after this time
     std::int64_t startTimeMs = 0; // of the process that the order is meant for; 0 for any
+    // The process must answer on the connection right before the order is sent there. Without its
+    // answer the order is not sent and fails with DaemonUnreachable, so that an order whose outcome
+    // is unknown has been sent to a process that was alive a round trip before.
+    bool verifiesProcess = false;
 };
 
 enum class StartResult {
--- a/src/workers/lostruns.cpp
+++ b/src/workers/lostruns.cpp
@@ -5,6 +5,19 @@
 
 namespace monsoonspool::workers {
 
+std::string_view runEvidenceName(RunEvidence evidence)
+{
+    switch (evidence) {
+    case RunEvidence::Confirmed:
+        return "confirmed";
+    case RunEvidence::Verified:
+        return "verified";
+    case RunEvidence::None:
+        break;
+    }
+    return "none";
+}
+
 bool Process::isReplacedBy(const Process &later) const
 {
     if (worker == later.worker) {
--- a/src/workers/lostruns.h
+++ b/src/workers/lostruns.h
@@ -7,16 +7,29 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 #include <vector>
 
 namespace monsoonspool::workers {
 
+// What shows that a run existed on the process that was lost with it.
+enum class RunEvidence {
+    None, // its start got no answer, and the process may have ended before
+    Confirmed, // the process answered the start, or has listed the run
+    // Its start got no answer, but the process had answered on the same connection right before the
+    // order was sent.
+    Verified,
+};
+
+std::string_view runEvidenceName(RunEvidence evidence);
+
 // A run that a worker had confirmed, or may have begun, and that ended without a listed end.
 struct LostRun
 {
     jobs::TaskId task;
     jobs::RunNumber number = 0;
     Duration ranFor{0}; // from its start until the worker was heard last
+    RunEvidence evidence = RunEvidence::None;
 };
 
 // A process of a worker. The next one on its machine may have another identifier.
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -298,10 +298,17 @@
     std::vector<LostRun> possible;
     for (const auto &it : m_runs) {
         const bool isAnswered = it.answeredAt != TimePoint();
-        if (isAnswered || it.state == RunState::Unanswered) {
-            const auto begunAt = isAnswered ? it.answeredAt : it.orderedAt;
-            possible.push_back({it.task, it.number, std::max(heardUntil(now) - begunAt, Duration(0))});
+        const bool isUnanswered = it.state == RunState::Unanswered || it.state == RunState::Ordered;
+        if (!isAnswered && !isUnanswered) {
+            continue;
         }
+        // While an order has no result, it may not have been sent yet.
+        const bool wasSent = it.state != RunState::Ordered;
+        const auto evidence = isAnswered ? RunEvidence::Confirmed
+            : wasSent && it.isVerified   ? RunEvidence::Verified
+                                         : RunEvidence::None;
+        const auto begunAt = isAnswered ? it.answeredAt : it.orderedAt;
+        possible.push_back({it.task, it.number, std::max(heardUntil(now) - begunAt, Duration(0)), evidence});
     }
     return possible;
 }
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -66,6 +66,7 @@
     bool isStopSent = false;
     bool isStopConfirmed = false;
     int crashCount = 0; // of workers under earlier runs of the task
+    bool isVerified = false; // see ports::RunOrder::verifiesProcess
 };
 
 // A worker keeps its runs for this time without a renewal from the scheduler. A new leader
@@ -332,7 +333,8 @@
     {
         return {m_entry.id, m_entry.address, m_startTimeMs};
     }
-    // Returns the runs that the worker's process had confirmed, or may have begun without an answer.
+    // Returns the runs that the worker's process had confirmed, or may have begun without an answer,
+    // and what shows that they existed.
     std::vector<LostRun> possibleRuns(TimePoint now) const;
 
     // Numbers of the last end that was processed and of the last one that the worker need
--- a/tests/jobs/jobtest.cpp
+++ b/tests/jobs/jobtest.cpp
@@ -141,6 +141,34 @@
     EXPECT_EQ(third.state(), JobState::Failed);
 }
 
+// Guards against failing a job by crashes under runs that are not known to have begun, and against a
+// successor that does not know that they make the task suspect.
+TEST(Job, PossibleCrashesMakeATaskSuspectButFailNoJob)
+{
+    for (const bool isGang : {false, true}) {
+        SCOPED_TRACE(isGang);
+        Job first({7}, twoSteps(isGang), "plans", Now);
+        EXPECT_FALSE(first.needsVerifiedStart(task(0, 0)));
+        EXPECT_TRUE(first.notePossibleCrash(task(0, 0), 1, 1s));
+        for (const RunNumber run : {1, 2, 3, 4}) {
+            EXPECT_FALSE(first.notePossibleCrash(task(0, 0), run, 1s)) << "one is enough";
+        }
+        EXPECT_TRUE(first.isOpen());
+        EXPECT_EQ(first.crashCount(task(0, 0)), 0);
+        Job successor({7}, twoSteps(isGang), "plans", Now);
+        successor.restore(first.progress());
+        for (const auto *job : {&first, &successor}) {
+            EXPECT_EQ(job->crashSuspicion(task(0, 0)), 1);
+            EXPECT_TRUE(job->needsVerifiedStart(task(0, 0)));
+            EXPECT_EQ(job->needsVerifiedStart(task(0, 1)), isGang);
+        }
+        successor.noteWorkerCrash(task(0, 0), 1001, 1s);
+        successor.noteWorkerCrash(task(0, 0), 1002, 1s);
+        EXPECT_TRUE(successor.isOpen());
+        EXPECT_EQ(successor.crashSuspicion(task(0, 0)), 3);
+    }
+}
+
 // Guards against giving up a lasting task because of unrelated crashes in weeks of life.
 TEST(Job, ALongRunClearsTheCrashesOfALastingTask)
 {
