--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -103,6 +103,24 @@
     return runsByTask;
 }
 
+Json encodeRunByTask(const std::map<int, jobs::RunNumber> &runByTask)
+{
+    Json json = Json::array();
+    for (const auto &[index, run] : runByTask) {
+        json.push_back(Json::array({index, run}));
+    }
+    return json;
+}
+
+std::map<int, jobs::RunNumber> decodeRunByTask(const Json &json)
+{
+    std::map<int, jobs::RunNumber> runByTask;
+    for (const auto &it : json) {
+        runByTask[it.at(0).get<int>()] = it.at(1).get<jobs::RunNumber>();
+    }
+    return runByTask;
+}
+
 Json encodePolicy(const jobs::QueuePolicy &policy)
 {
     Json json = {{"queue", policy.queue},       {"service", policy.service.text()},
@@ -184,7 +202,7 @@
                 step.push_back(encodeRunsByTask(it.crashedRuns));
             }
             if (!it.possiblyCrashedRuns.empty()) {
-                step.push_back(encodeRunsByTask(it.possiblyCrashedRuns));
+                step.push_back(encodeRunByTask(it.possiblyCrashedRuns));
             }
             encoded.push_back(std::move(step));
         }
@@ -209,7 +227,7 @@
                     step.crashedRuns = decodeRunsByTask(it.at(2));
                 }
                 if (it.size() > 3) {
-                    step.possiblyCrashedRuns = decodeRunsByTask(it.at(3));
+                    step.possiblyCrashedRuns = decodeRunByTask(it.at(3));
                 }
             }
         }
--- a/src/execution/fleetcrashes.cpp
+++ b/src/execution/fleetcrashes.cpp
@@ -6,6 +6,30 @@
 
 namespace monsoonspool::execution {
 
+namespace {
+
+// Returns why the crash was charged to the run's task or not. `isNoted` tells whether that changed the
+// job, which is nullptr if it is not known.
+std::string_view chargeReason(const TrackedJob *job, const workers::LostRun &run, bool isNoted)
+{
+    if (job == nullptr || !job->job.contains(run.task)) {
+        return "unknown job";
+    }
+    if (run.evidence == workers::RunEvidence::None) {
+        return "the worker may have crashed before the start";
+    }
+    if (isNoted) {
+        return run.evidence == workers::RunEvidence::Confirmed ? "the run had begun"
+                                                               : "the worker was alive at the start";
+    }
+    if (job->job.stepSpec(run.task.step).isLasting && run.ranFor > jobs::LastingTrialTime) {
+        return "the run was at work for long";
+    }
+    return "the task is over or the run was charged before";
+}
+
+} // namespace
+
 void Fleet::Private::chargeCrash(const WorkerId &worker, std::span<const workers::LostRun> runs, TimePoint now)
 {
     if (runs.empty()) {
@@ -32,6 +56,7 @@
                     {"besides", runs.size() - 1},
                     {"evidence", workers::runEvidenceName(it.evidence)},
                     {"charged", mayCharge && isNoted ? 1 : 0},
+                    {"reason", chargeReason(job, it, isNoted)},
                     {"crashes", isKnown ? job->job.crashCount(it.task) : 0}});
         if (isKnown) {
             jobsToPlace.insert(it.task.job);
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -281,10 +281,10 @@
 bool Job::notePossibleCrash(const TaskId &id, RunNumber run, Duration ranFor)
 {
     auto &task = mutableTask(id);
-    if (!countsCrash(id, ranFor) || !task.possiblyCrashedRuns.empty()) {
+    if (!countsCrash(id, ranFor) || task.possiblyCrashedRun) {
         return false;
     }
-    task.possiblyCrashedRuns.push_back(run);
+    task.possiblyCrashedRun = run;
     return true;
 }
 
@@ -309,7 +309,7 @@
 
 int Job::crashSuspicion(const TaskId &id) const
 {
-    const bool isPossible = isAnyMember(id, [](const Task &it) { return !it.possiblyCrashedRuns.empty(); });
+    const bool isPossible = isAnyMember(id, [](const Task &it) { return it.possiblyCrashedRun.has_value(); });
     return crashCount(id) + (isPossible ? 1 : 0);
 }
 
@@ -322,7 +322,7 @@
     crashedRuns(id).clear();
     const auto clear = [](Task &it) {
         it.crashedRuns.clear();
-        it.possiblyCrashedRuns.clear();
+        it.possiblyCrashedRun.reset();
         it.wasLost = false;
     };
     if (stepSpec(id.step).isGang) {
@@ -434,8 +434,8 @@
         if (!task.crashedRuns.empty()) {
             stored.crashedRuns[static_cast<int>(n)] = task.crashedRuns;
         }
-        if (!task.possiblyCrashedRuns.empty()) {
-            stored.possiblyCrashedRuns[static_cast<int>(n)] = task.possiblyCrashedRuns;
+        if (task.possiblyCrashedRun) {
+            stored.possiblyCrashedRuns[static_cast<int>(n)] = *task.possiblyCrashedRun;
         }
     }
     return stored;
@@ -470,9 +470,9 @@
             mergeRuns(own.tasks[static_cast<std::size_t>(index)].crashedRuns, runs);
         }
     }
-    for (const auto &[index, runs] : stored.possiblyCrashedRuns) {
+    for (const auto &[index, run] : stored.possiblyCrashedRuns) {
         if (index >= 0 && index < static_cast<int>(own.tasks.size())) {
-            mergeRuns(own.tasks[static_cast<std::size_t>(index)].possiblyCrashedRuns, runs);
+            own.tasks[static_cast<std::size_t>(index)].possiblyCrashedRun = run;
         }
     }
     for (int n = 0; n < static_cast<int>(own.tasks.size()); ++n) {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -51,10 +51,9 @@
     std::optional<RunNumber> doneRun; // the run that was done, if this scheduler has seen its end
     std::vector<RunNumber> failedRuns; // without duplicates, since an end may be listed repeatedly
     std::vector<RunNumber> crashedRuns; // under which a worker crashed, without duplicates
-    // Runs that are not known to have begun on a worker that crashed: the first one only.
-    std::vector<RunNumber> possiblyCrashedRuns;
-    bool wasLost = false; // a run was lost with a worker that is not known to have crashed
+    std::optional<RunNumber> possiblyCrashedRun; // the first one whose worker crashed and that may not have begun
     std::uint8_t activeRuns = 0; // runs that may be active on a worker
+    bool wasLost = false; // a run was lost with a silent worker, which may have crashed
     RunNumber lastRun = 0;
     std::string checkpoint; // to resume from; empty to start from the beginning
     TimePoint retryAt; // earliest time of the next run
@@ -95,7 +94,7 @@
     std::string tasks; // one character per task: DoneMark or OpenMark
     std::map<int, std::vector<RunNumber>> failedRuns; // by task index; GangIndex for a whole gang
     std::map<int, std::vector<RunNumber>> crashedRuns; // likewise; of a gang also by member
-    std::map<int, std::vector<RunNumber>> possiblyCrashedRuns; // by task index, also of a gang
+    std::map<int, RunNumber> possiblyCrashedRuns; // by task index, also of a gang
 
     static constexpr char DoneMark = 'D';
     static constexpr char OpenMark = '.';
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -294,7 +294,7 @@
     const codec::CborJobs rows;
     jobs::JobProgress progress;
     progress.state = jobs::JobState::Running;
-    progress.occurrences = {{jobs::StepProgress{"D.", {{1, {2, 3}}}, {{0, {4}}, {-1, {5, 6}}}, {{1, {7}}}}}};
+    progress.occurrences = {{jobs::StepProgress{"D.", {{1, {2, 3}}}, {{0, {4}}, {-1, {5, 6}}}, {{1, 7}}}}};
     EXPECT_EQ(valueOf([&] { return rows.decodeProgress(rows.encode(progress)); }), progress);
     progress.occurrences[0][0].crashedRuns.clear();
     EXPECT_EQ(valueOf([&] { return rows.decodeProgress(rows.encode(progress)); }), progress);
