Tasks wait for the rack of their data while that saves time

Callers saw tasks that ran three times as long as they need: if the rack that a step's affinity names was full at the moment of a plan, the task started on any other rack, also where room on its own came within a fraction of the time that the run lost. A colocated gang started on two racks in the same way, even if another rack had room for all of it, since its first member alone chose the rack.

Fleet now asks the locality policy when the best worker is off the rack, or a colocated gang does not fit on one. A task that waits is not entered among the demands that cannot be placed, so the work behind it starts; it is looked at again by the plans that there are. While it waits, a plan looks at the workers of its rack once for all tasks of its step, and once for all steps that need as much. A gang first takes a rack that has room for all members. The policy is set by ExecutionOptions::remoteRunTimeFactor; without it nothing changes. Runs off their rack count as the factor times as long where their end is foreseen, and are learned from accordingly. Metrics, a section of the state dump and two log lines tell of the waits.

DataLocality.IsNearTheBestFixedWaitUnderEachLoad compares with delay scheduling of a fixed time.

ControlApi.EachMetricHasAHelpLineAndOneValuePerLine assumed one summary; it now counts the summaries, of which there are two, and still expects three quantiles and a count of each.

--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -374,8 +374,13 @@
     {
         termFence = leadership.fence();
         termBeganAt = ports.scheduler.now();
-        LeaderTermStart start{termFence, leadership.claimVersion(),       claimedRoster,
-                              queues(),  leadership.formersDecideUntil(), leadership.silentWorkers(termBeganAt)};
+        LeaderTermStart start{termFence,
+                              leadership.claimVersion(),
+                              claimedRoster,
+                              queues(),
+                              leadership.formersDecideUntil(),
+                              leadership.silentWorkers(termBeganAt),
+                              options.remoteRunTimeFactor};
         ports.log.record(
             "leadership-won",
             {{"fence", termFence.value}, {"claimVersion", start.claimVersion}, {"rosterRows", start.roster.size()}});
--- a/src/execution/executionloop.h
+++ b/src/execution/executionloop.h
@@ -5,6 +5,7 @@
 #include "membership/leadership.h"
 
 #include <memory>
+#include <optional>
 
 namespace monsoonspool::execution {
 
@@ -13,6 +14,7 @@
     EntryHostId self;
     std::uint64_t incarnation = 0; // drawn anew at each process start
     double processorShare = 1; // in cores; hosts with a small share claim later
+    std::optional<double> remoteRunTimeFactor = {}; // see Fleet
 };
 
 // Values shown in the state dump and metrics.
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -61,6 +61,9 @@
     d->changedSections.clear();
     d->unreportedWorkers.clear();
     d->lostRuns.clear();
+    d->racks.room.reset(now);
+    d->racks.workers.clear();
+    d->racks.areWorkersOutdated = true;
     d->isRosterChanged = false;
     d->workersReadAt.reset();
     d->jobsReadAt.reset();
@@ -141,6 +144,7 @@
     workers.insert(std::ranges::lower_bound(workers, entry.id, {}, idOf), worker.get());
     changedWorkers.insert(worker.get());
     worker->setNamedSilent(namedSilent.contains(entry.id));
+    racks.areWorkersOutdated = true;
     isRosterChanged = true;
     return *worker;
 }
@@ -183,6 +187,7 @@
 {
     const auto it = workersById.find(id);
     std::erase(workers, it->second.get());
+    racks.areWorkersOutdated = true;
     changedWorkers.erase(it->second.get());
     if (const auto visitAt = it->second->visitAt()) {
         timedVisits.erase({*visitAt, id});
@@ -324,6 +329,7 @@
         // written its own, this is the last known capacity of their machine.
         if (entry.startTimeMs >= worker->entry().startTimeMs) {
             worker->setCapacity(entry.capacity);
+            d->racks.areWorkersOutdated = true;
         }
         return;
     }
@@ -345,6 +351,9 @@
     if (entry.address != worker->entry().address) {
         d->isRosterChanged = true;
     }
+    if (entry.rack != worker->entry().rack || entry.capacity != worker->entry().capacity) {
+        d->racks.areWorkersOutdated = true;
+    }
     worker->setEntry(entry, now);
 }
 
@@ -545,6 +554,7 @@
     }
     for (const auto &[key, it] : d->jobsByKey) {
         counts.waitingJobs += it->job.isWaiting() ? 1 : 0;
+        counts.tasksWaitingForRack += it->job.isOpen() ? it->rackWaits.size() : 0;
     }
     counts.unreportedWorkers = d->unreportedWorkers.size();
     counts.heldBackJobs = d->heldBackJobs();
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -8,6 +8,7 @@
 #include "metrics/latencyhistogram.h"
 #include "ports/workerlink.h"
 #include "scheduling/interferencemodel.h"
+#include "scheduling/localitywait.h"
 
 #include <limits>
 #include <map>
@@ -72,6 +73,13 @@
     std::size_t silentWorkers = 0;
     std::size_t unreportedWorkers = 0; // of the former leader's roster
     std::size_t heldBackJobs = 0; // whose tasks may still be active on one of these
+    std::uint64_t remoteStarts = 0; // off the rack of the task's data, or of gangs' members on several racks
+    std::uint64_t rackWaits = 0; // tasks and gangs that began to wait for their rack
+    std::uint64_t rackWaitsMet = 0; // those of them that started there
+    std::uint64_t rackWaitsGivenUp = 0; // those that started elsewhere
+    std::uint64_t workerSearches = 0; // looks at all workers, or at those of a rack, for a place
+    std::size_t tasksWaitingForRack = 0; // now; a gang counts once
+    metrics::LatencyHistogram rackWait; // of rackWaitsMet and rackWaitsGivenUp
     metrics::LatencyHistogram firstStart; // from acceptance to the first start order
 };
 
@@ -129,6 +137,11 @@
     TimePoint leasesEnd(TimePoint now) const;
 
     void setQueues(std::span<const jobs::QueuePolicy> queues);
+    // Sets how many times as long a task takes off the rack of its data, and a colocated gang on more
+    // than one rack. Without it, no task waits for its rack.
+    void setRemoteRunTimeFactor(std::optional<double> factor);
+    // Replaces the policy that decides on the waits. Baselines for comparisons are set here.
+    void setLocalityPolicy(std::unique_ptr<scheduling::LocalityPolicy> policy);
 
     // Jobs. A job is added once in a term, even if it was dropped after its end.
     void addJob(AcceptedJob job, TimePoint now, jobs::WallTime wall);
--- a/src/execution/fleetdraining.cpp
+++ b/src/execution/fleetdraining.cpp
@@ -50,7 +50,7 @@
         }
         refreshExpectedRunTimes(*job, now);
         const auto &spec = job->job.stepSpec(run.task.step);
-        const auto left = expectedTimeLeft(run, job->expectedRunTimes[static_cast<std::size_t>(run.task.step)], now);
+        const auto left = expectedTimeLeft(run, expectedRunTime(*job, run), now);
         // A stop loses the work of a task without checkpoints, so it is put off while the task may
         // still end.
         const bool mayStillEnd = timeLeft > MaxStopTime + DrainMargin && left < timeLeft * MaxOverestimate;
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -173,15 +173,17 @@
     const bool wasOrderedHere = run.startDeadline != 0;
     const bool isRepresentative = run.pace == workers::FullPace && !run.usesLeftover && wasOrderedHere;
     if (job != nullptr && isRepresentative && job->job.contains(run.task)) {
-        estimator.learn(job->job.queue(), job->job.stepSpec(run.task.step), now - run.answeredAt);
+        estimator.learn(job->job.queue(), job->job.stepSpec(run.task.step), onRack(run, now - run.answeredAt));
     }
 }
 
 void Fleet::Private::endRun(workers::Worker &worker, const jobs::TaskId &task, jobs::RunEnd how,
                             std::string_view checkpoint, TimePoint now)
 {
-    const auto number = worker.find(task)->number;
+    const auto run = *worker.find(task);
+    const auto number = run.number;
     worker.remove(task);
+    noteRoomFreed(worker, run, now);
     changedWorkers.insert(&worker);
     auto *job = findJob(task.job);
     if (job != nullptr) {
@@ -387,6 +389,7 @@
     if (job != nullptr) {
         const auto &spec = job->job.stepSpec(run.task.step);
         applyStepSpec(run, spec);
+        run.isRemote = !spec.dataRack.empty() && worker.entry().rack != spec.dataRack;
         // A former leader may have paced it, and its successor is the only one that will raise the pace.
         run.pace = run.usesLeftover ? workers::UnknownPace : workers::FullPace;
         const bool isOpenOccurrence = run.task.occurrence < static_cast<int>(job->job.occurrences().size());
--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -16,18 +16,6 @@
 // work as lost that waits for 3 s beside free capacity.
 constexpr Duration MaxTimeKeptApart = 2s;
 
-// Returns how often `needs` fit into `capacity`.
-std::int64_t timesContained(const Resources &capacity, const Resources &needs)
-{
-    auto times = std::numeric_limits<std::int64_t>::max();
-    for (const auto member : {&Resources::milliCores, &Resources::memoryMiB, &Resources::accelerators}) {
-        if (needs.*member > 0) {
-            times = std::min(times, capacity.*member / needs.*member);
-        }
-    }
-    return times;
-}
-
 // The members of a gang wait together.
 jobs::TaskId waitingTask(const TrackedJob &job, jobs::TaskId task)
 {
@@ -39,8 +27,19 @@
 
 } // namespace
 
-workers::Worker *Fleet::Private::chooseWorker(TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
-                                              TimePoint now, std::optional<scheduling::RankedWorkers> *ranked)
+std::int64_t timesContained(const Resources &capacity, const Resources &needs)
+{
+    auto times = std::numeric_limits<std::int64_t>::max();
+    for (const auto member : {&Resources::milliCores, &Resources::memoryMiB, &Resources::accelerators}) {
+        if (needs.*member > 0) {
+            times = std::min(times, capacity.*member / needs.*member);
+        }
+    }
+    return times;
+}
+
+scheduling::TaskDemand Fleet::Private::demandOf(const TrackedJob &job, const jobs::TaskId &task,
+                                                std::string_view preferredRack)
 {
     const auto &spec = job.job.stepSpec(task.step);
     const auto image = interference.numberOf(spec.image);
@@ -57,25 +56,62 @@
     if (const auto it = job.avoidedWorkers.find(task); it != job.avoidedWorkers.end()) {
         demand.avoided = it->second;
     }
-    // Which workers can take disturbing leftover work depends on its image.
-    const auto failedImage
-        = spec.usesLeftover && usesInterference ? std::optional(image) : std::optional<scheduling::ImageNumber>();
-    const auto isComparable = [&](const UnplaceableDemand &it) {
-        return it.service == demand.service && it.usesLeftover == spec.usesLeftover && it.image == failedImage;
-    };
-    const bool isUnplaceable = std::ranges::any_of(unplaceableDemands, [&](const UnplaceableDemand &it) {
-        return isComparable(it) && spec.needs.contains(it.needs);
+    return demand;
+}
+
+namespace {
+
+// Which workers can take disturbing leftover work depends on its image.
+std::optional<scheduling::ImageNumber> restrictingImage(const scheduling::TaskDemand &demand)
+{
+    const bool isRestricted = demand.step->usesLeftover && demand.interference != nullptr;
+    return isRestricted ? std::optional(demand.image) : std::nullopt;
+}
+
+bool isComparable(const UnplaceableDemand &unplaceable, const scheduling::TaskDemand &demand)
+{
+    return unplaceable.service == demand.service && unplaceable.usesLeftover == demand.step->usesLeftover
+        && unplaceable.image == restrictingImage(demand);
+}
+
+} // namespace
+
+bool Fleet::Private::isRuledOut(std::span<const UnplaceableDemand> unplaceable, const scheduling::TaskDemand &demand)
+{
+    return std::ranges::any_of(unplaceable, [&](const UnplaceableDemand &it) {
+        return isComparable(it, demand) && demand.step->needs.contains(it.needs);
+    });
+}
+
+void Fleet::Private::ruleOut(std::vector<UnplaceableDemand> &unplaceable, const scheduling::TaskDemand &demand)
+{
+    const auto &spec = *demand.step;
+    if (!spec.requiredLabel.empty() || spec.maxPerWorker != 0 || demand.crashCount != 0) {
+        return; // others may find room
+    }
+    // Only the smallest demands that failed are kept, since they rule out larger ones.
+    std::erase_if(unplaceable, [&](const UnplaceableDemand &it) {
+        return isComparable(it, demand) && it.needs.contains(spec.needs);
     });
-    if (isUnplaceable) {
+    unplaceable.push_back({demand.service, spec.usesLeftover, restrictingImage(demand), spec.needs});
+}
+
+workers::Worker *Fleet::Private::chooseWorker(TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
+                                              TimePoint now, std::optional<scheduling::RankedWorkers> *ranked)
+{
+    auto demand = demandOf(job, task, preferredRack);
+    if (isRuledOut(unplaceableDemands, demand)) {
         return nullptr;
     }
     // Tasks of one step differ only where earlier runs failed, or where one may still be active.
     const bool isLikeOthers = ranked != nullptr && demand.avoided.empty() && demand.crashCount == 0;
     if (isLikeOthers && !*ranked) {
+        ++counts.workerSearches;
         ranked->emplace(*workerChooser, demand, workers, now);
     }
     auto *worker = isLikeOthers ? (*ranked)->best() : nullptr;
     if (!isLikeOthers || (worker != nullptr && worker->find(task) != nullptr)) {
+        ++counts.workerSearches;
         worker = workerChooser->choose(demand, workers, now);
     }
     if (worker == nullptr && demand.crashCount > 0) {
@@ -83,12 +119,8 @@
         demand.isKeptApart = now - since < MaxTimeKeptApart;
         worker = demand.isKeptApart ? nullptr : workerChooser->choose(demand, workers, now);
     }
-    const bool isUnconstrained = spec.requiredLabel.empty() && spec.maxPerWorker == 0 && demand.crashCount == 0;
-    if (worker == nullptr && isUnconstrained) {
-        // Only the smallest demands that failed are kept, since they rule out larger ones.
-        std::erase_if(unplaceableDemands,
-                      [&](const UnplaceableDemand &it) { return isComparable(it) && it.needs.contains(spec.needs); });
-        unplaceableDemands.push_back({demand.service, spec.usesLeftover, failedImage, spec.needs});
+    if (worker == nullptr) {
+        ruleOut(unplaceableDemands, demand);
     }
     return worker;
 }
@@ -99,7 +131,7 @@
 }
 
 void Fleet::Private::orderStart(TrackedJob &job, const jobs::TaskId &task, workers::Worker &worker,
-                                jobs::RunNumber number, TimePoint now, Orders &orders)
+                                jobs::RunNumber number, bool isRemote, TimePoint now, Orders &orders)
 {
     const auto &spec = job.job.stepSpec(task.step);
     workers::Run run;
@@ -110,6 +142,8 @@
     run.progressedAt = now;
     run.startDeadline = worker.startDeadline(now, std::min(termEnd, rowsUsableUntil(now)));
     run.crashCount = job.job.crashCount(task);
+    run.isRemote = isRemote;
+    endRackWait(job, task, worker, isRemote, now);
     job.keptApartSince.erase(waitingTask(job, task));
     worker.add(run);
     ++job.activeRuns;
@@ -131,26 +165,36 @@
     orders.starts.push_back({worker.entry().id, task, number, checkpoint, {}, run.startDeadline, worker.startTimeMs()});
 }
 
-void Fleet::Private::placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, Orders &orders)
+void Fleet::Private::placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, jobs::WallTime wall,
+                               Orders &orders)
 {
     auto &job = *waiting.job;
-    const auto count = job.job.stepSpec(waiting.step).count;
+    const auto &spec = job.job.stepSpec(waiting.step);
+    auto rack = rackQuestion(waiting, wall);
     std::optional<scheduling::RankedWorkers> ranked;
     int starts = 0;
-    for (int n = 0; n < count && starts < maxStarts; ++n) {
+    for (int n = 0; n < spec.count && starts < maxStarts; ++n) {
         const jobs::TaskId id{job.job.key(), waiting.occurrence, waiting.step, n};
         const auto &task = job.job.task(id);
         if (!task.isWaiting() || now < task.retryAt) {
             continue;
         }
+        if (rack && keepsWaitingForRack(job, id, *rack, now)) {
+            continue;
+        }
         auto *worker = chooseWorker(job, id, {}, now, &ranked);
         if (worker == nullptr && job.job.crashCount(id) > 0) {
             continue; // waits for a worker of its own, which the others need not
         }
         if (worker == nullptr) {
+            enqueueRest(waiting, rack ? rack->queued : 0);
             return;
         }
-        orderStart(job, id, *worker, nextRun(task), now, orders);
+        const bool isRemote = !spec.dataRack.empty() && worker->entry().rack != spec.dataRack;
+        if (rack && isRemote && beginsToWaitForRack(job, id, *rack, now)) {
+            continue; // takes no room from the work behind it
+        }
+        orderStart(job, id, *worker, nextRun(task), isRemote, now, orders);
         ++starts;
         if (ranked && ranked->best() == worker) {
             ranked->updateBest(now);
@@ -179,31 +223,21 @@
     return members >= spec.count;
 }
 
-// Starts all members of a gang or none, so that no member occupies a worker while it
-// waits for the others. Work of the same size that ranks below it waits as well, unless the gang is
-// too large for the workers that there are.
-void Fleet::Private::placeGang(const WaitingStep &waiting, TimePoint now, Orders &orders)
+std::vector<workers::Worker *> Fleet::Private::chooseMembers(const WaitingStep &waiting, std::string_view rack,
+                                                             TimePoint now)
 {
     auto &job = *waiting.job;
     const auto &spec = job.job.stepSpec(waiting.step);
-    const auto &step = job.job.step(waiting.occurrence, waiting.step);
-    jobs::RunNumber number = 0;
-    for (const auto &it : step.tasks) {
-        if (!it.isWaiting() || now < it.retryAt) {
-            return;
-        }
-        number = std::max(number, nextRun(it));
-    }
-    const auto unplaceableWithoutGang = unplaceableDemands;
     std::vector<workers::Worker *> chosen;
-    std::string_view rack;
+    std::string_view rackOfOthers;
     for (int n = 0; n < spec.count; ++n) {
         const jobs::TaskId id{job.job.key(), waiting.occurrence, waiting.step, n};
-        auto *worker = chooseWorker(job, id, spec.isColocated ? rack : std::string_view(), now);
+        auto *worker = rack.empty() ? chooseWorker(job, id, spec.isColocated ? rackOfOthers : std::string_view(), now)
+                                    : workerChooser->choose(demandOf(job, id, rack), workersOnRack(rack), now);
         if (worker == nullptr) {
             break;
         }
-        rack = worker->entry().rack;
+        rackOfOthers = worker->entry().rack;
         workers::Run placeholder;
         placeholder.task = id;
         placeholder.needs = spec.needs;
@@ -214,15 +248,69 @@
     for (std::size_t n = 0; n < chosen.size(); ++n) {
         chosen[n]->remove({job.job.key(), waiting.occurrence, waiting.step, static_cast<int>(n)});
     }
+    return chosen;
+}
+
+namespace {
+
+// Returns whether the gang takes longer on these workers than on others.
+bool isOffRack(const jobs::StepSpec &spec, std::span<workers::Worker *const> members)
+{
+    const auto &rack = spec.dataRack.empty() ? members.front()->entry().rack : spec.dataRack;
+    const bool isAffected = spec.isColocated || !spec.dataRack.empty();
+    return isAffected
+        && std::ranges::any_of(members, [&](const workers::Worker *it) { return it->entry().rack != rack; });
+}
+
+} // namespace
+
+// Starts all members of a gang or none, so that no member occupies a worker while it
+// waits for the others. Work of the same size that ranks below it waits as well, unless the gang is
+// too large for the workers that there are.
+void Fleet::Private::placeGang(const WaitingStep &waiting, TimePoint now, jobs::WallTime wall, Orders &orders)
+{
+    auto &job = *waiting.job;
+    const auto &spec = job.job.stepSpec(waiting.step);
+    const auto &step = job.job.step(waiting.occurrence, waiting.step);
+    jobs::RunNumber number = 0;
+    for (const auto &it : step.tasks) {
+        if (!it.isWaiting() || now < it.retryAt) {
+            return;
+        }
+        number = std::max(number, nextRun(it));
+    }
+    const jobs::TaskId first{job.job.key(), waiting.occurrence, waiting.step, 0};
+    auto rack = rackQuestion(waiting, wall);
+    if (rack && job.rackWaits.contains(first)) {
+        findRackForGang(waiting, *rack, now);
+        if (keepsWaitingForRack(job, first, *rack, now)) {
+            return;
+        }
+    }
+    const auto unplaceableWithoutGang = unplaceableDemands;
+    auto chosen = chooseMembers(waiting, {}, now);
     if (static_cast<int>(chosen.size()) < spec.count) {
         if (!chosen.empty() && !fitsIdleWorkers(waiting, now)) {
             unplaceableDemands = unplaceableWithoutGang;
         }
         return;
     }
+    bool isRemote = isOffRack(spec, chosen);
+    if (rack && isRemote) {
+        findRackForGang(waiting, *rack, now);
+        if (rack->room == RackRoom::Free) {
+            auto together = chooseMembers(waiting, rack->rack, now);
+            if (static_cast<int>(together.size()) == spec.count) {
+                chosen = std::move(together);
+                isRemote = false;
+            }
+        } else if (beginsToWaitForRack(job, first, *rack, now)) {
+            return;
+        }
+    }
     for (int n = 0; n < spec.count; ++n) {
         orderStart(job, {job.job.key(), waiting.occurrence, waiting.step, n}, *chosen[static_cast<std::size_t>(n)],
-                   number, now, orders);
+                   number, isRemote, now, orders);
     }
 }
 
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -43,6 +43,8 @@
         return orders;
     }
     d->unplaceableDemands.clear();
+    d->racks.unplaceable.clear();
+    d->racks.room.beginQueue();
     const auto waiting = d->waitingSteps(now, wall);
     d->updateInterferenceFreeCapacity(waiting, now);
     for (const auto &it : waiting) {
@@ -52,9 +54,9 @@
         }
         const auto &spec = it.job->job.stepSpec(it.step);
         if (!spec.isGang) {
-            d->placeStep(it, startsLeft, now, orders);
+            d->placeStep(it, startsLeft, now, wall, orders);
         } else if (spec.count <= startsLeft || orders.starts.empty()) {
-            d->placeGang(it, now, orders);
+            d->placeGang(it, now, wall, orders);
         } else {
             break; // its turn comes before that of the work behind it
         }
--- a/src/execution/fleetqueue.cpp
+++ b/src/execution/fleetqueue.cpp
@@ -41,6 +41,13 @@
         pathTimes[n] += job.expectedRunTimes[n];
         job.criticalPath = std::max(job.criticalPath, pathTimes[n]);
     }
+    job.pathTimesAfter.assign(steps.size(), Duration(0));
+    for (std::size_t n = steps.size(); n-- > 0;) {
+        for (const int before : steps[n].after) {
+            auto &after = job.pathTimesAfter[static_cast<std::size_t>(before)];
+            after = std::max(after, job.expectedRunTimes[n] + job.pathTimesAfter[n]);
+        }
+    }
 }
 
 scheduling::RankInput Fleet::Private::outlook(const TrackedJob &job, int occurrence, TimePoint now,
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -4,6 +4,8 @@
 #include "jobs/runtimeestimator.h"
 #include "scheduling/interferencefreecapacity.h"
 #include "scheduling/interferencemodel.h"
+#include "scheduling/localitywait.h"
+#include "scheduling/rackroom.h"
 #include "scheduling/waitingorder.h"
 #include "scheduling/workerchooser.h"
 #include "workers/lostruns.h"
@@ -25,6 +27,13 @@
 // a stall, and its failures say nothing about its workers.
 inline constexpr std::size_t MaxAvoidedWorkers = 3;
 
+// A task or gang that waits for its rack.
+struct RackWait
+{
+    TimePoint beganAt;
+    TimePoint countsFrom; // for the bounds; earlier if the wait may have begun under a former leader
+};
+
 // A job and the fleet's scheduling state for it.
 struct TrackedJob
 {
@@ -41,10 +50,12 @@
     // for a short time because every plan needs them.
     std::vector<Duration> expectedRunTimes;
     Duration criticalPath{0}; // the longest chain of dependent steps
+    std::vector<Duration> pathTimesAfter; // of the longest chain of steps behind each one
     TimePoint expectedUpdatedAt;
     scheduling::Rank rank;
     std::map<jobs::TaskId, std::vector<WorkerId>> avoidedWorkers; // workers on which a task failed or stalled
     std::map<jobs::TaskId, TimePoint> keptApartSince; // tasks that wait for a worker without a crash suspect
+    std::map<jobs::TaskId, RackWait> rackWaits; // tasks that wait for their rack; of a gang the first one
     int rankedOccurrence = -1;
     TimePoint rankedAt;
 };
@@ -68,12 +79,26 @@
     Resources needs;
 };
 
+// The state of waiting for racks.
+struct RackState
+{
+    std::unique_ptr<scheduling::LocalityPolicy> policy; // nullptr if no task waits
+    double remoteFactor = 1; // run time off the rack relative to the one on it
+    scheduling::RackRoom room;
+    std::map<std::string, std::vector<workers::Worker *>, std::less<>> workers; // by rack
+    bool areWorkersOutdated = true;
+    std::map<std::string_view, std::vector<UnplaceableDemand>> unplaceable; // on each rack, in the current plan
+};
+
+// Returns how often `needs` fit into `capacity`.
+std::int64_t timesContained(const Resources &capacity, const Resources &needs);
+
 // Time between two log lines about a takeover that waits for workers, or about lasting tasks that wait.
 inline constexpr Duration TakeoverReportInterval = 2s;
 
 // State of Fleet. Its event handling is in fleet.cpp, fleetlistings.cpp, fleetcrashes.cpp and
 // fleettakeover.cpp; fleetplan.cpp makes a plan by the steps in fleetdraining.cpp, fleetpacing.cpp,
-// fleetqueue.cpp and fleetplacement.cpp.
+// fleetqueue.cpp, fleetplacement.cpp and fleetlocality.cpp.
 struct Fleet::Private
 {
     explicit Private(DecisionLog &decisionLog);
@@ -167,14 +192,61 @@
     // Adds the steps of a job that wait to be started. Returns false if there are none, and none
     // becomes due by the passing of time.
     bool addWaitingSteps(TrackedJob &job, TimePoint now, jobs::WallTime wall, std::vector<WaitingStep> &waiting);
-    void placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, Orders &orders);
+    void placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, jobs::WallTime wall, Orders &orders);
     bool fitsIdleWorkers(const WaitingStep &waiting, TimePoint now) const;
-    void placeGang(const WaitingStep &waiting, TimePoint now, Orders &orders);
+    void placeGang(const WaitingStep &waiting, TimePoint now, jobs::WallTime wall, Orders &orders);
+    // Returns the workers for the members of a gang, or for as many of them as fit. `rack`, if given, is
+    // the only one to use.
+    std::vector<workers::Worker *> chooseMembers(const WaitingStep &waiting, std::string_view rack, TimePoint now);
+    scheduling::TaskDemand demandOf(const TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack);
+    // Returns whether workers had no room for a smaller demand.
+    static bool isRuledOut(std::span<const UnplaceableDemand> unplaceable, const scheduling::TaskDemand &demand);
+    static void ruleOut(std::vector<UnplaceableDemand> &unplaceable, const scheduling::TaskDemand &demand);
     // `ranked`, if given, is kept between calls for tasks of one step.
     workers::Worker *chooseWorker(TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
                                   TimePoint now, std::optional<scheduling::RankedWorkers> *ranked = nullptr);
     void orderStart(TrackedJob &job, const jobs::TaskId &task, workers::Worker &worker, jobs::RunNumber run,
-                    TimePoint now, Orders &orders);
+                    bool isRemote, TimePoint now, Orders &orders);
+
+    // Waiting for the rack of a task's data, or of a gang for a rack with room for all members.
+    enum class RackRoom {
+        Unknown,
+        None, // no worker that may run the task
+        Full,
+        Free,
+    };
+    // The question whether tasks of one step wait, in the current plan.
+    struct RackQuestion
+    {
+        std::string_view rack;
+        scheduling::LocalityQuestion question;
+        jobs::WallTime wall; // of the plan
+        bool hasOutlook = false; // the times of the job are set, here and in `question`
+        TimePoint acceptedAt; // of the job; when the occurrence was due for a timed job
+        Resources missing; // on the rack: needs of a task, or of the members of a gang that do not fit
+        RackRoom room = RackRoom::Unknown;
+        int queued = 0; // tasks of the step that wait
+    };
+    // Returns nullopt if the tasks of the step wait for no rack.
+    std::optional<RackQuestion> rackQuestion(const WaitingStep &waiting, jobs::WallTime wall) const;
+    void addOutlook(const TrackedJob &job, const jobs::TaskId &task, RackQuestion &rack, TimePoint now) const;
+    // Returns whether a task that waits already goes on waiting.
+    bool keepsWaitingForRack(const TrackedJob &job, const jobs::TaskId &task, RackQuestion &rack, TimePoint now);
+    // Returns whether a task that could start off its rack begins to wait instead.
+    bool beginsToWaitForRack(TrackedJob &job, const jobs::TaskId &task, RackQuestion &rack, TimePoint now);
+    void endRackWait(TrackedJob &job, const jobs::TaskId &task, const workers::Worker &worker, bool isRemote,
+                     TimePoint now);
+    void enqueueForRack(const TrackedJob &job, const jobs::TaskId &task, RackQuestion &rack);
+    void enqueueRest(const WaitingStep &waiting, int alreadyQueued);
+    void updateExpectedWait(const TrackedJob &job, const jobs::TaskId &task, RackQuestion &rack, TimePoint now);
+    RackRoom roomOnRack(const TrackedJob &job, const jobs::TaskId &task, RackQuestion &rack, TimePoint now);
+    void findRackForGang(const WaitingStep &waiting, RackQuestion &rack, TimePoint now);
+    std::span<workers::Worker *const> workersOnRack(std::string_view rack);
+    void noteRoomFreed(const workers::Worker &worker, const workers::Run &run, TimePoint now);
+    // Returns the run time that a run would have had on its rack.
+    Duration onRack(const workers::Run &run, Duration runTime) const;
+    Duration expectedRunTime(const TrackedJob &job, const workers::Run &run) const;
+
     bool mayBelongToUnreadJob(const workers::Run &run) const;
     void stopUnwantedRuns(workers::Worker &worker, TimePoint now, Orders &orders);
     TimePoint rowsUsableUntil(TimePoint now) const;
@@ -223,6 +295,7 @@
     std::unique_ptr<scheduling::WaitingOrder> waitingOrder;
     std::unique_ptr<scheduling::WorkerChooser> workerChooser;
     std::vector<UnplaceableDemand> unplaceableDemands; // of the current plan
+    RackState racks;
     FleetCounts counts;
 };
 
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -53,6 +53,7 @@
         // A leader that has stopped may have granted a lease just before the claim. The leases of
         // one that has not end with its right to decide.
         const auto formerLeasesEnd = std::max(now + LongestLease, start.formersDecideUntil) + FormerLeaseSlack;
+        fleet.setRemoteRunTimeFactor(start.remoteRunTimeFactor);
         fleet.beginTerm(start.fence, start.claimVersion, rosterWriter->entries(), formerLeasesEnd, now,
                         start.silentWorkers);
         fleet.setQueues(start.queues);
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace monsoonspool::execution {
 
@@ -38,6 +39,7 @@
     std::vector<jobs::QueuePolicy> queues;
     TimePoint formersDecideUntil; // see membership::Leadership
     std::vector<membership::SilentWorker> silentWorkers; // of the claimed row, from the term's begin
+    std::optional<double> remoteRunTimeFactor = {}; // see Fleet
 };
 
 // How busy a leader is.
--- a/src/scheduling/localitywait.cpp
+++ b/src/scheduling/localitywait.cpp
@@ -53,4 +53,14 @@
     return {now + LookInterval <= until, until};
 }
 
+FixedWait::FixedWait(Duration wait) : m_wait(wait)
+{
+}
+
+LocalityDecision FixedWait::decide(const LocalityQuestion &question, TimePoint now) const
+{
+    const auto until = question.waitsSince + m_wait;
+    return {now < until, until};
+}
+
 } // namespace monsoonspool::scheduling
--- a/src/scheduling/localitywait.h
+++ b/src/scheduling/localitywait.h
@@ -48,4 +48,16 @@
     double m_remoteFactor;
 };
 
+// Delay scheduling: waits for a fixed time, whatever it saves or costs. Baseline for comparisons.
+class FixedWait : public LocalityPolicy
+{
+public:
+    explicit FixedWait(Duration wait);
+
+    LocalityDecision decide(const LocalityQuestion &question, TimePoint now) const override;
+
+private:
+    Duration m_wait;
+};
+
 } // namespace monsoonspool::scheduling
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -45,6 +45,7 @@
     scheduling::ImageNumber image = 0;
     bool usesLeftover = false;
     bool isLasting = false;
+    bool isRemote = false; // off the rack of its data, or in a colocated gang on several racks
     Duration tailTarget{0}; // tail latency target of a serving task
     RunState state = RunState::Ordered;
     TimePoint orderedAt;
--- a/tests/execution/testcluster.h
+++ b/tests/execution/testcluster.h
@@ -191,7 +191,8 @@
         auto &host = *hosts[static_cast<std::size_t>(n)];
         host.loop = std::make_unique<ExecutionLoop>(
             ExecutionPorts{host.store, host.link, scheduler, registry, codec, log, [this] { return wallNow(); }},
-            ExecutionOptions{host.name, ++host.incarnation, 1.0}, [](const ExecutionLoop::ConfigurationPointer &) {});
+            ExecutionOptions{host.name, ++host.incarnation, 1.0, remoteRunTimeFactor},
+            [](const ExecutionLoop::ConfigurationPointer &) {});
         host.loop->start();
     }
     void killHost(int n)
@@ -266,6 +267,7 @@
         return found;
     }
 
+    std::optional<double> remoteRunTimeFactor; // of hosts that are started from now on
     VirtualScheduler scheduler;
     TestTaskModel taskModel;
     SharedRows rows;
--- a/tests/platform/controlapitest.cpp
+++ b/tests/platform/controlapitest.cpp
@@ -17,9 +17,12 @@
     std::string line;
     int helpLines = 0;
     int valueLines = 0;
+    int summaries = 0;
     while (std::getline(text, line)) {
         if (line.starts_with("# HELP")) {
             ++helpLines;
+        } else if (line.starts_with("# TYPE") && line.ends_with(" summary")) {
+            ++summaries;
         } else if (!line.starts_with("#")) {
             ++valueLines;
             EXPECT_TRUE(line.starts_with("monsoonspool_")) << line;
@@ -27,13 +30,15 @@
         }
     }
     EXPECT_GT(helpLines, 12);
-    EXPECT_EQ(valueLines, helpLines + 3) << "the summary has three quantiles and a count";
+    EXPECT_EQ(summaries, 2);
+    EXPECT_EQ(valueLines, helpLines + 3 * summaries) << "a summary has three quantiles and a count";
 }
 
 TEST(ControlApi, StateHasAllSections)
 {
     const auto json = codec::Json::parse(encodeState({}, EntryHostId("h")));
-    for (const auto *it : {"host", "leadership", "configuration", "store", "load", "jobs", "workers", "runs"}) {
+    for (const auto *it :
+         {"host", "leadership", "configuration", "store", "load", "jobs", "workers", "runs", "rackWaits"}) {
         EXPECT_TRUE(json.contains(it)) << it;
     }
 }
