--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -375,6 +375,15 @@
     const auto withRowBytes = decodeSettings(valid.substr(0, valid.size() - 1) + R"(,"storeRowBytes":4096})");
     EXPECT_TRUE(withRowBytes.errors.empty());
     EXPECT_EQ(withRowBytes.settings.storeRowBytes, 4096U);
+    EXPECT_FALSE(decodeSettings(valid).settings.remoteRunTimeFactor);
+    const auto withFactor = [&](const std::string &value) {
+        return decodeSettings(valid.substr(0, valid.size() - 1) + R"(,"remoteRunTimeFactor":)" + value + "}");
+    };
+    EXPECT_TRUE(withFactor("1.5").errors.empty());
+    EXPECT_EQ(withFactor("1.5").settings.remoteRunTimeFactor, 1.5);
+    for (const auto *it : {"0.5", "101", "\"2\"", "null"}) {
+        EXPECT_FALSE(withFactor(it).errors.empty()) << it;
+    }
     const auto invalid = decodeSettings(
         R"({"name":"","storeAddress":"nowhere","storeRowBytes":1,"processorShare":0,"logLinesPerSecond":0,"colour":"red"})");
     std::vector<std::string> keys;
