Each service has its own room on a rack

Workers of several services may share a rack. The ends of all their runs counted as room for each, so that a task waited for up to 2 s for room that only workers of another service have. The room, the index of workers and the memory of full racks are now kept by service and rack.

Evidence: DataLocality.EachServiceHasItsOwnRoomOnARack fails if the key leaves out the service.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -351,7 +351,8 @@
     if (entry.address != worker->entry().address) {
         d->isRosterChanged = true;
     }
-    if (entry.rack != worker->entry().rack || entry.capacity != worker->entry().capacity) {
+    if (entry.rack != worker->entry().rack || entry.service != worker->entry().service
+        || entry.capacity != worker->entry().capacity) {
         d->racks.areWorkersOutdated = true;
     }
     worker->setEntry(entry, now);
--- a/src/execution/fleetlocality.cpp
+++ b/src/execution/fleetlocality.cpp
@@ -17,6 +17,15 @@
     return {needs.milliCores * count, needs.memoryMiB * count, needs.accelerators * count};
 }
 
+// Returns the key of a service's workers on a rack. Each service has its own room there.
+std::string rackKey(std::string_view service, std::string_view rack)
+{
+    std::string key(service);
+    key += '/';
+    key += rack;
+    return key;
+}
+
 // Returns whether the step may have become ready in this term. If not, a former leader may have let
 // its tasks wait.
 bool becameReadyInTerm(const jobs::Job &job, int occurrence, int step)
@@ -60,28 +69,31 @@
 void Fleet::Private::noteRoomFreed(const workers::Worker &worker, const workers::Run &run, TimePoint now)
 {
     if (racks.policy != nullptr && !worker.entry().rack.empty() && worker.isSchedulable(now)) {
-        racks.room.noteFreed(worker.entry().rack, run.needs, run.usesLeftover, now);
+        racks.room.noteFreed(rackKey(worker.entry().service.view(), worker.entry().rack), run.needs, run.usesLeftover,
+                             now);
     }
 }
 
-std::span<workers::Worker *const> Fleet::Private::workersOnRack(std::string_view rack)
+std::span<workers::Worker *const> Fleet::Private::workersOnRack(std::string_view key)
 {
     if (racks.areWorkersOutdated) {
         racks.areWorkersOutdated = false;
         racks.workers.clear();
         for (auto *it : workers) {
-            racks.workers[it->entry().rack].push_back(it);
+            if (!it->entry().rack.empty()) {
+                racks.workers[rackKey(it->entry().service.view(), it->entry().rack)].push_back(it);
+            }
         }
         racks.room.retain([&](std::string_view it) { return racks.workers.contains(it); });
-        for (const auto &[name, members] : racks.workers) {
+        for (const auto &[memberKey, members] : racks.workers) {
             Resources capacity;
             for (const auto *it : members) {
                 capacity += it->entry().capacity;
             }
-            racks.room.setCapacity(name, capacity);
+            racks.room.setCapacity(memberKey, capacity);
         }
     }
-    const auto it = racks.workers.find(rack);
+    const auto it = racks.workers.find(key);
     return it == racks.workers.end() ? std::span<workers::Worker *const>() : it->second;
 }
 
@@ -94,6 +106,7 @@
     }
     RackQuestion made;
     made.rack = spec.dataRack;
+    made.key = rackKey(policyOf(*waiting.job).service.view(), made.rack);
     made.missing = spec.needs;
     made.wall = wall;
     return made;
@@ -189,12 +202,13 @@
     }
     const auto &step = waiting.job->job.step(waiting.occurrence, waiting.step);
     const int rest = spec.count - step.doneCount - step.activeCount - alreadyQueued;
-    racks.room.enqueue(rack, times(spec.needs, rest), spec.usesLeftover);
+    racks.room.enqueue(rackKey(policyOf(*waiting.job).service.view(), rack), times(spec.needs, rest),
+                       spec.usesLeftover);
 }
 
 void Fleet::Private::enqueueForRack(const TrackedJob &job, const jobs::TaskId &task, RackQuestion &rack)
 {
-    racks.room.enqueue(rack.rack, rack.missing, job.job.stepSpec(task.step).usesLeftover);
+    racks.room.enqueue(rack.key, rack.missing, job.job.stepSpec(task.step).usesLeftover);
     ++rack.queued;
 }
 
@@ -202,10 +216,10 @@
                                         TimePoint now)
 {
     addOutlook(job, task, rack, now);
-    workersOnRack(rack.rack); // brings the capacities up to date
+    workersOnRack(rack.key); // brings the capacities up to date
     const auto runTime = rack.question.isLasting ? LastingRunTime : rack.question.runTime;
     rack.question.expectedWait
-        = racks.room.expectedWait(rack.rack, rack.missing, job.job.stepSpec(task.step).usesLeftover, runTime, now);
+        = racks.room.expectedWait(rack.key, rack.missing, job.job.stepSpec(task.step).usesLeftover, runTime, now);
 }
 
 // Returns whether the rack of the question has room for a task. The workers are looked at once in a
@@ -217,13 +231,13 @@
         return rack.room; // of a gang as determined by findRackForGang()
     }
     const auto demand = demandOf(job, task, {});
-    auto &unplaceable = racks.unplaceable[rack.rack];
+    auto &unplaceable = racks.unplaceable[rack.key];
     if (isRuledOut(unplaceable, demand)) {
         rack.room = RackRoom::Full;
         return rack.room;
     }
     ++counts.workerSearches;
-    const auto candidates = workersOnRack(rack.rack);
+    const auto candidates = workersOnRack(rack.key);
     if (workerChooser->choose(demand, candidates, now) != nullptr) {
         return RackRoom::Free;
     }
@@ -247,9 +261,10 @@
     ++counts.workerSearches;
     rack.room = RackRoom::None;
     rack.question.expectedWait.reset();
-    workersOnRack(rack.rack); // brings the workers of all racks up to date
-    for (const auto &[name, candidates] : racks.workers) {
-        if (name.empty() || (!spec.dataRack.empty() && name != spec.dataRack)) {
+    workersOnRack(rack.key); // brings the workers of all racks up to date
+    for (const auto &[key, candidates] : racks.workers) {
+        const std::string_view name = candidates.front()->entry().rack;
+        if (!spec.dataRack.empty() && name != spec.dataRack) {
             continue;
         }
         std::int64_t fitting = 0;
@@ -269,14 +284,16 @@
         }
         if (fitting >= spec.count) {
             rack.rack = name;
+            rack.key = key;
             rack.room = RackRoom::Free;
             return;
         }
         const auto missing = times(spec.needs, spec.count - fitting);
-        const auto wait = racks.room.expectedWait(name, missing, spec.usesLeftover,
+        const auto wait = racks.room.expectedWait(key, missing, spec.usesLeftover,
                                                   spec.isLasting ? LastingRunTime : rack.question.runTime, now);
         if (wait && (!rack.question.expectedWait || *wait < *rack.question.expectedWait)) {
             rack.rack = name;
+            rack.key = key;
             rack.room = RackRoom::Full;
             rack.missing = missing;
             rack.question.expectedWait = wait;
--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -223,7 +223,7 @@
     return members >= spec.count;
 }
 
-std::vector<workers::Worker *> Fleet::Private::chooseMembers(const WaitingStep &waiting, std::string_view rack,
+std::vector<workers::Worker *> Fleet::Private::chooseMembers(const WaitingStep &waiting, std::string_view rackKey,
                                                              TimePoint now)
 {
     auto &job = *waiting.job;
@@ -232,8 +232,9 @@
     std::string_view rackOfOthers;
     for (int n = 0; n < spec.count; ++n) {
         const jobs::TaskId id{job.job.key(), waiting.occurrence, waiting.step, n};
-        auto *worker = rack.empty() ? chooseWorker(job, id, spec.isColocated ? rackOfOthers : std::string_view(), now)
-                                    : workerChooser->choose(demandOf(job, id, rack), workersOnRack(rack), now);
+        auto *worker = rackKey.empty()
+            ? chooseWorker(job, id, spec.isColocated ? rackOfOthers : std::string_view(), now)
+            : workerChooser->choose(demandOf(job, id, rackOfOthers), workersOnRack(rackKey), now);
         if (worker == nullptr) {
             break;
         }
@@ -299,7 +300,7 @@
     if (rack && isRemote) {
         findRackForGang(waiting, *rack, now);
         if (rack->room == RackRoom::Free) {
-            auto together = chooseMembers(waiting, rack->rack, now);
+            auto together = chooseMembers(waiting, rack->key, now);
             if (static_cast<int>(together.size()) == spec.count) {
                 chosen = std::move(together);
                 isRemote = false;
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -85,9 +85,9 @@
     std::unique_ptr<scheduling::LocalityPolicy> policy; // nullptr if no task waits
     double remoteFactor = 1; // run time off the rack relative to the one on it
     scheduling::RackRoom room;
-    std::map<std::string, std::vector<workers::Worker *>, std::less<>> workers; // by rack
+    std::map<std::string, std::vector<workers::Worker *>, std::less<>> workers; // by service and rack
     bool areWorkersOutdated = true;
-    std::map<std::string_view, std::vector<UnplaceableDemand>> unplaceable; // on each rack, in the current plan
+    std::map<std::string, std::vector<UnplaceableDemand>> unplaceable; // as above, in the current plan
 };
 
 // Returns how often `needs` fit into `capacity`.
@@ -195,9 +195,9 @@
     void placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, jobs::WallTime wall, Orders &orders);
     bool fitsIdleWorkers(const WaitingStep &waiting, TimePoint now) const;
     void placeGang(const WaitingStep &waiting, TimePoint now, jobs::WallTime wall, Orders &orders);
-    // Returns the workers for the members of a gang, or for as many of them as fit. `rack`, if given, is
-    // the only one to use.
-    std::vector<workers::Worker *> chooseMembers(const WaitingStep &waiting, std::string_view rack, TimePoint now);
+    // Returns the workers for the members of a gang, or for as many of them as fit. `rackKey`, if given, is
+    // that of the only rack to use, see RackQuestion.
+    std::vector<workers::Worker *> chooseMembers(const WaitingStep &waiting, std::string_view rackKey, TimePoint now);
     scheduling::TaskDemand demandOf(const TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack);
     // Returns whether workers had no room for a smaller demand.
     static bool isRuledOut(std::span<const UnplaceableDemand> unplaceable, const scheduling::TaskDemand &demand);
@@ -219,6 +219,7 @@
     struct RackQuestion
     {
         std::string_view rack;
+        std::string key; // of the service's workers there
         scheduling::LocalityQuestion question;
         jobs::WallTime wall; // of the plan
         bool hasOutlook = false; // the times of the job are set, here and in `question`
@@ -241,7 +242,7 @@
     void updateExpectedWait(const TrackedJob &job, const jobs::TaskId &task, RackQuestion &rack, TimePoint now);
     RackRoom roomOnRack(const TrackedJob &job, const jobs::TaskId &task, RackQuestion &rack, TimePoint now);
     void findRackForGang(const WaitingStep &waiting, RackQuestion &rack, TimePoint now);
-    std::span<workers::Worker *const> workersOnRack(std::string_view rack);
+    std::span<workers::Worker *const> workersOnRack(std::string_view key);
     void noteRoomFreed(const workers::Worker &worker, const workers::Run &run, TimePoint now);
     // Returns the run time that a run would have had on its rack.
     Duration onRack(const workers::Run &run, Duration runTime) const;
--- a/tests/execution/datalocalitycosttest.cpp
+++ b/tests/execution/datalocalitycosttest.cpp
@@ -2,6 +2,8 @@
 // replays a load on simulated workers.
 #include "execution/rackfleet.h"
 
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -115,4 +117,56 @@
     EXPECT_LE(racks.fleet.fullCounts().workerSearches - before.workerSearches, 3U);
 }
 
+// Random loads of several racks with room elsewhere, workers that fall silent, stand still and return. Guards
+// against tasks that wait beyond their bound, or for ever.
+TEST(DataLocality, NoTaskWaitsBeyondItsBound)
+{
+    constexpr int seeds = 20;
+    constexpr std::uint64_t jobCount = 150;
+    std::uint64_t waits = 0;
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+        SCOPED_TRACE(seed);
+        boost::random::mt19937 generator(seed);
+        const auto upTo = [&](int n) { return boost::random::uniform_int_distribution<>(0, n)(generator); };
+        const double factor = 1 + upTo(4) * 0.5;
+        RackFleet racks(factor, 3, 2, 4, factor);
+        for (int n = 0; n < 6; ++n) {
+            racks.addWorker("spare" + std::to_string(n), "s", 100);
+        }
+        racks.fleet.markRosterStored(racks.fleet.takeRoster());
+        std::map<std::uint64_t, TimePoint> submittedAt;
+        for (std::uint64_t n = 0; n < jobCount; ++n) {
+            auto step = stepOn(std::string(1, static_cast<char>('a' + upTo(2))), 200ms * (1 + upTo(9)));
+            step.count = 1 + upTo(3);
+            step.isGang = upTo(4) == 0;
+            step.isColocated = step.isGang && upTo(1) == 0;
+            step.isLasting = upTo(30) == 0;
+            if (step.isColocated) {
+                step.dataRack.clear();
+            }
+            racks.submit(n, step, 500ms * upTo(20));
+            submittedAt[n] = racks.now;
+            if (upTo(40) == 0) {
+                racks.standStill(WorkerId("w" + std::to_string(upTo(5))));
+            }
+            if (upTo(60) == 0) {
+                racks.silence(WorkerId("w" + std::to_string(upTo(5))));
+            }
+            racks.plan();
+            racks.pass(Tick * upTo(4));
+        }
+        racks.pass(3s);
+        for (std::uint64_t n = 0; n < jobCount; ++n) {
+            const auto *run = racks.runOf(n);
+            ASSERT_NE(run, nullptr) << n;
+            EXPECT_LE(run->startedAt - submittedAt[n], run->endsAt == TimePoint::max() ? 1s : 2s) << n;
+        }
+        const auto counts = racks.fleet.fullCounts();
+        EXPECT_EQ(counts.rackWaits, counts.rackWaitsMet + counts.rackWaitsGivenUp);
+        EXPECT_EQ(counts.tasksWaitingForRack, 0U);
+        waits += counts.rackWaits;
+    }
+    EXPECT_GT(waits, 200U);
+}
+
 } // namespace monsoonspool::execution
--- a/tests/execution/datalocalitytest.cpp
+++ b/tests/execution/datalocalitytest.cpp
@@ -78,6 +78,25 @@
     EXPECT_EQ(racks.rackOf(1), "b");
 }
 
+// Another service's workers on a rack, with many ends, beside a full one of this service with none. Guards
+// against a wait for room that others have.
+TEST(DataLocality, EachServiceHasItsOwnRoomOnARack)
+{
+    RackFleet racks(Factor, 2, 1, 4);
+    racks.service = ServiceName("night");
+    racks.addWorker("n0", "a", 4);
+    racks.fleet.markRosterStored(racks.fleet.takeRoster());
+    fillRackA(racks, 4, 10s);
+    racks.service = Service;
+    auto blocker = stepOn("a", 1h);
+    blocker.count = 4;
+    racks.submit(50, blocker);
+    racks.plan();
+    racks.submit(1, stepOn("a"));
+    racks.plan();
+    EXPECT_EQ(racks.rackOf(1), "b");
+}
+
 // A job on the verge of its objective. Guards against a wait that misses what a start elsewhere meets.
 TEST(DataLocality, DoesNotWaitWhenTheDeadlineIsNear)
 {
--- a/tests/execution/rackfleet.h
+++ b/tests/execution/rackfleet.h
@@ -69,19 +69,24 @@
         fleet.setRemoteRunTimeFactor(factor);
         fleet.beginTerm({1}, 0, {}, Start, Start);
         for (int n = 0; n < racks * workersPerRack; ++n) {
-            ports::WorkerEntry entry;
-            entry.id = WorkerId("w" + std::to_string(n));
-            entry.service = Service;
-            entry.capacity = {1000 * slots, 1000 * slots, 0};
-            entry.rack = std::string(1, static_cast<char>('a' + n % racks));
-            entry.startTimeMs = 1;
-            fleet.updateWorker(entry, Start);
-            m_workers[entry.id].rack = entry.rack;
-            list(entry.id);
+            addWorker("w" + std::to_string(n), std::string(1, static_cast<char>('a' + n % racks)), slots);
         }
         fleet.markRosterStored(fleet.takeRoster());
     }
 
+    void addWorker(const std::string &id, const std::string &rack, int slots)
+    {
+        ports::WorkerEntry entry;
+        entry.id = WorkerId(id);
+        entry.service = service;
+        entry.capacity = {1000 * slots, 1000 * slots, 0};
+        entry.rack = rack;
+        entry.startTimeMs = 1;
+        fleet.updateWorker(entry, now);
+        m_workers[entry.id].rack = rack;
+        list(entry.id);
+    }
+
     // The tasks take their estimate on the rack of their data.
     void submit(std::uint64_t key, const jobs::StepSpec &step, Duration targetLatency = 20s, Duration age = 0s,
                 int priority = 0, const std::optional<jobs::StepSpec> &next = {})
@@ -89,7 +94,7 @@
         AcceptedJob job;
         job.key = {key};
         job.policy.queue = "plans";
-        job.policy.service = Service;
+        job.policy.service = service;
         job.policy.maxAttempts = 3;
         job.policy.priority = priority;
         job.policy.targetLatency = targetLatency;
@@ -205,6 +210,7 @@
     FieldLog log;
     Fleet fleet{log};
     TimePoint now = Start;
+    ServiceName service = Service; // of what is added from now on
     std::vector<RunOfTask> runs;
     std::set<std::uint64_t> refused; // jobs whose next start the worker refuses
 
