--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -407,7 +407,7 @@
         termBeganAt = ports.scheduler.now();
         LeaderTermStart start{termFence,        leadership.claimVersion(),       claimedRoster,
                               queues(),         leadership.formersDecideUntil(), leadership.silentWorkers(termBeganAt),
-                              options.moveCost, evacuationReader.evacuations()};
+                              options.moveCost, evacuationReader.evacuations(),  options.remoteRunTimeFactor};
         ports.log.record(
             "leadership-won",
             {{"fence", termFence.value}, {"claimVersion", start.claimVersion}, {"rosterRows", start.roster.size()}});
--- a/src/execution/executionloop.h
+++ b/src/execution/executionloop.h
@@ -19,6 +19,7 @@
     std::optional<scheduling::MoveCost> moveCost = {}; // of a run with checkpoints; runs are not moved if it is not set
     // No task starts in a failure domain later than this after its evacuation was stored.
     Duration evacuationBound = membership::DefaultEvacuationBound;
+    std::optional<double> remoteRunTimeFactor = {}; // see Fleet
 };
 
 // Values shown in the state dump and metrics.
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -9,6 +9,7 @@
 #include "metrics/latencyhistogram.h"
 #include "ports/workerlink.h"
 #include "scheduling/interferencemodel.h"
+#include "scheduling/localitywait.h"
 #include "scheduling/throttledrun.h"
 
 #include <limits>
@@ -85,6 +86,13 @@
     std::size_t unreportedWorkers = 0; // of the former leader's roster
     std::size_t heldBackJobs = 0; // whose tasks may still be active on one of these
     std::vector<EvacuatedDomain> evacuatedDomains; // by name
+    std::uint64_t remoteStarts = 0; // off the rack of the task's data, or of gangs' members on several racks
+    std::uint64_t rackWaits = 0; // tasks and gangs that began to wait for their rack
+    std::uint64_t rackWaitsMet = 0; // those of them that started there
+    std::uint64_t rackWaitsGivenUp = 0; // those that started elsewhere
+    std::uint64_t workerSearches = 0; // looks at all workers, or at those of a rack, for a place
+    std::size_t tasksWaitingForRack = 0; // now; a gang counts once
+    metrics::LatencyHistogram rackWait; // of rackWaitsMet and rackWaitsGivenUp
     metrics::LatencyHistogram firstStart; // from acceptance to the first start order
 };
 
@@ -145,6 +153,11 @@
     void setQueues(std::span<const jobs::QueuePolicy> queues);
     // Sets what it costs to move a run with checkpoints. Throttled runs are not moved if it is not known.
     void setMoveCost(const std::optional<scheduling::MoveCost> &cost);
+    // Sets how many times as long a task takes off the rack of its data, and a colocated gang on more
+    // than one rack. Without it, no task waits for its rack.
+    void setRemoteRunTimeFactor(std::optional<double> factor);
+    // Replaces the policy that decides on the waits. Baselines for comparisons are set here.
+    void setLocalityPolicy(std::unique_ptr<scheduling::LocalityPolicy> policy);
 
     // Jobs. A job is added once in a term, even if it was dropped after its end.
     void addJob(AcceptedJob job, TimePoint now, jobs::WallTime wall);
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -43,6 +43,7 @@
     std::vector<membership::SilentWorker> silentWorkers; // of the claimed row, from the term's begin
     std::optional<scheduling::MoveCost> moveCost = {}; // see ExecutionOptions
     std::optional<membership::Evacuations> evacuations = {}; // as read so far; none are followed if it is unset
+    std::optional<double> remoteRunTimeFactor = {}; // see Fleet
 };
 
 // How busy a leader is.
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -81,7 +81,8 @@
 {
     const auto &step = *demand.step;
     double sum = interferenceCost(ratio);
-    if (std::ranges::find(demand.avoided, worker.entry().id) != demand.avoided.end()) {
+    const bool wasMovedFrom = demand.movedFrom != nullptr && *demand.movedFrom == worker.entry().id;
+    if (wasMovedFrom || std::ranges::find(demand.avoided, worker.entry().id) != demand.avoided.end()) {
         sum += AvoidedCost;
     }
     if (demand.crashCount > 0) {
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -29,6 +29,7 @@
         = nullptr; // for tasks on leftover cores; nullptr if unknown
     int crashCount = 0; // of workers under runs of the task
     bool isKeptApart = true; // from other suspects, if workers have crashed under the task
+    const WorkerId *movedFrom = nullptr; // the worker that the task was moved away from; nullptr if it was not moved
 };
 
 // Returns whether `worker` may run the task, regardless of free capacity. Tasks under which
--- a/tests/execution/testcluster.h
+++ b/tests/execution/testcluster.h
@@ -208,7 +208,9 @@
                                const auto error = clockErrors[static_cast<std::size_t>(n)];
                                return wallNow() + std::chrono::duration_cast<std::chrono::milliseconds>(error);
                            }},
-            ExecutionOptions{host.name, ++host.incarnation, 1.0}, [](const ExecutionLoop::ConfigurationPointer &) {});
+            ExecutionOptions{
+                host.name, ++host.incarnation, 1.0, {}, membership::DefaultEvacuationBound, remoteRunTimeFactor},
+            [](const ExecutionLoop::ConfigurationPointer &) {});
         host.loop->start();
     }
     void killHost(int n)
@@ -284,6 +286,7 @@
     }
 
     std::array<Duration, HostCount> clockErrors{}; // of the hosts' wall clocks
+    std::optional<double> remoteRunTimeFactor; // of hosts that are started from now on
     VirtualScheduler scheduler;
     TestTaskModel taskModel;
     SharedRows rows;
--- a/tests/platform/controlapitest.cpp
+++ b/tests/platform/controlapitest.cpp
@@ -18,9 +18,12 @@
     std::string line;
     int helpLines = 0;
     int valueLines = 0;
+    int summaries = 0;
     while (std::getline(text, line)) {
         if (line.starts_with("# HELP")) {
             ++helpLines;
+        } else if (line.starts_with("# TYPE") && line.ends_with(" summary")) {
+            ++summaries;
         } else if (!line.starts_with("#")) {
             ++valueLines;
             EXPECT_TRUE(line.starts_with("monsoonspool_")) << line;
@@ -28,7 +31,8 @@
         }
     }
     EXPECT_GT(helpLines, 12);
-    EXPECT_EQ(valueLines, helpLines + 3) << "the summary has three quantiles and a count";
+    EXPECT_EQ(summaries, 2);
+    EXPECT_EQ(valueLines, helpLines + 3 * summaries) << "a summary has three quantiles and a count";
 }
 
 // Guards against an evacuated domain that looks empty because its numbers are missing, and against
@@ -61,7 +65,7 @@
 {
     const auto json = codec::Json::parse(encodeState({}, EntryHostId("h")));
     for (const auto *it : {"host", "leadership", "configuration", "store", "evacuations", "load", "jobs", "tombstones",
-                           "workers", "runs"}) {
+                           "workers", "runs", "rackWaits"}) {
         EXPECT_TRUE(json.contains(it)) << it;
     }
 }
