Tool: "config check" checks a configuration before it is sent

Operators write the value of the row "config" without a check. The hosts log configuration-unreadable and keep the former one, or apply what nobody meant, for example a route that no request selects.

Exit status 0, 7 (warnings only), 8 (errors); 2 for bad arguments as before.

--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -24,5 +24,10 @@
 std::vector<Command *> documentCommands();
 std::vector<Command *> jobCommands();
 std::vector<Command *> stateCommands();
+std::vector<Command *> configCommands();
+
+// Exit statuses of "config check", which no error kind has.
+constexpr int ConfigHasWarnings = 7; // and no errors
+constexpr int ConfigHasErrors = 8;
 
 } // namespace monsoonspool::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main/main.cpp
@@ -11,7 +11,8 @@
 std::vector<cli::Command *> allCommands()
 {
     std::vector<cli::Command *> commands;
-    for (const auto &group : {cli::documentCommands(), cli::jobCommands(), cli::stateCommands()}) {
+    for (const auto &group :
+         {cli::documentCommands(), cli::jobCommands(), cli::stateCommands(), cli::configCommands()}) {
         commands.insert(commands.end(), group.begin(), group.end());
     }
     return commands;
@@ -19,8 +20,9 @@
 
 void printHelp()
 {
-    std::cout << "monsoonspool: check and apply service documents, submit jobs, and inspect daemons\n\n"
-              << "USAGE: monsoonspool COMMAND [--address IP:PORT] [--key-file FILE] [--json] ...\n\n";
+    std::cout
+        << "monsoonspool: check and apply service documents, submit jobs, inspect daemons, and check configurations\n\n"
+        << "USAGE: monsoonspool COMMAND [--address IP:PORT] [--key-file FILE] [--json] ...\n\n";
     for (const auto *it : allCommands()) {
         std::cout << "  " << it->name() << std::string(20 - std::min<std::size_t>(19, it->name().size()), ' ')
                   << it->summary() << "\n";
@@ -30,6 +32,8 @@
         std::cout << "  " << row.exitStatus << (row.exitStatus < 10 ? "  " : " ") << row.name << ": " << row.meaning
                   << "\n";
     }
+    std::cout << "  " << cli::ConfigHasWarnings << "  the configuration has warnings, but no errors (config check)\n"
+              << "  " << cli::ConfigHasErrors << "  the configuration has errors (config check)\n";
 }
 
 // Returns the number of words of a command's name, for example 2 for "document apply".
