--- a/bench/localsystem.cpp
+++ b/bench/localsystem.cpp
@@ -116,8 +116,9 @@
         const auto pool = codec::decodeDocument(text).document.pool;
         for (std::size_t n = 0; n < m_targets.size(); ++n) {
             const bool isLeaving = std::ranges::find(leavingTargets, n) != leavingTargets.end();
-            listing.targets.push_back({TargetId("target-" + std::to_string(n + 1)), pool, m_targets[n],
-                                       RegionName(m_targetRegions[n]), FailureDomain(m_targetRegions[n] + "-a"),
+            listing.targets.push_back({TargetId("target-" + std::to_string(n + 1)), pool,
+                                       m_options.targetAddress.value_or(m_targets[n]), RegionName(m_targetRegions[n]),
+                                       FailureDomain(m_targetRegions[n] + "-a"),
                                        isLeaving ? ports::HostState::Leaving : ports::HostState::Live});
         }
     }
--- a/bench/localsystem.h
+++ b/bench/localsystem.h
@@ -7,6 +7,7 @@
 
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,7 @@
     int serviceMs = 5;
     int startWindowMs = 60'000;
     std::string keyFile;
+    std::optional<ports::Address> targetAddress; // of all targets, in place of the emulated ones
 };
 
 // The real programs on loopback: one process with the emulated platform and the
