--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -10,6 +10,8 @@
 #include "daemon/lanedescription.h"
 #include "daemon/settingsjson.h"
 #include "emulator/standaloneenvironment.h"
+#include "http/apiclient.h"
+#include "http/descriptors.h"
 #include "http/listen.h"
 #include "logging/log.h"
 #include "operators/operatorsapi.h"
@@ -23,6 +25,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 
@@ -36,6 +39,20 @@
 // still sent.
 constexpr Duration FinalSendTime = 200ms;
 
+// Shares of the descriptors that the process may use. The rest is for connections to targets, peers
+// and the platform.
+constexpr std::size_t GuestDescriptorShare = 2;
+constexpr std::size_t OperatorDescriptorShare = 16;
+
+// Returns the limits of one of `lanes` traffic threads.
+traffic::GuestLimits laneLimits(traffic::GuestLimits limits, int lanes)
+{
+    const auto descriptors = static_cast<int>(::monsoonspool::http::usableDescriptors() / GuestDescriptorShare) / lanes;
+    limits.maxConnections = std::max(1, std::min(limits.maxConnections, descriptors));
+    limits.bufferedBytes /= static_cast<std::size_t>(lanes);
+    return limits;
+}
+
 // Returns a number that increases with each start of the daemon on a host.
 std::uint64_t newIncarnation()
 {
@@ -87,6 +104,7 @@
     void waitForSignal();
     void drain();
     void reportAddresses() const;
+    std::vector<::monsoonspool::http::ConnectionUsage> connectionUsages();
 
     Settings settings;
     DaemonOptions options;
@@ -181,7 +199,8 @@
         controlOptions,
         control::ControlPorts{table, objects, hosts, workers, rowCodec, placementCodec, recordCodec, *this, *this});
     operatorsApi = std::make_unique<operators::OperatorsApi>(
-        operators::OperatorsPorts{*loop, [this] { return peerNode.counts(); }, [] { return monotonicNow(); }},
+        operators::OperatorsPorts{*loop, [this] { return peerNode.counts(); }, [] { return monotonicNow(); },
+                                  [this] { return connectionUsages(); }},
         operators::ProcessInfo{options.version, settings.name, incarnation});
 }
 
@@ -198,7 +217,12 @@
 Result<void> Daemon::Private::startListening()
 {
     guestListener = std::make_unique<GuestListener>(io, lanes);
-    operatorsServer = std::make_unique<::monsoonspool::http::ApiServer>(io, *operatorsApi);
+    ::monsoonspool::http::ApiLimits limits;
+    limits.message = traffic::messageLimits(settings.limits);
+    limits.budget = settings.operatorBudget;
+    limits.budget.connections
+        = std::min(limits.budget.connections, ::monsoonspool::http::usableDescriptors() / OperatorDescriptorShare);
+    operatorsServer = std::make_unique<::monsoonspool::http::ApiServer>(io, *operatorsApi, limits, "operators");
     BOOST_LEAF_CHECK(operatorsServer->listen(settings.operatorAddress));
     settings.operatorAddress = operatorsServer->address();
     return {};
@@ -212,7 +236,7 @@
         laneOptions.incarnation = incarnation;
         laneOptions.region = settings.region;
         laneOptions.lane = n;
-        laneOptions.limits = settings.limits;
+        laneOptions.limits = laneLimits(settings.limits, settings.trafficThreads);
         laneOptions.policy = settings.policy;
         laneOptions.policy.seed = incarnation + static_cast<std::uint64_t>(n);
         lanes.push_back(std::make_unique<traffic::Lane>(laneOptions, *this, describeLane));
@@ -238,6 +262,11 @@
     return {};
 }
 
+std::vector<::monsoonspool::http::ConnectionUsage> Daemon::Private::connectionUsages()
+{
+    return {operatorsServer->connections(), ::monsoonspool::http::responseUsage(io)};
+}
+
 void Daemon::Private::reportAddresses() const
 {
     logging::log(logging::Level::Info, "started",
--- a/src/daemon/lanedescription.cpp
+++ b/src/daemon/lanedescription.cpp
@@ -1,6 +1,9 @@
 #include "daemon/lanedescription.h"
 
 #include "codec/typejson.h"
+#include "http/connectionmetrics.h"
+
+#include <vector>
 
 namespace monsoonspool::daemon {
 
@@ -91,9 +94,16 @@
                          {"waited", histogramJson(it.waited)}});
     }
     const auto &counts = lane.counts();
+    http::ConnectionUsage targets;
+    targets.side = "targets";
+    targets.connections = static_cast<std::size_t>(lane.connections().openCount());
+    for (const auto it : http::AllConnectionLimits) {
+        targets.reached[static_cast<std::size_t>(it)] = lane.targetLimits().count(it);
+    }
     return codec::writeJson({{"lane", lane.options().lane},
                              {"snapshot", lane.snapshot()->generation},
                              {"connections", counts.connections},
+                             {"open", http::connectionState(std::vector{lane.guests()->usage(), targets})},
                              {"requests", counts.requests},
                              {"guestsLeft", counts.guestsLeft},
                              {"refusedEarly", countsJson(counts.refusedEarly)},
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -2,6 +2,7 @@
 
 #include "common/error.h"
 #include "common/identifiers.h"
+#include "http/connectionbudget.h"
 #include "ports/hostlist.h"
 #include "traffic/laneoptions.h"
 
@@ -25,7 +26,9 @@
     int maxEntryHosts = 9;
     Duration startWindow = 660s;
     Duration recordWindow = 40ms;
-    traffic::GuestLimits limits;
+    traffic::GuestLimits limits; // `bufferedBytes` is shared by all traffic threads
+    // Connections of operators and what they hold; at most a sixteenth of the usable descriptors.
+    http::BudgetLimits operatorBudget{128, 32 * 1024 * 1024};
     routing::DispatchPolicy policy;
     std::string keyFile; // one key per line; the first is used for outgoing connections
     std::string logLevel = "info";
--- a/src/daemon/settingsjson.cpp
+++ b/src/daemon/settingsjson.cpp
@@ -63,7 +63,11 @@
         "idleTimeoutMs": {"type": "integer", "minimum": 10, "maximum": 3600000, "description": "milliseconds, a whole number from 10 to 3600000; the default is 60000"},
         "headerTimeoutMs": {"type": "integer", "minimum": 10, "maximum": 3600000, "description": "milliseconds, a whole number from 10 to 3600000; the default is 10000"},
         "bodyTimeoutMs": {"type": "integer", "minimum": 10, "maximum": 3600000, "description": "milliseconds, a whole number from 10 to 3600000: for each read or write of a body; the default is 30000"},
-        "maxConnections": {"type": "integer", "minimum": 1, "maximum": 1000000, "description": "a whole number from 1 to 1000000: guest connections per traffic thread; the default is 10000"}}}
+        "maxConnections": {"type": "integer", "minimum": 1, "maximum": 1000000, "description": "a whole number from 1 to 1000000: guest connections per traffic thread, at most half of the usable descriptors for all; the default is 10000"},
+        "framingBytes": {"type": "integer", "minimum": 1024, "maximum": 16777216, "description": "bytes, a whole number from 1024 to 16777216: chunk sizes, chunk extensions and trailers of a message, beyond what its chunks need; the default is 65536"},
+        "bufferedBytes": {"type": "integer", "minimum": 1048576, "maximum": 1099511627776, "description": "bytes, a whole number from 1048576 to 1099511627776: what all guest connections hold together; the default is 67108864"},
+        "operatorConnections": {"type": "integer", "minimum": 1, "maximum": 1000000, "description": "a whole number from 1 to 1000000: connections of operators, at most a sixteenth of the usable descriptors; the default is 128"},
+        "operatorBufferedBytes": {"type": "integer", "minimum": 1048576, "maximum": 1099511627776, "description": "bytes, a whole number from 1048576 to 1099511627776: what all connections of operators hold together; the default is 33554432"}}}
   }
 })json";
 
@@ -87,6 +91,14 @@
     limits.headerTimeout = milliseconds(json, "headerTimeoutMs", limits.headerTimeout);
     limits.bodyTimeout = milliseconds(json, "bodyTimeoutMs", limits.bodyTimeout);
     limits.maxConnections = json.value("maxConnections", limits.maxConnections);
+    limits.framingBytes = json.value("framingBytes", limits.framingBytes);
+    limits.bufferedBytes = json.value("bufferedBytes", limits.bufferedBytes);
+}
+
+void readOperatorBudget(const Json &json, http::BudgetLimits &budget)
+{
+    budget.connections = json.value("operatorConnections", budget.connections);
+    budget.bufferedBytes = json.value("operatorBufferedBytes", budget.bufferedBytes);
 }
 
 Settings toSettings(const Json &json)
@@ -113,7 +125,9 @@
     const Json policy = json.value("policy", emptyObject);
     settings.policy.discipline = policy.value("discipline", settings.policy.discipline);
     settings.policy.chooser = policy.value("chooser", settings.policy.chooser);
-    readLimits(json.value("limits", emptyObject), settings.limits);
+    const Json limits = json.value("limits", emptyObject);
+    readLimits(limits, settings.limits);
+    readOperatorBudget(limits, settings.operatorBudget);
     return settings;
 }
 
--- a/src/emulator/sampletarget.cpp
+++ b/src/emulator/sampletarget.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::size_t MaxBodyBytes = 256 * 1024 * 1024;
+
 constexpr long long MaxAnswerBytes = 256LL * 1024 * 1024;
 
 long long parseNumberOr(std::string_view text, long long fallback)
@@ -24,7 +26,7 @@
 
 SampleTarget::SampleTarget(boost::asio::io_context &io, std::string name, Duration defaultService)
     : m_io(io), m_name(std::move(name)), m_defaultService(defaultService),
-      m_server(io, *this, http::ApiLimits{64 * 1024, 256 * 1024 * 1024, std::chrono::milliseconds(60'000)})
+      m_server(io, *this, http::ApiLimits{{64 * 1024}, MaxBodyBytes, {10'000, MaxBodyBytes}})
 {
 }
 
--- a/src/http/apiclient.cpp
+++ b/src/http/apiclient.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -19,12 +20,15 @@
 
 namespace {
 
-constexpr std::size_t MaxResponseBytes = 64 * 1024 * 1024;
 // The reading of a larger response may take longer than the call's timeout: cut off, it would be
 // larger still when it is asked for again.
 constexpr std::size_t LargeResponseBytes = 64 * 1024;
 // Longest pause between two reads of such a response after the timeout.
 constexpr std::chrono::milliseconds MaxReadPause{1000};
+// Such a response must arrive at this rate after the grace time, which covers a host that is frozen
+// for some seconds. A host of the smallest kind receives ten times as much.
+constexpr std::uint64_t MinBytesPerSecond = 32 * 1024;
+constexpr std::chrono::seconds ReadGrace{5};
 // Most responses are smaller, and take one read.
 constexpr std::size_t ReadBytes = 2048;
 // A connection that was idle for longer is not reused.
@@ -46,11 +50,17 @@
     ports::Handler<ApiAnswer> handler;
 };
 
-struct Connection
+struct Connection : BudgetedConnection
 {
     explicit Connection(asio::io_context &io) : socket(io)
     {
     }
+    void closeForLimit() override
+    {
+        isOverLimit = true;
+        beast::error_code ignored;
+        socket.close(ignored);
+    }
     void restartTimeout()
     {
         deadline = Clock::now() + timeout;
@@ -77,6 +87,10 @@
     std::size_t timeoutIndex = 0;
     bool isOverdue = false; // at the last check of deadlines
     bool isTimedOut = false;
+    FramingMeter meter; // of the current response
+    std::optional<Clock::time_point> largeSince; // when a large response began to arrive
+    ConnectionNumber budgetNumber = 0; // if the current response is counted by the budget
+    bool isOverLimit = false;
 };
 using ConnectionPointer = std::shared_ptr<Connection>;
 
@@ -94,6 +108,41 @@
     explicit CallTimeouts(asio::execution_context &context)
         : asio::execution_context::service(context), m_timer(static_cast<asio::io_context &>(context))
     {
+        setLimits({});
+    }
+
+    void setLimits(const ResponseLimits &responseLimits)
+    {
+        m_limits = responseLimits;
+        m_registry.emplace("responses", BudgetLimits{std::numeric_limits<std::size_t>::max(), m_limits.bufferedBytes});
+    }
+    const ResponseLimits &limits() const
+    {
+        return m_limits;
+    }
+    ConnectionRegistry &registry()
+    {
+        return *m_registry;
+    }
+
+    void noteLimit(ConnectionLimit limit, const ports::Address &peer)
+    {
+        m_registry->noteLimit(peer, limit, monotonicNow());
+    }
+
+    // Notes that a response holds `bytes` bytes. May close its connection or another one. Small
+    // responses are not counted, because most are complete with their first read.
+    void noteBytes(const ConnectionPointer &connection, const ports::Address &peer, std::size_t bytes)
+    {
+        if (bytes <= LargeResponseBytes) {
+            return;
+        }
+        const auto now = monotonicNow();
+        if (connection->budgetNumber == 0) {
+            connection->budgetNumber = m_registry->add(*connection, peer, now);
+            m_registry->setState(connection->budgetNumber, ConnectionState::Reading, now);
+        }
+        m_registry->setBytes(connection->budgetNumber, bytes, now);
     }
 
     void add(const ConnectionPointer &connection)
@@ -111,6 +160,9 @@
         std::swap(m_connections[n], m_connections.back());
         m_connections[n]->timeoutIndex = n;
         m_connections.pop_back();
+        if (const auto number = std::exchange(connection->budgetNumber, 0); number != 0) {
+            m_registry->remove(number);
+        }
     }
 
 private:
@@ -142,6 +194,8 @@
     }
 
     asio::basic_waitable_timer<Clock, asio::wait_traits<Clock>, asio::io_context::executor_type> m_timer;
+    ResponseLimits m_limits;
+    std::optional<ConnectionRegistry> m_registry;
     std::vector<ConnectionPointer> m_connections;
     bool m_isCheckScheduled = false;
 };
@@ -157,7 +211,9 @@
 
 std::string describeError(const Connection &connection, const beast::error_code &ec)
 {
-    return connection.isTimedOut ? "timed out waiting for a response" : ec.message();
+    return connection.isOverLimit ? "the response exceeds a limit"
+        : connection.isTimedOut   ? "timed out waiting for a response"
+                                  : ec.message();
 }
 
 } // namespace
@@ -178,6 +234,7 @@
     void readResponse(const ConnectionPointer &connection);
     void onRead(const ConnectionPointer &connection, beast::error_code ec, std::size_t n);
     void onResponse(const ConnectionPointer &connection, beast::error_code ec);
+    void rejectResponse(const ConnectionPointer &connection, ConnectionLimit limit);
     void finish(const ConnectionPointer &connection, const ports::AsyncResult<ApiAnswer> &result, bool isReusable);
 
     asio::io_context &io;
@@ -334,8 +391,12 @@
 void ApiClient::Private::awaitResponse(const ConnectionPointer &connection)
 {
     connection->parser.emplace();
-    connection->parser->body_limit(MaxResponseBytes);
+    const auto &limits = timeouts.limits();
+    connection->parser->header_limit(static_cast<std::uint32_t>(limits.message.headerBytes));
+    connection->parser->body_limit(limits.bodyBytes);
     connection->parser->eager(true);
+    connection->meter = FramingMeter(limits.message);
+    connection->largeSince.reset();
     connection->buffer.clear();
     readResponse(connection);
 }
@@ -354,25 +415,58 @@
 void ApiClient::Private::onRead(const ConnectionPointer &connection, beast::error_code ec, std::size_t n)
 {
     auto &parser = *connection->parser;
+    const auto &body = parser.get().body();
     connection->buffer.commit(n);
     connection->isOverdue = connection->isOverdue && n == 0;
     if (ec == asio::error::eof && parser.got_some()) {
         ec = {};
         parser.put_eof(ec);
     } else if (!ec) {
-        connection->buffer.consume(parser.put(connection->buffer.data(), ec));
+        const bool hadHeader = parser.is_header_done();
+        const auto bodyBytes = body.size();
+        const auto parsed = parser.put(connection->buffer.data(), ec);
+        connection->buffer.consume(parsed);
         ec = ec == bhttp::error::need_more ? beast::error_code() : ec;
+        const bool isFramed = !hadHeader || connection->meter.note(parsed, body.size() - bodyBytes);
+        if (!isFramed || connection->buffer.size() > maxReadBuffer(timeouts.limits().message)) {
+            rejectResponse(connection, ConnectionLimit::FramingBytes);
+            return;
+        }
+    }
+    if (ec == bhttp::error::body_limit || ec == bhttp::error::header_limit) {
+        const bool isHeader = ec == bhttp::error::header_limit;
+        rejectResponse(connection, isHeader ? ConnectionLimit::HeaderBytes : ConnectionLimit::BodyBytes);
+        return;
     }
     if (ec || parser.is_done()) {
         onResponse(connection, ec);
         return;
     }
+    timeouts.noteBytes(connection, address, connection->buffer.size() + body.capacity());
+    if (connection->isOverLimit) {
+        onResponse(connection, asio::error::operation_aborted);
+        return;
+    }
     if (parser.content_length().value_or(0) > LargeResponseBytes) {
-        connection->deadline = std::max(connection->deadline, Clock::now() + MaxReadPause);
+        const auto now = Clock::now();
+        const auto since = connection->largeSince.value_or(now);
+        connection->largeSince = since;
+        const auto required = std::chrono::duration<double>(now - since - ReadGrace).count() * MinBytesPerSecond;
+        if (static_cast<double>(body.size()) >= required) {
+            connection->deadline = std::max(connection->deadline, now + MaxReadPause);
+        }
     }
     readResponse(connection);
 }
 
+// Fails a call whose response has reached `limit`.
+void ApiClient::Private::rejectResponse(const ConnectionPointer &connection, ConnectionLimit limit)
+{
+    connection->isOverLimit = true;
+    timeouts.noteLimit(limit, address);
+    onResponse(connection, asio::error::operation_aborted);
+}
+
 void ApiClient::Private::onResponse(const ConnectionPointer &connection, beast::error_code ec)
 {
     if (ec) {
@@ -393,7 +487,7 @@
 {
     const auto handler = std::move(connection->handler);
     timeouts.remove(connection);
-    if (isReusable && !isClosed && !connection->isTimedOut) {
+    if (isReusable && !isClosed && !connection->isTimedOut && !connection->isOverLimit) {
         connection->lastUsed = Clock::now();
         idle.push_back(connection);
     } else {
@@ -406,6 +500,16 @@
     startNext();
 }
 
+void setResponseLimits(asio::io_context &io, const ResponseLimits &limits)
+{
+    asio::use_service<CallTimeouts>(io).setLimits(limits);
+}
+
+ConnectionUsage responseUsage(asio::io_context &io)
+{
+    return asio::use_service<CallTimeouts>(io).registry().usage();
+}
+
 Result<ApiAnswer> callAndWait(const ports::Address &address, const ApiCall &call)
 {
     asio::io_context io;
--- a/src/http/apiclient.h
+++ b/src/http/apiclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/error.h"
+#include "http/connectionregistry.h"
 #include "ports/asyncresult.h"
 #include "ports/hostlist.h"
 
@@ -36,6 +37,20 @@
     std::uint64_t connection = 0; // on which it arrived; numbers are not reused by one client
 };
 
+// Bounds on the responses to all clients of one io_context.
+struct ResponseLimits
+{
+    MessageLimits message;
+    std::size_t bodyBytes = 32 * 1024 * 1024; // of one response
+    std::size_t bufferedBytes = 40 * 1024 * 1024; // of all responses that are being read
+};
+
+// Sets the limits of the clients of `io`. Call before the first call of a client.
+void setResponseLimits(boost::asio::io_context &io, const ResponseLimits &limits);
+// Returns what large responses to the clients of `io` hold, and the limits that they reached.
+// Thread-safe.
+ConnectionUsage responseUsage(boost::asio::io_context &io);
+
 // An HTTP/1.1 client for small requests to one address. Connections are reused. At most
 // `maxConnections` are open, and further calls are queued.
 //
--- a/src/http/apiserver.cpp
+++ b/src/http/apiserver.cpp
@@ -20,41 +20,142 @@
 
 constexpr std::chrono::milliseconds AcceptRetryDelay{100};
 constexpr int HexBase = 16;
+// What an idle connection occupies, beside its buffers.
+constexpr std::size_t ConnectionBytes = 4096;
+constexpr std::size_t HeaderReadBytes = 2048;
+constexpr std::size_t BodyReadBytes = 16 * 1024;
+// After a response to a request that was not read to its end.
+constexpr std::chrono::milliseconds DiscardTime{500};
+constexpr std::size_t MaxDiscardBytes = 256 * 1024;
 
 // One connection. Reads, handles and answers requests one at a time.
-class ApiConnection : public std::enable_shared_from_this<ApiConnection>
+class ApiConnection : public std::enable_shared_from_this<ApiConnection>, public BudgetedConnection
 {
 public:
-    ApiConnection(tcp::socket socket, ApiHandler &handler, ApiLimits limits, std::shared_ptr<const bool> isDraining)
-        : m_stream(std::move(socket)), m_handler(handler), m_limits(limits), m_isDraining(std::move(isDraining))
+    ApiConnection(tcp::socket socket, ApiHandler &handler, const ApiLimits &limits,
+                  std::shared_ptr<ConnectionRegistry> registry, std::shared_ptr<const bool> isDraining)
+        : m_stream(std::move(socket)), m_handler(handler), m_limits(limits), m_registry(std::move(registry)),
+          m_isDraining(std::move(isDraining)), m_buffer(maxReadBuffer(limits.message)),
+          m_number(m_registry->add(*this, peerOf(m_stream.socket()), monotonicNow()))
     {
     }
+    ~ApiConnection() override
+    {
+        m_registry->remove(m_number);
+    }
+    ApiConnection(const ApiConnection &) = delete;
+    ApiConnection &operator=(const ApiConnection &) = delete;
 
     void read()
     {
         m_parser.emplace();
-        m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
+        m_parser->eager(true);
+        m_parser->header_limit(static_cast<std::uint32_t>(m_limits.message.headerBytes));
         m_parser->body_limit(m_limits.bodyBytes);
+        m_meter = FramingMeter(m_limits.message);
+        if (m_buffer.size() > 0) { // a pipelined request
+            setState(ConnectionState::Reading);
+            m_stream.expires_after(m_limits.headerTimeout);
+            m_timeLimit = ConnectionLimit::HeaderTime;
+            parse();
+            return;
+        }
+        setState(ConnectionState::Idle);
+        m_buffer = beast::flat_buffer(maxReadBuffer(m_limits.message));
+        m_response = {};
+        noteBytes(0);
         m_stream.expires_after(m_limits.idleTimeout);
-        bhttp::async_read(m_stream, m_buffer, *m_parser,
-                          [self = shared_from_this()](beast::error_code ec, std::size_t) { self->onRead(ec); });
+        m_timeLimit = ConnectionLimit::IdleTime;
+        readSome();
+    }
+
+    void closeForLimit() override
+    {
+        m_stream.close();
     }
 
 private:
-    void onRead(beast::error_code ec)
+    void setState(ConnectionState state)
+    {
+        m_registry->setState(m_number, state, monotonicNow());
+    }
+    // Notes the bytes that this connection holds, `bodyBytes` of them for a body.
+    void noteBytes(std::size_t bodyBytes)
+    {
+        m_registry->setBytes(m_number, ConnectionBytes + m_buffer.capacity() + bodyBytes, monotonicNow());
+    }
+    void noteLimit(ConnectionLimit limit)
     {
+        m_registry->noteLimit(m_number, limit, monotonicNow());
+    }
+
+    void readSome()
+    {
+        const auto room = m_buffer.max_size() - m_buffer.size();
+        if (room == 0) { // only a chunk line or trailers can fill the buffer
+            refuse(ConnectionLimit::FramingBytes, ErrorKind::HeadersTooLarge);
+            return;
+        }
+        const auto n = m_parser->is_header_done() ? BodyReadBytes : HeaderReadBytes;
+        m_stream.async_read_some(
+            m_buffer.prepare(std::min(room, n)),
+            [self = shared_from_this()](beast::error_code ec, std::size_t bytes) { self->onRead(ec, bytes); });
+    }
+
+    void onRead(beast::error_code ec, std::size_t n)
+    {
+        if (ec) { // a request that is cut off is not answered
+            if (ec == beast::error::timeout) {
+                noteLimit(m_timeLimit);
+            }
+            return;
+        }
+        m_buffer.commit(n);
+        if (m_timeLimit == ConnectionLimit::IdleTime) {
+            setState(ConnectionState::Reading);
+            m_stream.expires_after(m_limits.headerTimeout);
+            m_timeLimit = ConnectionLimit::HeaderTime;
+        }
+        parse();
+    }
+
+    void parse()
+    {
+        beast::error_code ec;
+        while (!ec && m_buffer.size() > 0 && !m_parser->is_done()) {
+            const bool hadHeader = m_parser->is_header_done();
+            const auto bodyBytes = m_parser->get().body().size();
+            const auto n = m_parser->put(m_buffer.data(), ec);
+            m_buffer.consume(n);
+            if (hadHeader && !m_meter.note(n, m_parser->get().body().size() - bodyBytes)) {
+                refuse(ConnectionLimit::FramingBytes, ErrorKind::HeadersTooLarge);
+                return;
+            }
+        }
         if (ec == bhttp::error::body_limit) {
-            respond(errorResponse(ErrorKind::BodyTooLarge), false);
+            refuse(ConnectionLimit::BodyBytes, ErrorKind::BodyTooLarge);
         } else if (ec == bhttp::error::header_limit) {
-            respond(errorResponse(ErrorKind::HeadersTooLarge), false);
-        } else if (!ec) {
-            dispatch();
-        } else if (ec != bhttp::error::end_of_stream
-                   && ec.category() == beast::http::make_error_code(bhttp::error::bad_method).category()) {
+            refuse(ConnectionLimit::HeaderBytes, ErrorKind::HeadersTooLarge);
+        } else if (ec && ec != bhttp::error::need_more) {
             respond(errorResponse(ErrorKind::MalformedRequest), false);
+        } else if (m_parser->is_done()) {
+            dispatch();
+        } else {
+            if (m_timeLimit == ConnectionLimit::HeaderTime && m_parser->is_header_done()) {
+                m_stream.expires_after(m_limits.bodyTimeout);
+                m_timeLimit = ConnectionLimit::BodyTime;
+            }
+            noteBytes(m_parser->get().body().capacity());
+            readSome();
         }
     }
 
+    void refuse(ConnectionLimit limit, ErrorKind kind)
+    {
+        noteLimit(limit);
+        respond(errorResponse(kind), false);
+    }
+
     static ApiResponse errorResponse(ErrorKind kind)
     {
         const auto &row = errorInfo(kind);
@@ -63,7 +164,7 @@
 
     void dispatch()
     {
-        const auto &message = m_parser->get();
+        auto &message = m_parser->get();
         ApiRequest request;
         request.method = message.method_string();
         const std::string_view target = message.target();
@@ -76,9 +177,10 @@
         for (const auto &it : message) {
             request.fields.emplace_back(it.name_string(), it.value());
         }
-        request.body = message.body();
+        request.body = std::move(message.body());
         const bool keepAlive = message.keep_alive();
         m_stream.expires_never();
+        setState(ConnectionState::Handling);
         m_handler.handle(request, [self = shared_from_this(), keepAlive](ApiResponse response) {
             self->respond(std::move(response), keepAlive && !*self->m_isDraining);
         });
@@ -108,23 +210,49 @@
         m_response.keep_alive(keepAlive);
         m_response.body() = std::move(response.body);
         m_response.prepare_payload();
-        m_stream.expires_after(m_limits.idleTimeout);
+        setState(ConnectionState::Writing);
+        noteBytes(m_response.body().capacity());
+        m_stream.expires_after(m_limits.bodyTimeout);
         bhttp::async_write(m_stream, m_response,
                            [self = shared_from_this(), keepAlive](beast::error_code ec, std::size_t) {
+                               if (ec == beast::error::timeout) {
+                                   self->noteLimit(ConnectionLimit::WriteTime);
+                               }
                                if (!ec && keepAlive) {
                                    self->read();
-                               } else {
-                                   beast::error_code ignored;
-                                   self->m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+                                   return;
+                               }
+                               beast::error_code ignored;
+                               self->m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+                               if (!ec && !self->m_parser->is_done()) {
+                                   self->m_stream.expires_after(DiscardTime);
+                                   self->discard(MaxDiscardBytes);
                                }
                            });
     }
 
+    // Reads and discards what the peer is still sending, for a limited time. Closing a socket with
+    // unread data sends a reset, which can discard the response.
+    void discard(std::size_t maxBytes)
+    {
+        m_buffer.clear();
+        m_stream.async_read_some(m_buffer.prepare(std::min(BodyReadBytes, m_buffer.max_size())),
+                                 [self = shared_from_this(), maxBytes](beast::error_code ec, std::size_t n) {
+                                     if (!ec && n < maxBytes) {
+                                         self->discard(maxBytes - n);
+                                     }
+                                 });
+    }
+
     beast::tcp_stream m_stream;
     ApiHandler &m_handler;
     ApiLimits m_limits;
+    std::shared_ptr<ConnectionRegistry> m_registry;
     std::shared_ptr<const bool> m_isDraining;
     beast::flat_buffer m_buffer;
+    ConnectionNumber m_number;
+    ConnectionLimit m_timeLimit = ConnectionLimit::IdleTime; // which the timeout of the stream enforces
+    FramingMeter m_meter;
     std::optional<bhttp::request_parser<bhttp::string_body>> m_parser;
     bhttp::response<bhttp::string_body> m_response;
 };
@@ -164,8 +292,10 @@
 
 struct ApiServer::Private : std::enable_shared_from_this<ApiServer::Private>
 {
-    Private(asio::io_context &context, ApiHandler &apiHandler, ApiLimits apiLimits)
-        : io(context), handler(apiHandler), limits(apiLimits), acceptor(context), retryTimer(context)
+    Private(asio::io_context &context, ApiHandler &apiHandler, ApiLimits apiLimits, std::string name)
+        : io(context), handler(apiHandler), limits(apiLimits),
+          registry(std::make_shared<ConnectionRegistry>(std::move(name), apiLimits.budget)), acceptor(context),
+          retryTimer(context)
     {
     }
 
@@ -181,7 +311,9 @@
             }
             beast::error_code ignored;
             socket.set_option(tcp::no_delay(true), ignored);
-            std::make_shared<ApiConnection>(std::move(socket), self->handler, self->limits, self->isDraining)->read();
+            std::make_shared<ApiConnection>(std::move(socket), self->handler, self->limits, self->registry,
+                                            self->isDraining)
+                ->read();
             self->accept();
         });
     }
@@ -201,13 +333,14 @@
     asio::io_context &io;
     ApiHandler &handler;
     ApiLimits limits;
+    std::shared_ptr<ConnectionRegistry> registry;
     std::shared_ptr<bool> isDraining = std::make_shared<bool>(false);
     tcp::acceptor acceptor;
     asio::steady_timer retryTimer;
 };
 
-ApiServer::ApiServer(asio::io_context &io, ApiHandler &handler, ApiLimits limits)
-    : d(std::make_shared<Private>(io, handler, limits))
+ApiServer::ApiServer(asio::io_context &io, ApiHandler &handler, ApiLimits limits, std::string name)
+    : d(std::make_shared<Private>(io, handler, limits, std::move(name)))
 {
 }
 
@@ -241,6 +374,11 @@
     d->retryTimer.cancel();
 }
 
+ConnectionUsage ApiServer::connections() const
+{
+    return d->registry->usage();
+}
+
 std::string decodeUrl(std::string_view text)
 {
     std::string decoded;
--- a/src/http/apiserver.h
+++ b/src/http/apiserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/error.h"
+#include "http/connectionregistry.h"
 #include "ports/hostlist.h"
 
 #include <boost/asio/io_context.hpp>
@@ -53,9 +54,12 @@
 
 struct ApiLimits
 {
-    std::size_t headerBytes = 16 * 1024;
+    MessageLimits message;
     std::size_t bodyBytes = 8 * 1024 * 1024;
+    BudgetLimits budget;
     std::chrono::milliseconds idleTimeout{60'000};
+    std::chrono::milliseconds headerTimeout{10'000};
+    std::chrono::milliseconds bodyTimeout{30'000}; // also for writing a response
 };
 
 // An HTTP/1.1 server for small requests, with keep-alive. Not thread-safe: `io` must be
@@ -63,7 +67,8 @@
 class ApiServer
 {
 public:
-    ApiServer(boost::asio::io_context &io, ApiHandler &handler, ApiLimits limits = {});
+    // `name` names the server in logs.
+    ApiServer(boost::asio::io_context &io, ApiHandler &handler, ApiLimits limits = {}, std::string name = "api");
     ~ApiServer();
     ApiServer(const ApiServer &) = delete;
     ApiServer &operator=(const ApiServer &) = delete;
@@ -83,6 +88,9 @@
     // Stops accepting connections.
     void stop();
 
+    // Returns what the connections hold, and the limits that they reached. Thread-safe.
+    ConnectionUsage connections() const;
+
 private:
     struct Private;
     std::shared_ptr<Private> d;
--- a/src/operators/operatorsapi.cpp
+++ b/src/operators/operatorsapi.cpp
@@ -5,6 +5,7 @@
 #include "codec/statejson.h"
 #include "codec/typejson.h"
 #include "common/secret.h"
+#include "http/connectionmetrics.h"
 #include "logging/log.h"
 
 #include <algorithm>
@@ -196,6 +197,7 @@
           {"dropped", counts.dropped},
           {"rejected", counts.rejected},
           {"connects", counts.connects}}},
+        {"connections", http::connectionState(ports.connections())},
         {"control",
          {{"peerMessages", loop.counts().peerMessages},
           {"laneEvents", loop.counts().laneEvents},
--- a/src/operators/operatorsapi.h
+++ b/src/operators/operatorsapi.h
@@ -25,6 +25,7 @@
     control::ControlLoop &loop;
     std::function<peer::PeerCounts()> peerCounts;
     std::function<TimePoint()> now;
+    std::function<std::vector<http::ConnectionUsage>()> connections;
 };
 
 // The operators' HTTP API for documents, jobs and the state dump.
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -1,5 +1,6 @@
 #include "traffic/exchange.h"
 
+#include "traffic/boundedread.h"
 #include "traffic/guestrequest.h"
 
 #include <boost/asio/ip/address.hpp>
@@ -162,11 +163,17 @@
 bool Exchange::receive(bool isHead, beast::error_code &ec, asio::yield_context yield)
 {
     m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_lane.options().limits.headerBytes));
+    const auto limits = messageLimits(m_lane.options().limits);
+    m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     m_parser->body_limit(boost::none);
     m_parser->skip(isHead);
+    m_meter = http::FramingMeter(limits);
+    m_connection->buffer.max_size(http::maxReadBuffer(limits));
     bhttp::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, yield[ec]);
     if (ec) {
+        if (ec == bhttp::error::header_limit) {
+            noteLimit(http::ConnectionLimit::HeaderBytes);
+        }
         return false;
     }
     const std::size_t limit = m_lane.options().limits.bufferedBodyBytes;
@@ -187,14 +194,23 @@
 
 std::string_view Exchange::readBodyInto(char *data, std::size_t size, beast::error_code &ec, asio::yield_context yield)
 {
-    auto &destination = m_parser->get().body();
-    destination.data = data;
-    destination.size = size;
-    bhttp::async_read(m_connection->stream, m_connection->buffer, *m_parser, yield[ec]);
-    if (ec == bhttp::error::need_buffer) {
-        ec = {};
+    const auto n = readBody(m_connection->stream, m_connection->buffer, *m_parser, m_meter, data, size, ec, yield);
+    if (ec == bhttp::error::buffer_overflow) {
+        noteLimit(http::ConnectionLimit::FramingBytes);
+    } else if (ec == beast::error::timeout) {
+        noteLimit(http::ConnectionLimit::BodyTime);
     }
-    return {data, size - destination.size};
+    return {data, n};
+}
+
+void Exchange::noteLimit(http::ConnectionLimit limit)
+{
+    http::reportLimit(m_lane.targetLimits(), limit, "target", m_assignment.slot.target.view(), monotonicNow());
+}
+
+std::size_t Exchange::bufferBytes() const
+{
+    return m_body.capacity() + (m_connection ? m_connection->buffer.capacity() : 0);
 }
 
 std::string_view Exchange::readMore(beast::error_code &ec, asio::yield_context yield)
--- a/src/traffic/exchange.h
+++ b/src/traffic/exchange.h
@@ -57,6 +57,8 @@
         return {m_body.data(), m_bodySize};
     }
     bool isComplete() const;
+    // Returns the size of the buffers that the response occupies.
+    std::size_t bufferBytes() const;
 
     // Returns the value of the response's Content-Length field, if present.
     std::optional<std::uint64_t> contentLength() const;
@@ -84,12 +86,14 @@
     bool receive(bool isHead, boost::system::error_code &ec, boost::asio::yield_context yield);
     std::string_view readBodyInto(char *data, std::size_t size, boost::system::error_code &ec,
                                   boost::asio::yield_context yield);
+    void noteLimit(http::ConnectionLimit limit);
     routing::AttemptResult failureResult(const boost::system::error_code &ec) const;
 
     LaneContext &m_lane;
     routing::Assignment m_assignment;
     std::unique_ptr<TargetConnection> m_connection;
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
+    http::FramingMeter m_meter; // of the response
     std::string m_body; // grows up to `bufferedBodyBytes`, then holds one chunk at a time
     std::size_t m_bodySize = 0;
     bool m_hasGuestFailed = false;
--- a/src/traffic/guestsession.cpp
+++ b/src/traffic/guestsession.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/json.h"
 #include "logging/log.h"
+#include "traffic/boundedread.h"
 
 #include <algorithm>
 
@@ -10,6 +11,8 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace bhttp = boost::beast::http;
+using http::ConnectionLimit;
+using http::ConnectionState;
 using routing::AttemptResult;
 using tcp = asio::ip::tcp;
 
@@ -17,6 +20,8 @@
 
 constexpr std::size_t ReadBufferBytes = 4096;
 constexpr std::size_t StreamChunkBytes = 64 * 1024;
+// What an idle connection occupies, beside its buffers: above all the stack of its coroutine.
+constexpr std::size_t SessionBytes = 16 * 1024;
 constexpr int MaxAttempts = 4;
 constexpr int NoContent = 204;
 constexpr int NotModified = 304;
@@ -70,22 +75,13 @@
     {
         m_hasStreamed = true;
         m_chunk.resize(StreamChunkBytes);
-        auto &parser = *m_session.m_parser;
-        while (!parser.is_done()) {
-            auto &destination = parser.get().body();
-            destination.data = m_chunk.data();
-            destination.size = m_chunk.size();
-            m_session.m_stream.expires_after(m_session.m_lane.options().limits.bodyTimeout);
-            bhttp::async_read(m_session.m_stream, m_session.m_buffer, parser, yield[ec]);
-            if (ec == bhttp::error::need_buffer) {
-                ec = {};
-            }
-            const std::size_t n = m_chunk.size() - destination.size;
-            if (ec || n > 0) {
-                return {m_chunk.data(), n};
-            }
+        m_session.m_stream.expires_after(m_session.m_lane.options().limits.bodyTimeout);
+        const auto n = readBody(m_session.m_stream, m_session.m_buffer, *m_session.m_parser, m_session.m_meter,
+                                m_chunk.data(), m_chunk.size(), ec, yield);
+        if (ec) {
+            m_session.noteReadLimit(ec);
         }
-        return {};
+        return {m_chunk.data(), n};
     }
 
     // Returns whether readMore() was called, after which the body cannot be sent again.
@@ -132,11 +128,16 @@
     }
 };
 
-GuestSession::GuestSession(LaneContext &lane, tcp::socket socket) : m_lane(lane), m_stream(std::move(socket))
+GuestSession::GuestSession(LaneContext &lane, tcp::socket socket)
+    : m_lane(lane), m_stream(std::move(socket)), m_buffer(http::maxReadBuffer(messageLimits(lane.options().limits))),
+      m_registry(lane.guests()), m_number(m_registry->add(*this, http::peerOf(m_stream.socket()), monotonicNow()))
 {
 }
 
-GuestSession::~GuestSession() = default;
+GuestSession::~GuestSession()
+{
+    m_registry->remove(m_number);
+}
 
 void GuestSession::run(asio::yield_context yield)
 {
@@ -156,9 +157,47 @@
     }
 }
 
+void GuestSession::closeForLimit()
+{
+    m_stream.close();
+}
+
+void GuestSession::setState(http::ConnectionState state)
+{
+    m_registry->setState(m_number, state, monotonicNow());
+}
+
+void GuestSession::noteBytes(std::size_t exchangeBytes)
+{
+    m_registry->setBytes(m_number, SessionBytes + m_buffer.capacity() + m_bodyPrefix.capacity() + exchangeBytes,
+                         monotonicNow());
+}
+
+void GuestSession::noteLimit(http::ConnectionLimit limit)
+{
+    m_registry->noteLimit(m_number, limit, monotonicNow());
+}
+
+// Reports the limit for which a read of the body failed, if any.
+void GuestSession::noteReadLimit(const beast::error_code &ec)
+{
+    if (ec == bhttp::error::buffer_overflow) {
+        noteLimit(ConnectionLimit::FramingBytes);
+    } else if (ec == bhttp::error::body_limit) {
+        noteLimit(ConnectionLimit::BodyBytes);
+    } else if (ec == beast::error::timeout) {
+        noteLimit(ConnectionLimit::BodyTime);
+    }
+}
+
 bool GuestSession::serveRequest(asio::yield_context yield)
 {
     m_isIdle = true;
+    setState(ConnectionState::Idle);
+    if (m_bodyPrefix.capacity() > ReadBufferBytes) {
+        m_bodyPrefix = {};
+    }
+    noteBytes();
     if (!readHeader(yield)) {
         return false;
     }
@@ -193,11 +232,16 @@
         m_stream.expires_after(limits.idleTimeout);
         const std::size_t n = m_stream.async_read_some(m_buffer.prepare(ReadBufferBytes), yield[ec]);
         if (ec) {
+            if (ec == beast::error::timeout) {
+                noteLimit(ConnectionLimit::IdleTime);
+            }
             return false;
         }
         m_buffer.commit(n);
     }
     m_isIdle = false;
+    setState(ConnectionState::Reading);
+    m_meter = http::FramingMeter(messageLimits(limits));
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     m_parser->body_limit(limits.bodyBytes);
@@ -214,9 +258,12 @@
     };
     if (ec == beast::error::timeout) {
         ++m_lane.counts().refusedEarly[ErrorKind::SlowSender];
+        noteLimit(ConnectionLimit::HeaderTime);
     } else if (ec == bhttp::error::header_limit) {
+        noteLimit(ConnectionLimit::HeaderBytes);
         refuse(ErrorKind::HeadersTooLarge, "request header exceeds " + std::to_string(limits.headerBytes) + " bytes");
     } else if (ec == bhttp::error::body_limit) {
+        noteLimit(ConnectionLimit::BodyBytes);
         refuse(ErrorKind::BodyTooLarge, "request body exceeds " + std::to_string(limits.bodyBytes) + " bytes");
     } else if (ec != bhttp::error::end_of_stream && ec != bhttp::error::partial_message
                && ec.category() == bhttp::make_error_code(bhttp::error::bad_method).category()) {
@@ -267,21 +314,21 @@
     }
     while (!ec && !m_parser->is_done() && m_bodyPrefixSize < limits.bufferedBodyBytes) {
         m_bodyPrefix.resize(std::min(limits.bufferedBodyBytes, std::max(ReadBufferBytes, m_bodyPrefixSize * 2)));
-        auto &destination = m_parser->get().body();
-        destination.data = m_bodyPrefix.data() + m_bodyPrefixSize;
-        destination.size = m_bodyPrefix.size() - m_bodyPrefixSize;
+        noteBytes();
         m_stream.expires_after(limits.bodyTimeout);
-        bhttp::async_read(m_stream, m_buffer, *m_parser, yield[ec]);
-        if (ec == bhttp::error::need_buffer) {
-            ec = {};
-        }
-        m_bodyPrefixSize = m_bodyPrefix.size() - destination.size;
+        m_bodyPrefixSize += readBody(m_stream, m_buffer, *m_parser, m_meter, m_bodyPrefix.data() + m_bodyPrefixSize,
+                                     m_bodyPrefix.size() - m_bodyPrefixSize, ec, yield);
     }
     if (!ec) {
         return true;
     }
     m_mustClose = true;
-    if (ec == bhttp::error::body_limit) {
+    noteReadLimit(ec);
+    if (ec == bhttp::error::buffer_overflow) {
+        ++m_lane.counts().refusedEarly[ErrorKind::HeadersTooLarge];
+        sendFailure({ErrorKind::HeadersTooLarge, "chunk sizes, chunk extensions or trailers are too long"},
+                    std::nullopt, yield);
+    } else if (ec == bhttp::error::body_limit) {
         ++m_lane.counts().refusedEarly[ErrorKind::BodyTooLarge];
         sendFailure({ErrorKind::BodyTooLarge, "request body exceeds " + std::to_string(limits.bodyBytes) + " bytes"},
                     std::nullopt, yield);
@@ -298,6 +345,8 @@
 void GuestSession::processRequest(RequestState &state, asio::yield_context yield)
 {
     m_stream.expires_never();
+    noteBytes();
+    setState(ConnectionState::Handling);
     if (!state.request.recordKey.empty() && !openRecord(state, yield)) {
         return;
     }
@@ -403,6 +452,7 @@
 void GuestSession::relayResponse(RequestState &state, Exchange &exchange, asio::yield_context yield)
 {
     const auto &assignment = exchange.assignment();
+    noteBytes(exchange.bufferBytes());
     const bool isServerError = exchange.header().result_int() >= 500;
     const auto result = isServerError ? AttemptResult::ServerError : AttemptResult::Answered;
     if (exchange.isComplete()) {
@@ -501,6 +551,7 @@
             = self->failureResponse({ErrorKind::DeadlineExceeded,
                                      "target did not answer before the deadline and may still be running the request"},
                                     std::nullopt);
+        self->m_stream.expires_after(self->m_lane.options().limits.bodyTimeout);
         bhttp::async_write(self->m_stream, deadlineResponse->response,
                            [self, deadlineResponse](beast::error_code, std::size_t) {
                                deadlineResponse->isWriting = false;
@@ -526,6 +577,18 @@
     }
 }
 
+// Writes a message or the next part of a serializer.
+template <typename Message>
+void GuestSession::writeResponse(Message &message, beast::error_code &ec, const asio::yield_context &yield)
+{
+    setState(ConnectionState::Writing);
+    m_stream.expires_after(m_lane.options().limits.bodyTimeout);
+    bhttp::async_write(m_stream, message, yield[ec]);
+    if (ec == beast::error::timeout) {
+        noteLimit(ConnectionLimit::WriteTime);
+    }
+}
+
 void GuestSession::sendBuffered(const Exchange &exchange, asio::yield_context yield)
 {
     bhttp::response<bhttp::span_body<const char>> response;
@@ -539,9 +602,8 @@
     if (!hasNoBody) {
         response.content_length(body.size());
     }
-    m_stream.expires_after(m_lane.options().limits.bodyTimeout);
     beast::error_code ec;
-    bhttp::async_write(m_stream, response, yield[ec]);
+    writeResponse(response, ec, yield);
     m_mustClose = m_mustClose || ec;
 }
 
@@ -563,8 +625,7 @@
         response.body().data = chunk.empty() ? nullptr : const_cast<char *>(chunk.data());
         response.body().size = chunk.size();
         response.body().more = !chunk.empty();
-        m_stream.expires_after(m_lane.options().limits.bodyTimeout);
-        bhttp::async_write(m_stream, serializer, yield[ec]);
+        writeResponse(serializer, ec, yield);
         if (ec == bhttp::error::need_buffer) {
             ec = {};
         }
@@ -590,9 +651,8 @@
     response.body() = answer.body;
     response.keep_alive(!m_mustClose);
     response.content_length(answer.body.size());
-    m_stream.expires_after(m_lane.options().limits.bodyTimeout);
     beast::error_code ec;
-    bhttp::async_write(m_stream, response, yield[ec]);
+    writeResponse(response, ec, yield);
     m_mustClose = m_mustClose || ec;
 }
 
@@ -621,10 +681,9 @@
 
 void GuestSession::sendFailure(const Failure &failure, std::optional<Duration> retryAfter, asio::yield_context yield)
 {
-    const auto response = failureResponse(failure, retryAfter);
-    m_stream.expires_after(m_lane.options().limits.bodyTimeout);
+    auto response = failureResponse(failure, retryAfter);
     beast::error_code ec;
-    bhttp::async_write(m_stream, response, yield[ec]);
+    writeResponse(response, ec, yield);
     m_mustClose = m_mustClose || ec;
     if (!m_mustClose) {
         return;
--- a/src/traffic/guestsession.h
+++ b/src/traffic/guestsession.h
@@ -22,11 +22,11 @@
 // gets an error response immediately. The attempt continues to its end: the slot
 // remains in use until then, and the answer to a request with an idempotency key is
 // still recorded.
-class GuestSession : public std::enable_shared_from_this<GuestSession>
+class GuestSession : public std::enable_shared_from_this<GuestSession>, public http::BudgetedConnection
 {
 public:
     GuestSession(LaneContext &lane, boost::asio::ip::tcp::socket socket);
-    ~GuestSession();
+    ~GuestSession() override;
     GuestSession(const GuestSession &) = delete;
     GuestSession &operator=(const GuestSession &) = delete;
 
@@ -36,11 +36,19 @@
     // Closes the connection unless a request is in progress or has begun to arrive.
     void closeIfIdle();
 
+    void closeForLimit() override;
+
 private:
     class Body;
     struct DeadlineResponse;
     struct RequestState;
 
+    void setState(http::ConnectionState state);
+    // Notes what the connection holds, `exchangeBytes` of it for a response.
+    void noteBytes(std::size_t exchangeBytes = 0);
+    void noteLimit(http::ConnectionLimit limit);
+    void noteReadLimit(const boost::beast::error_code &ec);
+
     // Returns whether the connection can serve another request.
     bool serveRequest(boost::asio::yield_context yield);
     bool readHeader(boost::asio::yield_context yield);
@@ -61,6 +69,8 @@
     void armDeadlineTimer(RequestState &state);
     void disarmDeadlineTimer(RequestState &state, boost::asio::yield_context yield);
 
+    template <typename Message>
+    void writeResponse(Message &message, boost::beast::error_code &ec, const boost::asio::yield_context &yield);
     void sendBuffered(const Exchange &exchange, boost::asio::yield_context yield);
     bool sendStreamed(Exchange &exchange, boost::asio::yield_context yield);
     void sendRecordedAnswer(const records::RecordedAnswer &answer, boost::asio::yield_context yield);
@@ -75,6 +85,9 @@
     std::optional<boost::beast::http::request_parser<boost::beast::http::buffer_body>> m_parser;
     std::string m_bodyPrefix; // buffered prefix of the request body
     std::size_t m_bodyPrefixSize = 0;
+    std::shared_ptr<http::ConnectionRegistry> m_registry;
+    http::ConnectionNumber m_number;
+    http::FramingMeter m_meter; // of the current request
     bool m_isIdle = true; // no request in progress
     bool m_mustClose = false;
 };
--- a/src/traffic/lane.cpp
+++ b/src/traffic/lane.cpp
@@ -115,11 +115,6 @@
 
 void Lane::Private::serve(tcp::socket socket)
 {
-    if (static_cast<int>(sessions.size()) >= context.options().limits.maxConnections) {
-        logging::log(logging::Level::Warning, "guest-connections-full",
-                     {{"limit", context.options().limits.maxConnections}});
-        return;
-    }
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     const auto session = std::make_shared<GuestSession>(context, std::move(socket));
--- a/src/traffic/lanecontext.cpp
+++ b/src/traffic/lanecontext.cpp
@@ -9,7 +9,10 @@
 
 LaneContext::LaneContext(asio::io_context &io, LaneOptions options, LaneEventSink &sink)
     : m_io(io), m_options(std::move(options)), m_sink(sink), m_snapshot(std::make_shared<control::TrafficSnapshot>()),
-      m_connections(io)
+      m_connections(io), m_guests(std::make_shared<http::ConnectionRegistry>(
+                             "guests",
+                             http::BudgetLimits{static_cast<std::size_t>(m_options.limits.maxConnections),
+                                                m_options.limits.bufferedBytes}))
 {
 }
 
--- a/src/traffic/lanecontext.h
+++ b/src/traffic/lanecontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/lanemessages.h"
+#include "http/connectionregistry.h"
 #include "metrics/latencyhistogram.h"
 #include "routing/dispatcher.h"
 #include "traffic/laneoptions.h"
@@ -83,6 +84,16 @@
     {
         return m_connections;
     }
+    // The connections of guests. Their sessions may outlive this object.
+    const std::shared_ptr<http::ConnectionRegistry> &guests()
+    {
+        return m_guests;
+    }
+    // The limits that responses of targets have reached.
+    http::LimitCounts &targetLimits()
+    {
+        return m_targetLimits;
+    }
     LaneCounts &counts()
     {
         return m_counts;
@@ -192,6 +203,8 @@
     std::unordered_map<control::RecordTicket, std::shared_ptr<RecordWaiter>> m_recordWaiters;
     std::map<std::pair<ServiceName, std::string>, FlowMetrics> m_metrics;
     TargetConnections m_connections;
+    std::shared_ptr<http::ConnectionRegistry> m_guests;
+    http::LimitCounts m_targetLimits;
     LaneCounts m_counts;
     admission::RequestId m_nextRequestId = 1;
     control::RecordTicket m_nextTicket = 1;
--- a/src/traffic/laneoptions.h
+++ b/src/traffic/laneoptions.h
@@ -2,6 +2,7 @@
 
 #include "common/identifiers.h"
 #include "common/time.h"
+#include "http/connectionlimits.h"
 #include "routing/dispatcher.h"
 
 #include <cstddef>
@@ -19,8 +20,16 @@
     Duration headerTimeout = 10s;
     Duration bodyTimeout = 30s; // for each read or write of a body
     int maxConnections = 10'000; // from guests, for each traffic thread
+    std::size_t framingBytes = 64 * 1024; // chunk sizes, extensions and trailers of a message
+    std::size_t bufferedBytes = 64 * 1024 * 1024; // of all connections of guests, for each traffic thread
 };
 
+// Returns the limits on the messages of guests and targets.
+inline http::MessageLimits messageLimits(const GuestLimits &limits)
+{
+    return {limits.headerBytes, limits.framingBytes};
+}
+
 struct LaneOptions
 {
     EntryHostId host;
--- a/tests/http/apiclienttest.cpp
+++ b/tests/http/apiclienttest.cpp
@@ -124,4 +124,63 @@
     }
 }
 
+// Snapshots of the store are larger than its pages.
+TEST(ApiClient, AResponseOfSeveralMegabytesIsWithinTheLimits)
+{
+    SlowServer server(1'000'000, 8, 8, 1ms);
+    const auto result = server.call(1000ms);
+    ASSERT_TRUE(result.isOk()) << result.failure().detail;
+    EXPECT_EQ(result.value().body.size(), 8'000'000U);
+}
+
+// A store or a worker that sends without end took the memory of the process.
+TEST(ApiClient, AnEndlessResponseFailsAndIsCounted)
+{
+    struct Case
+    {
+        const char *name;
+        std::string head;
+        std::string part;
+        ConnectionLimit limit;
+    };
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const Case cases[]{
+        {"header", "HTTP/1.1 200 OK\r\n", "Field: " + std::string(1000, 'f') + "\r\n", ConnectionLimit::HeaderBytes},
+        {"chunk size", chunked, std::string(1000, '0'), ConnectionLimit::FramingBytes},
+        {"chunk extension", chunked + "1;", std::string(1000, 'e'), ConnectionLimit::FramingBytes},
+        {"many extensions", chunked, "1;" + std::string(1000, 'e') + "\r\nx\r\n", ConnectionLimit::FramingBytes},
+        {"trailers", chunked + "0\r\n", "Field: " + std::string(1000, 't') + "\r\n", ConnectionLimit::FramingBytes},
+        {"body", chunked, "3e8\r\n" + std::string(1000, 'x') + "\r\n", ConnectionLimit::BodyBytes},
+    };
+    for (const auto &it : cases) {
+        SCOPED_TRACE(it.name);
+        asio::io_context io;
+        setResponseLimits(io, {{}, 1'000'000, 10'000'000});
+        tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        std::thread server([&] {
+            tcp::socket socket(io);
+            boost::system::error_code ec;
+            acceptor.accept(socket, ec);
+            asio::write(socket, asio::buffer(it.head), ec);
+            while (!ec) {
+                asio::write(socket, asio::buffer(it.part), ec);
+            }
+        });
+        std::optional<ports::AsyncResult<ApiAnswer>> result;
+        {
+            ApiClient client(io, {"127.0.0.1", acceptor.local_endpoint().port()}, 1);
+            ApiCall call;
+            call.timeout = 20'000ms;
+            client.call(std::move(call), [&](const ports::AsyncResult<ApiAnswer> &answer) { result = answer; });
+            while (!result && io.run_one() > 0) { }
+        }
+        ASSERT_TRUE(result);
+        io.poll();
+        server.join();
+        ASSERT_FALSE(result->isOk());
+        EXPECT_EQ(result->failure().kind, ErrorKind::StoreReplyLost);
+        EXPECT_EQ(responseUsage(io).reached[static_cast<std::size_t>(it.limit)], 1U);
+    }
+}
+
 } // namespace monsoonspool::http
--- a/tests/platform/controlapitest.cpp
+++ b/tests/platform/controlapitest.cpp
@@ -1,6 +1,7 @@
 #include "controlapi.h"
 
 #include "codec/json.h"
+#include "http/connectionmetrics.h"
 
 #include <gtest/gtest.h>
 
@@ -33,9 +34,27 @@
 TEST(ControlApi, StateHasAllSections)
 {
     const auto json = codec::Json::parse(encodeState({}, EntryHostId("h")));
-    for (const auto *it : {"host", "leadership", "configuration", "store", "load", "jobs", "workers", "runs"}) {
+    for (const auto *it :
+         {"host", "leadership", "configuration", "store", "load", "jobs", "workers", "runs", "connections"}) {
         EXPECT_TRUE(json.contains(it)) << it;
     }
 }
 
+TEST(ControlApi, ShowsWhichLimitTheConnectionsOfAnAddressHaveReached)
+{
+    http::ConnectionUsage usage{"clients", 3, 12'000, {}};
+    usage.reached[static_cast<std::size_t>(http::ConnectionLimit::FramingBytes)] = 7;
+    const std::vector usages{usage};
+    const auto text = http::encodeConnectionMetrics(usages);
+    for (const auto *it :
+         {"monsoonspool_connections{side=\"clients\"} 3\n", "monsoonspool_connection_bytes{side=\"clients\"} 12000\n",
+          "monsoonspool_connection_limits_total{side=\"clients\",limit=\"framing-bytes\"} 7\n",
+          "monsoonspool_connection_limits_total{side=\"clients\",limit=\"body-time\"} 0\n"}) {
+        EXPECT_NE(text.find(it), std::string::npos) << it;
+    }
+    const auto json = codec::Json::parse(encodeState({}, EntryHostId("h"), usages)).at("connections").at("clients");
+    EXPECT_EQ(json.at("open"), 3);
+    EXPECT_EQ(json.at("limitsReached").at("framing-bytes"), 7);
+}
+
 } // namespace monsoonspool::platform
--- a/tests/system/abusedprocess.cpp
+++ b/tests/system/abusedprocess.cpp
@@ -211,8 +211,11 @@
     std::ifstream status(folder / "status");
     std::size_t peakKib = 0;
     std::string state;
+    std::string program;
     for (std::string word; status >> word;) {
-        if (word == "State:") {
+        if (word == "Name:") {
+            status >> program;
+        } else if (word == "State:") {
             status >> state;
         } else if (word == "VmHWM:") {
             status >> peakKib;
@@ -220,6 +223,7 @@
     }
     EXPECT_TRUE(!state.empty() && state != "Z") << "the process is dead";
     EXPECT_LE(peakKib * 1024, MaxResidentBytes);
+    ::testing::Test::RecordProperty("peakKib-" + program, std::to_string(peakKib));
     std::error_code ec;
     std::size_t descriptors = 0;
     for (auto it = std::filesystem::directory_iterator(folder / "fd", ec);
