--- a/src/http/apiserver.cpp
+++ b/src/http/apiserver.cpp
@@ -21,7 +21,7 @@
 constexpr std::chrono::milliseconds AcceptRetryDelay{100};
 constexpr int HexBase = 16;
 // What an idle connection occupies, beside its buffers.
-constexpr std::size_t ConnectionBytes = 4096;
+constexpr std::size_t ConnectionBytes = 6 * 1024;
 constexpr std::size_t HeaderReadBytes = 2048;
 constexpr std::size_t BodyReadBytes = 16 * 1024;
 // After a response to a request that was not read to its end.
--- a/tests/system/abusedprocess.cpp
+++ b/tests/system/abusedprocess.cpp
@@ -132,7 +132,7 @@
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     auto address = socketAddress({"127.0.0.1", 0});
     socklen_t size = sizeof(address);
-    bind(fd, reinterpret_cast<sockaddr *>(&address), size);
+    static_cast<void>(bind(fd, reinterpret_cast<sockaddr *>(&address), size));
     getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
     close(fd);
     return {"127.0.0.1", ntohs(address.sin_port)};
@@ -308,7 +308,7 @@
     d->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     auto address = socketAddress({"127.0.0.1", 0});
     socklen_t size = sizeof(address);
-    bind(d->listener, reinterpret_cast<sockaddr *>(&address), size);
+    static_cast<void>(bind(d->listener, reinterpret_cast<sockaddr *>(&address), size));
     getsockname(d->listener, reinterpret_cast<sockaddr *>(&address), &size);
     d->address = {"127.0.0.1", ntohs(address.sin_port)};
     listen(d->listener, SOMAXCONN);
