--- a/tests/http/apiservertest.cpp
+++ b/tests/http/apiservertest.cpp
@@ -126,6 +126,16 @@
     EXPECT_TRUE(answers.ends_with("3")) << answers;
 }
 
+// A client that sends no more still gets its answer, and holds no connection afterwards.
+TEST(ApiServer, AnswersAHalfClosedConnectionAndClosesIt)
+{
+    TestServer server({});
+    const auto socket = server.connect();
+    send(*socket, "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab");
+    socket->shutdown(tcp::socket::shutdown_send);
+    EXPECT_TRUE(readAll(*socket).ends_with("2"));
+}
+
 TEST(ApiServer, ClosesAConnectionThatReachesALimitAndCountsIt)
 {
     struct Case
