The checkpoint of a run that has ended is stored

Callers saw: a task whose run was stopped, lapsed or failed started from its beginning if the leader changed before the task had started again.

Cause: the end of such a run did not change the stored progress, so that it was acknowledged in the next round of the progress writer, and no worker listed it any more. The checkpoint was then known only to the leader. Beside that, the end of an earlier run that was listed late replaced the checkpoint of a later one.

Change: a section of progress contains the checkpoint of each task that is not done, as of the last end of a run, with the number of that run. An end with a new checkpoint changes the section, and is acknowledged once it is stored. Checkpoints take at most 16 KiB of a section; a section that does not fit is stored without them before its job is given up. The field is left out where it is empty, and earlier releases ignore it. A checkpoint of an earlier run than the known one is ignored.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -103,6 +103,24 @@
     return runsByTask;
 }
 
+Json encodeCheckpoints(const std::map<int, jobs::Checkpoint> &checkpoints)
+{
+    Json json = Json::array();
+    for (const auto &[index, checkpoint] : checkpoints) {
+        json.push_back(Json::array({index, checkpoint.run, checkpoint.text}));
+    }
+    return json;
+}
+
+std::map<int, jobs::Checkpoint> decodeCheckpoints(const Json &json)
+{
+    std::map<int, jobs::Checkpoint> checkpoints;
+    for (const auto &it : json) {
+        checkpoints[it.at(0).get<int>()] = {it.at(1).get<jobs::RunNumber>(), it.at(2).get<std::string>()};
+    }
+    return checkpoints;
+}
+
 Json encodePolicy(const jobs::QueuePolicy &policy)
 {
     Json json = {{"queue", policy.queue},       {"service", policy.service.text()},
@@ -180,9 +198,12 @@
         Json encoded = Json::array();
         for (const auto &it : steps) {
             Json step = Json::array({it.tasks, encodeRunsByTask(it.failedRuns)});
-            if (!it.crashedRuns.empty()) {
+            if (!it.crashedRuns.empty() || !it.checkpoints.empty()) {
                 step.push_back(encodeRunsByTask(it.crashedRuns));
             }
+            if (!it.checkpoints.empty()) {
+                step.push_back(encodeCheckpoints(it.checkpoints));
+            }
             encoded.push_back(std::move(step));
         }
         json["occurrences"].push_back(std::move(encoded));
@@ -205,6 +226,10 @@
                 if (it.size() > 2) {
                     step.crashedRuns = decodeRunsByTask(it.at(2));
                 }
+                constexpr std::size_t checkpointsField = 3;
+                if (it.size() > checkpointsField) {
+                    step.checkpoints = decodeCheckpoints(it.at(checkpointsField));
+                }
             }
         }
         return progress;
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -309,7 +309,7 @@
         run->smoothedLevel += SmoothingWeight * (static_cast<double>(it.level) - run->smoothedLevel);
         auto *job = findJob(it.task.job);
         if (!it.checkpoint.empty() && job != nullptr) {
-            job->job.noteCheckpoint(it.task, it.checkpoint);
+            job->job.noteCheckpoint(it.task, it.run, it.checkpoint);
         }
     }
 }
@@ -374,7 +374,7 @@
     }
     takeOverRun(worker, run, job);
     if (job != nullptr && !listed.checkpoint.empty()) {
-        job->job.noteCheckpoint(listed.task, listed.checkpoint);
+        job->job.noteCheckpoint(listed.task, listed.run, listed.checkpoint);
     }
 }
 
--- a/src/execution/progresswriter.cpp
+++ b/src/execution/progresswriter.cpp
@@ -73,6 +73,11 @@
                 continue;
             }
             auto value = codec.encode(job->progress(it.number));
+            if (value.size() > store.maxValueSize()) {
+                auto progress = job->progress(it.number);
+                progress.dropCheckpoints();
+                value = codec.encode(progress);
+            }
             if (value.size() > store.maxValueSize()) {
                 log.record("progress-too-large", {{"job", it.job}, {"section", it.number}, {"bytes", value.size()}});
                 fleet.abandonJob(it.job, scheduler.now());
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -43,6 +43,15 @@
     return "cancelled";
 }
 
+void JobProgress::dropCheckpoints()
+{
+    for (auto &steps : occurrences) {
+        for (auto &it : steps) {
+            it.checkpoints.clear();
+        }
+    }
+}
+
 Job::Job(JobKey key, JobSpec spec, std::string queue, TimePoint acceptedAt)
     : m_key(key), m_spec(std::move(spec)), m_queue(std::move(queue)), m_acceptedAt(acceptedAt)
 {
@@ -202,12 +211,12 @@
     const bool hasRun = end == RunEnd::Done || end == RunEnd::Failed || end == RunEnd::Broken;
     m_hasBegun = m_hasBegun || hasRun;
     if (!checkpoint.empty()) {
-        noteCheckpoint(id, checkpoint);
+        noteCheckpoint(id, run, checkpoint);
     }
     switch (end) {
     case RunEnd::Done:
         if (stepSpec(id.step).isLasting) {
-            return false;
+            return keepCheckpoint(id);
         }
         task.doneRun = run;
         if (stepSpec(id.step).isGang) {
@@ -218,19 +227,41 @@
             markDone(id.occurrence, id.step, task);
         }
         return true;
-    case RunEnd::Failed:
+    case RunEnd::Failed: {
         task.retryDelay = stepSpec(id.step).isLasting && now - task.retryAt <= LastingTrialTime
             ? std::clamp(task.retryDelay * 2, RetryDelay, MaxRetryDelay)
             : RetryDelay;
         task.retryAt = now + task.retryDelay;
-        return markFailed(id, run, maxAttempts);
+        const bool isKept = keepCheckpoint(id);
+        return markFailed(id, run, maxAttempts) || isKept;
+    }
     case RunEnd::Stopped:
     case RunEnd::Lapsed:
     case RunEnd::Broken:
     case RunEnd::Alone:
         break;
     }
-    return false;
+    return keepCheckpoint(id);
+}
+
+bool Job::keepCheckpoint(const TaskId &id)
+{
+    const auto &known = task(id);
+    if (!isOpen() || known.checkpoint.empty()) {
+        return false;
+    }
+    const Checkpoint kept{known.checkpointRun, known.checkpoint};
+    if (known.endedCheckpoint == kept) {
+        return false;
+    }
+    if (!stepSpec(id.step).isGang) {
+        mutableTask(id).endedCheckpoint = kept;
+        return true;
+    }
+    for (auto &it : mutableStep(id.occurrence, id.step).tasks) {
+        it.endedCheckpoint = kept;
+    }
+    return true;
 }
 
 std::vector<RunNumber> &Job::crashedRuns(const TaskId &id)
@@ -288,16 +319,21 @@
     return true;
 }
 
-void Job::noteCheckpoint(const TaskId &id, std::string_view checkpoint)
+// The worker of an earlier run may report its end after a later run has got further.
+void Job::noteCheckpoint(const TaskId &id, RunNumber run, std::string_view checkpoint)
 {
+    const auto note = [&](Task &it) {
+        if (run >= it.checkpointRun) {
+            it.checkpoint = checkpoint;
+            it.checkpointRun = run;
+        }
+    };
     if (!stepSpec(id.step).isGang) {
-        mutableTask(id).checkpoint = checkpoint;
+        note(mutableTask(id));
         return;
     }
     // All members of a gang resume from the same checkpoint.
-    for (auto &it : mutableStep(id.occurrence, id.step).tasks) {
-        it.checkpoint = checkpoint;
-    }
+    std::ranges::for_each(mutableStep(id.occurrence, id.step).tasks, note);
 }
 
 void Job::cancel()
@@ -350,6 +386,7 @@
 {
     JobProgress progress;
     progress.state = m_state;
+    std::size_t checkpointBytes = 0;
     const int occurrences = static_cast<int>(m_occurrences.size());
     for (int k = 0; k < occurrences && positionOf(k, 0) < last; ++k) {
         auto &steps = progress.occurrences.emplace_back();
@@ -357,7 +394,13 @@
             continue;
         }
         for (int s = 0; s < static_cast<int>(m_spec.steps.size()) && positionOf(k, s) < last; ++s) {
-            steps.push_back(stepProgress(k, s, first, last));
+            auto &stored = steps.emplace_back(stepProgress(k, s, first, last));
+            std::erase_if(stored.checkpoints, [&](const auto &it) {
+                const auto bytes = it.second.text.size() + CheckpointOverhead;
+                const bool isTooLong = checkpointBytes + bytes > MaxCheckpointBytes;
+                checkpointBytes += isTooLong ? 0 : bytes;
+                return isTooLong;
+            });
         }
     }
     return progress;
@@ -389,6 +432,12 @@
         if (!task.crashedRuns.empty()) {
             stored.crashedRuns[static_cast<int>(n)] = task.crashedRuns;
         }
+        const bool isKept = !task.isDone && !task.endedCheckpoint.text.empty();
+        if (isKept && !stepSpec(step).isGang) {
+            stored.checkpoints[static_cast<int>(n)] = task.endedCheckpoint;
+        } else if (isKept && n == 0) {
+            stored.checkpoints[StepProgress::GangIndex] = task.endedCheckpoint;
+        }
     }
     return stored;
 }
@@ -422,6 +471,17 @@
             mergeRuns(own.tasks[static_cast<std::size_t>(index)].crashedRuns, runs);
         }
     }
+    for (const auto &[index, checkpoint] : stored.checkpoints) {
+        const auto n = index == StepProgress::GangIndex ? 0 : index;
+        if (n < 0 || n >= static_cast<int>(own.tasks.size())) {
+            continue;
+        }
+        const TaskId id{m_key, occurrence, step, n};
+        if (own.tasks[static_cast<std::size_t>(n)].checkpointRun < checkpoint.run) {
+            noteCheckpoint(id, checkpoint.run, checkpoint.text);
+            keepCheckpoint(id);
+        }
+    }
     for (int n = 0; n < static_cast<int>(own.tasks.size()); ++n) {
         failAfterCrashes({m_key, occurrence, step, n});
     }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -45,6 +45,15 @@
 // meets many crashes of other causes in its life. A longer run clears the earlier crashes.
 constexpr Duration LastingTrialTime = 10s;
 
+// The state from which a task resumes.
+struct Checkpoint
+{
+    RunNumber run = 0; // that made it
+    std::string text; // opaque; empty to start from the beginning
+
+    bool operator==(const Checkpoint &) const = default;
+};
+
 struct Task
 {
     bool isDone = false;
@@ -54,6 +63,8 @@
     std::uint8_t activeRuns = 0; // runs that may be active on a worker
     RunNumber lastRun = 0;
     std::string checkpoint; // to resume from; empty to start from the beginning
+    RunNumber checkpointRun = 0; // that made it
+    Checkpoint endedCheckpoint; // when a run ended last; stored, since no worker lists it any more
     TimePoint retryAt; // earliest time of the next run
     Duration retryDelay{0}; // after the last failure
 
@@ -92,6 +103,8 @@
     std::string tasks; // one character per task: DoneMark or OpenMark
     std::map<int, std::vector<RunNumber>> failedRuns; // by task index; GangIndex for a whole gang
     std::map<int, std::vector<RunNumber>> crashedRuns; // likewise; of a gang also by member
+    // Of tasks that are not done, when a run ended last. By task index; GangIndex for a whole gang.
+    std::map<int, Checkpoint> checkpoints = {};
 
     static constexpr char DoneMark = 'D';
     static constexpr char OpenMark = '.';
@@ -109,6 +122,9 @@
     // is never accepted.
     bool isAccepted = true;
 
+    // Leaves out what a successor can do without: it then repeats work.
+    void dropCheckpoints();
+
     bool operator==(const JobProgress &) const = default;
 };
 
@@ -116,6 +132,10 @@
 // steps and occurrences, so that each fits into a row of the store: a task takes a byte, and some
 // bytes for each run that failed or crashed.
 constexpr int TasksPerSection = 1000;
+// Checkpoints in a section take at most this many bytes, each counted with what encodes its task and
+// run. A successor starts the tasks of others from the beginning.
+constexpr std::size_t MaxCheckpointBytes = 16384;
+constexpr std::size_t CheckpointOverhead = 16;
 
 // A section of a job's progress. Section 0 also holds the job's state.
 struct ProgressSection
@@ -209,8 +229,8 @@
     bool noteHealthyRun(const TaskId &id, Duration ranFor);
     // Returns the number of crashes of workers under the task, or under its gang.
     int crashCount(const TaskId &id) const;
-    // Records the latest checkpoint of a running task.
-    void noteCheckpoint(const TaskId &id, std::string_view checkpoint);
+    // Records the latest checkpoint of a run. One of an earlier run than the known one is ignored.
+    void noteCheckpoint(const TaskId &id, RunNumber run, std::string_view checkpoint);
 
     void cancel();
 
@@ -235,6 +255,9 @@
     // Returns the progress of the tasks whose position is in the range.
     JobProgress progressBetween(std::int64_t first, std::int64_t last) const;
     StepProgress stepProgress(int occurrence, int step, std::int64_t first, std::int64_t last) const;
+    // Records that the task resumes from its present checkpoint. Returns whether the persistent state
+    // changed.
+    bool keepCheckpoint(const TaskId &id);
     void markDone(int occurrence, int step, Task &task);
     void restoreStep(int occurrence, int step, const StepProgress &stored);
     bool markFailed(const TaskId &id, RunNumber run, int maxAttempts);
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -297,6 +297,9 @@
     progress.occurrences = {{jobs::StepProgress{"D.", {{1, {2, 3}}}, {{0, {4}}, {-1, {5, 6}}}}}};
     EXPECT_EQ(valueOf([&] { return rows.decodeProgress(rows.encode(progress)); }), progress);
     progress.occurrences[0][0].crashedRuns.clear();
+    progress.occurrences[0][0].checkpoints = {{1, {4, "c5"}}};
+    EXPECT_EQ(valueOf([&] { return rows.decodeProgress(rows.encode(progress)); }), progress);
+    progress.occurrences[0][0].checkpoints.clear();
     using codec::Json;
     const auto older = codec::writeCbor(
         {{"state", 1},
