A new leader uses the first tail latency that a worker lists

Callers saw: after a change of leader, leftover work was started beside a serving task that was over its target.

Cause: the average of the tail latency of a run that was taken over began at 0, and its first listing did not count, so that the worker appeared to be within its target for several listings.

Change: the average begins with the first value, and a run that is over its target then counts as over it for the time that is assumed anyway.

Evidence: without the change, Items/TakeoverKnowledge.OnlyThisItemMatters/TimeOverTheTarget fails: Value of: handover.start(OtherKey).empty() Actual: false Expected: true started beside a task that is over its target

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -387,6 +387,12 @@
     if (job != nullptr) {
         const auto &spec = job->job.stepSpec(run.task.step);
         applyStepSpec(run, spec);
+        if (run.tailTarget > Duration(0)) {
+            // The measurements of a former leader are not known, and this one decides at once.
+            const bool isOver = run.level >= toMilliseconds(run.tailTarget);
+            run.smoothedLevel = static_cast<double>(run.level);
+            run.withinTargetAt = isOver ? run.listedAt - AssumedOverTargetTime : run.listedAt;
+        }
         // A former leader may have paced it, and its successor is the only one that will raise the pace.
         run.pace = run.usesLeftover ? workers::UnknownPace : workers::FullPace;
         const bool isOpenOccurrence = run.task.occurrence < static_cast<int>(job->job.occurrences().size());
--- a/tests/execution/takeoverknowledgetest.cpp
+++ b/tests/execution/takeoverknowledgetest.cpp
@@ -65,6 +65,23 @@
     return step;
 }
 
+jobs::StepSpec servingStep()
+{
+    auto step = lastingStep();
+    step.needs = {20000, 1000, 0};
+    step.image = "serving";
+    step.tailTarget = 100ms;
+    return step;
+}
+
+jobs::StepSpec leftoverStep()
+{
+    auto step = plainStep();
+    step.usesLeftover = true;
+    step.image = "batch";
+    return step;
+}
+
 ports::ListedRun running(jobs::RunNumber run, std::string checkpoint = {}, int percent = 10, std::int64_t level = 0)
 {
     return {Task, run, std::move(checkpoint), percent, level};
@@ -420,6 +437,20 @@
     EXPECT_EQ(handover.start().size(), 1U) << "the worker was blamed for runs of another leader";
 }
 
+// Guards against adding leftover work beside a serving task that was over its target before the change
+// of leader, and against waiting for several measurements before anything is done about it.
+void timeOverTheTarget()
+{
+    Handover handover(servingStep(), 1);
+    ASSERT_EQ(handover.start().size(), 1U);
+    handover.list(0, {running(1, {}, 100, 180)});
+    handover.addJob(OtherKey, leftoverStep());
+    handover.handOver();
+    handover.advance(100ms);
+    handover.reportAll();
+    EXPECT_TRUE(handover.start(OtherKey).empty()) << "started beside a task that is over its target";
+}
+
 struct Item
 {
     std::string name;
@@ -453,7 +484,8 @@
                     Item{"CheckpointOfAnEarlierRun", checkpointOfAnEarlierRun},
                     Item{"StopOrderedByTheFormerLeader", stopOrderedByTheFormerLeader},
                     Item{"CancelledWhileNobodyLed", cancelledWhileNobodyLed},
-                    Item{"DelayAfterAFailure", delayAfterAFailure}, Item{"SuspectWorkers", suspectWorkers}),
+                    Item{"DelayAfterAFailure", delayAfterAFailure}, Item{"SuspectWorkers", suspectWorkers},
+                    Item{"TimeOverTheTarget", timeOverTheTarget}),
     [](const auto &row) { return row.param.name; });
 
 } // namespace monsoonspool::execution
