The speed of a run of a former leader is that since it was taken over

Callers saw: after a change of leader, a slow run was left on a worker that leaves, and its work was lost.

Cause: the remaining time was computed from the whole progress of the run and only the time since the change of leader.

Change: only the progress since the run was first listed to this leader counts.

Evidence: without the change, Items/TakeoverKnowledge.OnlyThisItemMatters/LearnedRunTimes fails: handover.plan().stops.size() Which is: 0, expected 1 the run is expected to end before the worker leaves

--- a/src/execution/fleetdraining.cpp
+++ b/src/execution/fleetdraining.cpp
@@ -25,9 +25,10 @@
     if (run.answeredAt == TimePoint()) {
         return byEstimate;
     }
-    const auto byProgress = run.percent > 0
-        ? (run.progressedAt - run.answeredAt) * (FullPercent - run.percent) / run.percent
-        : now - run.answeredAt - expected;
+    // The time before this leader saw the run is not known.
+    const int gained = run.percent - run.adoptedPercent;
+    const auto byProgress = gained > 0 ? (run.progressedAt - run.answeredAt) * (FullPercent - run.percent) / gained
+                                       : now - run.answeredAt - expected;
     return std::max(byEstimate, byProgress);
 }
 
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -368,6 +368,7 @@
     run.progressedAt = now;
     run.listedAt = now;
     run.percent = listed.percent;
+    run.adoptedPercent = listed.percent;
     run.level = listed.level;
     if (job == nullptr) {
         unreadJobs.insert(listed.task.job);
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -51,6 +51,7 @@
     TimePoint answeredAt; // when the worker confirmed the start
     ports::WorkerMillis startDeadline = 0; // the worker rejects the start order after it
     int percent = 0;
+    int adoptedPercent = 0; // when this leader first saw the run, if it did not order it
     TimePoint progressedAt; // last increase of percent
     TimePoint listedAt; // last listing that contains the run
     int pace = FullPace; // UnknownPace if the worker may apply another one than the last ordered
--- a/tests/execution/takeoverknowledgetest.cpp
+++ b/tests/execution/takeoverknowledgetest.cpp
@@ -451,6 +451,26 @@
     EXPECT_TRUE(handover.start(OtherKey).empty()) << "started beside a task that is over its target";
 }
 
+// Guards against taking the time since the change of leader as the time that a run has needed: a slow run is
+// then left on a worker that leaves until its work is lost.
+void learnedRunTimes()
+{
+    auto step = plainStep();
+    step.estimate = 500ms;
+    Handover handover(step);
+    const auto starts = handover.start();
+    ASSERT_EQ(starts.size(), 1U);
+    const int worker = handover.indexOf(starts.front().worker);
+    handover.list(worker, {running(starts.front().run, "c1", 50)});
+    handover.handOver();
+    handover.reportAll();
+    handover.advance(1s);
+    handover.list(worker, {running(starts.front().run, "c1", 55)}); // needs 9 s more
+    EXPECT_TRUE(handover.plan().stops.empty());
+    handover.setDraining(worker, 5s);
+    EXPECT_EQ(handover.plan().stops.size(), 1U) << "the run is expected to end before the worker leaves";
+}
+
 struct Item
 {
     std::string name;
@@ -485,7 +505,7 @@
                     Item{"StopOrderedByTheFormerLeader", stopOrderedByTheFormerLeader},
                     Item{"CancelledWhileNobodyLed", cancelledWhileNobodyLed},
                     Item{"DelayAfterAFailure", delayAfterAFailure}, Item{"SuspectWorkers", suspectWorkers},
-                    Item{"TimeOverTheTarget", timeOverTheTarget}),
+                    Item{"TimeOverTheTarget", timeOverTheTarget}, Item{"LearnedRunTimes", learnedRunTimes}),
     [](const auto &row) { return row.param.name; });
 
 } // namespace monsoonspool::execution
