A crash after a change of leader is not charged to a lasting task of unknown age

Callers saw: a lasting task that had run for hours was charged with the crash of its worker if the leader had changed less than 10 s before. Three of them fail its job.

Cause: the age of a run that was taken over counted from the change of leader.

Change: such a run counts as older than LastingTrialTime. The age matters only for lasting tasks.

Evidence: without the change, Items/TakeoverKnowledge.OnlyThisItemMatters/AgeOfALastingRun fails: handover.leader().find(Key)->crashCount(Task) Which is: 1, expected 0 after crash 1

--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -301,7 +301,9 @@
         const bool isAnswered = it.answeredAt != TimePoint();
         if (isAnswered || it.state == RunState::Unanswered) {
             const auto begunAt = isAnswered ? it.answeredAt : it.orderedAt;
-            possible.push_back({it.task, it.number, std::max(heardUntil(now) - begunAt, Duration(0))});
+            const bool isAdopted = it.startDeadline == 0;
+            const auto before = isAdopted ? jobs::LastingTrialTime + Duration(1) : Duration(0);
+            possible.push_back({it.task, it.number, before + std::max(heardUntil(now) - begunAt, Duration(0))});
         }
     }
     return possible;
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -340,7 +340,8 @@
     {
         return {m_entry.id, m_entry.address, m_startTimeMs};
     }
-    // Returns the runs that the worker's process had confirmed, or may have begun without an answer.
+    // Returns the runs that the worker's process had confirmed, or may have begun without an answer. One
+    // that this leader did not order counts as older than LastingTrialTime: how long it ran is not known.
     std::vector<LostRun> possibleRuns(TimePoint now) const;
 
     // Numbers of the last end that was processed and of the last one that the worker need
--- a/tests/execution/takeoverknowledgetest.cpp
+++ b/tests/execution/takeoverknowledgetest.cpp
@@ -471,6 +471,31 @@
     EXPECT_EQ(handover.plan().stops.size(), 1U) << "the run is expected to end before the worker leaves";
 }
 
+// Guards against charging the crash of a worker to a lasting task that has run for hours, because the leader is new.
+void ageOfALastingRun()
+{
+    Handover handover(lastingStep(), 1);
+    jobs::RunNumber run = handover.start().front().run;
+    for (int n = 0; n < 3; ++n) {
+        handover.list(0, {running(run, {}, 100)});
+        handover.advance(1h);
+        handover.reportAll();
+        handover.store();
+        handover.handOver();
+        handover.reportAll();
+        handover.advance(3s);
+        handover.reportAll();
+        handover.restart(0);
+        EXPECT_EQ(handover.leader().find(Key)->crashCount(Task), 0) << "after crash " << n + 1;
+        handover.store();
+        handover.advance(100ms);
+        handover.reportAll();
+        const auto starts = handover.start();
+        ASSERT_EQ(starts.size(), 1U) << "the job was given up";
+        run = starts.front().run;
+    }
+}
+
 struct Item
 {
     std::string name;
@@ -505,7 +530,8 @@
                     Item{"StopOrderedByTheFormerLeader", stopOrderedByTheFormerLeader},
                     Item{"CancelledWhileNobodyLed", cancelledWhileNobodyLed},
                     Item{"DelayAfterAFailure", delayAfterAFailure}, Item{"SuspectWorkers", suspectWorkers},
-                    Item{"TimeOverTheTarget", timeOverTheTarget}, Item{"LearnedRunTimes", learnedRunTimes}),
+                    Item{"TimeOverTheTarget", timeOverTheTarget}, Item{"LearnedRunTimes", learnedRunTimes},
+                    Item{"AgeOfALastingRun", ageOfALastingRun}),
     [](const auto &row) { return row.param.name; });
 
 } // namespace monsoonspool::execution
