--- a/tests/execution/takeoverknowledgetest.cpp
+++ b/tests/execution/takeoverknowledgetest.cpp
@@ -496,6 +496,30 @@
     }
 }
 
+// Guards against numbers that a former leader has used: a worker refuses them, and takes the former run as the later one.
+void runNumbers()
+{
+    constexpr int runs = 1200; // of a lasting task that fails every 2 s for 40 minutes
+    Handover handover(lastingStep(), 1);
+    jobs::RunNumber last = 0;
+    for (int n = 0; n < runs; ++n) {
+        handover.advance(10s);
+        handover.reportAll();
+        const auto starts = handover.start();
+        ASSERT_EQ(starts.size(), 1U);
+        last = starts.front().run;
+        handover.list(0, {running(last)});
+        handover.end(0, jobs::RunEnd::Failed);
+        handover.store();
+    }
+    handover.handOver();
+    handover.advance(100ms);
+    handover.reportAll();
+    const auto starts = handover.start();
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_GT(starts.front().run, last);
+}
+
 struct Item
 {
     std::string name;
@@ -531,7 +555,7 @@
                     Item{"CancelledWhileNobodyLed", cancelledWhileNobodyLed},
                     Item{"DelayAfterAFailure", delayAfterAFailure}, Item{"SuspectWorkers", suspectWorkers},
                     Item{"TimeOverTheTarget", timeOverTheTarget}, Item{"LearnedRunTimes", learnedRunTimes},
-                    Item{"AgeOfALastingRun", ageOfALastingRun}),
+                    Item{"AgeOfALastingRun", ageOfALastingRun}, Item{"RunNumbers", runNumbers}),
     [](const auto &row) { return row.param.name; });
 
 } // namespace monsoonspool::execution
