The workers that a task avoids are stored

Callers saw: a sound job could fail because each new leader sent its task to the same bad worker again.

Cause: the workers on which a task failed were known only to the leader, while its failed attempts are stored.

Change: they are part of the task's state and stored with it, which needs no further commit, since a failed attempt is stored anyway. A failed end of a run that the leader does not know keeps the task off that worker as well; the worker itself is not blamed. The workers are optional parts of a row, as checkpoints are.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -121,6 +121,31 @@
     return checkpoints;
 }
 
+Json encodeWorkersByTask(const std::map<int, std::vector<WorkerId>> &workersByTask)
+{
+    Json json = Json::array();
+    for (const auto &[index, workers] : workersByTask) {
+        Json ids = Json::array();
+        for (const auto &it : workers) {
+            ids.push_back(it.text());
+        }
+        json.push_back(Json::array({index, std::move(ids)}));
+    }
+    return json;
+}
+
+std::map<int, std::vector<WorkerId>> decodeWorkersByTask(const Json &json)
+{
+    std::map<int, std::vector<WorkerId>> workersByTask;
+    for (const auto &it : json) {
+        auto &workers = workersByTask[it.at(0).get<int>()];
+        for (const auto &id : it.at(1)) {
+            workers.emplace_back(id.get<std::string>());
+        }
+    }
+    return workersByTask;
+}
+
 Json encodePolicy(const jobs::QueuePolicy &policy)
 {
     Json json = {{"queue", policy.queue},       {"service", policy.service.text()},
@@ -198,12 +223,17 @@
         Json encoded = Json::array();
         for (const auto &it : steps) {
             Json step = Json::array({it.tasks, encodeRunsByTask(it.failedRuns)});
-            if (!it.crashedRuns.empty() || !it.checkpoints.empty()) {
+            const bool hasWorkers = !it.avoidedWorkers.empty();
+            const bool hasCheckpoints = !it.checkpoints.empty() || hasWorkers;
+            if (!it.crashedRuns.empty() || hasCheckpoints) {
                 step.push_back(encodeRunsByTask(it.crashedRuns));
             }
-            if (!it.checkpoints.empty()) {
+            if (hasCheckpoints) {
                 step.push_back(encodeCheckpoints(it.checkpoints));
             }
+            if (hasWorkers) {
+                step.push_back(encodeWorkersByTask(it.avoidedWorkers));
+            }
             encoded.push_back(std::move(step));
         }
         json["occurrences"].push_back(std::move(encoded));
@@ -230,6 +260,10 @@
                 if (it.size() > checkpointsField) {
                     step.checkpoints = decodeCheckpoints(it.at(checkpointsField));
                 }
+                constexpr std::size_t avoidedWorkersField = 4;
+                if (it.size() > avoidedWorkersField) {
+                    step.avoidedWorkers = decodeWorkersByTask(it.at(avoidedWorkersField));
+                }
             }
         }
         return progress;
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -149,6 +149,9 @@
             }
             endRun(worker, it.task, it.outcome, it.checkpoint, now);
         } else {
+            if (it.outcome == jobs::RunEnd::Failed) {
+                noteFormerFailure(worker.entry().id, it.task);
+            }
             applyEnd(it.task, it.run, it.outcome, it.checkpoint, now);
         }
     }
@@ -156,16 +159,28 @@
 
 void Fleet::Private::noteFailure(workers::Worker &worker, const jobs::TaskId &task, TimePoint now)
 {
-    if (auto *job = findJob(task.job)) {
-        auto &avoided = job->avoidedWorkers[task];
-        if (avoided.size() >= MaxAvoidedWorkers) {
+    auto *job = findJob(task.job);
+    if (job != nullptr && job->job.contains(task)) {
+        if (job->job.avoidedWorkers(task).size() >= MaxAvoidedWorkers) {
             return; // says nothing about the worker
         }
-        avoided.push_back(worker.entry().id);
+        job->job.noteAvoidedWorker(task, worker.entry().id);
     }
     worker.noteFailure(now);
 }
 
+void Fleet::Private::noteFormerFailure(const WorkerId &worker, const jobs::TaskId &task)
+{
+    auto *job = findJob(task.job);
+    if (job == nullptr || !job->job.contains(task)) {
+        return;
+    }
+    const auto avoided = job->job.avoidedWorkers(task);
+    if (avoided.size() < MaxAvoidedWorkers && std::ranges::find(avoided, worker) == avoided.end()) {
+        job->job.noteAvoidedWorker(task, worker);
+    }
+}
+
 void Fleet::Private::recordCompletion(workers::Worker &worker, const workers::Run &run, TimePoint now)
 {
     worker.noteDone(now);
@@ -264,6 +279,9 @@
     }
     log.record("held-ends-applied", {{"job", key}, {"ends", node.mapped().size()}});
     for (const auto &it : node.mapped()) {
+        if (it.end.outcome == jobs::RunEnd::Failed) {
+            noteFormerFailure(it.worker, it.end.task);
+        }
         applyEnd(it.end.task, it.end.run, it.end.outcome, it.end.checkpoint, now);
         release(it);
     }
--- a/src/execution/fleetpacing.cpp
+++ b/src/execution/fleetpacing.cpp
@@ -75,7 +75,7 @@
     }
     for (auto &run : worker.runs()) {
         auto *job = findJob(run.task.job);
-        if (!isStuck(run, now) || job == nullptr || job->avoidedWorkers[run.task].size() >= MaxAvoidedWorkers) {
+        if (!isStuck(run, now) || job == nullptr || job->job.avoidedWorkers(run.task).size() >= MaxAvoidedWorkers) {
             continue;
         }
         if (run.mayPaceChangeLate) {
@@ -91,7 +91,7 @@
                     {"worker", worker.entry().id.view()},
                     {"percent", run.percent},
                     {"standsStillMs", toMilliseconds(now - run.progressedAt)}});
-        job->avoidedWorkers[run.task].push_back(worker.entry().id);
+        job->job.noteAvoidedWorker(run.task, worker.entry().id);
         worker.noteFailure(now);
         requestStop(run);
     }
--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -54,10 +54,8 @@
     demand.crashCount = job.job.crashCount(task);
     demand.interference = usesInterference ? &interference : nullptr;
     demand.interferenceFreeCapacity = &interferenceFreeCapacity;
-    std::vector<WorkerId> avoided;
-    if (const auto it = job.avoidedWorkers.find(task); it != job.avoidedWorkers.end()) {
-        avoided = it->second;
-    }
+    const auto failedOn = job.job.avoidedWorkers(task);
+    std::vector<WorkerId> avoided(failedOn.begin(), failedOn.end());
     if (const auto it = job.movedFrom.find(task); it != job.movedFrom.end()) {
         avoided.push_back(it->second);
     }
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -44,7 +44,6 @@
     Duration criticalPath{0}; // the longest chain of dependent steps
     TimePoint expectedUpdatedAt;
     scheduling::Rank rank;
-    std::map<jobs::TaskId, std::vector<WorkerId>> avoidedWorkers; // workers on which a task failed or stalled
     std::map<jobs::TaskId, WorkerId> movedFrom; // workers that throttled the task
     std::map<jobs::TaskId, TimePoint> keptApartSince; // tasks that wait for a worker without a crash suspect
     int rankedOccurrence = -1;
@@ -99,6 +98,8 @@
     void applyHeldEnds(jobs::JobKey key, TimePoint now);
     void release(const HeldEnd &held);
     void noteFailure(workers::Worker &worker, const jobs::TaskId &task, TimePoint now);
+    // Keeps a task off a worker on which a run that this leader did not know has failed.
+    void noteFormerFailure(const WorkerId &worker, const jobs::TaskId &task);
     void recordCompletion(workers::Worker &worker, const workers::Run &run, TimePoint now);
     void expireRuns(workers::Worker &worker, TimePoint now, std::string_view reason);
     // Prepares a worker for the first listing of a new process, which resolves its runs.
--- a/src/execution/progresswriter.cpp
+++ b/src/execution/progresswriter.cpp
@@ -75,7 +75,7 @@
             auto value = codec.encode(job->progress(it.number));
             if (value.size() > store.maxValueSize()) {
                 auto progress = job->progress(it.number);
-                progress.dropCheckpoints();
+                progress.dropOptionalParts();
                 value = codec.encode(progress);
             }
             if (value.size() > store.maxValueSize()) {
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -24,6 +24,16 @@
     }
 }
 
+// Takes `bytes` from what is left. Returns false if they exceed it.
+bool takeBytes(std::size_t &left, std::size_t bytes)
+{
+    if (bytes > left) {
+        return false;
+    }
+    left -= bytes;
+    return true;
+}
+
 } // namespace
 
 std::string_view jobStateName(JobState state)
@@ -43,11 +53,12 @@
     return "cancelled";
 }
 
-void JobProgress::dropCheckpoints()
+void JobProgress::dropOptionalParts()
 {
     for (auto &steps : occurrences) {
         for (auto &it : steps) {
             it.checkpoints.clear();
+            it.avoidedWorkers.clear();
         }
     }
 }
@@ -319,6 +330,17 @@
     return true;
 }
 
+void Job::noteAvoidedWorker(const TaskId &id, const WorkerId &worker)
+{
+    mutableTask(id).avoidedWorkers.push_back(worker);
+}
+
+std::span<const WorkerId> Job::avoidedWorkers(const TaskId &id) const
+{
+    return id.occurrence < static_cast<int>(m_occurrences.size()) ? task(id).avoidedWorkers
+                                                                  : std::span<const WorkerId>();
+}
+
 // The worker of an earlier run may report its end after a later run has got further.
 void Job::noteCheckpoint(const TaskId &id, RunNumber run, std::string_view checkpoint)
 {
@@ -386,7 +408,8 @@
 {
     JobProgress progress;
     progress.state = m_state;
-    std::size_t checkpointBytes = 0;
+    auto checkpointBytes = MaxOptionalBytes;
+    auto workerBytes = MaxOptionalBytes;
     const int occurrences = static_cast<int>(m_occurrences.size());
     for (int k = 0; k < occurrences && positionOf(k, 0) < last; ++k) {
         auto &steps = progress.occurrences.emplace_back();
@@ -396,10 +419,14 @@
         for (int s = 0; s < static_cast<int>(m_spec.steps.size()) && positionOf(k, s) < last; ++s) {
             auto &stored = steps.emplace_back(stepProgress(k, s, first, last));
             std::erase_if(stored.checkpoints, [&](const auto &it) {
-                const auto bytes = it.second.text.size() + CheckpointOverhead;
-                const bool isTooLong = checkpointBytes + bytes > MaxCheckpointBytes;
-                checkpointBytes += isTooLong ? 0 : bytes;
-                return isTooLong;
+                return !takeBytes(checkpointBytes, it.second.text.size() + OptionalPartOverhead);
+            });
+            std::erase_if(stored.avoidedWorkers, [&](const auto &it) {
+                std::size_t bytes = OptionalPartOverhead;
+                for (const auto &worker : it.second) {
+                    bytes += worker.text().size() + OptionalPartOverhead;
+                }
+                return !takeBytes(workerBytes, bytes);
             });
         }
     }
@@ -432,6 +459,9 @@
         if (!task.crashedRuns.empty()) {
             stored.crashedRuns[static_cast<int>(n)] = task.crashedRuns;
         }
+        if (!task.isDone && !task.avoidedWorkers.empty()) {
+            stored.avoidedWorkers[static_cast<int>(n)] = task.avoidedWorkers;
+        }
         const bool isKept = !task.isDone && !task.endedCheckpoint.text.empty();
         if (isKept && !stepSpec(step).isGang) {
             stored.checkpoints[static_cast<int>(n)] = task.endedCheckpoint;
@@ -471,6 +501,14 @@
             mergeRuns(own.tasks[static_cast<std::size_t>(index)].crashedRuns, runs);
         }
     }
+    for (const auto &[index, workers] : stored.avoidedWorkers) {
+        if (index < 0 || index >= static_cast<int>(own.tasks.size())) {
+            continue;
+        }
+        auto &known = own.tasks[static_cast<std::size_t>(index)].avoidedWorkers;
+        std::ranges::copy_if(workers, std::back_inserter(known),
+                             [&](const WorkerId &it) { return std::ranges::find(known, it) == known.end(); });
+    }
     for (const auto &[index, checkpoint] : stored.checkpoints) {
         const auto n = index == StepProgress::GangIndex ? 0 : index;
         if (n < 0 || n >= static_cast<int>(own.tasks.size())) {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -64,6 +64,7 @@
     RunNumber lastRun = 0;
     std::string checkpoint; // to resume from; empty to start from the beginning
     RunNumber checkpointRun = 0; // that made it
+    std::vector<WorkerId> avoidedWorkers; // on which a run failed or stalled
     Checkpoint endedCheckpoint; // when a run ended last; stored, since no worker lists it any more
     TimePoint retryAt; // earliest time of the next run
     Duration retryDelay{0}; // after the last failure
@@ -105,6 +106,7 @@
     std::map<int, std::vector<RunNumber>> crashedRuns; // likewise; of a gang also by member
     // Of tasks that are not done, when a run ended last. By task index; GangIndex for a whole gang.
     std::map<int, Checkpoint> checkpoints = {};
+    std::map<int, std::vector<WorkerId>> avoidedWorkers = {}; // of tasks that are not done, by index
 
     static constexpr char DoneMark = 'D';
     static constexpr char OpenMark = '.';
@@ -122,8 +124,8 @@
     // is never accepted.
     bool isAccepted = true;
 
-    // Leaves out what a successor can do without: it then repeats work.
-    void dropCheckpoints();
+    // Leaves out what a successor can do without: it then repeats work and failures.
+    void dropOptionalParts();
 
     bool operator==(const JobProgress &) const = default;
 };
@@ -133,9 +135,9 @@
 // bytes for each run that failed or crashed.
 constexpr int TasksPerSection = 1000;
 // Checkpoints in a section take at most this many bytes, each counted with what encodes its task and
-// run. A successor starts the tasks of others from the beginning.
-constexpr std::size_t MaxCheckpointBytes = 16384;
-constexpr std::size_t CheckpointOverhead = 16;
+// run, and so do avoided workers. A successor starts the tasks of other checkpoints from the beginning.
+constexpr std::size_t MaxOptionalBytes = 16384;
+constexpr std::size_t OptionalPartOverhead = 16;
 
 // A section of a job's progress. Section 0 also holds the job's state.
 struct ProgressSection
@@ -229,6 +231,11 @@
     bool noteHealthyRun(const TaskId &id, Duration ranFor);
     // Returns the number of crashes of workers under the task, or under its gang.
     int crashCount(const TaskId &id) const;
+    // Records that a run of the task failed or stalled on a worker. It is stored with the next change
+    // of the task's progress.
+    void noteAvoidedWorker(const TaskId &id, const WorkerId &worker);
+    // Returns the workers passed to noteAvoidedWorker(), also by earlier schedulers.
+    std::span<const WorkerId> avoidedWorkers(const TaskId &id) const;
     // Records the latest checkpoint of a run. One of an earlier run than the known one is ignored.
     void noteCheckpoint(const TaskId &id, RunNumber run, std::string_view checkpoint);
 
--- a/tests/execution/largejobtest.cpp
+++ b/tests/execution/largejobtest.cpp
@@ -213,4 +213,64 @@
     EXPECT_FALSE(successor.isOpen());
 }
 
+// Guards against failing a job because its checkpoints do not fit into a row: they, and the workers that a
+// task avoids, are left out before anything else.
+TEST(LargeJob, CheckpointsNeverCostAJob)
+{
+    constexpr int tasks = jobs::TasksPerSection;
+    const codec::CborJobs codec;
+    for (const std::size_t length : {8UL, 200UL, 70000UL}) {
+        jobs::Job job({1}, specOf(1, tasks), "plans", TimePoint(1h));
+        for (int n = 0; n < tasks; ++n) {
+            const jobs::TaskId task{{1}, 0, 0, n};
+            job.noteAvoidedWorker(task, WorkerId("worker-" + std::to_string(n)));
+            EXPECT_TRUE(
+                job.noteRunEnd(task, 1, jobs::RunEnd::Stopped, std::string(length, 'c'), MaxAttempts, TimePoint(1h)));
+        }
+        auto progress = job.progress(0);
+        const auto &stored = progress.occurrences.front().front();
+        EXPECT_EQ(stored.checkpoints.size(), std::min(tasks, static_cast<int>(jobs::MaxOptionalBytes / (length + 16))));
+        EXPECT_FALSE(stored.avoidedWorkers.empty());
+        EXPECT_LE(codec.encode(progress).size(), 2 * jobs::MaxOptionalBytes + 8192);
+        progress.dropOptionalParts();
+        EXPECT_LE(codec.encode(progress).size(), 2 * jobs::TasksPerSection);
+    }
+}
+
+// Guards against a job that is given up because it is stored with checkpoints beside many failures.
+TEST(LargeJob, CheckpointsBesideManyFailuresAreLeftOut)
+{
+    Cluster cluster;
+    cluster.scheduler.runFor(2s);
+    NullLog log;
+    Fleet fleet(log);
+    fleet.beginTerm({1}, 0, {}, cluster.scheduler.now(), cluster.scheduler.now());
+    AcceptedJob accepted;
+    accepted.key = {1};
+    accepted.policy.maxAttempts = 100;
+    accepted.spec = specOf(1, jobs::TasksPerSection);
+    fleet.addJob(std::move(accepted), cluster.scheduler.now(), cluster.wallNow());
+    jobs::JobProgress stored;
+    auto &step = stored.occurrences.emplace_back().emplace_back();
+    step.tasks.assign(jobs::TasksPerSection, jobs::StepProgress::OpenMark);
+    for (int n = 0; n < jobs::TasksPerSection; ++n) {
+        step.failedRuns[n].assign(5, std::numeric_limits<std::uint64_t>::max());
+        for (auto &it : step.failedRuns[n]) {
+            it -= static_cast<std::uint64_t>(&it - step.failedRuns[n].data());
+        }
+        step.checkpoints[n] = {1, "0123456789"};
+        step.avoidedWorkers[n] = {WorkerId("worker-1")};
+    }
+    fleet.restoreProgress({1}, stored);
+    auto &store = cluster.host(0).store;
+    const auto whole = cluster.codec.encode(fleet.find({1})->progress(0));
+    ASSERT_GT(whole.size(), store.maxValueSize());
+    int fenced = 0;
+    ProgressWriter writer(store, cluster.scheduler, cluster.codec, fleet, log, 0, [&] { ++fenced; });
+    fleet.markChanged(jobs::ProgressSection{{1}, 0});
+    writer.requestWrite();
+    cluster.scheduler.runFor(100ms);
+    EXPECT_TRUE(fleet.find({1})->isOpen());
+}
+
 } // namespace monsoonspool::execution
--- a/tests/execution/takeoverknowledgetest.cpp
+++ b/tests/execution/takeoverknowledgetest.cpp
@@ -426,6 +426,29 @@
     EXPECT_EQ(handover.start().size(), 1U);
 }
 
+// Guards against a sound job that fails because each leader sends it to the same bad worker.
+void workersThatFailedATask()
+{
+    Handover handover(plainStep());
+    auto starts = handover.start();
+    ASSERT_EQ(starts.size(), 1U);
+    const int bad = handover.indexOf(starts.front().worker);
+    for (int n = 0; n < MaxAttempts - 1; ++n) {
+        handover.list(bad, {running(starts.front().run)});
+        handover.end(bad, jobs::RunEnd::Failed);
+        handover.store();
+        handover.handOver();
+        handover.advance(100ms);
+        handover.reportAll();
+        starts = handover.start();
+        ASSERT_EQ(starts.size(), 1U);
+        EXPECT_NE(handover.indexOf(starts.front().worker), bad) << "after failure " << n + 1;
+        if (handover.indexOf(starts.front().worker) != bad) {
+            break;
+        }
+    }
+}
+
 // The successor takes all workers as sound: ends of runs that it does not know say nothing of their workers.
 void suspectWorkers()
 {
@@ -553,7 +576,8 @@
                     Item{"CheckpointOfAnEarlierRun", checkpointOfAnEarlierRun},
                     Item{"StopOrderedByTheFormerLeader", stopOrderedByTheFormerLeader},
                     Item{"CancelledWhileNobodyLed", cancelledWhileNobodyLed},
-                    Item{"DelayAfterAFailure", delayAfterAFailure}, Item{"SuspectWorkers", suspectWorkers},
+                    Item{"DelayAfterAFailure", delayAfterAFailure},
+                    Item{"WorkersThatFailedATask", workersThatFailedATask}, Item{"SuspectWorkers", suspectWorkers},
                     Item{"TimeOverTheTarget", timeOverTheTarget}, Item{"LearnedRunTimes", learnedRunTimes},
                     Item{"AgeOfALastingRun", ageOfALastingRun}, Item{"RunNumbers", runNumbers}),
     [](const auto &row) { return row.param.name; });
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -300,6 +300,9 @@
     progress.occurrences[0][0].checkpoints = {{1, {4, "c5"}}};
     EXPECT_EQ(valueOf([&] { return rows.decodeProgress(rows.encode(progress)); }), progress);
     progress.occurrences[0][0].checkpoints.clear();
+    progress.occurrences[0][0].avoidedWorkers = {{1, {WorkerId("w3")}}};
+    EXPECT_EQ(valueOf([&] { return rows.decodeProgress(rows.encode(progress)); }), progress);
+    progress.occurrences[0][0].avoidedWorkers.clear();
     using codec::Json;
     const auto older = codec::writeCbor(
         {{"state", 1},
