Tests of what a new leader learns or assumes correctly

Rows for a silent worker, a worker that was lost under the former leader, failed attempts and crashes over several leaders, and the pace of a run.

--- a/tests/execution/takeoverknowledgetest.cpp
+++ b/tests/execution/takeoverknowledgetest.cpp
@@ -543,6 +543,104 @@
     EXPECT_GT(starts.front().run, last);
 }
 
+// Guards against a second start, a stop and a lost checkpoint because a worker was silent at the change of leader.
+void silentWorker()
+{
+    Handover handover(plainStep());
+    const int worker = startWithCheckpoint(handover, "c4");
+    handover.silence(worker);
+    handover.handOver();
+    handover.silence(worker);
+    handover.report(1 - worker);
+    for (int n = 0; n < 5; ++n) {
+        EXPECT_TRUE(handover.plan().starts.empty()) << "the lease of the former leader may last";
+        handover.advance(1s);
+    }
+    handover.reportAll();
+    const auto orders = handover.plan();
+    EXPECT_TRUE(orders.starts.empty());
+    EXPECT_TRUE(orders.stops.empty());
+    EXPECT_EQ(handover.log.count("run-adopted"), 1);
+    EXPECT_EQ(handover.log.count("worker-lost"), 0);
+}
+
+// The runs of a worker that was lost under the former leader are not known, and its next process counts as no crash.
+void runsOfALostWorker()
+{
+    Handover handover(plainStep());
+    const int worker = startWithCheckpoint(handover, "c4");
+    handover.silence(worker);
+    handover.handOver();
+    handover.silence(worker);
+    handover.advance(1s);
+    handover.restart(worker);
+    handover.report(1 - worker);
+    EXPECT_EQ(handover.leader().find(Key)->crashCount(Task), 0);
+    EXPECT_EQ(handover.start().size(), 1U);
+}
+
+// Failed attempts are stored: the successor neither forgets one nor counts it twice if it is listed again.
+void failedAttempts()
+{
+    Handover handover(plainStep());
+    for (int n = 0; n < MaxAttempts; ++n) {
+        handover.advance(10s);
+        handover.reportAll();
+        const auto starts = handover.start();
+        ASSERT_EQ(starts.size(), 1U) << "failed after " << n << " attempts";
+        const int worker = handover.indexOf(starts.front().worker);
+        handover.list(worker, {running(starts.front().run)});
+        handover.end(worker, jobs::RunEnd::Failed);
+        if (n % 2 == 0) {
+            handover.store();
+        }
+        handover.handOver();
+        handover.advance(100ms);
+        handover.reportAll();
+        handover.store();
+    }
+    EXPECT_TRUE(handover.leader().find(Key) == nullptr || !handover.leader().find(Key)->isOpen());
+}
+
+// Guards against blaming a worker and its task for a run that another leader had paused, as it makes no progress.
+void paceOfARun()
+{
+    Handover handover(leftoverStep());
+    const auto starts = handover.start();
+    ASSERT_EQ(starts.size(), 1U);
+    const int worker = handover.indexOf(starts.front().worker);
+    handover.list(worker, {running(starts.front().run, "c1", 40)});
+    handover.handOver();
+    handover.advance(100ms);
+    handover.reportAll();
+    const auto orders = handover.plan();
+    ASSERT_EQ(orders.paces.size(), 1U) << "nobody else resumes it";
+    EXPECT_TRUE(orders.stops.empty());
+    handover.advance(2s);
+    handover.reportAll();
+    EXPECT_TRUE(handover.plan().stops.empty());
+}
+
+// Crashes are stored: the successor adds to those that the former leader has charged.
+void crashesAfterATakeover()
+{
+    Handover handover(plainStep(), 1);
+    for (int n = 0; n < 2; ++n) {
+        const auto starts = handover.start();
+        ASSERT_EQ(starts.size(), 1U);
+        handover.list(0, {running(starts.front().run)});
+        handover.advance(100ms);
+        handover.reportAll();
+        handover.restart(0);
+        handover.store();
+        handover.handOver();
+        handover.advance(100ms);
+        handover.reportAll();
+        EXPECT_EQ(handover.leader().find(Key)->crashCount(Task), n + 1);
+    }
+    EXPECT_EQ(handover.start().size(), 1U) << "the only worker is free";
+}
+
 struct Item
 {
     std::string name;
@@ -568,18 +666,19 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Items, TakeoverKnowledge,
-    testing::Values(Item{"CheckpointOfAStoppedRun", [] { checkpointOfAnEndedRun(plainStep(), jobs::RunEnd::Stopped); }},
-                    Item{"CheckpointOfALapsedRun", [] { checkpointOfAnEndedRun(plainStep(), jobs::RunEnd::Lapsed); }},
-                    Item{"CheckpointOfAFailedRun", [] { checkpointOfAnEndedRun(plainStep(), jobs::RunEnd::Failed); }},
-                    Item{"CheckpointOfAGang", [] { checkpointOfAnEndedRun(gangStep(), jobs::RunEnd::Stopped); }},
-                    Item{"CheckpointOfALostRun", checkpointOfALostRun},
-                    Item{"CheckpointOfAnEarlierRun", checkpointOfAnEarlierRun},
-                    Item{"StopOrderedByTheFormerLeader", stopOrderedByTheFormerLeader},
-                    Item{"CancelledWhileNobodyLed", cancelledWhileNobodyLed},
-                    Item{"DelayAfterAFailure", delayAfterAFailure},
-                    Item{"WorkersThatFailedATask", workersThatFailedATask}, Item{"SuspectWorkers", suspectWorkers},
-                    Item{"TimeOverTheTarget", timeOverTheTarget}, Item{"LearnedRunTimes", learnedRunTimes},
-                    Item{"AgeOfALastingRun", ageOfALastingRun}, Item{"RunNumbers", runNumbers}),
+    testing::Values(
+        Item{"CheckpointOfAStoppedRun", [] { checkpointOfAnEndedRun(plainStep(), jobs::RunEnd::Stopped); }},
+        Item{"CheckpointOfALapsedRun", [] { checkpointOfAnEndedRun(plainStep(), jobs::RunEnd::Lapsed); }},
+        Item{"CheckpointOfAFailedRun", [] { checkpointOfAnEndedRun(plainStep(), jobs::RunEnd::Failed); }},
+        Item{"CheckpointOfAGang", [] { checkpointOfAnEndedRun(gangStep(), jobs::RunEnd::Stopped); }},
+        Item{"CheckpointOfALostRun", checkpointOfALostRun}, Item{"CheckpointOfAnEarlierRun", checkpointOfAnEarlierRun},
+        Item{"StopOrderedByTheFormerLeader", stopOrderedByTheFormerLeader},
+        Item{"CancelledWhileNobodyLed", cancelledWhileNobodyLed}, Item{"DelayAfterAFailure", delayAfterAFailure},
+        Item{"WorkersThatFailedATask", workersThatFailedATask}, Item{"SuspectWorkers", suspectWorkers},
+        Item{"TimeOverTheTarget", timeOverTheTarget}, Item{"LearnedRunTimes", learnedRunTimes},
+        Item{"AgeOfALastingRun", ageOfALastingRun}, Item{"RunNumbers", runNumbers}, Item{"SilentWorker", silentWorker},
+        Item{"RunsOfALostWorker", runsOfALostWorker}, Item{"FailedAttempts", failedAttempts},
+        Item{"PaceOfARun", paceOfARun}, Item{"CrashesAfterATakeover", crashesAfterATakeover}),
     [](const auto &row) { return row.param.name; });
 
 } // namespace monsoonspool::execution
