--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -94,6 +94,11 @@
     return json;
 }
 
+// Positions of the fields of a step's progress that are left out while they and all later ones are empty.
+constexpr std::size_t PossiblyCrashedRunsField = 3;
+constexpr std::size_t CheckpointsField = 4;
+constexpr std::size_t AvoidedWorkersField = 5;
+
 std::map<int, std::vector<jobs::RunNumber>> decodeRunsByTask(const Json &json)
 {
     std::map<int, std::vector<jobs::RunNumber>> runsByTask;
@@ -112,6 +117,15 @@
     return json;
 }
 
+Json encodeCheckpoints(const std::map<int, jobs::Checkpoint> &checkpoints)
+{
+    Json json = Json::array();
+    for (const auto &[index, checkpoint] : checkpoints) {
+        json.push_back(Json::array({index, checkpoint.run, checkpoint.text}));
+    }
+    return json;
+}
+
 std::map<int, jobs::RunNumber> decodeRunByTask(const Json &json)
 {
     std::map<int, jobs::RunNumber> runByTask;
@@ -121,6 +135,40 @@
     return runByTask;
 }
 
+std::map<int, jobs::Checkpoint> decodeCheckpoints(const Json &json)
+{
+    std::map<int, jobs::Checkpoint> checkpoints;
+    for (const auto &it : json) {
+        checkpoints[it.at(0).get<int>()] = {it.at(1).get<jobs::RunNumber>(), it.at(2).get<std::string>()};
+    }
+    return checkpoints;
+}
+
+Json encodeWorkersByTask(const std::map<int, std::vector<WorkerId>> &workersByTask)
+{
+    Json json = Json::array();
+    for (const auto &[index, workers] : workersByTask) {
+        Json ids = Json::array();
+        for (const auto &it : workers) {
+            ids.push_back(it.text());
+        }
+        json.push_back(Json::array({index, std::move(ids)}));
+    }
+    return json;
+}
+
+std::map<int, std::vector<WorkerId>> decodeWorkersByTask(const Json &json)
+{
+    std::map<int, std::vector<WorkerId>> workersByTask;
+    for (const auto &it : json) {
+        auto &workers = workersByTask[it.at(0).get<int>()];
+        for (const auto &id : it.at(1)) {
+            workers.emplace_back(id.get<std::string>());
+        }
+    }
+    return workersByTask;
+}
+
 Json encodePolicy(const jobs::QueuePolicy &policy)
 {
     Json json = {{"queue", policy.queue},       {"service", policy.service.text()},
@@ -201,11 +249,17 @@
         Json encoded = Json::array();
         for (const auto &it : steps) {
             Json step = Json::array({it.tasks, encodeRunsByTask(it.failedRuns)});
-            if (!it.crashedRuns.empty() || !it.possiblyCrashedRuns.empty()) {
-                step.push_back(encodeRunsByTask(it.crashedRuns));
+            // The last fields are left out while they are empty; earlier releases ignore them.
+            std::vector<Json> fields;
+            fields.push_back(encodeRunsByTask(it.crashedRuns));
+            fields.push_back(encodeRunByTask(it.possiblyCrashedRuns));
+            fields.push_back(encodeCheckpoints(it.checkpoints));
+            fields.push_back(encodeWorkersByTask(it.avoidedWorkers));
+            while (!fields.empty() && fields.back().empty()) {
+                fields.pop_back();
             }
-            if (!it.possiblyCrashedRuns.empty()) {
-                step.push_back(encodeRunByTask(it.possiblyCrashedRuns));
+            for (auto &field : fields) {
+                step.push_back(std::move(field));
             }
             encoded.push_back(std::move(step));
         }
@@ -233,8 +287,14 @@
                 if (it.size() > 2) {
                     step.crashedRuns = decodeRunsByTask(it.at(2));
                 }
-                if (it.size() > 3) {
-                    step.possiblyCrashedRuns = decodeRunByTask(it.at(3));
+                if (it.size() > PossiblyCrashedRunsField) {
+                    step.possiblyCrashedRuns = decodeRunByTask(it.at(PossiblyCrashedRunsField));
+                }
+                if (it.size() > CheckpointsField) {
+                    step.checkpoints = decodeCheckpoints(it.at(CheckpointsField));
+                }
+                if (it.size() > AvoidedWorkersField) {
+                    step.avoidedWorkers = decodeWorkersByTask(it.at(AvoidedWorkersField));
                 }
             }
         }
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -149,6 +149,9 @@
             }
             endRun(worker, it.task, it.outcome, it.checkpoint, now);
         } else {
+            if (it.outcome == jobs::RunEnd::Failed) {
+                noteFormerFailure(worker.entry().id, it.task);
+            }
             applyEnd(it.task, it.run, it.outcome, it.checkpoint, now);
         }
     }
@@ -156,16 +159,28 @@
 
 void Fleet::Private::noteFailure(workers::Worker &worker, const jobs::TaskId &task, TimePoint now)
 {
-    if (auto *job = findJob(task.job)) {
-        auto &avoided = job->avoidedWorkers[task];
-        if (avoided.size() >= MaxAvoidedWorkers) {
+    auto *job = findJob(task.job);
+    if (job != nullptr && job->job.contains(task)) {
+        if (job->job.avoidedWorkers(task).size() >= MaxAvoidedWorkers) {
             return; // says nothing about the worker
         }
-        avoided.push_back(worker.entry().id);
+        job->job.noteAvoidedWorker(task, worker.entry().id);
     }
     worker.noteFailure(now);
 }
 
+void Fleet::Private::noteFormerFailure(const WorkerId &worker, const jobs::TaskId &task)
+{
+    auto *job = findJob(task.job);
+    if (job == nullptr || !job->job.contains(task)) {
+        return;
+    }
+    const auto avoided = job->job.avoidedWorkers(task);
+    if (avoided.size() < MaxAvoidedWorkers && std::ranges::find(avoided, worker) == avoided.end()) {
+        job->job.noteAvoidedWorker(task, worker);
+    }
+}
+
 void Fleet::Private::recordCompletion(workers::Worker &worker, const workers::Run &run, TimePoint now)
 {
     worker.noteDone(now);
@@ -266,6 +281,9 @@
     }
     log.record("held-ends-applied", {{"job", key}, {"ends", node.mapped().size()}});
     for (const auto &it : node.mapped()) {
+        if (it.end.outcome == jobs::RunEnd::Failed) {
+            noteFormerFailure(it.worker, it.end.task);
+        }
         applyEnd(it.end.task, it.end.run, it.end.outcome, it.end.checkpoint, now);
         release(it);
     }
@@ -311,7 +329,7 @@
         run->smoothedLevel += SmoothingWeight * (static_cast<double>(it.level) - run->smoothedLevel);
         auto *job = findJob(it.task.job);
         if (!it.checkpoint.empty() && job != nullptr) {
-            job->job.noteCheckpoint(it.task, it.checkpoint);
+            job->job.noteCheckpoint(it.task, it.run, it.checkpoint);
         }
     }
 }
@@ -370,13 +388,14 @@
     run.progressedAt = now;
     run.listedAt = now;
     run.percent = listed.percent;
+    run.adoptedPercent = listed.percent;
     run.level = listed.level;
     if (job == nullptr) {
         unreadJobs.insert(listed.task.job);
     }
     takeOverRun(worker, run, job);
     if (job != nullptr && !listed.checkpoint.empty()) {
-        job->job.noteCheckpoint(listed.task, listed.checkpoint);
+        job->job.noteCheckpoint(listed.task, listed.run, listed.checkpoint);
     }
 }
 
@@ -390,6 +409,12 @@
         const auto &spec = job->job.stepSpec(run.task.step);
         applyStepSpec(run, spec);
         run.isRemote = !spec.dataRack.empty() && worker.entry().rack != spec.dataRack;
+        if (run.tailTarget > Duration(0)) {
+            // The measurements of a former leader are not known, and this one decides at once.
+            const bool isOver = run.level >= toMilliseconds(run.tailTarget);
+            run.smoothedLevel = static_cast<double>(run.level);
+            run.withinTargetAt = isOver ? run.listedAt - AssumedOverTargetTime : run.listedAt;
+        }
         // A former leader may have paced it, and its successor is the only one that will raise the pace.
         run.pace = run.usesLeftover ? workers::UnknownPace : workers::FullPace;
         const bool isOpenOccurrence = run.task.occurrence < static_cast<int>(job->job.occurrences().size());
--- a/src/execution/fleetlocality.cpp
+++ b/src/execution/fleetlocality.cpp
@@ -149,7 +149,7 @@
 bool Fleet::Private::beginsToWaitForRack(TrackedJob &job, const jobs::TaskId &task, RackQuestion &rack, TimePoint now)
 {
     // A task that ran before has lost time already.
-    if (job.rackWaits.contains(task) || job.job.task(task).lastRun > 0 || job.avoidedWorkers.contains(task)
+    if (job.rackWaits.contains(task) || job.job.task(task).lastRun > 0 || !job.job.avoidedWorkers(task).empty()
         || job.job.crashCount(task) > 0) {
         return false;
     }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -45,6 +45,15 @@
 // meets many crashes of other causes in its life. A longer run clears the earlier crashes.
 constexpr Duration LastingTrialTime = 10s;
 
+// The state from which a task resumes.
+struct Checkpoint
+{
+    RunNumber run = 0; // that made it
+    std::string text; // opaque; empty to start from the beginning
+
+    bool operator==(const Checkpoint &) const = default;
+};
+
 struct Task
 {
     bool isDone = false;
@@ -56,6 +65,9 @@
     bool wasLost = false; // a run was lost with a silent worker, which may have crashed
     RunNumber lastRun = 0;
     std::string checkpoint; // to resume from; empty to start from the beginning
+    RunNumber checkpointRun = 0; // that made it
+    std::vector<WorkerId> avoidedWorkers; // on which a run failed or stalled
+    Checkpoint endedCheckpoint; // when a run ended last; stored, since no worker lists it any more
     TimePoint retryAt; // earliest time of the next run
     Duration retryDelay{0}; // after the last failure
 
@@ -94,7 +106,10 @@
     std::string tasks; // one character per task: DoneMark or OpenMark
     std::map<int, std::vector<RunNumber>> failedRuns; // by task index; GangIndex for a whole gang
     std::map<int, std::vector<RunNumber>> crashedRuns; // likewise; of a gang also by member
-    std::map<int, RunNumber> possiblyCrashedRuns; // by task index, also of a gang
+    std::map<int, RunNumber> possiblyCrashedRuns = {}; // by task index, also of a gang
+    // Of tasks that are not done, when a run ended last. By task index; GangIndex for a whole gang.
+    std::map<int, Checkpoint> checkpoints = {};
+    std::map<int, std::vector<WorkerId>> avoidedWorkers = {}; // of tasks that are not done, by index
 
     static constexpr char DoneMark = 'D';
     static constexpr char OpenMark = '.';
@@ -115,6 +130,9 @@
     // do not decide by it. Rows of earlier releases lack it.
     std::optional<WallTime> cancelledAt = std::nullopt;
 
+    // Leaves out what a successor can do without: it then repeats work and failures.
+    void dropOptionalParts();
+
     bool operator==(const JobProgress &) const = default;
 };
 
@@ -122,6 +140,10 @@
 // steps and occurrences, so that each fits into a row of the store: a task takes a byte, and some
 // bytes for each run that failed or crashed.
 constexpr int TasksPerSection = 1000;
+// Checkpoints in a section take at most this many bytes, each counted with what encodes its task and
+// run, and so do avoided workers. A successor starts the tasks of other checkpoints from the beginning.
+constexpr std::size_t MaxOptionalBytes = 16384;
+constexpr std::size_t OptionalPartOverhead = 16;
 
 // A section of a job's progress. Section 0 also holds the job's state.
 struct ProgressSection
@@ -228,8 +250,13 @@
     // Returns the same, and one more if a worker may have crashed under a run that is not known to
     // have begun.
     int crashSuspicion(const TaskId &id) const;
-    // Records the latest checkpoint of a running task.
-    void noteCheckpoint(const TaskId &id, std::string_view checkpoint);
+    // Records that a run of the task failed or stalled on a worker. It is stored with the next change
+    // of the task's progress.
+    void noteAvoidedWorker(const TaskId &id, const WorkerId &worker);
+    // Returns the workers passed to noteAvoidedWorker(), also by earlier schedulers.
+    std::span<const WorkerId> avoidedWorkers(const TaskId &id) const;
+    // Records the latest checkpoint of a run. One of an earlier run than the known one is ignored.
+    void noteCheckpoint(const TaskId &id, RunNumber run, std::string_view checkpoint);
 
     void cancel();
 
@@ -254,6 +281,9 @@
     // Returns the progress of the tasks whose position is in the range.
     JobProgress progressBetween(std::int64_t first, std::int64_t last) const;
     StepProgress stepProgress(int occurrence, int step, std::int64_t first, std::int64_t last) const;
+    // Records that the task resumes from its present checkpoint. Returns whether the persistent state
+    // changed.
+    bool keepCheckpoint(const TaskId &id);
     void markDone(int occurrence, int step, Task &task);
     void restoreStep(int occurrence, int step, const StepProgress &stored);
     bool markFailed(const TaskId &id, RunNumber run, int maxAttempts);
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -52,6 +52,7 @@
     TimePoint answeredAt; // when the worker confirmed the start
     ports::WorkerMillis startDeadline = 0; // the worker rejects the start order after it
     int percent = 0;
+    int adoptedPercent = 0; // when this leader first saw the run, if it did not order it
     TimePoint progressedAt; // last increase of percent
     TimePoint listedAt; // last listing that contains the run
     int pace = FullPace; // UnknownPace if the worker may apply another one than the last ordered
@@ -342,7 +343,8 @@
         return {m_entry.id, m_entry.address, m_startTimeMs};
     }
     // Returns the runs that the worker's process had confirmed, or may have begun without an answer,
-    // and what shows that they existed.
+    // and what shows that they existed. One that this leader did not order counts as older than
+    // LastingTrialTime: how long it ran is not known.
     std::vector<LostRun> possibleRuns(TimePoint now) const;
 
     // Numbers of the last end that was processed and of the last one that the worker need
