A refused run number is skipped instead of a larger range for each term

Change: a term has 1,000 numbers for a task again. When a worker refuses a start as superseded that was not stopped, a former leader has used more, and the next 1,000 are skipped.

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -576,6 +576,12 @@
                    {"run", order.run},
                    {"worker", order.worker.view()},
                    {"answer", static_cast<int>(answer)}});
+    auto *job = d->findJob(order.task.job);
+    if (answer == ports::StartResult::Superseded && !run->isStopSent && job != nullptr) {
+        // A former leader has used more numbers than a term has. The skipped ones belong to no run.
+        job->job.noteRunOrdered(order.task, order.run + RunNumbersPerTerm);
+        job->job.noteRunOver(order.task);
+    }
     if (answer != ports::StartResult::Superseded && answer != ports::StartResult::TooLate) {
         worker->noteUnhealthy(now);
     }
--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-// A leader numbers its runs from (fence - 1) * RunNumbersPerTerm + 1, above those of
-// all earlier leaders. A lasting task that fails every 2 s uses them up in 23 days.
-constexpr jobs::RunNumber RunNumbersPerTerm = 1'000'000;
 // A crash suspect waits this long at most for a worker without another one. The platform takes
 // work as lost that waits for 3 s beside free capacity.
 constexpr Duration MaxTimeKeptApart = 2s;
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -26,6 +26,10 @@
 // a stall, and its failures say nothing about its workers.
 inline constexpr std::size_t MaxAvoidedWorkers = 3;
 
+// A leader numbers its runs from (fence - 1) * RunNumbersPerTerm + 1, above those of
+// all earlier leaders unless one of them has started a task more often.
+inline constexpr jobs::RunNumber RunNumbersPerTerm = 1000;
+
 // A job and the fleet's scheduling state for it.
 struct TrackedJob
 {
