--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -34,6 +34,7 @@
     TimePoint beganAt;
     TimePoint countsFrom; // for the bounds; earlier if the wait may have begun under a former leader
 };
+
 // A leader numbers its runs from (fence - 1) * RunNumbersPerTerm + 1, above those of
 // all earlier leaders unless one of them has started a task more often.
 inline constexpr jobs::RunNumber RunNumbersPerTerm = 1000;
