--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -408,12 +408,8 @@
     RankInput lasting;
     lasting.isLasting = true;
     const std::vector<RankInput> inOrder = {
-        job(0, 5s, 1s, true),
-        job(0, 2s, 1s, false),
-        lasting,
-        job(2, 2s, 1s, true),
-        job(2, 2s, 1s, false),
-        job(0, 2s, 3s, true), // cannot meet its objective
+        job(0, 5s, 1s, true), job(0, 2s, 1s, false), lasting,
+        job(2, 2s, 1s, true), job(2, 2s, 1s, false), job(0, 2s, 3s, true), // cannot meet its objective
         job(2, 2s, 4s, true), // the same, with more work
         job(0, 2s, 9s, true), // cannot finish while still useful
     };
