--- a/src/execution/fleetlocality.cpp
+++ b/src/execution/fleetlocality.cpp
@@ -112,7 +112,7 @@
     return made;
 }
 
-// Many steps of a long queue never need it.
+// Computed on demand, since most steps of a long queue are decided without it.
 void Fleet::Private::addOutlook(const TrackedJob &job, const jobs::TaskId &task, RackQuestion &rack,
                                 TimePoint now) const
 {
--- a/src/execution/fleetmoves.cpp
+++ b/src/execution/fleetmoves.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr int FullPercent = 100;
-// Paces change at most this often: a worker with paced runs is listed every 600 ms.
+// A worker with paced runs is listed every 600 ms, so that a shorter interval would find no news.
 constexpr Duration MoveInterval = 300ms;
 
 bool isThrottled(const workers::Run &run)
--- a/src/http/connectionlimits.h
+++ b/src/http/connectionlimits.h
@@ -83,7 +83,8 @@
     std::array<Entry, ConnectionLimitCount> m_entries;
 };
 
-// Counts a reached limit and writes its log line, except for the usual end of an idle connection. `side` names the listener or the kind of peer.
+// Counts a reached limit and writes its log line, except for the usual end of an idle connection.
+// `side` names the listener or the kind of peer.
 void reportLimit(LimitCounts &counts, ConnectionLimit limit, std::string_view side, std::string_view peer,
                  TimePoint now);
 
--- a/src/scheduling/rackroom.h
+++ b/src/scheduling/rackroom.h
@@ -13,8 +13,9 @@
 
 namespace monsoonspool::scheduling {
 
-// Estimates when a rack, or the workers of one service there, has room for a task: from what ends of runs there gave back lately, and
-// from the tasks that wait for the rack ahead of it. Work on leftover cores is estimated apart.
+// Estimates when a rack, or the workers of one service there, has room for a task: from what ends
+// of runs there gave back lately, and from the tasks that wait for the rack ahead of it. Work on
+// leftover cores is estimated apart.
 //
 // Not thread-safe: owned by the control thread.
 class RackRoom
