Logs and metrics tell why a job stands still

The log of the users' case does not tell its hypotheses apart: start-unanswered lacked the error, and nothing told why a task that could run was not placed.

- start-unanswered has the error, its detail and how long the order took; the detail of a failed call tells how long a reused connection had been idle.
- job-stands-still: each second, for four jobs at most, the task, the cause (one of nine), the run that it waits for, and how many workers of the service may or may not take tasks, and why.

No decision has changed. The report visits all runs once a second.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -61,6 +61,9 @@
     d->reportedEvacuations.clear();
     d->takeoverReportDueAt = now + TakeoverReportInterval;
     d->lastingReportDueAt = now + TakeoverReportInterval;
+    d->standstillReportDueAt = now + StandstillReportInterval;
+    d->jobsStandingSince.clear();
+    d->counts.standingJobs = {};
     d->formerLeaseEnds.clear();
     d->namedSilent.clear();
     d->takenSilent.clear();
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "common/decisionlog.h"
+#include "common/error.h"
 #include "execution/orders.h"
+#include "execution/standstill.h"
 #include "jobs/job.h"
 #include "jobs/queuepolicy.h"
 #include "membership/evacuations.h"
@@ -86,6 +88,7 @@
     std::size_t unreportedWorkers = 0; // of the former leader's roster
     std::size_t heldBackJobs = 0; // whose tasks may still be active on one of these
     std::vector<EvacuatedDomain> evacuatedDomains; // by name
+    StandingJobs standingJobs; // at the last report, at most StandstillReportInterval ago
     std::uint64_t remoteStarts = 0; // off the rack of the task's data, or of gangs' members on several racks
     std::uint64_t rackWaits = 0; // tasks and gangs that began to wait for their rack
     std::uint64_t rackWaitsMet = 0; // those of them that started there
@@ -214,8 +217,9 @@
     void markSilent(const WorkerId &id, TimePoint now);
     void applyStartReply(const StartTask &order, ports::StartResult answer, TimePoint now);
     // Handles a start order that got no reply or, unless `maybeStarted`, certainly was
-    // not delivered.
-    void applyStartFailure(const StartTask &order, bool maybeStarted, TimePoint now);
+    // not delivered. `failure` is logged.
+    void applyStartFailure(const StartTask &order, bool maybeStarted, TimePoint now,
+                           const Failure &failure = {ErrorKind::StoreReplyLost, {}});
     void confirmStop(const StopTask &order, TimePoint now);
     void applyStopFailure(const StopTask &order, TimePoint now);
     // Handles a pace order that was not confirmed; the next plan repeats it.
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -591,7 +591,7 @@
     d->endRun(*worker, order.task, jobs::RunEnd::Stopped, {}, now);
 }
 
-void Fleet::applyStartFailure(const StartTask &order, bool maybeStarted, TimePoint now)
+void Fleet::applyStartFailure(const StartTask &order, bool maybeStarted, TimePoint now, const Failure &failure)
 {
     auto *worker = d->findWorker(order.worker);
     auto *run = d->findRun(order.worker, order.task, order.run);
@@ -602,7 +602,10 @@
                   {{"task", order.task},
                    {"run", order.run},
                    {"worker", order.worker.view()},
-                   {"maybeStarted", maybeStarted ? 1 : 0}});
+                   {"maybeStarted", maybeStarted ? 1 : 0},
+                   {"error", errorInfo(failure.kind).name},
+                   {"detail", failure.detail},
+                   {"tookMs", toMilliseconds(now - run->orderedAt)}});
     if (!maybeStarted) {
         worker->noteUnhealthy(now);
         d->endRun(*worker, order.task, jobs::RunEnd::Stopped, {}, now);
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -41,6 +41,7 @@
     }
     if (!d->mayStartTasks(now) || maxStarts <= 0) {
         d->reportLastingTasks(now);
+        d->reportStandstills(now);
         return orders;
     }
     d->unplaceableDemands.clear();
@@ -64,6 +65,7 @@
     }
     d->moveThrottledRuns(now);
     d->reportLastingTasks(now);
+    d->reportStandstills(now);
     d->counts.starts += orders.starts.size();
     d->counts.startsDuringTakeover += d->unreportedWorkers.empty() ? 0 : orders.starts.size();
     d->counts.paces += orders.paces.size();
--- /dev/null
+++ b/src/execution/fleetstandstill.cpp
@@ -0,0 +1,174 @@
+// Reports of Fleet on jobs that have nothing at work although a task's turn has come.
+#include "execution/fleetstate.h"
+#include "jobs/names.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace monsoonspool::execution {
+
+namespace {
+
+// Of one report, so that the volume does not grow with the number of jobs that wait for room.
+constexpr std::size_t MaxReportedJobs = 4;
+
+constexpr std::array<std::string_view, StandstillCauseCount> CauseNames
+    = {"takeover", "starts-suspended", "retry-pause", "order-unanswered", "order-in-doubt",
+       "stop",     "no-worker",        "no-room",     "not-placed"};
+
+StandstillCause causeOf(workers::RunState state)
+{
+    switch (state) {
+    case workers::RunState::Ordered:
+        return StandstillCause::OrderUnanswered;
+    case workers::RunState::Unanswered:
+        return StandstillCause::OrderInDoubt;
+    default:
+        return StandstillCause::Stop;
+    }
+}
+
+} // namespace
+
+std::string_view standstillCauseName(StandstillCause cause)
+{
+    return CauseNames[static_cast<std::size_t>(cause)];
+}
+
+// A job with a task at work is left out. Returns the jobs whose runs are all unconfirmed, with the first
+// of these runs.
+std::unordered_map<jobs::JobKey, Fleet::Private::UnconfirmedRun> Fleet::Private::jobsWithoutConfirmedRun() const
+{
+    std::unordered_map<jobs::JobKey, UnconfirmedRun> unconfirmed;
+    std::unordered_set<jobs::JobKey> atWork;
+    for (const auto *worker : workers) {
+        for (const auto &it : worker->runs()) {
+            if (it.state == workers::RunState::Running) {
+                atWork.insert(it.task.job);
+            } else {
+                unconfirmed.try_emplace(it.task.job, UnconfirmedRun{worker, &it});
+            }
+        }
+    }
+    std::erase_if(unconfirmed, [&](const auto &it) { return atWork.contains(it.first); });
+    return unconfirmed;
+}
+
+// Returns the first task that could run.
+std::optional<jobs::TaskId> Fleet::Private::firstWaitingTask(const TrackedJob &job) const
+{
+    const auto &spec = job.job.spec();
+    for (int k = 0; k < static_cast<int>(job.job.occurrences().size()); ++k) {
+        for (int s = 0; s < static_cast<int>(spec.steps.size()); ++s) {
+            const auto &step = job.job.step(k, s);
+            if (!step.hasWaiting() || !job.job.isReady(k, s)) {
+                continue;
+            }
+            const auto task = std::ranges::find_if(step.tasks, &jobs::Task::isWaiting);
+            if (task != step.tasks.end()) {
+                return jobs::TaskId{job.job.key(), k, s, static_cast<int>(task - step.tasks.begin())};
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+StandstillCause Fleet::Private::causeOfWaiting(const TrackedJob &job, const jobs::TaskId &task, TimePoint now)
+{
+    if (isBlockedByTakeover(job)) {
+        return StandstillCause::Takeover;
+    }
+    if (areStartsSuspended) {
+        return StandstillCause::StartsSuspended;
+    }
+    if (now < job.job.task(task).retryAt) {
+        return StandstillCause::RetryPause;
+    }
+    const auto demand = demandOf(job, task, {});
+    bool hasEligible = false;
+    for (const auto *it : workers) {
+        if (!scheduling::isEligible(*it, demand, now)) {
+            continue;
+        }
+        hasEligible = true;
+        if (it->fits(demand.step->needs, demand.step->usesLeftover)) {
+            return StandstillCause::NotPlaced;
+        }
+    }
+    return hasEligible ? StandstillCause::NoRoom : StandstillCause::NoWorker;
+}
+
+void Fleet::Private::logStandstill(const Standstill &standstill, TimePoint now)
+{
+    const auto *job = findJob(standstill.task.job);
+    std::array<std::size_t, workers::PlacementObstacleCount> obstacles{};
+    for (const auto *it : workers) {
+        if (it->entry().service.view() == policyOf(*job).service.view()) {
+            ++obstacles[static_cast<std::size_t>(it->placementObstacle(now))];
+        }
+    }
+    const auto count = [&](workers::PlacementObstacle it) { return obstacles[static_cast<std::size_t>(it)]; };
+    log.record("job-stands-still",
+               {{"task", standstill.task},
+                {"cause", standstillCauseName(standstill.cause)},
+                {"standsMs", toMilliseconds(now - standstill.since)},
+                {"worker", standstill.worker == nullptr ? std::string_view() : standstill.worker->entry().id.view()},
+                {"run", standstill.run},
+                {"runAgeMs", toMilliseconds(standstill.runAge)},
+                {"usable", count(workers::PlacementObstacle::None)},
+                {"silent", count(workers::PlacementObstacle::Silent)},
+                {"unhealthy", count(workers::PlacementObstacle::Unhealthy)},
+                {"onTrial", count(workers::PlacementObstacle::OnTrial)},
+                {"unconfirmed", count(workers::PlacementObstacle::Unconfirmed)},
+                {"leaving", count(workers::PlacementObstacle::Leaving)}});
+}
+
+void Fleet::Private::reportStandstills(TimePoint now)
+{
+    if (now < standstillReportDueAt) {
+        return;
+    }
+    standstillReportDueAt = now + StandstillReportInterval;
+    const auto unconfirmed = jobsWithoutConfirmedRun();
+    std::vector<Standstill> standing;
+    for (const auto &[key, it] : unconfirmed) {
+        const auto *job = findJob(key);
+        if (job != nullptr && job->job.isOpen()) {
+            const auto runAge = now - it.run->orderedAt;
+            standing.push_back(
+                {it.run->task, causeOf(it.run->state), it.run->orderedAt, it.worker, it.run->number, runAge});
+        }
+    }
+    for (const auto &key : jobsToPlace) {
+        const auto *job = findJob(key);
+        if (job == nullptr || !job->job.isOpen() || job->activeRuns > 0) {
+            continue;
+        }
+        if (const auto task = firstWaitingTask(*job)) {
+            standing.push_back({*task, causeOfWaiting(*job, *task, now), now, nullptr, 0, Duration(0)});
+        }
+    }
+    std::unordered_map<jobs::JobKey, TimePoint> standingSince;
+    counts.standingJobs = {};
+    for (auto &it : standing) {
+        const auto known = jobsStandingSince.find(it.task.job);
+        it.since = known == jobsStandingSince.end() ? it.since : std::min(it.since, known->second);
+        standingSince[it.task.job] = it.since;
+        if (now - it.since >= MinReportedStandstill) {
+            ++counts.standingJobs.byCause[static_cast<std::size_t>(it.cause)];
+            counts.standingJobs.longest = std::max(counts.standingJobs.longest, now - it.since);
+        }
+    }
+    jobsStandingSince = std::move(standingSince);
+    std::erase_if(standing, [&](const Standstill &it) { return now - it.since < MinReportedStandstill; });
+    // A lack of room is usual under load, and must not hide the others.
+    std::ranges::sort(standing, {}, [](const Standstill &it) {
+        return std::tuple(it.cause == StandstillCause::NoRoom, it.since, it.task.job);
+    });
+    standing.resize(std::min(standing.size(), MaxReportedJobs));
+    for (const auto &it : standing) {
+        logStandstill(it, now);
+    }
+}
+
+} // namespace monsoonspool::execution
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -103,8 +103,8 @@
 
 // State of Fleet. Its event handling is in fleet.cpp, fleetlistings.cpp, fleetcrashes.cpp,
 // fleetevacuation.cpp and fleettakeover.cpp; fleetplan.cpp makes a plan by the steps in
-// fleetdraining.cpp, fleetpacing.cpp, fleetqueue.cpp, fleetplacement.cpp, fleetlocality.cpp and
-// fleetmoves.cpp.
+// fleetdraining.cpp, fleetpacing.cpp, fleetqueue.cpp, fleetplacement.cpp, fleetlocality.cpp,
+// fleetmoves.cpp and fleetstandstill.cpp.
 struct Fleet::Private
 {
     explicit Private(DecisionLog &decisionLog);
@@ -187,6 +187,26 @@
     void reportTakeover(TimePoint now);
     // Logs at intervals why lasting tasks do not run.
     void reportLastingTasks(TimePoint now);
+    // Logs and counts at intervals which jobs have nothing at work although a task's turn has come.
+    void reportStandstills(TimePoint now);
+    struct Standstill
+    {
+        jobs::TaskId task;
+        StandstillCause cause = StandstillCause::NotPlaced;
+        TimePoint since;
+        const workers::Worker *worker = nullptr; // of the run that the task waits for, if any
+        jobs::RunNumber run = 0;
+        Duration runAge{0};
+    };
+    struct UnconfirmedRun
+    {
+        const workers::Worker *worker = nullptr;
+        const workers::Run *run = nullptr;
+    };
+    std::unordered_map<jobs::JobKey, UnconfirmedRun> jobsWithoutConfirmedRun() const;
+    std::optional<jobs::TaskId> firstWaitingTask(const TrackedJob &job) const;
+    StandstillCause causeOfWaiting(const TrackedJob &job, const jobs::TaskId &task, TimePoint now);
+    void logStandstill(const Standstill &standstill, TimePoint now);
     // Returns the number of open jobs that wait for the workers that have not reported.
     std::size_t heldBackJobs() const;
     // Returns the workers that are still known.
@@ -286,6 +306,8 @@
     TimePoint formerLeasesEnd;
     TimePoint takeoverReportDueAt;
     TimePoint lastingReportDueAt;
+    TimePoint standstillReportDueAt;
+    std::unordered_map<jobs::JobKey, TimePoint> jobsStandingSince; // at the last report
     std::set<WorkerId> unreportedWorkers; // on the former leader's roster; have not reported their runs
     std::map<WorkerId, TimePoint> formerLeaseEnds; // on workers that the claimed row names as silent
     std::set<WorkerId> namedSilent; // workers that the stored row may name as silent
--- a/src/execution/workercontroller.cpp
+++ b/src/execution/workercontroller.cpp
@@ -163,7 +163,7 @@
             return;
         }
         const bool maybeStarted = kind != ErrorKind::DaemonUnreachable && kind != ErrorKind::Superseded;
-        fleet.applyStartFailure(order, maybeStarted, now);
+        fleet.applyStartFailure(order, maybeStarted, now, result.failure());
         hooks.onChange();
     }
 
--- a/src/http/apiclient.cpp
+++ b/src/http/apiclient.cpp
@@ -85,6 +85,7 @@
     std::chrono::milliseconds timeout{0}; // of the current call
     Clock::time_point deadline; // of the current call
     std::size_t timeoutIndex = 0;
+    std::optional<std::chrono::milliseconds> idleTime; // before the current call, unless the connection is new
     bool isOverdue = false; // at the last check of deadlines
     bool isTimedOut = false;
     FramingMeter meter; // of the current response
@@ -211,9 +212,12 @@
 
 std::string describeError(const Connection &connection, const beast::error_code &ec)
 {
-    return connection.isOverLimit ? "the response exceeds a limit"
-        : connection.isTimedOut   ? "timed out waiting for a response"
-                                  : ec.message();
+    const std::string what = connection.isOverLimit ? "the response exceeds a limit"
+        : connection.isTimedOut                     ? "timed out waiting for a response"
+                                                    : ec.message();
+    return connection.idleTime
+        ? what + ", on a connection that was idle for " + std::to_string(connection.idleTime->count()) + " ms"
+        : what;
 }
 
 } // namespace
@@ -280,6 +284,7 @@
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(n));
         const auto idleTime = now - connection->lastUsed;
         if (idleTime < MaxUncheckedIdleTime || (idleTime < MaxIdleTime && !isStale(*connection))) {
+            connection->idleTime = std::chrono::duration_cast<std::chrono::milliseconds>(idleTime);
             return connection;
         }
         --openCount;
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -84,20 +84,26 @@
     return isChanged;
 }
 
-bool Worker::isSchedulable(TimePoint now) const
+PlacementObstacle Worker::placementObstacle(TimePoint now) const
 {
-    if (!m_isListed || !m_isRostered || !m_isConfirmed || m_isSilent || m_entry.isDraining
-        || now < m_unschedulableUntil) {
-        return false;
+    if (!m_isListed || m_entry.isDraining || m_isEvacuated) {
+        return PlacementObstacle::Leaving;
     }
-    if (isRestartAnnounced() || m_awaitsTermRenewalSince || m_isNamedSilent || m_isEvacuated) {
-        return false;
+    if (m_isSilent || m_isNamedSilent) {
+        return PlacementObstacle::Silent;
+    }
+    if (!m_isRostered || !m_isConfirmed || isRestartAnnounced() || m_awaitsTermRenewalSince) {
+        return PlacementObstacle::Unconfirmed;
+    }
+    if (now < m_unschedulableUntil) {
+        return PlacementObstacle::Unhealthy;
     }
     if (!isSuspect() || now - m_lastFailureAt > SuspicionTimeout) {
-        return true;
+        return PlacementObstacle::None;
     }
     // Runs ordered before the failure are not trials: lasting tasks may never end.
-    return std::ranges::none_of(m_runs, [&](const Run &it) { return it.orderedAt > m_lastFailureAt; });
+    const bool hasTrial = std::ranges::any_of(m_runs, [&](const Run &it) { return it.orderedAt > m_lastFailureAt; });
+    return hasTrial ? PlacementObstacle::OnTrial : PlacementObstacle::None;
 }
 
 Resources Worker::unreservedResources() const
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -8,6 +8,7 @@
 #include "workers/workerclock.h"
 
 #include <bitset>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -35,6 +36,17 @@
 // Differs from every valid pace, so that the next plan orders one.
 constexpr int UnknownPace = -1;
 
+// Why nothing new may be placed on a worker.
+enum class PlacementObstacle {
+    None,
+    Leaving, // not listed, draining, or its failure domain is evacuated
+    Unconfirmed, // it has not answered this leader, or the stored roster does not list it yet
+    Silent,
+    Unhealthy, // it rejected an order or failed tasks a short time ago
+    OnTrial, // it failed several tasks, and one task is at work to see whether it still does
+};
+inline constexpr std::size_t PlacementObstacleCount = 6;
+
 // A run that may be active on a worker.
 struct Run
 {
@@ -255,7 +267,11 @@
         }
     }
     // Returns whether new tasks may be placed on the worker.
-    bool isSchedulable(TimePoint now) const;
+    bool isSchedulable(TimePoint now) const
+    {
+        return placementObstacle(now) == PlacementObstacle::None;
+    }
+    PlacementObstacle placementObstacle(TimePoint now) const;
     bool isConfirmed() const
     {
         return m_isConfirmed;
