Runs in doubt are settled by asking the worker at once

The leader's log has start and start-unanswered in the same millisecond.

Cause: an order that failed without an answer was settled by waiting. The listing under way (up to 1.5 s) was sent too early to tell, the next one led to a stop, and one more listing (up to 1.5 s) or the order's deadline (2.5 s) told that the run was gone. The worker was taken as fit meanwhile, so that one which answers listings and no orders was chosen again each time.

Change: an order that fails within 300 ms has met an ended connection and is sent once more for the same run, which the worker answers alike whether or not it has received the first one. Otherwise, and if that gets no answer, the worker's runs are queried without a wait; a run that is not listed is stopped, and is gone once a query sent after the confirmed stop does not list it. A refusal of the repeated order says nothing about the first one, unless the worker has ended the run. A worker that leaves orders without an answer gets one trial order after a growing pause.

Ruled out: to take a failed order as not sent. The worker may have read it before it ended the connection, so the task could run twice.

Before, the double of the link could only fail an order after 700 ms; a connection that ends is now a fault of it.

--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -222,6 +222,10 @@
                            const Failure &failure = {ErrorKind::StoreReplyLost, {}});
     void confirmStop(const StopTask &order, TimePoint now);
     void applyStopFailure(const StopTask &order, TimePoint now);
+    // Applies the listing with which a worker answered a query sent at `sentAt`. It may have overtaken
+    // the answers to renewals, so that it only settles runs that are in doubt.
+    void applyQueryAnswer(const QueryRuns &query, const ports::WorkerListing &listing, TimePoint sentAt, TimePoint now);
+    void applyQueryFailure(const QueryRuns &query, TimePoint now);
     // Handles a pace order that was not confirmed; the next plan repeats it.
     void applyPaceFailure(const PaceTask &order);
 
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -308,14 +308,7 @@
             }
             continue;
         }
-        run->isListed = true;
-        run->listedAt = now;
-        if (run->state == workers::RunState::Ordered || run->state == workers::RunState::Unanswered) {
-            markBegun(it.task.job);
-            run->state = workers::RunState::Running;
-            run->answeredAt = std::min(now, std::max(run->orderedAt, sentAt));
-            run->progressedAt = now;
-        }
+        confirmListedRun(*run, sentAt, now);
         if (it.percent > run->percent) {
             run->progressedAt = now;
         }
@@ -334,6 +327,18 @@
     }
 }
 
+void Fleet::Private::confirmListedRun(workers::Run &run, TimePoint sentAt, TimePoint now)
+{
+    run.isListed = true;
+    run.listedAt = now;
+    if (run.state == workers::RunState::Ordered || run.state == workers::RunState::Unanswered) {
+        markBegun(run.task.job);
+        run.state = workers::RunState::Running;
+        run.answeredAt = std::min(now, std::max(run.orderedAt, sentAt));
+        run.progressedAt = now;
+    }
+}
+
 void Fleet::Private::observeInterference(workers::Worker &worker, TimePoint now)
 {
     if (now - worker.observedAt() < ObserveInterval) {
@@ -461,32 +466,11 @@
         if (isListed) {
             continue;
         }
-        switch (run.state) {
-        case workers::RunState::Ordered:
-            break;
-        case workers::RunState::Unanswered:
-            if (sentAt > run.unansweredAt) {
-                if (listing.clock > run.startDeadline + workers::LeaseMargin) {
-                    gone.push_back(run.task);
-                } else {
-                    requestStop(run);
-                }
-            }
-            break;
-        case workers::RunState::Running:
-            if (sentAt > run.answeredAt) {
-                gone.push_back(run.task);
-            }
-            break;
-        case workers::RunState::Stopping: {
-            const bool cannotStart = (run.isStopConfirmed && sentAt > run.stopConfirmedAt)
-                || (run.answeredAt != TimePoint() && sentAt > run.answeredAt)
-                || (run.startDeadline != 0 && listing.clock > run.startDeadline + workers::LeaseMargin);
-            if (cannotStart) {
-                gone.push_back(run.task);
-            }
-            break;
-        }
+        const bool isUnansweredBefore = run.state == workers::RunState::Unanswered && sentAt > run.unansweredAt;
+        if (isGone(run, listing.clock, sentAt)) {
+            gone.push_back(run.task);
+        } else if (isUnansweredBefore && !run.isRepeatUnderWay) {
+            requestStop(run);
         }
     }
     for (const auto &it : gone) {
@@ -554,6 +538,7 @@
     for (auto &it : runs) {
         it.isStopSent = false;
         it.isStopConfirmed = false;
+        it.mayRepeatStart = false; // the order was meant for the former process
         worker.add(it);
     }
 }
@@ -565,6 +550,8 @@
     if (run == nullptr) {
         return;
     }
+    worker->noteOrderAnswered();
+    run->isRepeatUnderWay = false;
     if (answer == ports::StartResult::Accepted) {
         d->markBegun(order.task.job);
         if (run->state == workers::RunState::Ordered || run->state == workers::RunState::Unanswered) {
@@ -579,15 +566,20 @@
                    {"run", order.run},
                    {"worker", order.worker.view()},
                    {"answer", static_cast<int>(answer)}});
+    if (answer != ports::StartResult::Superseded && answer != ports::StartResult::TooLate) {
+        worker->noteUnhealthy(now);
+    }
+    if (run->wasStartRepeated) {
+        d->applyRepeatRefusal(*run, answer, now);
+        d->changedWorkers.insert(worker);
+        return;
+    }
     auto *job = d->findJob(order.task.job);
     if (answer == ports::StartResult::Superseded && !run->isStopSent && job != nullptr) {
         // A former leader has used more numbers than a term has. The skipped ones belong to no run.
         job->job.noteRunOrdered(order.task, order.run + RunNumbersPerTerm);
         job->job.noteRunOver(order.task);
     }
-    if (answer != ports::StartResult::Superseded && answer != ports::StartResult::TooLate) {
-        worker->noteUnhealthy(now);
-    }
     d->endRun(*worker, order.task, jobs::RunEnd::Stopped, {}, now);
 }
 
@@ -606,13 +598,18 @@
                    {"error", errorInfo(failure.kind).name},
                    {"detail", failure.detail},
                    {"tookMs", toMilliseconds(now - run->orderedAt)}});
-    if (!maybeStarted) {
+    run->isRepeatUnderWay = false;
+    d->changedWorkers.insert(worker);
+    if (!maybeStarted && !run->wasStartRepeated) {
         worker->noteUnhealthy(now);
         d->endRun(*worker, order.task, jobs::RunEnd::Stopped, {}, now);
         return;
     }
     ++d->counts.unansweredStarts;
     run->unansweredAt = now;
+    if (!Private::mayRepeatStart(*run, now)) {
+        worker->noteOrderUnanswered(now);
+    }
     if (run->state == workers::RunState::Ordered) {
         run->state = workers::RunState::Unanswered;
     }
@@ -624,6 +621,7 @@
     if (run != nullptr && d->findWorker(order.worker)->startTimeMs() == order.startTimeMs) {
         run->isStopConfirmed = true;
         run->stopConfirmedAt = now;
+        d->changedWorkers.insert(d->findWorker(order.worker));
     }
 }
 
--- a/src/execution/fleetpacing.cpp
+++ b/src/execution/fleetpacing.cpp
@@ -48,7 +48,7 @@
     bool hasStop = false;
     auto visitAt = TimePoint::max();
     for (const auto &it : worker.runs()) {
-        hasStop = hasStop || it.state == workers::RunState::Stopping;
+        hasStop = hasStop || it.state == workers::RunState::Stopping || it.isInDoubt();
         if (isExpectedToProgress(it)) {
             const auto stuckAt = progressDueSince(it) + StuckTime + Duration(1);
             visitAt = stuckAt > now ? std::min(visitAt, stuckAt) : visitAt;
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -36,6 +36,7 @@
         d->drainWorker(*it, now);
         d->stopStuckRuns(*it, now);
         d->stopUnwantedRuns(*it, now, orders);
+        d->settleRunsInDoubt(*it, now, orders);
         d->adjustPaces(*it, now, orders);
         d->scheduleNextVisit(*it, now);
     }
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -104,7 +104,7 @@
 // State of Fleet. Its event handling is in fleet.cpp, fleetlistings.cpp, fleetcrashes.cpp,
 // fleetevacuation.cpp and fleettakeover.cpp; fleetplan.cpp makes a plan by the steps in
 // fleetdraining.cpp, fleetpacing.cpp, fleetqueue.cpp, fleetplacement.cpp, fleetlocality.cpp,
-// fleetmoves.cpp and fleetstandstill.cpp.
+// fleetmoves.cpp, fleetindoubt.cpp and fleetstandstill.cpp.
 struct Fleet::Private
 {
     explicit Private(DecisionLog &decisionLog);
@@ -162,6 +162,7 @@
     void takeOverRun(workers::Worker &worker, workers::Run run, TrackedJob *job);
     void resolveUnlistedRuns(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint sentAt,
                              TimePoint now);
+    void confirmListedRun(workers::Run &run, TimePoint sentAt, TimePoint now);
 
     // Steps of plan().
     struct WaitingStep
@@ -295,6 +296,15 @@
     bool isWorthMoving(TrackedJob &job, const workers::Run &run, TimePoint now) const;
     bool hasUnplaceableLeftoverWork() const;
     void requestStop(workers::Run &run);
+    // Asks what has become of the worker's runs that are in doubt.
+    void settleRunsInDoubt(workers::Worker &worker, TimePoint now, Orders &orders);
+    // Sends the order of such a run again. Returns false if that cannot settle it.
+    bool repeatStart(const workers::Worker &worker, workers::Run &run, TimePoint now, Orders &orders);
+    static bool mayRepeatStart(const workers::Run &run, TimePoint now);
+    void applyRepeatRefusal(workers::Run &run, ports::StartResult answer, TimePoint now);
+    // Returns whether the worker certainly neither has a run that it does not list in an answer to a
+    // request sent at `sentAt`, nor starts it later.
+    static bool isGone(const workers::Run &run, ports::WorkerMillis clock, TimePoint sentAt);
     jobs::RunNumber nextRun(const jobs::Task &task) const;
 
     DecisionLog &log;
--- a/src/execution/orders.h
+++ b/src/execution/orders.h
@@ -40,11 +40,19 @@
     int percent = 100; // of full speed
 };
 
+// Asks for the runs of a worker beside the renewals of its lease.
+struct QueryRuns
+{
+    WorkerId worker;
+};
+
 struct Orders
 {
     std::vector<StartTask> starts;
+    std::vector<StartTask> repeatedStarts; // of runs that were ordered before
     std::vector<StopTask> stops;
     std::vector<PaceTask> paces;
+    std::vector<QueryRuns> queries;
 };
 
 } // namespace monsoonspool::execution
--- a/src/execution/workercontroller.cpp
+++ b/src/execution/workercontroller.cpp
@@ -180,6 +180,7 @@
                       }
                       if (result.isOk()) {
                           self->fleet.confirmStop(order, self->scheduler.now());
+                          self->hooks.onChange();
                       } else if (result.failure().kind == ErrorKind::StaleEpoch) {
                           self->hooks.onFenced();
                       } else {
@@ -202,6 +203,33 @@
                   });
     }
 
+    void query(const QueryRuns &order)
+    {
+        const auto *entry = fleet.entryOf(order.worker);
+        if (entry == nullptr) {
+            return;
+        }
+        ports::LeaseOrder request; // extends no lease and acknowledges nothing
+        request.fence = fleet.fence();
+        link.renew(*entry, request,
+                   [self = shared_from_this(), order,
+                    sentAt = scheduler.now()](const ports::AsyncResult<ports::WorkerListing> &result) {
+                       if (self->isClosed) {
+                           return;
+                       }
+                       const auto now = self->scheduler.now();
+                       if (result.isOk()) {
+                           self->fleet.applyQueryAnswer(order, result.value(), sentAt, now);
+                       } else if (result.failure().kind == ErrorKind::StaleEpoch) {
+                           self->hooks.onFenced();
+                           return;
+                       } else {
+                           self->fleet.applyQueryFailure(order, now);
+                       }
+                       self->hooks.onChange();
+                   });
+    }
+
     ports::WorkerLink &link;
     ports::Scheduler &scheduler;
     Fleet &fleet;
@@ -259,9 +287,15 @@
     for (const auto &it : orders.starts) {
         d->start(it);
     }
+    for (const auto &it : orders.repeatedStarts) {
+        d->start(it);
+    }
     for (const auto &it : orders.paces) {
         d->pace(it);
     }
+    for (const auto &it : orders.queries) {
+        d->query(it);
+    }
 }
 
 } // namespace monsoonspool::execution
--- a/src/ports/faultplan.h
+++ b/src/ports/faultplan.h
@@ -14,6 +14,7 @@
     bool isRefused = false; // the call fails without an effect
     bool isReplyLost = false; // the call takes effect, but its reply is lost
     Duration replyDelay{0}; // between the effect and the reply
+    bool isConnectionEnded = false; // the call fails at once; it takes effect if its reply is lost
 };
 
 // Chooses the fault for each call of a test double.
--- a/src/ports/memory/simulatedworkers.cpp
+++ b/src/ports/memory/simulatedworkers.cpp
@@ -487,6 +487,9 @@
             }
         };
         m_scheduler.runAfter(timeout, [once] { once(Failure{ErrorKind::StoreReplyLost, "no answer"}); });
+        if (fault.isConnectionEnded) {
+            m_scheduler.runAfter(Duration(0), [once] { once(Failure{ErrorKind::StoreReplyLost, "end of file"}); });
+        }
         if (fault.isRefused) {
             return;
         }
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -13,6 +13,10 @@
 // consecutive failures from SuspectFailureCount on.
 constexpr Duration SuspectBackoff = 700ms;
 constexpr Duration MaxSuspectBackoff = 4s;
+// Backoff before the next trial order to a worker that leaves orders without an answer; doubles up to
+// the maximum.
+constexpr Duration UnansweredBackoff = 500ms;
+constexpr Duration MaxUnansweredBackoff = 4s;
 // A suspect worker is treated as healthy after this time without a failure.
 constexpr Duration SuspicionTimeout = 6s;
 // Mean fraction of their cores that serving tasks use. Their load varies around it, and
@@ -98,6 +102,11 @@
     if (now < m_unschedulableUntil) {
         return PlacementObstacle::Unhealthy;
     }
+    const auto hasUnconfirmedTrial
+        = [&](const Run &it) { return it.orderedAt > m_lastUnansweredAt && it.state == RunState::Ordered; };
+    if (m_unansweredOrders > 0 && std::ranges::any_of(m_runs, hasUnconfirmedTrial)) {
+        return PlacementObstacle::OnTrial;
+    }
     if (!isSuspect() || now - m_lastFailureAt > SuspicionTimeout) {
         return PlacementObstacle::None;
     }
@@ -343,6 +352,20 @@
     }
 }
 
+void Worker::noteOrderAnswered()
+{
+    m_unansweredOrders = 0;
+}
+
+void Worker::noteOrderUnanswered(TimePoint now)
+{
+    constexpr int maxDoublings = 3; // reach the maximum
+    const auto backoff = UnansweredBackoff * (1 << std::min(m_unansweredOrders, maxDoublings));
+    ++m_unansweredOrders;
+    m_lastUnansweredAt = now;
+    m_unschedulableUntil = std::max(m_unschedulableUntil, now + std::min(backoff, MaxUnansweredBackoff));
+}
+
 void Worker::noteUnhealthy(TimePoint now)
 {
     m_unschedulableUntil = std::max(m_unschedulableUntil, now + UnhealthyBackoff);
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -42,8 +42,8 @@
     Leaving, // not listed, draining, or its failure domain is evacuated
     Unconfirmed, // it has not answered this leader, or the stored roster does not list it yet
     Silent,
-    Unhealthy, // it rejected an order or failed tasks a short time ago
-    OnTrial, // it failed several tasks, and one task is at work to see whether it still does
+    Unhealthy, // it rejected an order, did not answer one, or failed tasks a short time ago
+    OnTrial, // one task shows whether it still fails tasks, or leaves orders without an answer
 };
 inline constexpr std::size_t PlacementObstacleCount = 6;
 
@@ -76,6 +76,10 @@
     double smoothedLevel = 0; // moving average for a serving task, since measurements are noisy
     TimePoint withinTargetAt; // last time that a serving task was below its target
     TimePoint unansweredAt;
+    bool mayRepeatStart = true; // the order may be sent once more
+    bool wasStartRepeated = false;
+    bool isRepeatUnderWay = false; // the repeated order has no answer yet
+    bool isKnownEnded = false; // the worker refused the repeated order since it has ended or stopped the run
     TimePoint stopSentAt;
     TimePoint stopConfirmedAt; // the worker cannot start the run after this
     bool isListed = false; // the worker has listed it as running since the start was ordered
@@ -83,6 +87,14 @@
     bool isStopConfirmed = false;
     int crashCount = 0; // of workers under earlier runs of the task
     bool isVerified = false; // see ports::RunOrder::verifiesProcess
+
+    // Returns whether only a listing can tell if the run exists: its start order failed, and no answer
+    // and no listing has confirmed it since.
+    bool isInDoubt() const
+    {
+        const bool wasConfirmed = isListed || (answeredAt != TimePoint() && !isKnownEnded);
+        return unansweredAt != TimePoint() && !wasConfirmed;
+    }
 };
 
 // A worker keeps its runs for this time without a renewal from the scheduler. A new leader
@@ -393,6 +405,27 @@
     }
     void acknowledge(std::int64_t number);
 
+    // An additional listing, which is asked for while runs are in doubt.
+    bool isQueryDue(TimePoint now) const
+    {
+        return !m_isQueryUnderWay && now >= m_queryDueAt;
+    }
+    void noteQuerySent()
+    {
+        m_isQueryUnderWay = true;
+    }
+    // Another one is sent no sooner than at `nextAt`.
+    void noteQueryAnswered(TimePoint nextAt)
+    {
+        m_isQueryUnderWay = false;
+        m_queryDueAt = nextAt;
+    }
+
+    // Health tracking from the answers to orders. A worker that answers listings may still leave
+    // orders without an answer, for instance if it accepts no new connections.
+    void noteOrderAnswered();
+    void noteOrderUnanswered(TimePoint now);
+
     // Health tracking from the outcomes of runs.
     void noteDone(TimePoint now);
     void noteFailure(TimePoint now);
@@ -434,6 +467,10 @@
     std::optional<TimePoint> m_awaitsTermRenewalSince;
     TimePoint m_lastFailureAt;
     int m_consecutiveFailures = 0;
+    TimePoint m_lastUnansweredAt;
+    int m_unansweredOrders = 0; // one after the other
+    TimePoint m_queryDueAt;
+    bool m_isQueryUnderWay = false;
     scheduling::PaceRegulator m_paceRegulator;
     ImageSet m_interferingImages;
     double m_tailRatio = 0;
--- a/tests/execution/startorderindoubttest.cpp
+++ b/tests/execution/startorderindoubttest.cpp
@@ -29,8 +29,10 @@
     std::function<std::optional<Fault>(std::string_view call, int n)> rule;
 };
 
-const Fault EndedBeforeOrder{0ms, true, false};
-const Fault EndedAfterOrder{0ms, false, true};
+const Fault EndedBeforeOrder{0ms, true, false, 0ms, true};
+const Fault EndedAfterOrder{0ms, false, true, 0ms, true};
+// The worker carries the order out when the sender has given up waiting.
+const Fault CarriedOutLate{1500ms, false, true};
 
 bool isStart(std::string_view call)
 {
@@ -100,6 +102,14 @@
          [](std::string_view call, int n) {
              return isStart(call) && n == 0 ? std::optional(Fault{OrderTimeout, true, false}) : std::nullopt;
          }},
+        {"an order that ended its connection was carried out late", PlatformBound,
+         [](std::string_view call, int n) {
+             return isStart(call) && n == 0 ? std::optional(Fault{1500ms, false, true, 0ms, true}) : std::nullopt;
+         }},
+        {"an order was carried out late", PlatformBound,
+         [](std::string_view call, int n) {
+             return isStart(call) && n == 0 ? std::optional(CarriedOutLate) : std::nullopt;
+         }},
         {"a worker that answers listings and no orders", PlatformBound,
          [first = std::string()](std::string_view call, int) mutable -> std::optional<Fault> {
              const auto worker = std::string(call.substr(call.find(' ') + 1));
