--- a/src/ports/memory/simulatedworkers.h
+++ b/src/ports/memory/simulatedworkers.h
@@ -6,6 +6,7 @@
 #include "ports/pooledworkerlink.h"
 #include "ports/scheduler.h"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -190,7 +191,8 @@
     // Enough that orders do not wait for each other, also with long delays.
     static constexpr std::size_t ConnectionsPerWorker = 64;
 
-    MemoryWorkerLink(SimulatedWorkers &workers, Scheduler &scheduler, FaultPlan &faults);
+    MemoryWorkerLink(SimulatedWorkers &workers, Scheduler &scheduler, FaultPlan &faults,
+                     std::size_t connectionsPerWorker = ConnectionsPerWorker);
 
     std::unique_ptr<WorkerChannel> openChannel(const WorkerEntry &worker) override;
 
