A start that waits for a connection to its worker fails soon as not sent

Callers saw jobs that stand still: tasks were counted as ordered on a worker, while their orders waited behind others that got no answer, or a slow one. Those sent after their deadline were rejected as too late, and their tasks were ordered on the same worker again. Renewals, stops and paces waited in the same queue.

Cause: one queue without bound for all orders to a worker, in front of three connections of which an order without an answer occupies one for 700 ms.

Starts now wait behind all other orders and leave one connection to them. A start that waits fails as not sent once a start before it has got no answer, or after a second, so that its task starts elsewhere. An order is given up only before it is sent, so that a failure as not sent still means that no worker has received it.

UnsentStart.TasksBehindSlowOrdersStartElsewhere, new with the fix, fails with the former link. 64 orders to a sound worker with a round trip of 25 ms are all sent.

--- a/bench/leaderbench.cpp
+++ b/bench/leaderbench.cpp
@@ -299,7 +299,7 @@
 public:
     Leader(std::span<const ports::WorkerEntry> entries, const LeaderBenchOptions &options)
         : m_options(options), m_registry(entries), m_scheduler(m_io, m_clock), m_log(m_clock), m_faults(CommitTime),
-          m_memoryStore(m_rows, m_scheduler, m_faults), m_store(m_memoryStore, m_clock), m_httpLink(m_io),
+          m_memoryStore(m_rows, m_scheduler, m_faults), m_store(m_memoryStore, m_clock), m_httpLink(m_io, m_scheduler),
           m_link(m_httpLink, m_clock)
     {
         ports::Commit commit;
--- a/src/ports/memory/simulatedworkers.cpp
+++ b/src/ports/memory/simulatedworkers.cpp
@@ -531,7 +531,7 @@
 
 MemoryWorkerLink::MemoryWorkerLink(SimulatedWorkers &workers, Scheduler &scheduler, FaultPlan &faults,
                                    std::size_t connectionsPerWorker)
-    : PooledWorkerLink(connectionsPerWorker), m_workers(workers), m_scheduler(scheduler), m_faults(faults),
+    : PooledWorkerLink(connectionsPerWorker, scheduler), m_workers(workers), m_scheduler(scheduler), m_faults(faults),
       m_calls(std::make_shared<std::uint64_t>(0))
 {
 }
--- a/src/ports/pooledworkerlink.cpp
+++ b/src/ports/pooledworkerlink.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+// A start that has waited this long for a channel fails, so that its task starts elsewhere. The platform
+// takes a task as lost that stands still for 3 s, and a sound worker answers 80 starts within this time at
+// the longest round trip, 25 ms, on two channels.
+constexpr Duration MaxStartWait = 1s;
+
 struct Channel
 {
     // Returns whether the process has listed its runs on the connection. Start times are not 0.
@@ -31,6 +36,12 @@
     return !result.isOk() && result.failure().kind == ErrorKind::DaemonUnreachable;
 }
 
+template <typename T>
+bool hasNoAnswer(const AsyncResult<T> &result)
+{
+    return !result.isOk() && result.failure().kind == ErrorKind::StoreReplyLost;
+}
+
 // Renews nothing and acknowledges nothing, so that any process may receive it.
 LeaseOrder listingRequest(Epoch fence)
 {
@@ -55,21 +66,56 @@
 // The channels to one worker at one address. Pending calls keep it alive.
 struct PooledWorkerLink::Pool : std::enable_shared_from_this<PooledWorkerLink::Pool>
 {
-    struct Waiting
+    struct WaitingOrder
     {
         std::int64_t startTimeMs = 0; // of the process that the order is for, or 0
         std::function<void(Channel &)> send;
     };
+    struct WaitingStart : WaitingOrder
+    {
+        std::uint64_t number = 0;
+        std::function<void()> giveUp;
+    };
 
     // Sends an order once a channel is free.
     void enqueue(const WorkerEntry &worker, std::int64_t startTimeMs, std::function<void(Channel &)> send)
     {
-        waiting.push_back({startTimeMs, std::move(send)});
-        while (channels.size() < maxChannels && channels.size() < busyCount() + waiting.size()) {
+        waitingOrders.push_back({startTimeMs, std::move(send)});
+        openChannels(worker);
+        sendWaiting();
+    }
+
+    // Sends a start after all other orders, or fails it without sending it.
+    void enqueueStart(const WorkerEntry &worker, const RunOrder &order, Handler<StartResult> handler)
+    {
+        WaitingStart waiting;
+        waiting.startTimeMs = order.startTimeMs;
+        waiting.send = [this, worker, order, handler](Channel &channel) { start(channel, worker, order, handler); };
+        waiting.number = ++startCount;
+        waiting.giveUp = [handler] {
+            handler(Failure{ErrorKind::DaemonUnreachable, "earlier orders to the worker have no answer"});
+        };
+        waitingStarts.push_back(std::move(waiting));
+        openChannels(worker);
+        sendWaiting();
+        if (!waitingStarts.empty()) {
+            scheduler->runAfter(MaxStartWait, [self = shared_from_this(), number = startCount] {
+                while (!self->waitingStarts.empty() && self->waitingStarts.front().number <= number) {
+                    const auto giveUp = std::move(self->waitingStarts.front().giveUp);
+                    self->waitingStarts.pop_front();
+                    giveUp();
+                }
+            });
+        }
+    }
+
+    void openChannels(const WorkerEntry &worker)
+    {
+        const auto wanted = busyCount() + waitingOrders.size() + std::min(waitingStarts.size(), freeForStarts());
+        while (channels.size() < std::min(maxChannels, wanted)) {
             channels.push_back(std::make_unique<Channel>());
             channels.back()->orders = open(worker);
         }
-        sendWaiting();
     }
 
     std::size_t busyCount() const
@@ -77,21 +123,45 @@
         return static_cast<std::size_t>(std::ranges::count_if(channels, [](const auto &it) { return it->isBusy; }));
     }
 
+    // One channel is left to the other orders, as starts without an answer must not hold up renewals.
+    std::size_t freeForStarts() const
+    {
+        const auto most = std::max<std::size_t>(maxChannels, 2) - 1;
+        return most - std::min(most, startsUnderWay);
+    }
+
     void sendWaiting()
     {
-        while (!waiting.empty()) {
-            auto *channel = freeChannel(waiting.front().startTimeMs);
-            if (channel == nullptr) {
+        while (!waitingOrders.empty()) {
+            if (!sendFirst(waitingOrders)) {
+                return;
+            }
+        }
+        while (!waitingStarts.empty() && freeForStarts() > 0) {
+            ++startsUnderWay;
+            if (!sendFirst(waitingStarts)) {
+                --startsUnderWay;
                 return;
             }
-            const auto send = std::move(waiting.front().send);
-            waiting.pop_front();
-            channel->isBusy = true;
-            channel->lastUse = ++uses;
-            send(*channel);
         }
     }
 
+    // Returns whether a channel was free.
+    template <typename T>
+    bool sendFirst(std::deque<T> &waiting)
+    {
+        auto *channel = freeChannel(waiting.front().startTimeMs);
+        if (channel == nullptr) {
+            return false;
+        }
+        const auto send = std::move(waiting.front().send);
+        waiting.pop_front();
+        channel->isBusy = true;
+        channel->lastUse = ++uses;
+        send(*channel);
+        return true;
+    }
+
     // Prefers a connection of the process, then the one used last, so that others may close.
     Channel *freeChannel(std::int64_t startTimeMs) const
     {
@@ -114,6 +184,18 @@
         sendWaiting();
     }
 
+    // A worker that does not answer a start, or the listing before it, gets none of those that wait.
+    void finishStart(Channel &channel, const AsyncResult<StartResult> &result, bool isAnswered,
+                     const Handler<StartResult> &handler)
+    {
+        --startsUnderWay;
+        const auto unsent = isAnswered ? std::deque<WaitingStart>() : std::exchange(waitingStarts, {});
+        finish(channel, result, handler);
+        for (const auto &it : unsent) {
+            it.giveUp();
+        }
+    }
+
     // Obtains a listing, and with it the process that answers on the channel's connection.
     void list(Channel &channel, const WorkerEntry &worker, ConnectionNumber connection, const LeaseOrder &order,
               Handler<WorkerListing> handler)
@@ -167,7 +249,7 @@
                                   if (wasNotSent(result) && !isForAnyProcess) {
                                       self->identifyAndStart(channel, worker, order, handler);
                                   } else {
-                                      self->finish(channel, result, handler);
+                                      self->finishStart(channel, result, !hasNoAnswer(result), handler);
                                   }
                               });
     }
@@ -179,12 +261,12 @@
              [self = shared_from_this(), &channel, worker, order,
               handler = std::move(handler)](const AsyncResult<WorkerListing> &listing) {
                  if (!channel.belongsTo(order.startTimeMs)) {
-                     self->finish<StartResult>(channel, notSent(listing), handler);
+                     self->finishStart(channel, notSent(listing), !hasNoAnswer(listing), handler);
                      return;
                  }
                  channel.orders->start(worker, channel.connection, order,
                                        [self, &channel, handler](const AsyncResult<StartResult> &result) {
-                                           self->finish(channel, result, handler);
+                                           self->finishStart(channel, result, !hasNoAnswer(result), handler);
                                        });
              });
     }
@@ -193,11 +275,16 @@
     std::size_t maxChannels = 0;
     std::function<std::unique_ptr<WorkerChannel>(const WorkerEntry &)> open;
     std::vector<std::unique_ptr<Channel>> channels;
-    std::deque<Waiting> waiting;
+    Scheduler *scheduler = nullptr;
+    std::deque<WaitingOrder> waitingOrders; // other than starts
+    std::deque<WaitingStart> waitingStarts;
+    std::size_t startsUnderWay = 0; // on channels
+    std::uint64_t startCount = 0;
     std::uint64_t uses = 0;
 };
 
-PooledWorkerLink::PooledWorkerLink(std::size_t channelsPerWorker) : m_channelsPerWorker(channelsPerWorker)
+PooledWorkerLink::PooledWorkerLink(std::size_t channelsPerWorker, Scheduler &scheduler)
+    : m_channelsPerWorker(channelsPerWorker), m_scheduler(scheduler)
 {
 }
 
@@ -210,6 +297,7 @@
         pool = std::make_shared<Pool>();
         pool->address = worker.address;
         pool->maxChannels = m_channelsPerWorker;
+        pool->scheduler = &m_scheduler;
         pool->open = [this](const WorkerEntry &entry) { return openChannel(entry); };
     }
     return pool;
@@ -226,11 +314,7 @@
 
 void PooledWorkerLink::start(const WorkerEntry &worker, const RunOrder &order, Handler<StartResult> handler)
 {
-    const auto &pool = poolOf(worker);
-    pool->enqueue(worker, order.startTimeMs,
-                  [pool = pool.get(), worker, order, handler = std::move(handler)](Channel &channel) {
-                      pool->start(channel, worker, order, handler);
-                  });
+    poolOf(worker)->enqueueStart(worker, order, std::move(handler));
 }
 
 void PooledWorkerLink::stop(const WorkerEntry &worker, Epoch fence, const jobs::TaskId &task, jobs::RunNumber run,
--- a/src/ports/pooledworkerlink.h
+++ b/src/ports/pooledworkerlink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ports/scheduler.h"
 #include "ports/workerchannel.h"
 
 #include <cstddef>
@@ -14,6 +15,9 @@
 // Only listings name the process that answers. Orders for a process are therefore sent on a
 // connection on which it has listed its runs. Before the first start on any other connection, a
 // renewal that changes nothing obtains a listing on it.
+//
+// Starts wait behind all other orders and leave one channel to them. A start that waits for a channel
+// fails as not sent once a start before it has got no answer, or after a second.
 class PooledWorkerLink : public WorkerLink
 {
 public:
@@ -28,7 +32,7 @@
     void closeConnections(const WorkerId &worker) override;
 
 protected:
-    explicit PooledWorkerLink(std::size_t channelsPerWorker);
+    PooledWorkerLink(std::size_t channelsPerWorker, Scheduler &scheduler);
     ~PooledWorkerLink() override;
 
 private:
@@ -38,6 +42,7 @@
     const std::shared_ptr<Pool> &poolOf(const WorkerEntry &worker);
 
     std::size_t m_channelsPerWorker;
+    Scheduler &m_scheduler;
     std::map<WorkerId, std::shared_ptr<Pool>> m_pools;
 };
 
--- a/tests/execution/takeoverhost.h
+++ b/tests/execution/takeoverhost.h
@@ -376,7 +376,7 @@
 {
 public:
     HostLink(memory::SimulatedWorkers &workers, VirtualScheduler &clock, HostThread &thread, OrderFaults &faults)
-        : PooledWorkerLink(memory::MemoryWorkerLink::ConnectionsPerWorker), m_link(workers, clock, faults),
+        : PooledWorkerLink(memory::MemoryWorkerLink::ConnectionsPerWorker, thread), m_link(workers, clock, faults),
           m_thread(thread)
     {
     }
--- a/tests/execution/testcluster.h
+++ b/tests/execution/testcluster.h
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -162,7 +163,8 @@
 class Cluster
 {
 public:
-    explicit Cluster(std::uint32_t seed = 1) : workers(scheduler, taskModel), registry(workers)
+    explicit Cluster(std::uint32_t seed = 1, std::size_t connections = MemoryWorkerLink::ConnectionsPerWorker)
+        : connectionsPerWorker(connections), workers(scheduler, taskModel), registry(workers)
     {
         put(registry.configurationRow(), "1");
         for (int n = 0; n < WorkerCount; ++n) {
@@ -187,7 +189,7 @@
     {
         Host(Cluster &cluster, std::uint32_t seed)
             : storeFaults(seed), workerFaults(seed + 1000), store(cluster.rows, cluster.scheduler, storeFaults),
-              link(cluster.workers, cluster.scheduler, workerFaults)
+              link(cluster.workers, cluster.scheduler, workerFaults, cluster.connectionsPerWorker)
         {
         }
         EntryHostId name;
@@ -286,6 +288,7 @@
     }
 
     std::array<Duration, HostCount> clockErrors{}; // of the hosts' wall clocks
+    const std::size_t connectionsPerWorker;
     std::optional<double> remoteRunTimeFactor; // of hosts that are started from now on
     VirtualScheduler scheduler;
     TestTaskModel taskModel;
--- a/tests/execution/unsentstarttest.cpp
+++ b/tests/execution/unsentstarttest.cpp
@@ -175,4 +175,43 @@
     EXPECT_TRUE(std::ranges::all_of(link.results, &OrderResult::wasSent));
 }
 
+// Guards against tasks that wait for a slow worker, are rejected there as too late, and are ordered there again.
+TEST(UnsentStart, TasksBehindSlowOrdersStartElsewhere)
+{
+    constexpr Resources smallTask{500, 500, 0};
+    constexpr int jobCount = 20;
+    Cluster cluster(1, ConnectionsPerWorker);
+    cluster.scheduler.runFor(5s);
+    std::string slowWorker; // the first one that gets a start
+    for (int n = 0; n < HostCount; ++n) {
+        cluster.host(n).workerFaults.rule = [&](std::string_view call, TimePoint) -> std::optional<Fault> {
+            if (!call.starts_with("start ")) {
+                return std::nullopt;
+            }
+            slowWorker = slowWorker.empty() ? std::string(call) : slowWorker;
+            return call == slowWorker ? std::optional(SlowAnswer) : std::nullopt;
+        };
+    }
+    for (std::uint64_t key = 1; key <= jobCount; ++key) {
+        AcceptedJob job;
+        job.key = {key};
+        job.policy.queue = "plans";
+        job.policy.service = Service;
+        job.policy.maxAttempts = 3;
+        job.spec.steps.resize(1);
+        job.spec.steps.front().needs = smallTask;
+        job.acceptedAt = cluster.wallNow();
+        cluster.taskModel.overrides[job.key] = {400ms, false, smallTask};
+        cluster.host(0).loop->jobRequestHandler().submit(std::move(job), cluster.scheduler.now() + 2500ms,
+                                                         [](SubmitResult) {});
+    }
+    cluster.scheduler.runFor(PlatformBound);
+    for (std::uint64_t key = 1; key <= jobCount; ++key) {
+        EXPECT_TRUE(cluster.workers.hasRunOf({key}) || cluster.workers.doneCount({key}) == 1) << "job " << key;
+    }
+    cluster.scheduler.runFor(5s);
+    EXPECT_EQ(cluster.workers.startCount(), jobCount);
+    EXPECT_EQ(violationsOf(cluster), "");
+}
+
 } // namespace monsoonspool::execution
--- a/tests/platform/httpworkerlinktest.cpp
+++ b/tests/platform/httpworkerlinktest.cpp
@@ -1,5 +1,6 @@
 #include "httpworkerlink.h"
 
+#include "daemon/asioscheduler.h"
 #include "http/apiserver.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -60,7 +61,8 @@
     boost::asio::io_context io;
     FixedAnswer answer;
     http::ApiServer server{io, answer};
-    HttpWorkerLink link{io};
+    daemon::AsioScheduler scheduler{io};
+    HttpWorkerLink link{io, scheduler};
     ports::WorkerEntry entry;
 };
 
--- a/tests/platform/workerlinkcontracttest.cpp
+++ b/tests/platform/workerlinkcontracttest.cpp
@@ -87,7 +87,7 @@
         if (GetParam()) {
             listen(0);
             entry.address = process->server.address();
-            link = std::make_unique<HttpWorkerLink>(io);
+            link = std::make_unique<HttpWorkerLink>(io, scheduler);
         } else {
             link = std::make_unique<memory::MemoryWorkerLink>(workers, scheduler, faults);
         }
