Suspicion is ignored where most workers are suspect

Callers saw jobs that stand still beside free workers while other jobs' tasks failed: sound jobs, and the failing jobs themselves between their attempts.

Cause: a failure counts against its worker until the task has failed on three workers, although the task may be at fault. A worker is suspect after two failures in a row, of any tasks, gets nothing for 0.7 to 4 s and then one task at a time, which may be the next that fails. A few jobs with failing tasks make all workers suspect, and keep them so.

Where more than half of the usable workers of a service, or of those with the label that a step requires, are suspect, they are now used like others, after those that are not. Otherwise workers without suspicion make up half of them at least, so that work finds room there while under half of the capacity is in use. Workers that reject orders, or do not answer, remain excluded: the pause after failures has a time of its own.

--- a/src/execution/fleetlocality.cpp
+++ b/src/execution/fleetlocality.cpp
@@ -230,7 +230,7 @@
     if (rack.room == RackRoom::None || rack.room == RackRoom::Full || job.job.stepSpec(task.step).isGang) {
         return rack.room; // of a gang as determined by findRackForGang()
     }
-    const auto demand = demandOf(job, task, {});
+    const auto demand = demandOf(job, task, {}, now);
     auto &unplaceable = racks.unplaceable[rack.key];
     if (isRuledOut(unplaceable, demand)) {
         rack.room = RackRoom::Full;
@@ -255,7 +255,7 @@
 {
     const auto &job = *waiting.job;
     const auto &spec = job.job.stepSpec(waiting.step);
-    const auto demand = demandOf(job, {job.job.key(), waiting.occurrence, waiting.step, 0}, {});
+    const auto demand = demandOf(job, {job.job.key(), waiting.occurrence, waiting.step, 0}, {}, now);
     const std::int64_t most = spec.maxPerWorker == 0 ? spec.count : spec.maxPerWorker;
     addOutlook(job, demand.task, rack, now);
     ++counts.workerSearches;
--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace monsoonspool::execution {
 
@@ -36,7 +37,7 @@
 }
 
 scheduling::TaskDemand Fleet::Private::demandOf(const TrackedJob &job, const jobs::TaskId &task,
-                                                std::string_view preferredRack)
+                                                std::string_view preferredRack, TimePoint now)
 {
     const auto &spec = job.job.stepSpec(task.step);
     const auto image = interference.numberOf(spec.image);
@@ -46,6 +47,7 @@
     demand.step = &spec;
     demand.image = image;
     demand.service = policyOf(job).service.view();
+    demand.ignoresSuspicion = ignoresSuspicion(demand.service, spec, now);
     demand.preferredRack = preferredRack;
     demand.crashCount = job.job.crashSuspicion(task);
     demand.interference = usesInterference ? &interference : nullptr;
@@ -57,6 +59,18 @@
     return demand;
 }
 
+bool Fleet::Private::ignoresSuspicion(std::string_view service, const jobs::StepSpec &step, TimePoint now)
+{
+    std::string key(service);
+    key += '/';
+    key += step.requiredLabel;
+    const auto [it, isNew] = suspicionIgnored.try_emplace(std::move(key), false);
+    if (isNew) {
+        it->second = scheduling::areMostSuspect(workers, service, step.requiredLabel, now);
+    }
+    return it->second;
+}
+
 namespace {
 
 // Which workers can take disturbing leftover work depends on its image.
@@ -97,7 +111,7 @@
 workers::Worker *Fleet::Private::chooseWorker(TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
                                               TimePoint now, std::optional<scheduling::RankedWorkers> *ranked)
 {
-    auto demand = demandOf(job, task, preferredRack);
+    auto demand = demandOf(job, task, preferredRack, now);
     if (isRuledOut(unplaceableDemands, demand)) {
         return nullptr;
     }
@@ -207,7 +221,7 @@
 }
 
 // Returns whether all members of a gang would fit if nothing else ran.
-bool Fleet::Private::fitsIdleWorkers(const WaitingStep &waiting, TimePoint now) const
+bool Fleet::Private::fitsIdleWorkers(const WaitingStep &waiting, TimePoint now)
 {
     const auto &job = waiting.job->job;
     const auto &spec = job.stepSpec(waiting.step);
@@ -215,6 +229,7 @@
     demand.task = {job.key(), waiting.occurrence, waiting.step, 0};
     demand.step = &spec;
     demand.service = policyOf(*waiting.job).service.view();
+    demand.ignoresSuspicion = ignoresSuspicion(demand.service, spec, now);
     std::int64_t members = 0;
     for (const auto *it : workers) {
         if (scheduling::isEligible(*it, demand, now)) {
@@ -236,7 +251,7 @@
         const jobs::TaskId id{job.job.key(), waiting.occurrence, waiting.step, n};
         auto *worker = rackKey.empty()
             ? chooseWorker(job, id, spec.isColocated ? rackOfOthers : std::string_view(), now)
-            : workerChooser->choose(demandOf(job, id, rackOfOthers), workersOnRack(rackKey), now);
+            : workerChooser->choose(demandOf(job, id, rackOfOthers, now), workersOnRack(rackKey), now);
         if (worker == nullptr) {
             break;
         }
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -45,6 +45,7 @@
         return orders;
     }
     d->unplaceableDemands.clear();
+    d->suspicionIgnored.clear();
     d->racks.unplaceable.clear();
     d->racks.room.beginQueue();
     const auto waiting = d->waitingSteps(now, wall);
--- a/src/execution/fleetstandstill.cpp
+++ b/src/execution/fleetstandstill.cpp
@@ -84,7 +84,7 @@
     if (now < job.job.task(task).retryAt) {
         return StandstillCause::RetryPause;
     }
-    const auto demand = demandOf(job, task, {});
+    const auto demand = demandOf(job, task, {}, now);
     bool hasEligible = false;
     for (const auto *it : workers) {
         if (!scheduling::isEligible(*it, demand, now)) {
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -221,12 +221,15 @@
     // becomes due by the passing of time.
     bool addWaitingSteps(TrackedJob &job, TimePoint now, jobs::WallTime wall, std::vector<WaitingStep> &waiting);
     void placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, jobs::WallTime wall, Orders &orders);
-    bool fitsIdleWorkers(const WaitingStep &waiting, TimePoint now) const;
+    bool fitsIdleWorkers(const WaitingStep &waiting, TimePoint now);
     void placeGang(const WaitingStep &waiting, TimePoint now, jobs::WallTime wall, Orders &orders);
     // Returns the workers for the members of a gang, or for as many of them as fit. `rackKey`, if given, is
     // that of the only rack to use, see RackQuestion.
     std::vector<workers::Worker *> chooseMembers(const WaitingStep &waiting, std::string_view rackKey, TimePoint now);
-    scheduling::TaskDemand demandOf(const TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack);
+    scheduling::TaskDemand demandOf(const TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
+                                    TimePoint now);
+    // Returns whether the current plan uses suspect workers for the step like others.
+    bool ignoresSuspicion(std::string_view service, const jobs::StepSpec &step, TimePoint now);
     // Returns whether workers had no room for a smaller demand.
     static bool isRuledOut(std::span<const UnplaceableDemand> unplaceable, const scheduling::TaskDemand &demand);
     static void ruleOut(std::vector<UnplaceableDemand> &unplaceable, const scheduling::TaskDemand &demand);
@@ -341,6 +344,7 @@
     std::unique_ptr<scheduling::WaitingOrder> waitingOrder;
     std::unique_ptr<scheduling::WorkerChooser> workerChooser;
     std::vector<UnplaceableDemand> unplaceableDemands; // of the current plan
+    std::map<std::string, bool, std::less<>> suspicionIgnored; // by service and label, in the current plan
     RackState racks;
     FleetCounts counts;
 };
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -13,6 +13,7 @@
 // Costs, in fractions of a worker's cores. The worker with the lowest sum is chosen.
 constexpr double OtherRackCost = 10; // exceeds any difference in fit: off-rack tasks run several times as long
 constexpr double AvoidedCost = 20; // exceeds all other costs: another worker may be healthy
+constexpr double SuspectCost = 5; // exceeds any difference in fit, but not the cost of another rack
 constexpr double CrashNeighbourCost = 0.5; // per run on the worker, for a task under which a worker has crashed
 constexpr double SameStepCost = 0.2; // per lasting task of the same step on the worker
 constexpr double MixedImageCost = 1; // for a lasting task on a worker with lasting tasks of other images only
@@ -77,10 +78,13 @@
     return MixedImageCost + (count <= seen.size() ? FewImagesCost / static_cast<double>(count) : 0);
 }
 
-double placementCost(const workers::Worker &worker, const TaskDemand &demand, double ratio)
+double placementCost(const workers::Worker &worker, const TaskDemand &demand, double ratio, TimePoint now)
 {
     const auto &step = *demand.step;
     double sum = interferenceCost(ratio);
+    if (demand.ignoresSuspicion && worker.isUnderSuspicion(now)) {
+        sum += SuspectCost;
+    }
     const bool wasMovedFrom = demand.movedFrom != nullptr && *demand.movedFrom == worker.entry().id;
     if (wasMovedFrom || std::ranges::find(demand.avoided, worker.entry().id) != demand.avoided.end()) {
         sum += AvoidedCost;
@@ -105,13 +109,20 @@
     return sum;
 }
 
+// Every worker has the empty label.
+bool hasLabel(const ports::WorkerEntry &entry, std::string_view label)
+{
+    return label.empty() || label == entry.kind || label == entry.rack;
+}
+
 } // namespace
 
 bool isEligible(const workers::Worker &worker, const TaskDemand &demand, TimePoint now)
 {
     const auto &step = *demand.step;
     const auto &entry = worker.entry();
-    if (entry.service.view() != demand.service || !worker.isSchedulable(now) || worker.find(demand.task) != nullptr) {
+    if (entry.service.view() != demand.service || !worker.isSchedulable(now, demand.ignoresSuspicion)
+        || worker.find(demand.task) != nullptr) {
         return false;
     }
     const int keptApartFrom = demand.crashCount > 0 ? 1 : jobs::MaxWorkerCrashes - 1;
@@ -121,12 +132,27 @@
     if (step.usesLeftover && worker.hasTailViolation()) {
         return false;
     }
-    if (!step.requiredLabel.empty() && step.requiredLabel != entry.kind && step.requiredLabel != entry.rack) {
+    if (!hasLabel(entry, step.requiredLabel)) {
         return false;
     }
     return step.maxPerWorker == 0 || worker.runsOfStep(demand.task) < step.maxPerWorker;
 }
 
+bool areMostSuspect(std::span<workers::Worker *const> workers, std::string_view service, std::string_view label,
+                    TimePoint now)
+{
+    std::size_t usable = 0;
+    std::size_t suspect = 0;
+    for (const auto *it : workers) {
+        const auto &entry = it->entry();
+        if (entry.service.view() == service && hasLabel(entry, label) && it->isSchedulable(now, true)) {
+            ++usable;
+            suspect += it->isUnderSuspicion(now) ? 1 : 0;
+        }
+    }
+    return suspect * 2 > usable;
+}
+
 workers::Worker *WorkerChooser::choose(const TaskDemand &demand, std::span<workers::Worker *const> workers,
                                        TimePoint now) const
 {
@@ -151,7 +177,7 @@
     if (demand.step->usesLeftover && ratio > MaxJoinRatio) {
         return std::nullopt;
     }
-    return placementCost(worker, demand, ratio);
+    return placementCost(worker, demand, ratio, now);
 }
 
 std::optional<double> FirstFit::cost(const workers::Worker &worker, const TaskDemand &demand, TimePoint now) const
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -29,6 +29,7 @@
         = nullptr; // for tasks on leftover cores; nullptr if unknown
     int crashCount = 0; // of workers under runs of the task
     bool isKeptApart = true; // from other suspects, if workers have crashed under the task
+    bool ignoresSuspicion = false; // see areMostSuspect()
     const WorkerId *movedFrom = nullptr; // the worker that the task was moved away from; nullptr if it was not moved
 };
 
@@ -37,6 +38,12 @@
 // beside it; before the crash that would fail the job, no other task joins either.
 bool isEligible(const workers::Worker &worker, const TaskDemand &demand, TimePoint now);
 
+// Returns whether more than half of the usable workers of a service, of those with `label` if it is not
+// empty, are suspect. The cause is then rather the tasks that failed there, and the other workers may be
+// too few for the work.
+bool areMostSuspect(std::span<workers::Worker *const> workers, std::string_view service, std::string_view label,
+                    TimePoint now);
+
 // Policy that chooses a worker for a task: the one with the lowest cost.
 class WorkerChooser
 {
@@ -93,6 +100,7 @@
 //    different work, so most work then finds workers where it interferes with nothing.
 //  - A task that failed on a worker goes to another one, since some workers fail every
 //    task that they start and would use up all attempts.
+//  - Where suspect workers are used, the others are preferred.
 //  - A task under which a worker has crashed goes where few tasks run that its next crash
 //    would end.
 class BestFit : public WorkerChooser
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -84,7 +84,7 @@
     return isChanged;
 }
 
-PlacementObstacle Worker::placementObstacle(TimePoint now) const
+PlacementObstacle Worker::placementObstacle(TimePoint now, bool ignoresSuspicion) const
 {
     if (!m_isListed || m_entry.isDraining || m_isEvacuated) {
         return PlacementObstacle::Leaving;
@@ -98,9 +98,12 @@
     if (now < m_unschedulableUntil) {
         return PlacementObstacle::Unhealthy;
     }
-    if (!isSuspect() || now - m_lastFailureAt > SuspicionTimeout) {
+    if (ignoresSuspicion || !isUnderSuspicion(now)) {
         return PlacementObstacle::None;
     }
+    if (now < m_suspectUntil) {
+        return PlacementObstacle::Unhealthy;
+    }
     // Runs ordered before the failure are not trials: lasting tasks may never end.
     const bool hasTrial = std::ranges::any_of(m_runs, [&](const Run &it) { return it.orderedAt > m_lastFailureAt; });
     return hasTrial ? PlacementObstacle::OnTrial : PlacementObstacle::None;
@@ -331,6 +334,7 @@
 {
     m_consecutiveFailures = 0;
     m_unschedulableUntil = {};
+    m_suspectUntil = {};
 }
 
 void Worker::noteFailure(TimePoint now)
@@ -338,11 +342,16 @@
     ++m_consecutiveFailures;
     m_lastFailureAt = now;
     if (isSuspect()) {
-        m_unschedulableUntil
+        m_suspectUntil
             = now + std::min(SuspectBackoff * (m_consecutiveFailures - SuspectFailureCount + 1), MaxSuspectBackoff);
     }
 }
 
+bool Worker::isUnderSuspicion(TimePoint now) const
+{
+    return isSuspect() && now - m_lastFailureAt <= SuspicionTimeout;
+}
+
 void Worker::noteUnhealthy(TimePoint now)
 {
     m_unschedulableUntil = std::max(m_unschedulableUntil, now + UnhealthyBackoff);
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -267,11 +267,11 @@
         }
     }
     // Returns whether new tasks may be placed on the worker.
-    bool isSchedulable(TimePoint now) const
+    bool isSchedulable(TimePoint now, bool ignoresSuspicion = false) const
     {
-        return placementObstacle(now) == PlacementObstacle::None;
+        return placementObstacle(now, ignoresSuspicion) == PlacementObstacle::None;
     }
-    PlacementObstacle placementObstacle(TimePoint now) const;
+    PlacementObstacle placementObstacle(TimePoint now, bool ignoresSuspicion = false) const;
     bool isConfirmed() const
     {
         return m_isConfirmed;
@@ -403,6 +403,8 @@
     {
         return m_consecutiveFailures >= SuspectFailureCount;
     }
+    // Returns whether it is suspect and has failed a task lately.
+    bool isUnderSuspicion(TimePoint now) const;
 
 private:
     Resources unreservedResources() const;
@@ -431,6 +433,7 @@
     TimePoint m_observedAt;
     std::optional<TimePoint> m_visitAt;
     TimePoint m_unschedulableUntil;
+    TimePoint m_suspectUntil; // gets no trial task before
     std::optional<TimePoint> m_awaitsTermRenewalSince;
     TimePoint m_lastFailureAt;
     int m_consecutiveFailures = 0;
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -535,4 +535,64 @@
     EXPECT_EQ(policy.count, workerCount + taskCount);
 }
 
+// Guards against workers that fail everything and use up all attempts: suspicion is ignored only where
+// most workers are suspect.
+TEST(Suspicion, IsIgnoredOnlyWhereMostWorkersAreSuspect)
+{
+    constexpr int workerCount = 6;
+    struct Case
+    {
+        std::string name;
+        int suspects = 0;
+        int silent = 0; // of the others
+        Duration age{0}; // of the failures
+        bool isIgnored = false;
+    };
+    const std::vector<Case> cases = {{"none", 0, 0, 0ms, false},
+                                     {"half", 3, 0, 0ms, false},
+                                     {"more than half", 4, 0, 0ms, true},
+                                     {"all", 6, 0, 0ms, true},
+                                     {"more than half of those that answer", 3, 1, 0ms, true},
+                                     {"failures of long ago", 6, 0, 7s, false}};
+    for (const auto &it : cases) {
+        SCOPED_TRACE(it.name);
+        std::vector<std::unique_ptr<workers::Worker>> workers;
+        std::vector<workers::Worker *> pointers;
+        for (int n = 0; n < workerCount; ++n) {
+            pointers.push_back(workers.emplace_back(makeWorker("w" + std::to_string(n))).get());
+            if (n < it.suspects) {
+                pointers.back()->noteFailure(Now - it.age);
+                pointers.back()->noteFailure(Now - it.age);
+            } else if (n < it.suspects + it.silent) {
+                pointers.back()->noteSilence(Now);
+            }
+        }
+        EXPECT_EQ(areMostSuspect(pointers, Service.view(), {}, Now), it.isIgnored);
+        EXPECT_EQ(areMostSuspect(pointers, Service.view(), "r1", Now), it.isIgnored) << "on the workers' rack";
+        EXPECT_FALSE(areMostSuspect(pointers, Service.view(), "r2", Now)) << "on a rack without workers";
+        EXPECT_FALSE(areMostSuspect(pointers, "another", {}, Now)) << "of a service without workers";
+    }
+}
+
+// Guards against orders to workers that reject them, where suspicion is ignored.
+TEST(Suspicion, IgnoringItUsesNoWorkerThatRejectsOrders)
+{
+    jobs::StepSpec step;
+    step.needs = {3500, 1000, 0};
+    TaskDemand demand;
+    demand.step = &step;
+    demand.service = Service.view();
+    const auto suspect = makeWorker("w0");
+    suspect->noteFailure(Now);
+    suspect->noteFailure(Now);
+    EXPECT_FALSE(isEligible(*suspect, demand, Now));
+    demand.ignoresSuspicion = true;
+    EXPECT_TRUE(isEligible(*suspect, demand, Now));
+    const auto sound = makeWorker("w1");
+    std::vector<workers::Worker *> both = {suspect.get(), sound.get()};
+    EXPECT_EQ(BestFit().choose(demand, both, Now), sound.get());
+    suspect->noteUnhealthy(Now);
+    EXPECT_FALSE(isEligible(*suspect, demand, Now));
+}
+
 } // namespace monsoonspool::scheduling
