--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -88,7 +88,7 @@
     return isChanged;
 }
 
-PlacementObstacle Worker::placementObstacle(TimePoint now) const
+PlacementObstacle Worker::placementObstacle(TimePoint now, bool ignoresSuspicion) const
 {
     if (!m_isListed || m_entry.isDraining || m_isEvacuated) {
         return PlacementObstacle::Leaving;
@@ -107,9 +107,12 @@
     if (m_unansweredOrders > 0 && std::ranges::any_of(m_runs, hasUnconfirmedTrial)) {
         return PlacementObstacle::OnTrial;
     }
-    if (!isSuspect() || now - m_lastFailureAt > SuspicionTimeout) {
+    if (ignoresSuspicion || !isUnderSuspicion(now)) {
         return PlacementObstacle::None;
     }
+    if (now < m_suspectUntil) {
+        return PlacementObstacle::Unhealthy;
+    }
     // Runs ordered before the failure are not trials: lasting tasks may never end.
     const bool hasTrial = std::ranges::any_of(m_runs, [&](const Run &it) { return it.orderedAt > m_lastFailureAt; });
     return hasTrial ? PlacementObstacle::OnTrial : PlacementObstacle::None;
@@ -340,6 +343,7 @@
 {
     m_consecutiveFailures = 0;
     m_unschedulableUntil = {};
+    m_suspectUntil = {};
 }
 
 void Worker::noteFailure(TimePoint now)
@@ -347,7 +351,7 @@
     ++m_consecutiveFailures;
     m_lastFailureAt = now;
     if (isSuspect()) {
-        m_unschedulableUntil
+        m_suspectUntil
             = now + std::min(SuspectBackoff * (m_consecutiveFailures - SuspectFailureCount + 1), MaxSuspectBackoff);
     }
 }
@@ -366,6 +370,11 @@
     m_unschedulableUntil = std::max(m_unschedulableUntil, now + std::min(backoff, MaxUnansweredBackoff));
 }
 
+bool Worker::isUnderSuspicion(TimePoint now) const
+{
+    return isSuspect() && now - m_lastFailureAt <= SuspicionTimeout;
+}
+
 void Worker::noteUnhealthy(TimePoint now)
 {
     m_unschedulableUntil = std::max(m_unschedulableUntil, now + UnhealthyBackoff);
