A renewal that meets an ended connection is repeated at once

A worker that ends a connection between two renewals was taken as silent for 300 ms, in which it gets no tasks: on real processes with workers that end each connection, 1193 worker-silent lines in 60 s. A renewal that fails within 100 ms is now sent once more; it changes nothing that the first one did not. The test fails without the change.

The pause after orders without an answer is kept apart from that after refusals, which ends with the next task that is done: a worker that answers no orders still completes earlier tasks.

--- a/src/execution/workercontroller.cpp
+++ b/src/execution/workercontroller.cpp
@@ -22,6 +22,9 @@
 constexpr Duration NoEndsPause = 0ms;
 // After a failed renewal.
 constexpr Duration FailureRetryDelay = 300ms;
+// A renewal that fails sooner has met a connection that the worker had ended. It is repeated once at
+// once, as such a worker is not silent.
+constexpr Duration MaxTimeToRepeat = 100ms;
 // Of workers that have not answered yet. Enough that silent ones hold up the others no longer than
 // for one timeout.
 constexpr int MaxFirstRenewals = 256;
@@ -55,6 +58,7 @@
         const auto *entry = fleet.entryOf(id);
         if (entry == nullptr) {
             trackedWorkers.erase(id);
+            repeatedRenewals.erase(id);
             link.closeConnections(id);
             noteFirstAnswer(id);
             return;
@@ -103,11 +107,17 @@
                 hooks.onFenced();
                 return;
             }
-            fleet.markSilent(id, scheduler.now());
+            const auto now = scheduler.now();
+            if (now - sentAt < MaxTimeToRepeat && repeatedRenewals.insert(id).second) {
+                renew(id);
+                return;
+            }
+            fleet.markSilent(id, now);
             hooks.onChange();
             renewAfter(id, FailureRetryDelay);
             return;
         }
+        repeatedRenewals.erase(id);
         fleet.applyListing(id, result.value(), sentAt, scheduler.now());
         hooks.onChange();
         if (!isClosed) {
@@ -235,6 +245,7 @@
     Fleet &fleet;
     Hooks hooks;
     std::set<WorkerId> trackedWorkers;
+    std::set<WorkerId> repeatedRenewals; // of workers whose last renewal failed at once
     std::deque<WorkerId> newWorkers; // their first renewal was not sent yet
     std::set<WorkerId> unansweredWorkers; // their first renewal has no answer yet
     int firstRenewals = 0; // without an answer
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -99,7 +99,7 @@
     if (!m_isRostered || !m_isConfirmed || isRestartAnnounced() || m_awaitsTermRenewalSince) {
         return PlacementObstacle::Unconfirmed;
     }
-    if (now < m_unschedulableUntil) {
+    if (now < std::max(m_unschedulableUntil, m_unansweredUntil)) {
         return PlacementObstacle::Unhealthy;
     }
     const auto hasUnconfirmedTrial
@@ -367,7 +367,7 @@
     const auto backoff = UnansweredBackoff * (1 << std::min(m_unansweredOrders, maxDoublings));
     ++m_unansweredOrders;
     m_lastUnansweredAt = now;
-    m_unschedulableUntil = std::max(m_unschedulableUntil, now + std::min(backoff, MaxUnansweredBackoff));
+    m_unansweredUntil = now + std::min(backoff, MaxUnansweredBackoff);
 }
 
 bool Worker::isUnderSuspicion(TimePoint now) const
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -471,6 +471,7 @@
     TimePoint m_lastFailureAt;
     int m_consecutiveFailures = 0;
     TimePoint m_lastUnansweredAt;
+    TimePoint m_unansweredUntil; // no new tasks before
     int m_unansweredOrders = 0; // one after the other
     TimePoint m_queryDueAt;
     bool m_isQueryUnderWay = false;
--- a/tests/execution/workercontrollertest.cpp
+++ b/tests/execution/workercontrollertest.cpp
@@ -83,4 +83,34 @@
     }
 }
 
+// Guards against taking a worker as silent, which gets no tasks, since it has ended a connection between
+// two renewals.
+TEST(WorkerController, ARenewalOnAnEndedConnectionIsRepeated)
+{
+    ports::VirtualScheduler clock;
+    SilentLog log;
+    Fleet fleet(log);
+    HeldLink link;
+    fleet.beginTerm({1}, 0, {}, clock.now(), clock.now());
+    ports::WorkerEntry entry;
+    entry.id = WorkerId("w0");
+    entry.startTimeMs = 1;
+    fleet.updateWorker(entry, clock.now());
+    WorkerController controller(link, clock, fleet, {[] {}, [] {}, [] {}, [] { return true; }});
+    controller.trackWorkers();
+    const auto answer = [&](const ports::AsyncResult<ports::WorkerListing> &result) {
+        ASSERT_EQ(link.renewals.size(), 1U);
+        const auto handler = std::move(link.renewals.front());
+        link.renewals.pop_front();
+        handler(result);
+    };
+    for (int n = 0; n < 3; ++n) {
+        answer(ports::WorkerListing{1000, 1, {}, {}, false});
+        answer(Failure{ErrorKind::StoreReplyLost, "end of file"});
+        EXPECT_EQ(fleet.fullCounts().silentWorkers, 0U);
+    }
+    answer(Failure{ErrorKind::StoreReplyLost, "end of file"});
+    EXPECT_EQ(fleet.fullCounts().silentWorkers, 1U) << "two failures one after the other";
+}
+
 } // namespace monsoonspool::execution
