--- a/src/execution/fleetindoubt.cpp
+++ b/src/execution/fleetindoubt.cpp
@@ -1,5 +1,9 @@
 // Runs of Fleet whose start order failed without an answer: the worker is asked at once what has become
 // of them. A run that is waited for instead makes its task stand still.
+//
+// A run is gone once the worker does not list it in an answer to a request that was sent after a stop was
+// confirmed: from then on the worker rejects the run. While a repeated order is under way, that is not
+// decided.
 #include "execution/fleetstate.h"
 #include "jobs/names.h"
 
@@ -9,7 +13,7 @@
 
 namespace {
 
-// An order that fails sooner than this after the plan has met a connection that had ended. It is sent
+// An order that fails sooner than this after the plan has probably met a connection that had ended. It is sent
 // once more, which the worker answers alike whether or not it has received the first one. An order that
 // has waited for an answer may have started the task, which a listing shows with less delay.
 constexpr Duration MaxTimeToRepeat = 300ms;
@@ -58,13 +62,13 @@
     run.isRepeatUnderWay = true;
     log.record("start-repeated", {{"task", run.task}, {"run", run.number}, {"worker", worker.entry().id.view()}});
     orders.repeatedStarts.push_back({worker.entry().id,
-                             run.task,
-                             run.number,
-                             job->job.task(run.task).checkpoint,
-                             {},
-                             run.startDeadline,
-                             worker.startTimeMs(),
-                             run.isVerified});
+                                     run.task,
+                                     run.number,
+                                     job->job.task(run.task).checkpoint,
+                                     {},
+                                     run.startDeadline,
+                                     worker.startTimeMs(),
+                                     run.isVerified});
     return true;
 }
 
@@ -91,8 +95,8 @@
     }
 }
 
-// The answer tells about this order. The first one may still be carried out, unless the worker says that
-// it has ended the run.
+// A refusal tells about the repeated order only, unless the worker says that it has ended the run: the
+// first order may have started it. The query that follows shows which.
 void Fleet::Private::applyRepeatRefusal(workers::Run &run, ports::StartResult answer, TimePoint now)
 {
     if (answer == ports::StartResult::Superseded) {
@@ -101,8 +105,6 @@
         if (run.state == workers::RunState::Unanswered) {
             run.state = workers::RunState::Running;
         }
-    } else if (run.state == workers::RunState::Unanswered) {
-        requestStop(run);
     }
 }
 
@@ -113,12 +115,13 @@
     if (worker == nullptr) {
         return;
     }
-    worker->noteQueryAnswered(now + QueryPause);
     d->changedWorkers.insert(worker);
     const bool isOfOtherProcess = listing.startTimeMs != 0 && listing.startTimeMs != worker->startTimeMs();
     if (isOfOtherProcess || listing.isTruncated || worker->isSilent()) {
+        worker->noteQueryEnded(now + QueryRetryDelay);
         return; // the renewals tell more
     }
+    worker->noteQueryEnded(now + QueryPause);
     std::vector<jobs::TaskId> gone;
     for (auto &run : worker->runs()) {
         if (!run.isInDoubt()) {
@@ -129,7 +132,8 @@
             const bool isRunning
                 = std::ranges::find(listing.running, run.task, &ports::ListedRun::task) != listing.running.end();
             if (isRunning) {
-                d->confirmListedRun(run, sentAt, now);
+                // A renewal that was sent after the query may have been answered before the run began.
+                d->confirmListedRun(run, now, now);
             }
         } else if (Private::isGone(run, listing.clock, sentAt)) {
             gone.push_back(run.task);
@@ -139,6 +143,9 @@
     }
     for (const auto &it : gone) {
         d->log.record("run-gone", {{"task", it}, {"worker", query.worker.view()}});
+        if (!worker->find(it)->isStopConfirmed) {
+            worker->noteOrderUnanswered(now); // its task must not meet it again at once
+        }
         d->endRun(*worker, it, jobs::RunEnd::Stopped, {}, now);
     }
 }
@@ -146,7 +153,7 @@
 void Fleet::applyQueryFailure(const QueryRuns &query, TimePoint now)
 {
     if (auto *worker = d->findWorker(query.worker)) {
-        worker->noteQueryAnswered(now + QueryRetryDelay);
+        worker->noteQueryEnded(now + QueryRetryDelay);
         d->changedWorkers.insert(worker);
     }
 }
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -102,9 +102,10 @@
     if (now < std::max(m_unschedulableUntil, m_unansweredUntil)) {
         return PlacementObstacle::Unhealthy;
     }
-    const auto hasUnconfirmedTrial
-        = [&](const Run &it) { return it.orderedAt > m_lastUnansweredAt && it.state == RunState::Ordered; };
-    if (m_unansweredOrders > 0 && std::ranges::any_of(m_runs, hasUnconfirmedTrial)) {
+    const auto isUnconfirmed = [&](const Run &it) {
+        return it.isInDoubt() || (it.orderedAt > m_lastUnansweredAt && it.state == RunState::Ordered);
+    };
+    if (m_unansweredOrders > 0 && std::ranges::any_of(m_runs, isUnconfirmed)) {
         return PlacementObstacle::OnTrial;
     }
     if (ignoresSuspicion || !isUnderSuspicion(now)) {
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -415,7 +415,7 @@
         m_isQueryUnderWay = true;
     }
     // Another one is sent no sooner than at `nextAt`.
-    void noteQueryAnswered(TimePoint nextAt)
+    void noteQueryEnded(TimePoint nextAt)
     {
         m_isQueryUnderWay = false;
         m_queryDueAt = nextAt;
--- a/tests/execution/startorderindoubttest.cpp
+++ b/tests/execution/startorderindoubttest.cpp
@@ -140,4 +140,98 @@
     }
 }
 
+namespace {
+
+// A leader with one worker, whose only run is in doubt and was ordered again.
+class RepeatedStart
+{
+public:
+    RepeatedStart()
+    {
+        fleet.beginTerm({1}, 0, {}, now, now);
+        entry.id = WorkerId("w0");
+        entry.service = Service;
+        entry.capacity = {16000, 32000, 0};
+        entry.startTimeMs = 1;
+        fleet.updateWorker(entry, now);
+        list(now - 1ms, {});
+        fleet.markRosterStored(fleet.takeRoster());
+        AcceptedJob job;
+        job.key = {Job};
+        job.policy.service = Service;
+        job.policy.maxAttempts = 3;
+        job.spec.steps.resize(1);
+        job.spec.steps.front().needs = TaskSize;
+        fleet.addJob(std::move(job), now, {});
+        order = fleet.plan(now, {}).starts.at(0);
+        now += 2ms;
+        fleet.applyStartFailure(order, true, now);
+        now += 1ms;
+        repeatedStarts = fleet.plan(now, {}).repeatedStarts.size();
+    }
+    ports::WorkerListing listing(std::vector<ListedRun> running) const
+    {
+        return {toMilliseconds(now - TimePoint(1h)) + 1000, 1, std::move(running), {}, false};
+    }
+    void list(TimePoint sentAt, std::vector<ListedRun> running)
+    {
+        fleet.applyListing(entry.id, listing(std::move(running)), sentAt, now);
+    }
+    ListedRun run() const
+    {
+        return {order.task, order.run, {}, 10, 1000};
+    }
+
+    TimePoint now{1h};
+    NullLog log;
+    Fleet fleet{log};
+    WorkerEntry entry;
+    StartTask order;
+    std::size_t repeatedStarts = 0;
+};
+
+} // namespace
+
+// Guards against a second run of a task that is at work: the answer to a query may overtake that to a
+// renewal which was sent later and handled before the run began.
+TEST(StartOrderInDoubt, AnOvertakenListingEndsNoRun)
+{
+    RepeatedStart it;
+    ASSERT_EQ(it.repeatedStarts, 1U);
+    const auto querySentAt = it.now;
+    it.now += 10ms;
+    const auto renewalSentAt = it.now;
+    const auto beforeRun = it.listing({});
+    it.now += 5ms;
+    it.fleet.applyQueryAnswer({it.entry.id}, it.listing({it.run()}), querySentAt, it.now);
+    it.now += 5ms;
+    it.fleet.applyListing(it.entry.id, beforeRun, renewalSentAt, it.now);
+    it.now += 1ms;
+    EXPECT_TRUE(it.fleet.plan(it.now, {}).starts.empty());
+    EXPECT_EQ(it.fleet.fullCounts().runs, 1U);
+}
+
+// Guards against stopping a task that the first order has started.
+TEST(StartOrderInDoubt, ARefusedRepetitionStopsNothing)
+{
+    for (const auto answer : {StartResult::Unhealthy, StartResult::TooLate, StartResult::InsufficientCapacity}) {
+        SCOPED_TRACE(static_cast<int>(answer));
+        RepeatedStart it;
+        it.now += 2ms;
+        it.fleet.applyStartReply(it.order, answer, it.now);
+        it.now += 1ms;
+        auto orders = it.fleet.plan(it.now, {});
+        EXPECT_TRUE(orders.stops.empty());
+        ASSERT_EQ(orders.queries.size(), 1U);
+        const auto sentAt = it.now;
+        it.now += 2ms;
+        it.fleet.applyQueryAnswer(orders.queries.front(), it.listing({it.run()}), sentAt, it.now);
+        it.now += 1ms;
+        orders = it.fleet.plan(it.now, {});
+        EXPECT_TRUE(orders.stops.empty());
+        EXPECT_TRUE(orders.starts.empty());
+        EXPECT_EQ(it.fleet.fullCounts().runs, 1U);
+    }
+}
+
 } // namespace monsoonspool::execution
