Work waits behind gangs for 2 s at most beside free workers

Callers saw jobs that stand still beside free workers, behind a stream of gangs that need more workers than are free.

Cause: a gang that would fit if nothing else ran makes all work of its members' size behind it wait, so that it gets its turn. Nothing bounded that time: each gang ranks lower when it is late, but the next one takes its place before the work that is late as well.

While under half of the cores of the service's usable workers are reserved, such work waits for 2 s at most. Above that share it waits as before, so that a gang still gets its turn beside a stream of small work.

--- a/src/execution/fleetmoves.cpp
+++ b/src/execution/fleetmoves.cpp
@@ -23,7 +23,8 @@
 // The leftover cores elsewhere are not idle then, and a moved run would take them from waiting work.
 bool Fleet::Private::hasUnplaceableLeftoverWork() const
 {
-    return std::ranges::any_of(unplaceableDemands, &UnplaceableDemand::usesLeftover);
+    return std::ranges::any_of(unplaceableDemands, &UnplaceableDemand::usesLeftover)
+        || std::ranges::any_of(gangDemands, &UnplaceableDemand::usesLeftover);
 }
 
 bool Fleet::Private::isWorthMoving(TrackedJob &job, const workers::Run &run, TimePoint now) const
--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -14,6 +14,10 @@
 // work as lost that waits for 3 s beside free capacity.
 constexpr Duration MaxTimeKeptApart = 2s;
 
+// Work waits this long at most behind a gang while under half of its service's capacity is reserved. The
+// bound of the platform, 3 s, applies then.
+constexpr Duration MaxTimeHeldBack = 2s;
+
 // The members of a gang wait together.
 jobs::TaskId waitingTask(const TrackedJob &job, jobs::TaskId task)
 {
@@ -112,7 +116,7 @@
                                               TimePoint now, std::optional<scheduling::RankedWorkers> *ranked)
 {
     auto demand = demandOf(job, task, preferredRack, now);
-    if (isRuledOut(unplaceableDemands, demand)) {
+    if (isRuledOut(unplaceableDemands, demand) || isHeldBack(job, demand, now)) {
         return nullptr;
     }
     // Tasks of one step differ only where earlier runs failed, or where one may still be active.
@@ -138,6 +142,33 @@
     return worker;
 }
 
+bool Fleet::Private::isHeldBack(TrackedJob &job, const scheduling::TaskDemand &demand, TimePoint now)
+{
+    if (!isRuledOut(gangDemands, demand)) {
+        return false;
+    }
+    auto step = demand.task;
+    step.index = 0;
+    const auto since = job.heldBackSince.try_emplace(step, now).first->second;
+    return now - since < MaxTimeHeldBack || isHalfReserved(demand.service, now);
+}
+
+bool Fleet::Private::isHalfReserved(std::string_view service, TimePoint now)
+{
+    if (const auto it = halfReserved.find(service); it != halfReserved.end()) {
+        return it->second;
+    }
+    std::int64_t capacity = 0;
+    std::int64_t free = 0;
+    for (const auto *it : workers) {
+        if (it->entry().service.view() == service && it->isSchedulable(now, true)) {
+            capacity += it->entry().capacity.milliCores;
+            free += it->freeResources().milliCores;
+        }
+    }
+    return halfReserved.emplace(service, free * 2 <= capacity).first->second;
+}
+
 jobs::RunNumber Fleet::Private::nextRun(const jobs::Task &task) const
 {
     return std::max(task.lastRun, (fence.value - 1) * RunNumbersPerTerm) + 1;
@@ -159,6 +190,7 @@
     run.isRemote = isRemote;
     endRackWait(job, task, worker, isRemote, now);
     job.keptApartSince.erase(waitingTask(job, task));
+    job.heldBackSince.erase({task.job, task.occurrence, task.step, 0});
     worker.add(run);
     ++job.activeRuns;
     const auto checkpoint = job.job.task(task).checkpoint;
@@ -283,8 +315,8 @@
 } // namespace
 
 // Starts all members of a gang or none, so that no member occupies a worker while it
-// waits for the others. Work of the same size that ranks below it waits as well, unless the gang is
-// too large for the workers that there are.
+// waits for the others. Work of the same size that ranks below it waits as well for a time, unless the
+// gang is too large for the workers that there are.
 void Fleet::Private::placeGang(const WaitingStep &waiting, TimePoint now, jobs::WallTime wall, Orders &orders)
 {
     auto &job = *waiting.job;
@@ -308,8 +340,11 @@
     const auto unplaceableWithoutGang = unplaceableDemands;
     auto chosen = chooseMembers(waiting, {}, now);
     if (static_cast<int>(chosen.size()) < spec.count) {
-        if (!chosen.empty() && !fitsIdleWorkers(waiting, now)) {
+        if (!chosen.empty()) {
             unplaceableDemands = unplaceableWithoutGang;
+            if (fitsIdleWorkers(waiting, now)) {
+                ruleOut(gangDemands, demandOf(job, first, {}, now));
+            }
         }
         return;
     }
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -45,7 +45,9 @@
         return orders;
     }
     d->unplaceableDemands.clear();
+    d->gangDemands.clear();
     d->suspicionIgnored.clear();
+    d->halfReserved.clear();
     d->racks.unplaceable.clear();
     d->racks.room.beginQueue();
     const auto waiting = d->waitingSteps(now, wall);
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -60,6 +60,7 @@
     scheduling::Rank rank;
     std::map<jobs::TaskId, WorkerId> movedFrom; // workers that throttled the task
     std::map<jobs::TaskId, TimePoint> keptApartSince; // tasks that wait for a worker without a crash suspect
+    std::map<jobs::TaskId, TimePoint> heldBackSince; // steps, by their first task, that wait behind a gang
     std::map<jobs::TaskId, RackWait> rackWaits; // tasks that wait for their rack; of a gang the first one
     int rankedOccurrence = -1;
     TimePoint rankedAt;
@@ -222,6 +223,11 @@
     bool addWaitingSteps(TrackedJob &job, TimePoint now, jobs::WallTime wall, std::vector<WaitingStep> &waiting);
     void placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, jobs::WallTime wall, Orders &orders);
     bool fitsIdleWorkers(const WaitingStep &waiting, TimePoint now);
+    // Returns whether a task that may have room waits, so that a gang which ranks before it gets its turn.
+    bool isHeldBack(TrackedJob &job, const scheduling::TaskDemand &demand, TimePoint now);
+    // Returns whether half or more of the cores of the service's usable workers was reserved when the
+    // current plan first asked.
+    bool isHalfReserved(std::string_view service, TimePoint now);
     void placeGang(const WaitingStep &waiting, TimePoint now, jobs::WallTime wall, Orders &orders);
     // Returns the workers for the members of a gang, or for as many of them as fit. `rackKey`, if given, is
     // that of the only rack to use, see RackQuestion.
@@ -344,7 +350,9 @@
     std::unique_ptr<scheduling::WaitingOrder> waitingOrder;
     std::unique_ptr<scheduling::WorkerChooser> workerChooser;
     std::vector<UnplaceableDemand> unplaceableDemands; // of the current plan
+    std::vector<UnplaceableDemand> gangDemands; // of gangs that wait for more workers, in the current plan
     std::map<std::string, bool, std::less<>> suspicionIgnored; // by service and label, in the current plan
+    std::map<std::string, bool, std::less<>> halfReserved; // by service, in the current plan
     RackState racks;
     FleetCounts counts;
 };
