Tests of rejected orders and of the backlog behind the start limiter

A task whose order is rejected is ordered elsewhere in the next plan, and all workers are asked again after 0.5 s.

--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -795,6 +796,30 @@
     EXPECT_TRUE(ready.fleet.plan(Start, Wall).starts.empty());
 }
 
+// Guards against tasks that stand still since workers reject their orders in turn.
+TEST(Fleet, ATaskWhoseOrderIsRejectedIsOrderedElsewhereAtOnce)
+{
+    constexpr int workerCount = 6;
+    for (const auto answer : {ports::StartResult::Unhealthy, ports::StartResult::InsufficientCapacity,
+                              ports::StartResult::InvalidTicket, ports::StartResult::Invalid}) {
+        SCOPED_TRACE(static_cast<int>(answer));
+        ReadyFleet ready(workerCount);
+        ready.submit(1, plainStep(), Start);
+        auto now = Start;
+        std::set<std::string> rejecting;
+        for (int n = 0; n < workerCount; ++n) {
+            const auto orders = ready.fleet.plan(now, Wall);
+            ASSERT_EQ(orders.starts.size(), 1U) << "after " << n;
+            EXPECT_TRUE(rejecting.insert(orders.starts.front().worker.text()).second) << "ordered there again";
+            now += 1ms;
+            ready.fleet.applyStartReply(orders.starts.front(), answer, now);
+        }
+        EXPECT_TRUE(ready.fleet.plan(now, Wall).starts.empty());
+        now += 600ms;
+        EXPECT_EQ(ready.fleet.plan(now, Wall).starts.size(), 1U) << "all are asked again";
+    }
+}
+
 // Guards against a model of interference that is spoilt for minutes: the cores that leftover work
 // used before its worker shrank counted as many times the worker's cores.
 TEST(Fleet, MeasurementsFromBeforeAWorkerShrankAreNotLearnedFrom)
--- a/tests/execution/startlimitertest.cpp
+++ b/tests/execution/startlimitertest.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <limits>
 #include <random>
+#include <utility>
 #include <vector>
 
 namespace monsoonspool::execution {
@@ -117,4 +118,32 @@
     EXPECT_FALSE(play.limiter.isAtMinimum());
 }
 
+// Guards against orders that the limiter holds back although the thread is in time again and all are answered.
+TEST(StartLimiter, ABacklogIsOrderedSoon)
+{
+    constexpr int backlog = 2000;
+    constexpr Duration roundTrip = 25ms; // of an order and the plan after it
+    constexpr Duration bound = 3s; // after which the platform takes work as lost that stands still
+    for (const bool wasLate : {false, true}) {
+        SCOPED_TRACE(wasLate);
+        Play play;
+        play.run(40, wasLate ? 500ms : 0ms, UsualRoundTrip, 20, false);
+        int waiting = backlog;
+        std::vector<Duration> roundTrips;
+        Duration passed{0};
+        for (Duration nextTimer = TimerInterval; waiting > 0; passed += roundTrip) {
+            if (passed >= nextTimer) {
+                nextTimer += TimerInterval;
+                play.now += TimerInterval;
+                play.limiter.update(0ms, std::exchange(roundTrips, {}), play.now);
+            }
+            const int ordered = std::min(waiting, play.limiter.available(0));
+            waiting -= ordered;
+            play.limiter.available(ordered);
+            roundTrips.insert(roundTrips.end(), static_cast<std::size_t>(ordered), UsualRoundTrip);
+        }
+        EXPECT_LT(toMilliseconds(passed), toMilliseconds(bound));
+    }
+}
+
 } // namespace monsoonspool::execution
