A task that has failed waits up to 2 s for a worker that is not suspect

Where more than half of the workers fail everything, suspicion that is ignored let them use up the attempts of tasks. A task that has failed now uses suspect workers only after 2 s without another one.

--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -18,6 +18,10 @@
 // bound of the platform, 3 s, applies then.
 constexpr Duration MaxTimeHeldBack = 2s;
 
+// A task that has failed waits this long at most for a worker that is not suspect. The cause may be the
+// workers all the same, which would use up its attempts.
+constexpr Duration MaxTimeAwaitingSoundWorker = 2s;
+
 // The members of a gang wait together.
 jobs::TaskId waitingTask(const TrackedJob &job, jobs::TaskId task)
 {
@@ -51,7 +55,7 @@
     demand.step = &spec;
     demand.image = image;
     demand.service = policyOf(job).service.view();
-    demand.ignoresSuspicion = ignoresSuspicion(demand.service, spec, now);
+    demand.ignoresSuspicion = ignoresSuspicion(demand.service, spec, now) && !awaitsSoundWorker(job, task, now);
     demand.preferredRack = preferredRack;
     demand.crashCount = job.job.crashSuspicion(task);
     demand.interference = usesInterference ? &interference : nullptr;
@@ -75,6 +79,11 @@
     return it->second;
 }
 
+bool Fleet::Private::awaitsSoundWorker(const TrackedJob &job, const jobs::TaskId &task, TimePoint now)
+{
+    return !job.job.avoidedWorkers(task).empty() && now - job.job.task(task).retryAt < MaxTimeAwaitingSoundWorker;
+}
+
 namespace {
 
 // Which workers can take disturbing leftover work depends on its image.
@@ -87,7 +96,7 @@
 bool isComparable(const UnplaceableDemand &unplaceable, const scheduling::TaskDemand &demand)
 {
     return unplaceable.service == demand.service && unplaceable.usesLeftover == demand.step->usesLeftover
-        && unplaceable.image == restrictingImage(demand);
+        && unplaceable.image == restrictingImage(demand) && unplaceable.ignoresSuspicion == demand.ignoresSuspicion;
 }
 
 } // namespace
@@ -109,7 +118,8 @@
     std::erase_if(unplaceable, [&](const UnplaceableDemand &it) {
         return isComparable(it, demand) && it.needs.contains(spec.needs);
     });
-    unplaceable.push_back({demand.service, spec.usesLeftover, restrictingImage(demand), spec.needs});
+    unplaceable.push_back(
+        {demand.service, spec.usesLeftover, demand.ignoresSuspicion, restrictingImage(demand), spec.needs});
 }
 
 workers::Worker *Fleet::Private::chooseWorker(TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
@@ -231,7 +241,7 @@
             continue;
         }
         auto *worker = chooseWorker(job, id, {}, now, &ranked);
-        if (worker == nullptr && job.job.crashSuspicion(id) > 0) {
+        if (worker == nullptr && (job.job.crashSuspicion(id) > 0 || awaitsSoundWorker(job, id, now))) {
             continue; // waits for a worker of its own, which the others need not
         }
         if (worker == nullptr) {
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -81,6 +81,7 @@
 {
     std::string_view service;
     bool usesLeftover = false;
+    bool ignoresSuspicion = false;
     std::optional<scheduling::ImageNumber> image; // set if the image restricts the eligible workers
     Resources needs;
 };
@@ -236,6 +237,8 @@
                                     TimePoint now);
     // Returns whether the current plan uses suspect workers for the step like others.
     bool ignoresSuspicion(std::string_view service, const jobs::StepSpec &step, TimePoint now);
+    // Returns whether a task that has failed waits for a worker that is not suspect.
+    static bool awaitsSoundWorker(const TrackedJob &job, const jobs::TaskId &task, TimePoint now);
     // Returns whether workers had no room for a smaller demand.
     static bool isRuledOut(std::span<const UnplaceableDemand> unplaceable, const scheduling::TaskDemand &demand);
     static void ruleOut(std::vector<UnplaceableDemand> &unplaceable, const scheduling::TaskDemand &demand);
