--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -14,6 +14,14 @@
 // work as lost that waits for 3 s beside free capacity.
 constexpr Duration MaxTimeKeptApart = 2s;
 
+// Work waits this long at most behind a gang while under half of its service's capacity is reserved. The
+// bound of the platform, 3 s, applies then.
+constexpr Duration MaxTimeHeldBack = 2s;
+
+// A task that has failed waits this long at most for a worker that is not suspect. The cause may be the
+// workers all the same, which would use up its attempts.
+constexpr Duration MaxTimeAwaitingSoundWorker = 2s;
+
 // The members of a gang wait together.
 jobs::TaskId waitingTask(const TrackedJob &job, jobs::TaskId task)
 {
@@ -47,7 +55,7 @@
     demand.step = &spec;
     demand.image = image;
     demand.service = policyOf(job).service.view();
-    demand.ignoresSuspicion = ignoresSuspicion(demand.service, spec, now);
+    demand.ignoresSuspicion = ignoresSuspicion(demand.service, spec, now) && !awaitsSoundWorker(job, task, now);
     demand.preferredRack = preferredRack;
     demand.crashCount = job.job.crashSuspicion(task);
     demand.interference = usesInterference ? &interference : nullptr;
@@ -71,6 +79,11 @@
     return it->second;
 }
 
+bool Fleet::Private::awaitsSoundWorker(const TrackedJob &job, const jobs::TaskId &task, TimePoint now)
+{
+    return !job.job.avoidedWorkers(task).empty() && now - job.job.task(task).retryAt < MaxTimeAwaitingSoundWorker;
+}
+
 namespace {
 
 // Which workers can take disturbing leftover work depends on its image.
@@ -83,7 +96,7 @@
 bool isComparable(const UnplaceableDemand &unplaceable, const scheduling::TaskDemand &demand)
 {
     return unplaceable.service == demand.service && unplaceable.usesLeftover == demand.step->usesLeftover
-        && unplaceable.image == restrictingImage(demand);
+        && unplaceable.image == restrictingImage(demand) && unplaceable.ignoresSuspicion == demand.ignoresSuspicion;
 }
 
 } // namespace
@@ -105,14 +118,15 @@
     std::erase_if(unplaceable, [&](const UnplaceableDemand &it) {
         return isComparable(it, demand) && it.needs.contains(spec.needs);
     });
-    unplaceable.push_back({demand.service, spec.usesLeftover, restrictingImage(demand), spec.needs});
+    unplaceable.push_back(
+        {demand.service, spec.usesLeftover, demand.ignoresSuspicion, restrictingImage(demand), spec.needs});
 }
 
 workers::Worker *Fleet::Private::chooseWorker(TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
                                               TimePoint now, std::optional<scheduling::RankedWorkers> *ranked)
 {
     auto demand = demandOf(job, task, preferredRack, now);
-    if (isRuledOut(unplaceableDemands, demand)) {
+    if (isRuledOut(unplaceableDemands, demand) || isHeldBack(job, demand, now)) {
         return nullptr;
     }
     // Tasks of one step differ only where earlier runs failed, or where one may still be active.
@@ -138,6 +152,33 @@
     return worker;
 }
 
+bool Fleet::Private::isHeldBack(TrackedJob &job, const scheduling::TaskDemand &demand, TimePoint now)
+{
+    if (!isRuledOut(gangDemands, demand)) {
+        return false;
+    }
+    auto step = demand.task;
+    step.index = 0;
+    const auto since = job.heldBackSince.try_emplace(step, now).first->second;
+    return now - since < MaxTimeHeldBack || isHalfReserved(demand.service, now);
+}
+
+bool Fleet::Private::isHalfReserved(std::string_view service, TimePoint now)
+{
+    if (const auto it = halfReserved.find(service); it != halfReserved.end()) {
+        return it->second;
+    }
+    std::int64_t capacity = 0;
+    std::int64_t free = 0;
+    for (const auto *it : workers) {
+        if (it->entry().service.view() == service && it->isSchedulable(now, true)) {
+            capacity += it->entry().capacity.milliCores;
+            free += it->freeResources().milliCores;
+        }
+    }
+    return halfReserved.emplace(service, free * 2 <= capacity).first->second;
+}
+
 jobs::RunNumber Fleet::Private::nextRun(const jobs::Task &task) const
 {
     return std::max(task.lastRun, (fence.value - 1) * RunNumbersPerTerm) + 1;
@@ -159,6 +200,7 @@
     run.isRemote = isRemote;
     endRackWait(job, task, worker, isRemote, now);
     job.keptApartSince.erase(waitingTask(job, task));
+    job.heldBackSince.erase({task.job, task.occurrence, task.step, 0});
     worker.add(run);
     ++job.activeRuns;
     const auto checkpoint = job.job.task(task).checkpoint;
@@ -199,7 +241,7 @@
             continue;
         }
         auto *worker = chooseWorker(job, id, {}, now, &ranked);
-        if (worker == nullptr && job.job.crashSuspicion(id) > 0) {
+        if (worker == nullptr && (job.job.crashSuspicion(id) > 0 || awaitsSoundWorker(job, id, now))) {
             continue; // waits for a worker of its own, which the others need not
         }
         if (worker == nullptr) {
@@ -283,8 +325,8 @@
 } // namespace
 
 // Starts all members of a gang or none, so that no member occupies a worker while it
-// waits for the others. Work of the same size that ranks below it waits as well, unless the gang is
-// too large for the workers that there are.
+// waits for the others. Work of the same size that ranks below it waits as well for a time, unless the
+// gang is too large for the workers that there are.
 void Fleet::Private::placeGang(const WaitingStep &waiting, TimePoint now, jobs::WallTime wall, Orders &orders)
 {
     auto &job = *waiting.job;
@@ -308,8 +350,11 @@
     const auto unplaceableWithoutGang = unplaceableDemands;
     auto chosen = chooseMembers(waiting, {}, now);
     if (static_cast<int>(chosen.size()) < spec.count) {
-        if (!chosen.empty() && !fitsIdleWorkers(waiting, now)) {
+        if (!chosen.empty()) {
             unplaceableDemands = unplaceableWithoutGang;
+            if (fitsIdleWorkers(waiting, now)) {
+                ruleOut(gangDemands, demandOf(job, first, {}, now));
+            }
         }
         return;
     }
