--- /dev/null
+++ b/soak/entryhost.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "common/error.h"
+#include "ports/hostlist.h"
+
+#include <string>
+#include <sys/types.h>
+
+namespace monsoonspool::soak {
+
+struct EntryHostOptions
+{
+    std::string program; // path of monsoonspool-execution
+    std::string folder; // for its settings and its log
+    std::string name;
+    std::string domain;
+    ports::Address store;
+};
+
+// A real process of an entry host. The destructor kills it.
+class EntryHost
+{
+public:
+    // Writes the settings; the process is started by start().
+    explicit EntryHost(EntryHostOptions options);
+    ~EntryHost();
+    EntryHost(EntryHost &&other) noexcept;
+    EntryHost &operator=(EntryHost &&other) = delete;
+    EntryHost(const EntryHost &) = delete;
+    EntryHost &operator=(const EntryHost &) = delete;
+
+    // Starts the process; its log is appended to that of its earlier lives. Fails with Internal.
+    Result<void> start();
+
+    // Sends a signal to the process, if it runs.
+    void sendSignal(int number) const;
+
+    // Returns whether the process has ended, and then releases its process number.
+    bool reap();
+
+    // Returns whether it answers the readiness check. Blocks for at most half a second.
+    bool isReady() const;
+
+    const std::string &name() const
+    {
+        return m_options.name;
+    }
+    const ports::Address &clientAddress() const
+    {
+        return m_clients;
+    }
+    pid_t pid() const
+    {
+        return m_pid;
+    }
+
+private:
+    EntryHostOptions m_options;
+    ports::Address m_clients;
+    ports::Address m_ready;
+    std::string m_settingsFile;
+    pid_t m_pid = -1;
+};
+
+} // namespace monsoonspool::soak
