--- a/soak/connectionbehavior.cpp
+++ b/soak/connectionbehavior.cpp
@@ -25,9 +25,13 @@
 constexpr int MaxAnswers = 20;
 constexpr int MinIdleMs = 50;
 constexpr int MaxIdleMs = 500;
+constexpr std::uint64_t KindStream = 1;
+constexpr std::uint64_t BehaviorStream = 2;
 constexpr double ResetProbability = 0.05;
 // Every third worker, so that the others have room for all tasks.
 constexpr int IgnoringInterval = 3;
+// In a mix, whose other workers misbehave as well.
+constexpr int MixedIgnoringInterval = 6;
 
 class KeepConnections : public ConnectionBehavior
 {
@@ -101,10 +105,9 @@
 
 ConnectionKind mixedKind(Random &random, int n)
 {
-    // Without IgnoreOrders, which only every third worker may have.
     constexpr std::array kinds{ConnectionKind::Keep, ConnectionKind::EndEach, ConnectionKind::EndAfter,
                                ConnectionKind::EndIdle, ConnectionKind::Reset};
-    if (n % IgnoringInterval == 0 && std::bernoulli_distribution(0.5)(random)) {
+    if (n % MixedIgnoringInterval == 0 && std::bernoulli_distribution(0.5)(random)) {
         return ConnectionKind::IgnoreOrders;
     }
     return kinds[std::uniform_int_distribution<std::size_t>(0, kinds.size() - 1)(random)];
@@ -127,14 +130,21 @@
     return Names[static_cast<std::size_t>(kind)].second;
 }
 
-std::unique_ptr<ConnectionBehavior> makeConnectionBehavior(ConnectionKind kind, std::uint64_t seed, int n)
+ConnectionKind workerConnectionKind(ConnectionKind kind, std::uint64_t seed, int n)
 {
-    std::seed_seq sequence{seed, static_cast<std::uint64_t>(n)};
-    Random random(sequence);
     if (kind == ConnectionKind::Mix) {
-        kind = mixedKind(random, n);
+        std::seed_seq sequence{seed, static_cast<std::uint64_t>(n), KindStream};
+        Random random(sequence);
+        return mixedKind(random, n);
     }
-    switch (kind) {
+    return kind == ConnectionKind::IgnoreOrders && n % IgnoringInterval != 0 ? ConnectionKind::Keep : kind;
+}
+
+std::unique_ptr<ConnectionBehavior> makeConnectionBehavior(ConnectionKind kind, std::uint64_t seed, int n)
+{
+    std::seed_seq sequence{seed, static_cast<std::uint64_t>(n), BehaviorStream};
+    Random random(sequence);
+    switch (workerConnectionKind(kind, seed, n)) {
     case ConnectionKind::EndEach:
         return std::make_unique<EndAfterAnswers>(1);
     case ConnectionKind::EndAfter:
@@ -145,10 +155,7 @@
     case ConnectionKind::Reset:
         return std::make_unique<ResetConnections>(random());
     case ConnectionKind::IgnoreOrders:
-        if (n % IgnoringInterval == 0) {
-            return std::make_unique<IgnoreOrders>();
-        }
-        break;
+        return std::make_unique<IgnoreOrders>();
     case ConnectionKind::Keep:
     case ConnectionKind::Mix:
         break;
--- a/soak/connectionbehavior.h
+++ b/soak/connectionbehavior.h
@@ -54,6 +54,10 @@
     }
 };
 
+// Returns the kind of worker `n`: `kind`, or one of a mix. It is Keep for the workers that answer
+// orders among those of IgnoreOrders.
+ConnectionKind workerConnectionKind(ConnectionKind kind, std::uint64_t seed, int n);
+
 // Returns the behavior of worker `n`. Equal seeds give equal behaviors.
 std::unique_ptr<ConnectionBehavior> makeConnectionBehavior(ConnectionKind kind, std::uint64_t seed, int n);
 
--- a/soak/history.cpp
+++ b/soak/history.cpp
@@ -30,6 +30,8 @@
         return "disturbance-began";
     case EventKind::DisturbanceEnded:
         return "disturbance-ended";
+    case EventKind::HostEnded:
+        return "host-ended";
     }
     return "unknown";
 }
--- a/soak/history.h
+++ b/soak/history.h
@@ -36,6 +36,7 @@
     RunEnded, // a worker ended a run with `runEnd`
     DisturbanceBegan, // the soak disturbed a host; it is calm while no disturbance is under way
     DisturbanceEnded,
+    HostEnded, // a process of a host ended without a signal
 };
 
 enum class RunEndKind {
@@ -51,6 +52,7 @@
     TimePoint at;
     jobs::JobKey job;
     JobShape shape; // of Submitted
+    std::string host; // of the disturbances and HostEnded
     std::string worker; // of WorkerRegistered, RunStarted and RunEnded
     std::int64_t milliCores = 0; // of WorkerRegistered
     bool takesOrders = true; // of WorkerRegistered: whether it answers orders to start a task
--- a/soak/historychecker.cpp
+++ b/soak/historychecker.cpp
@@ -115,11 +115,15 @@
             break;
         case EventKind::DisturbanceBegan:
             ++m_disturbances;
+            ++result(Promise::HostsStayUp).checked;
             break;
         case EventKind::DisturbanceEnded:
             --m_disturbances;
             m_calmFrom = event.at + m_rules.settleTime;
             break;
+        case EventKind::HostEnded:
+            violate(Promise::HostsStayUp, event.host + " ended without a signal");
+            break;
         }
         followStandstills(event.at);
     }
@@ -297,6 +301,8 @@
         return "within-capacity";
     case Promise::NoStandstill:
         return "no-standstill";
+    case Promise::HostsStayUp:
+        return "hosts-stay-up";
     }
     return "unknown";
 }
--- a/soak/historychecker.h
+++ b/soak/historychecker.h
@@ -15,8 +15,9 @@
     RejectedNeverRuns, // no task of a rejected job starts
     WithinCapacity, // the active runs of a worker need no more than its capacity
     NoStandstill, // see HistoryRules::standstillBound
+    HostsStayUp, // no process of a host ends without a signal
 };
-inline constexpr std::size_t PromiseCount = 6;
+inline constexpr std::size_t PromiseCount = 7;
 
 std::string_view promiseName(Promise promise);
 
--- a/soak/main/main.cpp
+++ b/soak/main/main.cpp
@@ -53,6 +53,8 @@
     TCLAP::ValueArg<std::string> connections(
         "", "worker-connections", "keep, end-each, end-after, end-idle, reset, ignore-orders or mix", false, "keep",
         "KIND", line);
+    TCLAP::ValueArg<std::string> signals("", "host-signals", "none, pause, kill, stop or mix", false, "none", "KIND",
+                                         line);
     TCLAP::ValueArg<std::string> program("", "program", "path of monsoonspool-execution", false,
                                          ownFolder() + "/monsoonspool-execution", "FILE", line);
     TCLAP::SwitchArg json("", "json", "print one line", line);
@@ -71,6 +73,7 @@
     options.workers = workers.getValue();
     options.clients = clients.getValue();
     BOOST_LEAF_ASSIGN(options.connections, soak::parseConnectionKind(connections.getValue()));
+    BOOST_LEAF_ASSIGN(options.hostFaults, soak::parseHostFaultSet(signals.getValue()));
     options.program = program.getValue();
     options.folder = makeFolder(options.seed);
     writeCommand(options.folder, argc, argv);
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -3,6 +3,7 @@
 #include "jobs/names.h"
 #include "soak/entryhost.h"
 #include "soak/failuredomains.h"
+#include "soak/hostfaultinjector.h"
 #include "soak/platformstandin.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -11,6 +12,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -21,8 +23,6 @@
 constexpr std::chrono::milliseconds CheckInterval{20};
 constexpr std::chrono::milliseconds ReadyPollInterval{50};
 constexpr Duration ReadyTimeout = 30s;
-// After the last submission, for the jobs to end.
-constexpr Duration DrainTime = 40s;
 
 void writeHistory(const std::string &folder, std::span<const Event> history)
 {
@@ -37,6 +37,8 @@
             }
         } else if (it.kind == EventKind::WorkerRegistered) {
             file << " " << it.worker << (it.takesOrders ? "" : " ignores orders");
+        } else if (!it.host.empty()) {
+            file << " " << it.host;
         } else {
             file << " " << jobs::jobName(it.job);
         }
@@ -70,7 +72,7 @@
         return {};
     }
 
-    void run(SoakResult &result)
+    Result<void> run(SoakResult &result)
     {
         std::vector<ports::Address> addresses;
         std::ranges::transform(m_hosts, std::back_inserter(addresses), &EntryHost::clientAddress);
@@ -81,28 +83,43 @@
                 m_io.stop();
             }
         });
-        m_finishAt = monotonicNow() + std::chrono::seconds(m_options.seconds);
+        const auto now = monotonicNow();
+        const auto length = std::chrono::seconds(m_options.seconds);
+        m_finishAt = now + length;
+        HostFaultInjector injector(m_hosts,
+                                   planHostFaults(m_options.hostFaults, m_options.seed, m_options.hosts, length), now,
+                                   m_recorder, result.faults);
         clients.start();
-        check(clients);
+        check(clients, injector);
         m_io.run();
         result.clients = clients.counts();
+        if (m_failure) {
+            return fail(m_failure->kind, m_failure->detail);
+        }
+        return {};
     }
 
 private:
-    void check(JobClients &clients)
+    void check(JobClients &clients, HostFaultInjector &injector)
     {
         const auto now = monotonicNow();
+        m_failure = handleFailure(
+            [&]() -> Result<std::optional<Failure>> {
+                BOOST_LEAF_CHECK(injector.advance(now));
+                return std::optional<Failure>();
+            },
+            [](const Failure &failure) { return std::optional(failure); });
         if (now >= m_finishAt) {
             clients.finish();
         }
-        if (clients.isIdle() || now >= m_finishAt + DrainTime) {
+        if (m_failure || clients.isIdle() || now >= m_finishAt + std::chrono::seconds(m_options.drainSeconds)) {
             m_io.stop();
             return;
         }
         m_timer.expires_after(CheckInterval);
-        m_timer.async_wait([this, &clients](const boost::system::error_code &ec) {
+        m_timer.async_wait([this, &clients, &injector](const boost::system::error_code &ec) {
             if (!ec) {
-                check(clients);
+                check(clients, injector);
             }
         });
     }
@@ -114,6 +131,7 @@
     boost::asio::steady_timer m_timer;
     std::vector<EntryHost> m_hosts;
     TimePoint m_finishAt;
+    std::optional<Failure> m_failure;
 };
 
 } // namespace
@@ -125,7 +143,7 @@
     BOOST_LEAF_CHECK(platform.start());
     Controller controller(options, recorder);
     BOOST_LEAF_CHECK(controller.startHosts(platform.storeAddress()));
-    controller.run(result);
+    BOOST_LEAF_CHECK(controller.run(result));
     const auto history = recorder.history();
     writeHistory(options.folder, history);
     result.verdict = HistoryChecker().check(history, monotonicNow());
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -4,6 +4,7 @@
 #include "soak/connectionbehavior.h"
 #include "soak/faultcounts.h"
 #include "soak/historychecker.h"
+#include "soak/hostfaultplan.h"
 #include "soak/jobclients.h"
 
 #include <string>
@@ -14,10 +15,12 @@
 {
     std::uint64_t seed = 1;
     int seconds = 20; // in which jobs are submitted
+    int drainSeconds = 40; // in which the last jobs may end
     int hosts = 3;
     int workers = 6;
     int clients = 6;
     ConnectionKind connections = ConnectionKind::Keep;
+    HostFaultSet hostFaults = HostFaultSet::None;
     std::string program; // path of monsoonspool-execution
     std::string folder; // for settings, logs and the history; it must exist
 };
--- a/soak/soakreport.cpp
+++ b/soak/soakreport.cpp
@@ -12,6 +12,16 @@
 
 constexpr std::size_t MaxListedViolations = 5; // of a promise
 
+// Returns the kind of connections of each worker.
+Json workerConnections(const SoakOptions &options)
+{
+    auto kinds = Json::array();
+    for (int n = 0; n < options.workers; ++n) {
+        kinds.push_back(connectionKindName(workerConnectionKind(options.connections, options.seed, n)));
+    }
+    return kinds;
+}
+
 Duration longestStandstill(const Verdict &verdict)
 {
     return verdict.longest.empty() ? Duration(0) : verdict.longest.front().length;
@@ -41,6 +51,8 @@
             {"hosts", options.hosts},
             {"workers", options.workers},
             {"connections", connectionKindName(options.connections)},
+            {"hostSignals", hostFaultSetName(options.hostFaults)},
+            {"workerConnections", workerConnections(options)},
             {"submitted", result.clients.submitted},
             {"completed", result.clients.completed},
             {"unanswered", result.clients.unanswered},
@@ -64,6 +76,7 @@
             out << "  " << it.violations[n] << "\n";
         }
     }
+    out << "workers: " << codec::writeJson(workerConnections(options)) << "\n";
     out << "longest standstill: " << toMilliseconds(longestStandstill(result.verdict)) << " ms\n";
     for (std::size_t n = 0; n < FaultKindCount; ++n) {
         const auto kind = static_cast<FaultKind>(n);
