--- a/soak/entryhost.cpp
+++ b/soak/entryhost.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <random>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <system_error>
@@ -23,13 +24,28 @@
 constexpr std::chrono::milliseconds ReadyTimeout{500};
 constexpr int Ok = 200;
 
+// Below the ports of outgoing connections, which would take a free port before a host listens on it.
+constexpr int FirstPort = 20'000;
+constexpr int LastPort = 32'000;
+
 // Returns an address of 127.0.0.1 that is free at present.
 ports::Address freeAddress()
 {
+    static std::mt19937 random{std::random_device{}()};
     boost::asio::io_context io;
-    boost::asio::ip::tcp::acceptor acceptor(io,
-                                            boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(std::uniform_int_distribution<int>(FirstPort, LastPort)(random));
+        boost::asio::ip::tcp::acceptor acceptor(io);
+        const bool isFree = handleFailure(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_CHECK(http::openAcceptor(acceptor, {"127.0.0.1", port}));
+                return true;
+            },
+            [](const Failure &) { return false; });
+        if (isFree) {
+            return {"127.0.0.1", port};
+        }
+    }
 }
 
 } // namespace
--- a/soak/main/main.cpp
+++ b/soak/main/main.cpp
@@ -3,6 +3,7 @@
 
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -18,6 +19,7 @@
 constexpr int MaxHosts = 40;
 constexpr int MaxWorkers = 200;
 constexpr int MaxClients = 100;
+constexpr int MaxStoreDelayMs = 1000;
 
 std::string ownFolder()
 {
@@ -53,6 +55,7 @@
     TCLAP::ValueArg<std::string> connections("", "worker-connections",
                                              "keep, end-each, end-after, end-idle, reset, ignore-orders or mix", false,
                                              "keep", "KIND", line);
+    TCLAP::ValueArg<int> storeDelay("", "store-delay-ms", "of each answer of the store", false, 0, "N", line);
     TCLAP::ValueArg<std::string> signals("", "host-signals", "none, pause, kill, stop or mix", false, "none", "KIND",
                                          line);
     TCLAP::ValueArg<std::string> program("", "program", "path of monsoonspool-execution", false,
@@ -73,6 +76,7 @@
     options.workers = workers.getValue();
     options.clients = clients.getValue();
     BOOST_LEAF_ASSIGN(options.connections, soak::parseConnectionKind(connections.getValue()));
+    options.storeDelay = std::chrono::milliseconds(std::clamp(storeDelay.getValue(), 0, MaxStoreDelayMs));
     BOOST_LEAF_ASSIGN(options.hostFaults, soak::parseHostFaultSet(signals.getValue()));
     options.program = program.getValue();
     options.folder = makeFolder(options.seed);
--- a/soak/platformstandin.cpp
+++ b/soak/platformstandin.cpp
@@ -50,8 +50,8 @@
 struct PlatformStandIn::Private
 {
     Private(const PlatformOptions &options, Recorder &recorder, FaultCounts &faults)
-        : options(options), recorder(recorder), faults(faults), plan(options.seed), timer(io), store(io),
-          storeServer(io, store, {}, "store")
+        : options(options), recorder(recorder), faults(faults), plan(options.seed), timer(io),
+          store(io, options.storeDelay), storeServer(io, store, {}, "store")
     {
     }
 
--- a/soak/platformstandin.h
+++ b/soak/platformstandin.h
@@ -16,6 +16,7 @@
     std::uint64_t seed = 1;
     int workers = 6;
     ConnectionKind connections = ConnectionKind::Keep;
+    Duration storeDelay{0}; // of each answer of the store
 };
 
 // The store and the workers, on a thread of their own.
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -139,7 +139,8 @@
 Result<void> playSoak(const SoakOptions &options, SoakResult &result)
 {
     Recorder recorder;
-    PlatformStandIn platform({options.seed, options.workers, options.connections}, recorder, result.faults);
+    PlatformStandIn platform({options.seed, options.workers, options.connections, options.storeDelay}, recorder,
+                             result.faults);
     BOOST_LEAF_CHECK(platform.start());
     Controller controller(options, recorder);
     BOOST_LEAF_CHECK(controller.startHosts(platform.storeAddress()));
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -20,6 +20,7 @@
     int workers = 6;
     int clients = 6;
     ConnectionKind connections = ConnectionKind::Keep;
+    Duration storeDelay{0}; // of each answer of the store
     HostFaultSet hostFaults = HostFaultSet::None;
     std::string program; // path of monsoonspool-execution
     std::string folder; // for settings, logs and the history; it must exist
--- a/soak/soakreport.cpp
+++ b/soak/soakreport.cpp
@@ -50,6 +50,7 @@
             {"hosts", options.hosts},
             {"workers", options.workers},
             {"connections", connectionKindName(options.connections)},
+            {"storeDelayMs", toMilliseconds(options.storeDelay)},
             {"hostSignals", hostFaultSetName(options.hostFaults)},
             {"workerConnections", workerConnections(options)},
             {"submitted", result.clients.submitted},
--- a/soak/storestandin.cpp
+++ b/soak/storestandin.cpp
@@ -93,7 +93,7 @@
 
 struct StoreStandIn::Private
 {
-    explicit Private(boost::asio::io_context &io) : scheduler(io)
+    Private(boost::asio::io_context &io, Duration delay) : scheduler(io), delay(delay)
     {
     }
 
@@ -105,11 +105,12 @@
     Json page(Json rows, bool isTruncated) const;
 
     daemon::AsioScheduler scheduler;
+    Duration delay;
     ports::memory::SharedRows rows;
     std::vector<WaitingFeed> feeds;
 };
 
-StoreStandIn::StoreStandIn(boost::asio::io_context &io) : d(std::make_unique<Private>(io))
+StoreStandIn::StoreStandIn(boost::asio::io_context &io, Duration delay) : d(std::make_unique<Private>(io, delay))
 {
 }
 
@@ -118,14 +119,14 @@
 void StoreStandIn::handle(const http::ApiRequest &request, http::ApiReply reply)
 {
     if (request.path == "/rows-tx") {
-        d->scheduler.runAfter(TransactionTime, [this, body = request.body, reply = std::move(reply)] {
+        d->scheduler.runAfter(TransactionTime + d->delay, [this, body = request.body, reply = std::move(reply)] {
             reply(d->transact(body));
             advance(monotonicNow());
         });
     } else if (request.path == "/rows-get") {
-        reply(d->scan(request));
+        d->scheduler.runAfter(d->delay, [this, request, reply = std::move(reply)] { reply(d->scan(request)); });
     } else if (request.path == "/rows-parts") {
-        reply(d->listParts(request));
+        d->scheduler.runAfter(d->delay, [this, request, reply = std::move(reply)] { reply(d->listParts(request)); });
     } else if (request.path == "/rows-feed") {
         d->follow(request, std::move(reply), monotonicNow());
     } else {
--- a/soak/storestandin.h
+++ b/soak/storestandin.h
@@ -15,7 +15,8 @@
 class StoreStandIn : public http::ApiHandler
 {
 public:
-    explicit StoreStandIn(boost::asio::io_context &io);
+    // Answers calls other than feeds after `delay`.
+    StoreStandIn(boost::asio::io_context &io, Duration delay);
     ~StoreStandIn() override;
     StoreStandIn(const StoreStandIn &) = delete;
     StoreStandIn &operator=(const StoreStandIn &) = delete;
