A lost answer about a large configuration suspends no starts

What callers could see after: the evacuations are in the table of the configuration, and no task starts 4.45 s after the last reading of them was asked for. With a margin of 3.5 s, one lost answer took longer than that.

Cause: the limit of FeedTimeouts was chosen by the bound of the configuration only.

FollowsTheSizeOfTheLastLargeValue compares sizes below the new limit, with the same expectations.

--- a/tests/platform/feedtimeoutstest.cpp
+++ b/tests/platform/feedtimeoutstest.cpp
@@ -1,6 +1,7 @@
 // Timeouts of long polls on a link that many hosts share.
 #include "feedtimeouts.h"
 #include "execution/tablewatcher.h"
+#include "membership/evacuations.h"
 #include "ports/virtualscheduler.h"
 
 #include <gtest/gtest.h>
@@ -21,6 +22,9 @@
 // A configuration has to be applied within this time.
 constexpr Duration ApplyBound = 4s;
 
+// A start is not ordered if less is left (Fleet).
+constexpr Duration StartValidity = 300ms;
+
 // Of 2,828 routes; base64 adds a third.
 constexpr std::size_t LargeValueSize = 400 * 1024;
 constexpr std::size_t FormerLargeValueSize = 200 * 1024;
@@ -251,6 +255,23 @@
     EXPECT_EQ(timeouts.timeout("jobs", Wait), initial);
 }
 
+// Guards against suspending all starts after one lost answer: the evacuations are in the table of the
+// configuration.
+TEST(FeedTimeouts, LeavesTimeToRepeatAPollWhileTasksMayStart)
+{
+    FeedTimeouts timeouts(MaxOwnValueSize);
+    ports::RowPage page;
+    page.rows.push_back({{std::string(Table), "", "config"}, std::string(16 * LargeValueSize, 'x'), 1, false});
+    timeouts.noteAnswer(Table, page);
+    membership::Evacuations evacuations;
+    const TimePoint read(1h);
+    evacuations.noteRead(read);
+    const auto wait = evacuations.maxReadingInterval();
+    const auto repeatedAt = read + wait + timeouts.timeout(Table, wait);
+    const auto answeredAt = repeatedAt + wait;
+    EXPECT_LT(answeredAt + StartValidity, evacuations.startsValidUntil());
+}
+
 TEST(FeedTimeouts, FollowsTheSizeOfTheLastLargeValue)
 {
     FeedTimeouts timeouts(MaxOwnValueSize);
@@ -262,12 +283,13 @@
     };
     note(MaxOwnValueSize);
     EXPECT_EQ(timeouts.timeout(Table, Wait), initial);
-    note(FormerLargeValueSize);
+    note(FormerLargeValueSize / 2);
     const auto larger = timeouts.timeout(Table, Wait);
     EXPECT_GT(larger, initial + 1s);
     EXPECT_EQ(timeouts.timeout("leader", Wait), initial);
-    note(16 * LargeValueSize);
+    note(FormerLargeValueSize);
     EXPECT_GT(timeouts.timeout(Table, Wait), larger);
+    note(16 * LargeValueSize);
     EXPECT_LE(timeouts.timeout(Table, Wait), Wait + ApplyBound);
 }
 
