--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -36,14 +36,19 @@
         d->drainWorker(*it, now);
         d->stopStuckRuns(*it, now);
         d->stopUnwantedRuns(*it, now, orders);
+        d->settleRunsInDoubt(*it, now, orders);
         d->adjustPaces(*it, now, orders);
         d->scheduleNextVisit(*it, now);
     }
     if (!d->mayStartTasks(now) || maxStarts <= 0) {
         d->reportLastingTasks(now);
+        d->reportStandstills(now);
         return orders;
     }
     d->unplaceableDemands.clear();
+    d->gangDemands.clear();
+    d->suspicionIgnored.clear();
+    d->halfReserved.clear();
     d->racks.unplaceable.clear();
     d->racks.room.beginQueue();
     const auto waiting = d->waitingSteps(now, wall);
@@ -64,6 +69,7 @@
     }
     d->moveThrottledRuns(now);
     d->reportLastingTasks(now);
+    d->reportStandstills(now);
     d->counts.starts += orders.starts.size();
     d->counts.startsDuringTakeover += d->unreportedWorkers.empty() ? 0 : orders.starts.size();
     d->counts.paces += orders.paces.size();
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -60,6 +60,7 @@
     scheduling::Rank rank;
     std::map<jobs::TaskId, WorkerId> movedFrom; // workers that throttled the task
     std::map<jobs::TaskId, TimePoint> keptApartSince; // tasks that wait for a worker without a crash suspect
+    std::map<jobs::TaskId, TimePoint> heldBackSince; // steps, by their first task, that wait behind a gang
     std::map<jobs::TaskId, RackWait> rackWaits; // tasks that wait for their rack; of a gang the first one
     int rankedOccurrence = -1;
     TimePoint rankedAt;
@@ -80,6 +81,7 @@
 {
     std::string_view service;
     bool usesLeftover = false;
+    bool ignoresSuspicion = false;
     std::optional<scheduling::ImageNumber> image; // set if the image restricts the eligible workers
     Resources needs;
 };
@@ -103,8 +105,8 @@
 
 // State of Fleet. Its event handling is in fleet.cpp, fleetlistings.cpp, fleetcrashes.cpp,
 // fleetevacuation.cpp and fleettakeover.cpp; fleetplan.cpp makes a plan by the steps in
-// fleetdraining.cpp, fleetpacing.cpp, fleetqueue.cpp, fleetplacement.cpp, fleetlocality.cpp and
-// fleetmoves.cpp.
+// fleetdraining.cpp, fleetpacing.cpp, fleetqueue.cpp, fleetplacement.cpp, fleetlocality.cpp,
+// fleetmoves.cpp, fleetindoubt.cpp and fleetstandstill.cpp.
 struct Fleet::Private
 {
     explicit Private(DecisionLog &decisionLog);
@@ -162,6 +164,7 @@
     void takeOverRun(workers::Worker &worker, workers::Run run, TrackedJob *job);
     void resolveUnlistedRuns(workers::Worker &worker, const ports::WorkerListing &listing, TimePoint sentAt,
                              TimePoint now);
+    void confirmListedRun(workers::Run &run, TimePoint sentAt, TimePoint now);
 
     // Steps of plan().
     struct WaitingStep
@@ -187,6 +190,26 @@
     void reportTakeover(TimePoint now);
     // Logs at intervals why lasting tasks do not run.
     void reportLastingTasks(TimePoint now);
+    // Logs and counts at intervals which jobs have nothing at work although a task's turn has come.
+    void reportStandstills(TimePoint now);
+    struct Standstill
+    {
+        jobs::TaskId task;
+        StandstillCause cause = StandstillCause::NotPlaced;
+        TimePoint since;
+        const workers::Worker *worker = nullptr; // of the run that the task waits for, if any
+        jobs::RunNumber run = 0;
+        Duration runAge{0};
+    };
+    struct UnconfirmedRun
+    {
+        const workers::Worker *worker = nullptr;
+        const workers::Run *run = nullptr;
+    };
+    std::unordered_map<jobs::JobKey, UnconfirmedRun> jobsWithoutConfirmedRun() const;
+    std::optional<jobs::TaskId> firstWaitingTask(const TrackedJob &job) const;
+    StandstillCause causeOfWaiting(const TrackedJob &job, const jobs::TaskId &task, TimePoint now);
+    void logStandstill(const Standstill &standstill, TimePoint now);
     // Returns the number of open jobs that wait for the workers that have not reported.
     std::size_t heldBackJobs() const;
     // Returns the workers that are still known.
@@ -201,12 +224,22 @@
     // becomes due by the passing of time.
     bool addWaitingSteps(TrackedJob &job, TimePoint now, jobs::WallTime wall, std::vector<WaitingStep> &waiting);
     void placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, jobs::WallTime wall, Orders &orders);
-    bool fitsIdleWorkers(const WaitingStep &waiting, TimePoint now) const;
+    bool fitsIdleWorkers(const WaitingStep &waiting, TimePoint now);
+    // Returns whether a task that may have room waits, so that a gang which ranks before it gets its turn.
+    bool isHeldBack(TrackedJob &job, const scheduling::TaskDemand &demand, TimePoint now);
+    // Returns whether half or more of the cores of the service's usable workers was reserved when the
+    // current plan first asked.
+    bool isHalfReserved(std::string_view service, TimePoint now);
     void placeGang(const WaitingStep &waiting, TimePoint now, jobs::WallTime wall, Orders &orders);
     // Returns the workers for the members of a gang, or for as many of them as fit. `rackKey`, if given, is
     // that of the only rack to use, see RackQuestion.
     std::vector<workers::Worker *> chooseMembers(const WaitingStep &waiting, std::string_view rackKey, TimePoint now);
-    scheduling::TaskDemand demandOf(const TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack);
+    scheduling::TaskDemand demandOf(const TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
+                                    TimePoint now);
+    // Returns whether the current plan uses suspect workers for the step like others.
+    bool ignoresSuspicion(std::string_view service, const jobs::StepSpec &step, TimePoint now);
+    // Returns whether a task that has failed waits for a worker that is not suspect.
+    static bool awaitsSoundWorker(const TrackedJob &job, const jobs::TaskId &task, TimePoint now);
     // Returns whether workers had no room for a smaller demand.
     static bool isRuledOut(std::span<const UnplaceableDemand> unplaceable, const scheduling::TaskDemand &demand);
     static void ruleOut(std::vector<UnplaceableDemand> &unplaceable, const scheduling::TaskDemand &demand);
@@ -275,6 +308,15 @@
     bool isWorthMoving(TrackedJob &job, const workers::Run &run, TimePoint now) const;
     bool hasUnplaceableLeftoverWork() const;
     void requestStop(workers::Run &run);
+    // Asks what has become of the worker's runs that are in doubt.
+    void settleRunsInDoubt(workers::Worker &worker, TimePoint now, Orders &orders);
+    // Sends the order of such a run again. Returns false if that cannot settle it.
+    bool repeatStart(const workers::Worker &worker, workers::Run &run, TimePoint now, Orders &orders);
+    static bool mayRepeatStart(const workers::Run &run, TimePoint now);
+    void applyRepeatRefusal(workers::Run &run, ports::StartResult answer, TimePoint now);
+    // Returns whether the worker certainly neither has a run that it does not list in an answer to a
+    // request sent at `sentAt`, nor starts it later.
+    static bool isGone(const workers::Run &run, ports::WorkerMillis clock, TimePoint sentAt);
     jobs::RunNumber nextRun(const jobs::Task &task) const;
 
     DecisionLog &log;
@@ -286,6 +328,8 @@
     TimePoint formerLeasesEnd;
     TimePoint takeoverReportDueAt;
     TimePoint lastingReportDueAt;
+    TimePoint standstillReportDueAt;
+    std::unordered_map<jobs::JobKey, TimePoint> jobsStandingSince; // at the last report
     std::set<WorkerId> unreportedWorkers; // on the former leader's roster; have not reported their runs
     std::map<WorkerId, TimePoint> formerLeaseEnds; // on workers that the claimed row names as silent
     std::set<WorkerId> namedSilent; // workers that the stored row may name as silent
@@ -319,6 +363,9 @@
     std::unique_ptr<scheduling::WaitingOrder> waitingOrder;
     std::unique_ptr<scheduling::WorkerChooser> workerChooser;
     std::vector<UnplaceableDemand> unplaceableDemands; // of the current plan
+    std::vector<UnplaceableDemand> gangDemands; // of gangs that wait for more workers, in the current plan
+    std::map<std::string, bool, std::less<>> suspicionIgnored; // by service and label, in the current plan
+    std::map<std::string, bool, std::less<>> halfReserved; // by service, in the current plan
     RackState racks;
     FleetCounts counts;
 };
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -13,6 +13,10 @@
 // consecutive failures from SuspectFailureCount on.
 constexpr Duration SuspectBackoff = 700ms;
 constexpr Duration MaxSuspectBackoff = 4s;
+// Backoff before the next trial order to a worker that leaves orders without an answer; doubles up to
+// the maximum.
+constexpr Duration UnansweredBackoff = 500ms;
+constexpr Duration MaxUnansweredBackoff = 4s;
 // A suspect worker is treated as healthy after this time without a failure.
 constexpr Duration SuspicionTimeout = 6s;
 // Mean fraction of their cores that serving tasks use. Their load varies around it, and
@@ -84,20 +88,35 @@
     return isChanged;
 }
 
-bool Worker::isSchedulable(TimePoint now) const
+PlacementObstacle Worker::placementObstacle(TimePoint now, bool ignoresSuspicion) const
 {
-    if (!m_isListed || !m_isRostered || !m_isConfirmed || m_isSilent || m_entry.isDraining
-        || now < m_unschedulableUntil) {
-        return false;
+    if (!m_isListed || m_entry.isDraining || m_isEvacuated) {
+        return PlacementObstacle::Leaving;
     }
-    if (isRestartAnnounced() || m_awaitsTermRenewalSince || m_isNamedSilent || m_isEvacuated) {
-        return false;
+    if (m_isSilent || m_isNamedSilent) {
+        return PlacementObstacle::Silent;
     }
-    if (!isSuspect() || now - m_lastFailureAt > SuspicionTimeout) {
-        return true;
+    if (!m_isRostered || !m_isConfirmed || isRestartAnnounced() || m_awaitsTermRenewalSince) {
+        return PlacementObstacle::Unconfirmed;
+    }
+    if (now < std::max(m_unschedulableUntil, m_unansweredUntil)) {
+        return PlacementObstacle::Unhealthy;
+    }
+    const auto isUnconfirmed = [&](const Run &it) {
+        return it.isInDoubt() || (it.orderedAt > m_lastUnansweredAt && it.state == RunState::Ordered);
+    };
+    if (m_unansweredOrders > 0 && std::ranges::any_of(m_runs, isUnconfirmed)) {
+        return PlacementObstacle::OnTrial;
+    }
+    if (ignoresSuspicion || !isUnderSuspicion(now)) {
+        return PlacementObstacle::None;
+    }
+    if (now < m_suspectUntil) {
+        return PlacementObstacle::Unhealthy;
     }
     // Runs ordered before the failure are not trials: lasting tasks may never end.
-    return std::ranges::none_of(m_runs, [&](const Run &it) { return it.orderedAt > m_lastFailureAt; });
+    const bool hasTrial = std::ranges::any_of(m_runs, [&](const Run &it) { return it.orderedAt > m_lastFailureAt; });
+    return hasTrial ? PlacementObstacle::OnTrial : PlacementObstacle::None;
 }
 
 Resources Worker::unreservedResources() const
@@ -325,6 +344,7 @@
 {
     m_consecutiveFailures = 0;
     m_unschedulableUntil = {};
+    m_suspectUntil = {};
 }
 
 void Worker::noteFailure(TimePoint now)
@@ -332,11 +352,30 @@
     ++m_consecutiveFailures;
     m_lastFailureAt = now;
     if (isSuspect()) {
-        m_unschedulableUntil
+        m_suspectUntil
             = now + std::min(SuspectBackoff * (m_consecutiveFailures - SuspectFailureCount + 1), MaxSuspectBackoff);
     }
 }
 
+void Worker::noteOrderAnswered()
+{
+    m_unansweredOrders = 0;
+}
+
+void Worker::noteOrderUnanswered(TimePoint now)
+{
+    constexpr int maxDoublings = 3; // reach the maximum
+    const auto backoff = UnansweredBackoff * (1 << std::min(m_unansweredOrders, maxDoublings));
+    ++m_unansweredOrders;
+    m_lastUnansweredAt = now;
+    m_unansweredUntil = now + std::min(backoff, MaxUnansweredBackoff);
+}
+
+bool Worker::isUnderSuspicion(TimePoint now) const
+{
+    return isSuspect() && now - m_lastFailureAt <= SuspicionTimeout;
+}
+
 void Worker::noteUnhealthy(TimePoint now)
 {
     m_unschedulableUntil = std::max(m_unschedulableUntil, now + UnhealthyBackoff);
