--- a/src/common/time.h
+++ b/src/common/time.h
@@ -33,6 +33,15 @@
         std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
+// Returns the processor time that the calling thread has used.
+inline Duration threadProcessorTime()
+{
+    timespec used{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds(used.tv_sec)
+                                                + std::chrono::nanoseconds(used.tv_nsec));
+}
+
 // Returns `d` in milliseconds, rounded toward zero.
 inline long long toMilliseconds(Duration d)
 {
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -63,7 +63,9 @@
     d->lastingReportDueAt = now + TakeoverReportInterval;
     d->standstillReportDueAt = now + StandstillReportInterval;
     d->jobsStandingSince.clear();
+    d->outcomeReportDueAt = now + OutcomeReportInterval;
     d->counts.standingJobs = {};
+    d->counts.outcomes.clear();
     d->formerLeaseEnds.clear();
     d->namedSilent.clear();
     d->takenSilent.clear();
@@ -209,6 +211,9 @@
     auto &tracked = d->jobsByKey[key];
     tracked = std::make_unique<TrackedJob>(std::move(job), acceptedAt);
     d->jobsToPlace.insert(key);
+    if (isCountedByOutcome(tracked->job.spec())) {
+        d->counts.outcomes.noteAccepted(tracked->job.queue(), ordersNeeded(tracked->job.spec()));
+    }
     if (d->unreadJobs.erase(key) > 0) {
         d->takeOverRunsOf(*tracked);
     }
@@ -291,6 +296,9 @@
         return;
     }
     job->job.cancel();
+    if (isCountedByOutcome(job->job.spec())) {
+        d->counts.outcomes.noteEnded(job->job.queue(), ordersNeeded(job->job.spec()), jobs::JobOutcome::Cancelled);
+    }
     d->visitWorkersOf(*job);
     job->isFinalStateStored = true; // a cancellation is stored before it is applied
     d->dropIfFinished(key);
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -5,6 +5,7 @@
 #include "execution/orders.h"
 #include "execution/standstill.h"
 #include "jobs/job.h"
+#include "jobs/outcomecounts.h"
 #include "jobs/queuepolicy.h"
 #include "membership/evacuations.h"
 #include "membership/leadership.h"
@@ -96,6 +97,8 @@
     std::uint64_t workerSearches = 0; // looks at all workers, or at those of a rack, for a place
     std::size_t tasksWaitingForRack = 0; // now; a gang counts once
     metrics::LatencyHistogram rackWait; // of rackWaitsMet and rackWaitsGivenUp
+    std::size_t dueTasks = 0; // whose turn had come at the last plan that could start tasks
+    jobs::OutcomeCounts outcomes; // of this term; of jobs that are neither lasting nor timed
     metrics::LatencyHistogram firstStart; // from acceptance to the first start order
 };
 
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -262,9 +262,10 @@
     dropIfFinished(task.job);
 }
 
-void Fleet::Private::recordIfOver(const TrackedJob &job, bool wasOpen, std::string_view cause, TimePoint now)
+void Fleet::Private::recordIfOver(TrackedJob &job, bool wasOpen, std::string_view cause, TimePoint now)
 {
     if (wasOpen && !job.job.isOpen()) {
+        noteOutcome(job, now);
         log.record("job-over",
                    {{"job", job.job.key()},
                     {"state", jobs::jobStateName(job.job.state())},
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -43,6 +43,7 @@
     if (!d->mayStartTasks(now) || maxStarts <= 0) {
         d->reportLastingTasks(now);
         d->reportStandstills(now);
+        d->reportOutcomes(now);
         return orders;
     }
     d->unplaceableDemands.clear();
@@ -53,6 +54,11 @@
     d->racks.room.beginQueue();
     const auto waiting = d->waitingSteps(now, wall);
     d->updateInterferenceFreeCapacity(waiting, now);
+    d->counts.dueTasks = 0;
+    for (const auto &it : waiting) {
+        const auto &step = it.job->job.step(it.occurrence, it.step);
+        d->counts.dueTasks += step.tasks.size() - static_cast<std::size_t>(step.doneCount + step.activeCount);
+    }
     for (const auto &it : waiting) {
         const int startsLeft = maxStarts - static_cast<int>(orders.starts.size());
         if (startsLeft <= 0) {
@@ -70,6 +76,7 @@
     d->moveThrottledRuns(now);
     d->reportLastingTasks(now);
     d->reportStandstills(now);
+    d->reportOutcomes(now);
     d->counts.starts += orders.starts.size();
     d->counts.startsDuringTakeover += d->unreportedWorkers.empty() ? 0 : orders.starts.size();
     d->counts.paces += orders.paces.size();
--- a/src/execution/fleetqueue.cpp
+++ b/src/execution/fleetqueue.cpp
@@ -50,6 +50,14 @@
     }
 }
 
+Fleet::Private::Deadlines Fleet::Private::deadlinesOf(const TrackedJob &job, TimePoint acceptedAt) const
+{
+    const auto &policy = policyOf(job);
+    const Duration objective = policy.targetLatency
+        + Duration(static_cast<Duration::rep>(policy.stretch * static_cast<double>(job.criticalPath.count())));
+    return {acceptedAt + objective, acceptedAt + objective * LateFactor};
+}
+
 scheduling::RankInput Fleet::Private::outlook(const TrackedJob &job, int occurrence, TimePoint now,
                                               jobs::WallTime wall) const
 {
@@ -64,10 +72,9 @@
         outlook.acceptedAt
             = now + std::chrono::duration_cast<Duration>(spec.firstDue + spec.interval * occurrence - wall);
     }
-    const Duration objective = policy.targetLatency
-        + Duration(static_cast<Duration::rep>(policy.stretch * static_cast<double>(job.criticalPath.count())));
-    outlook.softDeadline = outlook.acceptedAt + objective;
-    outlook.hardDeadline = outlook.acceptedAt + objective * LateFactor;
+    const auto deadlines = deadlinesOf(job, outlook.acceptedAt);
+    outlook.softDeadline = deadlines.soft;
+    outlook.hardDeadline = deadlines.hard;
     std::vector<Duration> pathTimes(spec.steps.size());
     for (std::size_t n = 0; n < spec.steps.size(); ++n) {
         const auto &step = job.job.step(occurrence, static_cast<int>(n));
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -103,10 +103,18 @@
 // Time between two log lines about a takeover that waits for workers, or about lasting tasks that wait.
 inline constexpr Duration TakeoverReportInterval = 2s;
 
+// Time between two reports of how many jobs were done in time.
+inline constexpr Duration OutcomeReportInterval = 5s;
+
+// Returns whether a job is counted by its outcome: it runs once, and ends.
+bool isCountedByOutcome(const jobs::JobSpec &spec);
+// Returns the number of start orders that a job needs if none of its runs fails.
+int ordersNeeded(const jobs::JobSpec &spec);
+
 // State of Fleet. Its event handling is in fleet.cpp, fleetlistings.cpp, fleetcrashes.cpp,
 // fleetevacuation.cpp and fleettakeover.cpp; fleetplan.cpp makes a plan by the steps in
 // fleetdraining.cpp, fleetpacing.cpp, fleetqueue.cpp, fleetplacement.cpp, fleetlocality.cpp,
-// fleetmoves.cpp, fleetindoubt.cpp and fleetstandstill.cpp.
+// fleetmoves.cpp, fleetindoubt.cpp, fleetstandstill.cpp and fleetoutcomes.cpp.
 struct Fleet::Private
 {
     explicit Private(DecisionLog &decisionLog);
@@ -143,9 +151,22 @@
     void keepLostRuns(const workers::Worker &worker, TimePoint now);
     // Records which runs have been at work for long since the last crashes under their tasks.
     void noteHealthyRuns(workers::Worker &worker, TimePoint now);
-    void recordIfOver(const TrackedJob &job, bool wasOpen, std::string_view cause, TimePoint now);
+    void recordIfOver(TrackedJob &job, bool wasOpen, std::string_view cause, TimePoint now);
     // Marks the stored progress that a run of the task has changed as outdated.
     void markChanged(const TrackedJob &job, const jobs::TaskId &task);
+    // Counts the end of a job by queue, size and punctuality.
+    void noteOutcome(TrackedJob &job, TimePoint now);
+    struct OpenJobs
+    {
+        std::size_t unstarted = 0;
+        std::size_t late = 0; // past their soft deadline
+        std::size_t tooLate = 0; // past their hard deadline
+        Duration oldest{0};
+    };
+    // Returns the open jobs by queue and size class.
+    std::map<std::pair<std::string, std::size_t>, OpenJobs> openJobsBySize(TimePoint now);
+    // Logs at intervals how many jobs of each queue and size were done in time, and how many wait.
+    void reportOutcomes(TimePoint now);
     void markBegun(jobs::JobKey key);
     void dropIfFinished(jobs::JobKey key);
     void markReported(const WorkerId &id, TimePoint now);
@@ -174,6 +195,13 @@
         int step = 0;
         scheduling::Rank rank;
     };
+    struct Deadlines
+    {
+        TimePoint soft; // a job that completes by then is on time
+        TimePoint hard; // a job that completes by then is late but still useful
+    };
+    // Follows from the expected run times as they were refreshed last.
+    Deadlines deadlinesOf(const TrackedJob &job, TimePoint acceptedAt) const;
     void refreshExpectedRunTimes(TrackedJob &job, TimePoint now) const;
     scheduling::RankInput outlook(const TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall) const;
     // Returns the workers whose runs the plan must look at, by identifier: those that have changed
@@ -329,6 +357,7 @@
     TimePoint takeoverReportDueAt;
     TimePoint lastingReportDueAt;
     TimePoint standstillReportDueAt;
+    TimePoint outcomeReportDueAt;
     std::unordered_map<jobs::JobKey, TimePoint> jobsStandingSince; // at the last report
     std::set<WorkerId> unreportedWorkers; // on the former leader's roster; have not reported their runs
     std::map<WorkerId, TimePoint> formerLeaseEnds; // on workers that the claimed row names as silent
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -41,7 +41,8 @@
 struct LeaderTerm::Private : std::enable_shared_from_this<LeaderTerm::Private>
 {
     Private(ExecutionPorts executionPorts, Hooks h)
-        : ports(std::move(executionPorts)), hooks(std::move(h)), fleet(ports.log)
+        : ports(std::move(executionPorts)), hooks(std::move(h)), fleet(ports.log),
+          loadReport(ports.log, ports.scheduler.now(), ports.processorTime())
     {
     }
 
@@ -236,6 +237,7 @@
     {
         const int formerLimit = startLimiter.limit();
         startLimiter.update(lateness, workerController->takeStartRoundTrips(), now);
+        loadReport.noteLimit(startLimiter, lateness);
         workerController->setLateness(startLimiter.lateness());
         if (startLimiter.limit() < formerLimit) {
             ports.log.record("start-limit-lowered",
@@ -243,6 +245,7 @@
                               {"latenessMs", toMilliseconds(lateness)},
                               {"queueingMs", toMilliseconds(startLimiter.queueing())}});
         }
+        loadReport.reportIfDue(fleet.counts(), workerController->startsUnderWay(), now, ports.processorTime());
     }
 
     void onStartAnswered()
@@ -272,7 +275,14 @@
         if (!isLoaded) {
             return;
         }
-        const auto now = ports.scheduler.now();
+        const auto beganAt = ports.scheduler.now();
+        const auto usedBefore = ports.processorTime();
+        planAt(beganAt);
+        loadReport.notePlan(ports.scheduler.now() - beganAt, ports.processorTime() - usedBefore);
+    }
+
+    void planAt(TimePoint now)
+    {
         // A plan that was scheduled before the host was paused runs before the tick that is overdue.
         if (now - tickDueAt > MaxTickDelay) {
             fleet.noteDelayed(now);
@@ -302,6 +312,7 @@
     std::optional<TableWatcher> progressReader;
     std::optional<TableWatcher> workerWatcher;
     StartLimiter startLimiter;
+    LeaderLoadReport loadReport;
     TimePoint tickDueAt;
     TimePoint jobsReadAt; // all jobs stored before this time have been read
     std::uint64_t jobsReadVersion = 0; // of the store
@@ -400,7 +411,13 @@
 
 LeaderLoad LeaderTerm::load() const
 {
-    return {d->startLimiter.lateness(), d->startLimiter.limit(), d->workerController->startsUnderWay()};
+    return {d->startLimiter.lateness(),
+            d->startLimiter.queueing(),
+            d->startLimiter.limit(),
+            d->startLimiter.constraint(),
+            d->workerController->startsUnderWay(),
+            d->loadReport.longestPlan(),
+            d->loadReport.planShare()};
 }
 
 TombstoneCounts LeaderTerm::tombstones() const
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "execution/fleet.h"
+#include "execution/leaderload.h"
 #include "execution/rowcodec.h"
 #include "execution/tombstoneremover.h"
 #include "membership/evacuations.h"
@@ -26,6 +27,8 @@
     const RowCodec &codec;
     DecisionLog &log;
     std::function<jobs::WallTime()> wallNow;
+    // Returns the processor time that the control thread has used; only reported.
+    std::function<Duration()> processorTime = [] { return Duration(0); };
 };
 
 // The longest time, on a host's clock, for which a worker keeps a lease.
@@ -46,14 +49,6 @@
     std::optional<double> remoteRunTimeFactor = {}; // see Fleet
 };
 
-// How busy a leader is.
-struct LeaderLoad
-{
-    Duration lateness{0}; // of the control thread's timers, moving average
-    int startLimit = 0; // see StartLimiter
-    int startsUnderWay = 0; // start orders without an answer
-};
-
 // One leadership term of this host: loads the stored state, watches jobs and workers,
 // plans, and stores progress until it is destroyed.
 //
--- a/src/execution/startlimiter.cpp
+++ b/src/execution/startlimiter.cpp
@@ -34,6 +34,21 @@
 
 } // namespace
 
+std::string_view startConstraintName(StartConstraint constraint)
+{
+    switch (constraint) {
+    case StartConstraint::None:
+        return "none";
+    case StartConstraint::NotReached:
+        return "not-reached";
+    case StartConstraint::Lateness:
+        return "lateness";
+    case StartConstraint::RoundTrips:
+        return "round-trips";
+    }
+    return {};
+}
+
 void StartLimiter::noteRoundTrips(std::span<const Duration> roundTrips)
 {
     m_queueing = Duration(0);
@@ -60,6 +75,11 @@
     m_lateness = smoothed(m_lateness, lateness);
     noteRoundTrips(roundTrips);
     const auto delay = std::max(lateness, m_queueing);
+    if (delay >= LowDelay) {
+        m_constraint = lateness >= m_queueing ? StartConstraint::Lateness : StartConstraint::RoundTrips;
+    } else {
+        m_constraint = m_wasReached ? StartConstraint::None : StartConstraint::NotReached;
+    }
     if (delay > MaxDelay) {
         if (now - m_decreasedAt >= DecreaseInterval) {
             m_decreasedAt = now;
--- a/src/execution/startlimiter.h
+++ b/src/execution/startlimiter.h
@@ -4,10 +4,21 @@
 
 #include <optional>
 #include <span>
+#include <string_view>
 #include <vector>
 
 namespace monsoonspool::execution {
 
+// What keeps the limit from growing.
+enum class StartConstraint {
+    None, // it grows
+    NotReached, // fewer orders were due than it permits
+    Lateness, // of the control thread
+    RoundTrips, // of the orders
+};
+
+std::string_view startConstraintName(StartConstraint constraint);
+
 // Limits the start orders without an answer, so that a leader whose processor or link is the
 // bottleneck keeps up with the work that it has begun: its queue stays with the jobs, and not in
 // sockets, where it would delay renewals as well.
@@ -41,6 +52,11 @@
     {
         return m_queueing;
     }
+    // Returns what kept the limit from growing at the last update.
+    StartConstraint constraint() const
+    {
+        return m_constraint;
+    }
     // Returns whether no lower limit is possible although the thread runs late.
     bool isAtMinimum() const;
 
@@ -51,6 +67,7 @@
 
     int m_limit = InitialLimit;
     bool m_wasReached = false; // since the last change of the limit
+    StartConstraint m_constraint = StartConstraint::NotReached;
     Duration m_lateness{0};
     Duration m_queueing{0};
     std::vector<Duration> m_roundTrips; // since the last measurement
