--- /dev/null
+++ b/tests/execution/sharesbysizetest.cpp
@@ -0,0 +1,80 @@
+// Which jobs are served while start orders are short.
+#include "execution/orderbudget.h"
+
+#include <gtest/gtest.h>
+
+namespace monsoonspool::execution::orderbudget {
+
+namespace {
+
+constexpr double Scale = 0.25; // of the load of a large deployment
+constexpr Duration LoadTime = 40s;
+constexpr Duration WarmUp = 5s; // run times are learned
+constexpr Duration DrainTime = 20s; // in which the last jobs may still be served
+// The least part of a kind's share that its largest jobs get, as the users count it.
+constexpr double LeastPart = 0.5;
+
+double dueOrders(std::uint32_t seed)
+{
+    OrderBudget play(urgentBesideWide(Scale), seed);
+    play.pass(LoadTime, 1e6);
+    return play.dueOrders();
+}
+
+} // namespace
+
+// Guards against large jobs that are hardly served while the leader is short of start orders.
+TEST(SharesBySize, TheLargestJobsGetHalfOfTheirKindsShareWhateverIsShort)
+{
+    for (const std::uint32_t seed : {1U, 2U, 3U}) {
+        const double due = dueOrders(seed);
+        for (const double part : {0.3, 0.5, 0.7, 0.85, 1.1}) {
+            OrderBudget play(urgentBesideWide(Scale), seed);
+            play.pass(LoadTime, part * due);
+            play.pass(DrainTime, part * due);
+            for (const std::string queue : {"urgent", "wide"}) {
+                SCOPED_TRACE(queue + ", orders for " + std::to_string(part) + " of the load, seed "
+                             + std::to_string(seed));
+                const auto shares = sharesOf(play, queue, Start + WarmUp, Start + LoadTime,
+                                             [](const PlayedJob &it) { return it.isServed(); });
+                RecordProperty(queue + std::to_string(part), std::to_string(shares.all));
+                EXPECT_GE(shares.largestTenth, LeastPart * shares.all) << "of all " << shares.all;
+                EXPECT_GE(shares.nextFifth, LeastPart * shares.all) << "of all " << shares.all;
+            }
+        }
+    }
+}
+
+// Guards against an objective that is estimated too early, the more so the wider the job.
+TEST(SharesBySize, LargeJobsAreOnTimeLikeOthersWhileOrdersSuffice)
+{
+    for (const std::uint32_t seed : {1U, 2U, 3U}) {
+        SCOPED_TRACE(seed);
+        OrderBudget play(urgentBesideWide(Scale), seed);
+        play.pass(LoadTime, 1.1 * dueOrders(seed));
+        play.pass(DrainTime, 1e6);
+        for (const std::string queue : {"urgent", "wide"}) {
+            SCOPED_TRACE(queue);
+            const auto shares = sharesOf(play, queue, Start + WarmUp, Start + LoadTime,
+                                         [](const PlayedJob &it) { return it.isOnTime(); });
+            EXPECT_GE(shares.largestTenth, LeastPart * shares.all) << "of all " << shares.all;
+            EXPECT_GE(shares.nextFifth, LeastPart * shares.all) << "of all " << shares.all;
+        }
+    }
+}
+
+// Guards against jobs that wait behind an endless stream of later ones once they are late.
+TEST(SharesBySize, NoJobWaitsWithoutBoundBehindAStream)
+{
+    constexpr Duration first = 10s;
+    constexpr Duration stream = 80s;
+    OrderBudget play(urgentBesideWide(Scale), 1);
+    play.pass(first + stream, 0.7 * dueOrders(1));
+    int open = 0;
+    for (const auto &[key, it] : play.played) {
+        open += it.submittedAt < Start + first && !it.doneAt ? 1 : 0;
+    }
+    EXPECT_EQ(open, 0);
+}
+
+} // namespace monsoonspool::execution::orderbudget
