--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -44,6 +44,7 @@
         d->reportLastingTasks(now);
         d->reportStandstills(now);
         d->reportOutcomes(now);
+        orders.areStartsLimited = maxStarts <= 0;
         return orders;
     }
     d->unplaceableDemands.clear();
@@ -70,9 +71,11 @@
         } else if (spec.count <= startsLeft || orders.starts.empty()) {
             d->placeGang(it, now, wall, orders);
         } else {
+            orders.areStartsLimited = true;
             break; // its turn comes before that of the work behind it
         }
     }
+    orders.areStartsLimited = orders.areStartsLimited || static_cast<int>(orders.starts.size()) >= maxStarts;
     d->moveThrottledRuns(now);
     d->reportLastingTasks(now);
     d->reportStandstills(now);
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -250,7 +250,7 @@
 
     void onStartAnswered()
     {
-        if (isCutByLimit) {
+        if (areStartsLimited) {
             requestPlan();
         }
     }
@@ -292,7 +292,10 @@
         }
         const int maxStarts = startLimiter.available(workerController->startsUnderWay());
         const auto orders = fleet.plan(now, ports.wallNow(), maxStarts);
-        isCutByLimit = static_cast<int>(orders.starts.size()) >= maxStarts;
+        areStartsLimited = orders.areStartsLimited;
+        if (areStartsLimited) {
+            startLimiter.noteReached();
+        }
         workerController->dispatch(orders);
         progressWriter->requestWrite();
         rosterWriter->requestWrite();
@@ -316,7 +319,7 @@
     TimePoint tickDueAt;
     TimePoint jobsReadAt; // all jobs stored before this time have been read
     std::uint64_t jobsReadVersion = 0; // of the store
-    bool isCutByLimit = false; // the last plan left starts for later
+    bool areStartsLimited = false; // the last plan left starts for later
     bool isLoaded = false;
     bool isPlanScheduled = false;
     bool isClosed = false;
--- a/src/execution/orders.h
+++ b/src/execution/orders.h
@@ -53,6 +53,7 @@
     std::vector<StopTask> stops;
     std::vector<PaceTask> paces;
     std::vector<QueryRuns> queries;
+    bool areStartsLimited = false; // the plan ended at the most starts that it was permitted
 };
 
 } // namespace monsoonspool::execution
--- a/src/execution/startlimiter.cpp
+++ b/src/execution/startlimiter.cpp
@@ -99,6 +99,11 @@
     return count;
 }
 
+void StartLimiter::noteReached()
+{
+    m_wasReached = true;
+}
+
 bool StartLimiter::isAtMinimum() const
 {
     return m_limit == MinLimit && m_lateness > MaxDelay;
--- a/src/execution/startlimiter.h
+++ b/src/execution/startlimiter.h
@@ -38,6 +38,9 @@
     void update(Duration lateness, std::span<const Duration> roundTrips, TimePoint now);
     // Returns how many orders may be sent while `underWay` have no answer.
     int available(int underWay);
+    // Records that more orders were due than available() permitted. Many of them may be answered before
+    // it is called again, so that it doesn't show there.
+    void noteReached();
     int limit() const
     {
         return m_limit;
--- a/tests/execution/startlimitrecoverytest.cpp
+++ b/tests/execution/startlimitrecoverytest.cpp
@@ -1,4 +1,5 @@
 // A leader whose thread was late for a while, and is in time again.
+#include "execution/rackfleet.h"
 #include "execution/takeovercluster.h"
 
 #include <gtest/gtest.h>
@@ -88,4 +89,21 @@
     EXPECT_LT(leader.summary().fleet.dueTasks, static_cast<std::size_t>(DuePerSecond));
 }
 
+// Guards against a gang that waits for a higher limit, which doesn't grow since the plan ended below it.
+TEST(StartLimitRecovery, APlanThatEndsBeforeAGangIsLimited)
+{
+    rackfleet::RackFleet racks({}, 1, 10, 10);
+    auto step = rackfleet::stepOn({});
+    step.count = 5;
+    racks.submit(1, step, 1s);
+    step.count = 20;
+    step.isGang = true;
+    racks.submit(2, step, 20s);
+    constexpr int maxStarts = 8;
+    const auto orders = racks.fleet.plan(racks.now, rackfleet::Wall, maxStarts);
+    EXPECT_EQ(orders.starts.size(), 5U);
+    EXPECT_TRUE(orders.areStartsLimited);
+    EXPECT_FALSE(racks.fleet.plan(racks.now, rackfleet::Wall, 100).areStartsLimited);
+}
+
 } // namespace monsoonspool::execution::takeover
