--- a/src/execution/fleetlocality.cpp
+++ b/src/execution/fleetlocality.cpp
@@ -60,7 +60,7 @@
 
 Duration Fleet::Private::expectedRunTime(const TrackedJob &job, const workers::Run &run) const
 {
-    const auto onRack = job.expectedRunTimes[static_cast<std::size_t>(run.task.step)];
+    const auto onRack = job.runTimes[static_cast<std::size_t>(run.task.step)].typical;
     return run.isRemote ? Duration(static_cast<Duration::rep>(static_cast<double>(onRack.count()) * racks.remoteFactor))
                         : onRack;
 }
@@ -123,7 +123,7 @@
     const auto outlook = this->outlook(job, task.occurrence, now, rack.wall);
     rack.hasOutlook = true;
     rack.acceptedAt = outlook.acceptedAt;
-    rack.question.runTime = job.expectedRunTimes[step];
+    rack.question.runTime = job.runTimes[step].typical;
     rack.question.isLasting = job.job.stepSpec(task.step).isLasting;
     rack.question.remainingAfter = job.pathTimesAfter[step];
     rack.question.softDeadline = outlook.softDeadline;
--- a/src/execution/fleetmoves.cpp
+++ b/src/execution/fleetmoves.cpp
@@ -34,7 +34,7 @@
     scheduling::ThrottledRun throttled;
     throttled.lost = run.lostToPace;
     throttled.remaining
-        = job.expectedRunTimes[static_cast<std::size_t>(run.task.step)] * (FullPercent - run.percent) / FullPercent;
+        = job.runTimes[static_cast<std::size_t>(run.task.step)].typical * (FullPercent - run.percent) / FullPercent;
     throttled.pace = run.pace;
     throttled.hasCheckpoints = spec.hasCheckpoints && !spec.isGang && !spec.isLasting;
     throttled.moves = job.movedFrom.contains(run.task) ? 1 : 0;
--- a/src/execution/fleetqueue.cpp
+++ b/src/execution/fleetqueue.cpp
@@ -25,27 +25,29 @@
 
 void Fleet::Private::refreshExpectedRunTimes(TrackedJob &job, TimePoint now) const
 {
-    if (!job.expectedRunTimes.empty() && now - job.expectedUpdatedAt < ExpectedRunTimeValidity) {
+    if (!job.runTimes.empty() && now - job.expectedUpdatedAt < ExpectedRunTimeValidity) {
         return;
     }
     const auto &steps = job.job.spec().steps;
     job.expectedUpdatedAt = now;
-    job.expectedRunTimes.resize(steps.size());
+    job.runTimes.resize(steps.size());
     job.criticalPath = Duration(0);
+    std::vector<Duration> stepTimes(steps.size());
     std::vector<Duration> pathTimes(steps.size());
     for (std::size_t n = 0; n < steps.size(); ++n) {
-        job.expectedRunTimes[n] = estimator.expected(job.job.queue(), steps[n]);
+        job.runTimes[n] = estimator.forecast(job.job.queue(), steps[n]);
+        stepTimes[n] = job.runTimes[n].longestOf(steps[n].count);
         for (const int before : steps[n].after) {
             pathTimes[n] = std::max(pathTimes[n], pathTimes[static_cast<std::size_t>(before)]);
         }
-        pathTimes[n] += job.expectedRunTimes[n];
+        pathTimes[n] += stepTimes[n];
         job.criticalPath = std::max(job.criticalPath, pathTimes[n]);
     }
     job.pathTimesAfter.assign(steps.size(), Duration(0));
     for (std::size_t n = steps.size(); n-- > 0;) {
         for (const int before : steps[n].after) {
             auto &after = job.pathTimesAfter[static_cast<std::size_t>(before)];
-            after = std::max(after, job.expectedRunTimes[n] + job.pathTimesAfter[n]);
+            after = std::max(after, stepTimes[n] + job.pathTimesAfter[n]);
         }
     }
 }
@@ -82,9 +84,10 @@
             pathTimes[n] = std::max(pathTimes[n], pathTimes[static_cast<std::size_t>(before)]);
         }
         if (!step.isDone()) {
-            pathTimes[n] += job.expectedRunTimes[n];
-            const auto open = static_cast<double>(spec.steps[n].count - step.doneCount);
-            outlook.work += open * seconds(job.expectedRunTimes[n])
+            const int open = spec.steps[n].count - step.doneCount;
+            // Those at work have a part of their time behind them.
+            pathTimes[n] += job.runTimes[n].longestOf(open - step.activeCount);
+            outlook.work += open * seconds(job.runTimes[n].typical)
                 * static_cast<double>(std::max<std::int64_t>(spec.steps[n].needs.milliCores, 1)) / 1000;
         }
         outlook.remaining = std::max(outlook.remaining, pathTimes[n]);
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -51,9 +51,9 @@
     int activeRuns = 0; // on all workers
     bool isFinalStateStored = false;
 
-    // Expected run times of each step's tasks, and values derived from them. Cached
-    // for a short time because every plan needs them.
-    std::vector<Duration> expectedRunTimes;
+    // Forecasts for each step's tasks, and values derived from them: a step takes as long as its longest
+    // task. Cached for a short time because every plan needs them.
+    std::vector<jobs::RunTimeForecast> runTimes;
     Duration criticalPath{0}; // the longest chain of dependent steps
     std::vector<Duration> pathTimesAfter; // of the longest chain of steps behind each one
     TimePoint expectedUpdatedAt;
--- a/src/jobs/runtimeestimator.cpp
+++ b/src/jobs/runtimeestimator.cpp
@@ -1,5 +1,7 @@
 #include "jobs/runtimeestimator.h"
 
+#include <boost/math/distributions/normal.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -16,6 +18,18 @@
 // For a task without a declared estimate, until enough runs are observed.
 constexpr Duration DefaultEstimate = 1s;
 
+// A step with tasks of very different run times is not taken as longer than this multiple of a typical
+// one: its objective would be too late for all practical purposes.
+constexpr double MaxLongestFactor = 4;
+
+// Returns the expected largest of `count` standard normal values (Blom, 1958).
+double expectedLargest(int count)
+{
+    constexpr double alpha = 0.375;
+    const double rank = (count - alpha) / (count + 1 - 2 * alpha);
+    return quantile(boost::math::normal_distribution<>(), rank);
+}
+
 std::string classKey(std::string_view queue, const StepSpec &step)
 {
     std::string key(queue);
@@ -36,6 +50,15 @@
 
 } // namespace
 
+Duration RunTimeForecast::longestOf(int count) const
+{
+    if (count < 2 || logDeviation <= 0) {
+        return typical;
+    }
+    const double factor = std::min(std::exp(logDeviation * expectedLargest(count)), MaxLongestFactor);
+    return Duration(static_cast<Duration::rep>(static_cast<double>(typical.count()) * factor));
+}
+
 void RunTimeEstimator::MovingStats::add(double value, double weight)
 {
     const double difference = value - mean;
@@ -52,11 +75,11 @@
     taskClass.runTime.add(logarithm(runTime), weight);
 }
 
-Duration RunTimeEstimator::expected(std::string_view queue, const StepSpec &step) const
+RunTimeForecast RunTimeEstimator::forecast(std::string_view queue, const StepSpec &step) const
 {
     const auto it = m_classes.find(classKey(queue, step));
     if (it == m_classes.end() || it->second.count < MinRuns) {
-        return declaredEstimate(step);
+        return {declaredEstimate(step)};
     }
     const auto &taskClass = it->second;
     const double fromEstimate = logarithm(declaredEstimate(step)) + taskClass.ratio.mean;
@@ -64,7 +87,8 @@
     const double meanWeight = 1 / (taskClass.runTime.variance + MinVariance);
     const double logRunTime
         = (fromEstimate * estimateWeight + taskClass.runTime.mean * meanWeight) / (estimateWeight + meanWeight);
-    return Duration(static_cast<Duration::rep>(std::exp(logRunTime)));
+    const double variance = std::min(taskClass.ratio.variance, taskClass.runTime.variance);
+    return {Duration(static_cast<Duration::rep>(std::exp(logRunTime))), std::sqrt(std::max(variance, 0.0))};
 }
 
 } // namespace monsoonspool::jobs
--- a/src/jobs/runtimeestimator.h
+++ b/src/jobs/runtimeestimator.h
@@ -9,6 +9,16 @@
 
 namespace monsoonspool::jobs {
 
+// The predicted run time of the tasks of a step, lognormal.
+struct RunTimeForecast
+{
+    Duration typical{0}; // the median
+    double logDeviation = 0; // standard deviation of the logarithm, 0 if it is not known
+
+    // Returns the expected run time of the longest of `count` tasks.
+    Duration longestOf(int count) const;
+};
+
 // Predicts task run times from observed ones, since declared estimates are inaccurate.
 //
 // Tasks are grouped into classes by queue and image. For each class there are two
@@ -23,8 +33,7 @@
     // Adds the run time of a run that ended as done, at full pace on a healthy worker.
     void learn(std::string_view queue, const StepSpec &step, Duration runTime);
 
-    // Returns the expected run time of a task of `step`.
-    Duration expected(std::string_view queue, const StepSpec &step) const;
+    RunTimeForecast forecast(std::string_view queue, const StepSpec &step) const;
 
 private:
     // Exponentially weighted moving mean and variance.
--- a/tests/jobs/jobtest.cpp
+++ b/tests/jobs/jobtest.cpp
@@ -3,8 +3,11 @@
 #include "jobs/names.h"
 #include "jobs/runtimeestimator.h"
 
+#include <boost/math/distributions/normal.hpp>
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 namespace monsoonspool::jobs {
 
 namespace {
@@ -289,15 +292,40 @@
     RunTimeEstimator estimator;
     StepSpec step;
     step.estimate = 1s;
-    EXPECT_EQ(estimator.expected("plans", step), Duration(1s));
+    EXPECT_EQ(estimator.forecast("plans", step).typical, Duration(1s));
     for (int n = 0; n < 200; ++n) {
         step.estimate = std::chrono::milliseconds(n % 2 == 0 ? 500 : 2000);
         estimator.learn("plans", step, step.estimate * 2);
         estimator.learn("proofs", step, Duration(800ms));
     }
     step.estimate = 1s;
-    EXPECT_NEAR(static_cast<double>(estimator.expected("plans", step).count()), 2e6, 2e5);
-    EXPECT_NEAR(static_cast<double>(estimator.expected("proofs", step).count()), 8e5, 2e5);
+    EXPECT_NEAR(static_cast<double>(estimator.forecast("plans", step).typical.count()), 2e6, 2e5);
+    EXPECT_NEAR(static_cast<double>(estimator.forecast("proofs", step).typical.count()), 8e5, 2e5);
+}
+
+// Guards against objectives of wide jobs that are estimated too early.
+TEST(RunTimeEstimator, TheLongestOfManyTasksTakesLongerThanATypicalOne)
+{
+    RunTimeEstimator estimator;
+    StepSpec step;
+    step.estimate = 1s;
+    EXPECT_EQ(estimator.forecast("plans", step).longestOf(100), Duration(1s)) << "nothing is known about the spread";
+    constexpr double spread = 0.5;
+    const boost::math::normal_distribution<> normal(std::log(1e6), spread);
+    constexpr int runs = 500;
+    for (int n = 0; n < runs; ++n) {
+        const double p = ((n * 7919) % runs + 0.5) / runs;
+        estimator.learn("plans", step, Duration(static_cast<Duration::rep>(std::exp(quantile(normal, p)))));
+    }
+    const auto forecast = estimator.forecast("plans", step);
+    Duration former{0};
+    for (const int count : {1, 2, 10, 40, 160, 100000}) {
+        const auto longest = forecast.longestOf(count);
+        EXPECT_GT(longest, former) << count;
+        former = longest;
+    }
+    // The mean largest of 40 standard normal values is 2.16.
+    EXPECT_NEAR(static_cast<double>(forecast.longestOf(40).count()), 1e6 * std::exp(spread * 2.16), 3e5);
 }
 
 } // namespace monsoonspool::jobs
