--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -63,6 +63,8 @@
     d->lastingReportDueAt = now + TakeoverReportInterval;
     d->standstillReportDueAt = now + StandstillReportInterval;
     d->jobsStandingSince.clear();
+    d->startPace = {};
+    d->overdueShare = {};
     d->outcomeReportDueAt = now + OutcomeReportInterval;
     d->counts.standingJobs = {};
     d->counts.outcomes.clear();
--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -206,6 +206,7 @@
     const auto checkpoint = job.job.task(task).checkpoint;
     if (job.job.state() == jobs::JobState::Queued) {
         counts.firstStart.add(now - job.job.acceptedAt());
+        job.wasStartedOverdue = job.rank.isOverdue;
     }
     job.job.noteRunOrdered(task, number);
     log.record("start",
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -3,6 +3,7 @@
 #include "jobs/names.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace monsoonspool::execution {
 
@@ -60,6 +61,8 @@
         const auto &step = it.job->job.step(it.occurrence, it.step);
         d->counts.dueTasks += step.tasks.size() - static_cast<std::size_t>(step.doneCount + step.activeCount);
     }
+    d->placeOverdue(waiting, maxStarts, now, wall, orders);
+    const auto overdueStarts = orders.starts.size();
     for (const auto &it : waiting) {
         const int startsLeft = maxStarts - static_cast<int>(orders.starts.size());
         if (startsLeft <= 0) {
@@ -68,7 +71,7 @@
         const auto &spec = it.job->job.stepSpec(it.step);
         if (!spec.isGang) {
             d->placeStep(it, startsLeft, now, wall, orders);
-        } else if (spec.count <= startsLeft || orders.starts.empty()) {
+        } else if (spec.count <= startsLeft || orders.starts.size() == overdueStarts) {
             d->placeGang(it, now, wall, orders);
         } else {
             orders.areStartsLimited = true;
@@ -76,6 +79,8 @@
         }
     }
     orders.areStartsLimited = orders.areStartsLimited || static_cast<int>(orders.starts.size()) >= maxStarts;
+    d->startPace.notePlan(static_cast<int>(orders.starts.size()), orders.areStartsLimited, now);
+    d->overdueShare.noteStarts(static_cast<int>(orders.starts.size()), static_cast<int>(overdueStarts));
     d->moveThrottledRuns(now);
     d->reportLastingTasks(now);
     d->reportStandstills(now);
@@ -86,6 +91,35 @@
     return orders;
 }
 
+void Fleet::Private::placeOverdue(std::span<const WaitingStep> waiting, int maxStarts, TimePoint now,
+                                  jobs::WallTime wall, Orders &orders)
+{
+    const int share = std::min(overdueShare.available(), maxStarts);
+    if (share <= 0) {
+        return;
+    }
+    std::vector<const WaitingStep *> overdue;
+    for (const auto &it : waiting) {
+        if (it.rank.isOverdue) {
+            overdue.push_back(&it);
+        }
+    }
+    std::ranges::sort(overdue, {}, [](const WaitingStep *it) {
+        return std::tuple(it->rank.acceptedAt, it->job->job.key(), it->occurrence, it->step);
+    });
+    for (const auto *it : overdue) {
+        const int startsLeft = share - static_cast<int>(orders.starts.size());
+        if (startsLeft <= 0) {
+            return;
+        }
+        if (it->job->job.stepSpec(it->step).isGang) {
+            placeGang(*it, now, wall, orders);
+        } else {
+            placeStep(*it, startsLeft, now, wall, orders);
+        }
+    }
+}
+
 // Returns until when tasks may start, by when the workers' entries, the cancellations and the
 // evacuations were read. While the store is silent to all hosts, workers cannot announce that they
 // leave, jobs cannot be cancelled and nothing can be evacuated either; if it is silent only to this
--- a/src/execution/fleetqueue.cpp
+++ b/src/execution/fleetqueue.cpp
@@ -69,6 +69,7 @@
     outlook.priority = policy.priority;
     outlook.isLasting = spec.isLasting();
     outlook.hasStarted = job.job.state() == jobs::JobState::Running;
+    outlook.wasStartedOverdue = job.wasStartedOverdue;
     outlook.acceptedAt = job.job.acceptedAt();
     if (spec.isTimed()) {
         outlook.acceptedAt
@@ -77,6 +78,7 @@
     const auto deadlines = deadlinesOf(job, outlook.acceptedAt);
     outlook.softDeadline = deadlines.soft;
     outlook.hardDeadline = deadlines.hard;
+    outlook.allowedWait = deadlines.soft - outlook.acceptedAt - job.criticalPath;
     std::vector<Duration> pathTimes(spec.steps.size());
     for (std::size_t n = 0; n < spec.steps.size(); ++n) {
         const auto &step = job.job.step(occurrence, static_cast<int>(n));
@@ -84,11 +86,9 @@
             pathTimes[n] = std::max(pathTimes[n], pathTimes[static_cast<std::size_t>(before)]);
         }
         if (!step.isDone()) {
-            const int open = spec.steps[n].count - step.doneCount;
             // Those at work have a part of their time behind them.
-            pathTimes[n] += job.runTimes[n].longestOf(open - step.activeCount);
-            outlook.work += open * seconds(job.runTimes[n].typical)
-                * static_cast<double>(std::max<std::int64_t>(spec.steps[n].needs.milliCores, 1)) / 1000;
+            const int waiting = spec.steps[n].count - step.doneCount - step.activeCount;
+            pathTimes[n] += job.runTimes[n].longestOf(waiting) + startPace.timeFor(waiting);
         }
         outlook.remaining = std::max(outlook.remaining, pathTimes[n]);
     }
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -49,6 +49,7 @@
     Epoch knownFence; // see AcceptedJob
     std::uint64_t version = 0;
     int activeRuns = 0; // on all workers
+    bool wasStartedOverdue = false; // see scheduling::RankInput; not known of jobs begun by a former leader
     bool isFinalStateStored = false;
 
     // Forecasts for each step's tasks, and values derived from them: a step takes as long as its longest
@@ -252,6 +253,9 @@
     // becomes due by the passing of time.
     bool addWaitingSteps(TrackedJob &job, TimePoint now, jobs::WallTime wall, std::vector<WaitingStep> &waiting);
     void placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, jobs::WallTime wall, Orders &orders);
+    // Gives a share of the starts to the oldest jobs that wait behind all that can be on time.
+    void placeOverdue(std::span<const WaitingStep> waiting, int maxStarts, TimePoint now, jobs::WallTime wall,
+                      Orders &orders);
     bool fitsIdleWorkers(const WaitingStep &waiting, TimePoint now);
     // Returns whether a task that may have room waits, so that a gang which ranks before it gets its turn.
     bool isHeldBack(TrackedJob &job, const scheduling::TaskDemand &demand, TimePoint now);
@@ -390,6 +394,8 @@
     scheduling::InterferenceModel interference;
     scheduling::InterferenceFreeCapacity interferenceFreeCapacity;
     std::unique_ptr<scheduling::WaitingOrder> waitingOrder;
+    scheduling::OverdueShare overdueShare;
+    scheduling::StartPace startPace;
     std::unique_ptr<scheduling::WorkerChooser> workerChooser;
     std::vector<UnplaceableDemand> unplaceableDemands; // of the current plan
     std::vector<UnplaceableDemand> gangDemands; // of gangs that wait for more workers, in the current plan
--- a/src/scheduling/waitingorder.h
+++ b/src/scheduling/waitingorder.h
@@ -3,6 +3,7 @@
 #include "common/time.h"
 
 #include <compare>
+#include <optional>
 
 namespace monsoonspool::scheduling {
 
@@ -12,11 +13,12 @@
     int priority = 0; // 0 is the highest
     bool isLasting = false;
     bool hasStarted = false; // some task has run
+    bool wasStartedOverdue = false; // the first one did when the job could not be on time any more
     TimePoint acceptedAt;
     TimePoint softDeadline; // soft deadline: a job that completes by then is on time
     TimePoint hardDeadline; // hard deadline: by then the result is late but still useful
+    Duration allowedWait{0}; // by how much the soft deadline is later than the job could have been done
     Duration remaining{0}; // expected run time of the critical path of open steps
-    double work = 0; // expected remaining core-seconds
 };
 
 // Sort key of waiting work: lower bands first, then lower keys within a band.
@@ -24,6 +26,8 @@
 {
     int band = 0;
     double key = 0;
+    TimePoint acceptedAt; // older jobs first where all else is equal
+    bool isOverdue = false; // waits behind all that can be on time, see OverdueShare
     auto operator<=>(const Rank &) const = default;
 };
 
@@ -35,10 +39,17 @@
     virtual Rank rank(const RankInput &job, TimePoint now) const = 0;
 };
 
-// Deadline-aware order for overload. Jobs that can still meet their objective come first,
-// by priority, then started before unstarted jobs, then by least slack. Jobs that cannot
-// meet it follow, least remaining work first, so that many small jobs finish late
-// instead of all jobs missing the time by which they are still useful.
+// Deadline-aware order for overload. Jobs that can be on time come first, by priority, and among those of
+// one priority
+//  - jobs that have begun, by least slack, also if they become late afterwards and as long as the result is of
+//    use: what was spent on them would be lost, and large jobs are those that become late,
+//  - jobs that have a reserve of their allowed wait left, by least time until they use it: while there is more
+//    work than can be on time, those that are begun should be on time with certainty, and a job begun at
+//    the last moment is late as often as not,
+//  - the others, by least slack,
+//  - lasting jobs.
+// Late jobs whose result is still of use follow, those that have begun first, and then the others, the oldest
+// first. The place of a job doesn't depend on its size, so that a shortage falls on all sizes alike.
 //
 // Lasting jobs come after the other ones of their priority that can be on time. Where lasting
 // tasks ask for all cores, each would otherwise take the place of dozens of short tasks, which
@@ -50,6 +61,41 @@
     Rank rank(const RankInput &job, TimePoint now) const override;
 };
 
+// Divides start orders between overdue jobs and all others. While there is more work than can be on time, new jobs
+// come before overdue ones for ever; a share of the orders goes to the oldest of these, so that the wait of each
+// is bounded by the work that came before it.
+//
+// Not thread-safe: owned by the control thread.
+class OverdueShare
+{
+public:
+    // Returns how many orders the next plan gives to overdue jobs first.
+    int available() const;
+    // Records that a plan ordered `starts` in all, `overdue` of them for overdue jobs.
+    void noteStarts(int starts, int overdue);
+
+private:
+    double m_credit = 0; // in orders; negative after a gang that is larger than the share
+};
+
+// Measures how long it takes to order a number of starts while fewer are permitted than are due.
+//
+// Not thread-safe: owned by the control thread.
+class StartPace
+{
+public:
+    // Records a plan that ordered `starts`; more were due if `isLimited`.
+    void notePlan(int starts, bool isLimited, TimePoint now);
+    // Returns the time that as many starts take; 0 while the permitted ones suffice.
+    Duration timeFor(int starts) const;
+
+private:
+    double m_perSecond = 0; // moving average, 0 if they suffice
+    int m_starts = 0; // since m_since
+    bool m_wasLimited = false; // since m_since
+    std::optional<TimePoint> m_since;
+};
+
 // First come, first served. Baseline for comparisons.
 class FirstComeFirstServedOrder : public WaitingOrder
 {
--- a/tests/execution/orderbudget.h
+++ b/tests/execution/orderbudget.h
@@ -22,7 +22,7 @@
 inline constexpr TimePoint Start{1h};
 inline const jobs::WallTime Wall{std::chrono::hours(1000)};
 inline const ServiceName Service("desk");
-inline constexpr Duration Tick = 50ms; // between plans, and between listings
+inline constexpr Duration Tick = 50ms; // between plans; one worker after the other lists its runs
 inline constexpr int Workers = 4;
 inline constexpr int LateFactor = 3; // a job that takes this many times its objective is not served
 
@@ -121,9 +121,7 @@
                 }
             }
             m_submittedUntil = isSubmitting ? now : m_submittedUntil;
-            for (int n = 0; n < Workers; ++n) {
-                list(WorkerId("w" + std::to_string(n)));
-            }
+            list(WorkerId("w" + std::to_string(m_ticks++ % Workers)));
             m_budget = std::min(m_budget + ordersPerSecond * std::chrono::duration<double>(Tick).count(),
                                 std::max(ordersPerSecond, 1.0));
             plan();
@@ -260,6 +258,7 @@
     std::vector<TimePoint> m_nextAt;
     TimePoint m_submittedUntil = Start;
     double m_budget = 0;
+    int m_ticks = 0;
     std::uint64_t m_lastKey = 0;
     std::map<jobs::TaskId, Duration> m_runTimes;
     std::map<WorkerId, Worker> m_workers;
--- a/tests/execution/sharesbysizetest.cpp
+++ b/tests/execution/sharesbysizetest.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr double Scale = 0.25; // of the load of a large deployment
+constexpr double Scale = 0.5; // of the load of a large deployment
 constexpr Duration LoadTime = 40s;
 constexpr Duration WarmUp = 5s; // run times are learned
 constexpr Duration DrainTime = 20s; // in which the last jobs may still be served
@@ -66,15 +66,22 @@
 // Guards against jobs that wait behind an endless stream of later ones once they are late.
 TEST(SharesBySize, NoJobWaitsWithoutBoundBehindAStream)
 {
-    constexpr Duration first = 10s;
+    struct Case
+    {
+        double part; // of the load that the orders suffice for
+        Duration first;
+    };
     constexpr Duration stream = 80s;
-    OrderBudget play(urgentBesideWide(Scale), 1);
-    play.pass(first + stream, 0.7 * dueOrders(1));
-    int open = 0;
-    for (const auto &[key, it] : play.played) {
-        open += it.submittedAt < Start + first && !it.doneAt ? 1 : 0;
+    for (const auto &it : {Case{0.7, 10s}, Case{0.5, 5s}}) {
+        SCOPED_TRACE(it.part);
+        OrderBudget play(urgentBesideWide(Scale), 1);
+        play.pass(it.first + stream, it.part * dueOrders(1));
+        int open = 0;
+        for (const auto &[key, job] : play.played) {
+            open += job.submittedAt < Start + it.first && !job.doneAt ? 1 : 0;
+        }
+        EXPECT_EQ(open, 0);
     }
-    EXPECT_EQ(open, 0);
 }
 
 } // namespace monsoonspool::execution::orderbudget
--- a/tests/execution/startlimitrecoverytest.cpp
+++ b/tests/execution/startlimitrecoverytest.cpp
@@ -12,7 +12,7 @@
 constexpr Duration JobInterval = 4ms;
 constexpr double DuePerSecond = TasksPerJob / std::chrono::duration<double>(JobInterval).count();
 constexpr Duration SlowTime = 8s; // of the leader's thread
-constexpr Duration EventCost = 4ms; // while the thread is slow
+constexpr Duration EventCost = 2ms; // while the thread is slow
 
 class DisturbedLeader
 {
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -399,8 +399,16 @@
         outlook.hasStarted = hasStarted;
         outlook.softDeadline = Now + objective;
         outlook.hardDeadline = Now + objective * 3;
+        outlook.allowedWait = objective - remaining;
         outlook.remaining = remaining;
-        outlook.work = std::chrono::duration<double>(remaining).count();
+        return outlook;
+    };
+    const auto aged = [](RankInput outlook, Duration age) {
+        outlook.acceptedAt = Now - age;
+        return outlook;
+    };
+    const auto startedOverdue = [](RankInput outlook) {
+        outlook.wasStartedOverdue = true;
         return outlook;
     };
     // Replays cores that are all in demand by lasting tasks. Guards against short urgent work that waits
@@ -408,10 +416,20 @@
     RankInput lasting;
     lasting.isLasting = true;
     const std::vector<RankInput> inOrder = {
-        job(0, 5s, 1s, true), job(0, 2s, 1s, false), lasting,
-        job(2, 2s, 1s, true), job(2, 2s, 1s, false), job(0, 2s, 3s, true), // cannot meet its objective
-        job(2, 2s, 4s, true), // the same, with more work
-        job(0, 2s, 9s, true), // cannot finish while still useful
+        job(0, 2s, 3s, true), // begun in time, now late and of use
+        job(0, 5s, 1s, true),
+        job(0, 2s, 1s, false),
+        lasting,
+        job(2, 2s, 3s, true), // begun in time, now late and of use
+        job(2, 2s, 1s, true),
+        job(2, 2s, 1s, false),
+        aged(startedOverdue(job(0, 2s, 3s, true)), 5s), // late and of use
+        aged(startedOverdue(job(2, 2s, 4s, true)), 4s), // the same, with more work and younger
+        aged(startedOverdue(job(0, 2s, 3s, true)), 3s), // the same, with less work and younger still
+        aged(job(0, 2s, 3s, false), 9s), // the same, not begun
+        aged(job(2, 2s, 3s, false), 8s),
+        aged(job(0, 2s, 9s, true), 7s), // cannot finish while still useful
+        aged(job(0, 2s, 9s, false), 6s),
     };
     const DeadlineAwareOrder order;
     for (std::size_t n = 1; n < inOrder.size(); ++n) {
@@ -419,6 +437,65 @@
     }
 }
 
+// Guards against jobs that are begun at the last moment, and so late, while others could be on time with
+// certainty.
+TEST(DeadlineAwareOrder, BeginsJobsWithAReserveFirst)
+{
+    const auto job = [](Duration untilDeadline) {
+        RankInput outlook;
+        outlook.softDeadline = Now + untilDeadline;
+        outlook.hardDeadline = Now + 3 * untilDeadline;
+        outlook.remaining = 2s;
+        outlook.allowedWait = 4s; // when it was accepted, 6 s before its deadline
+        return outlook;
+    };
+    // Slacks of 1.3 s, 3 s, 4 s, and then without a reserve 0.2 s and 1 s.
+    const std::vector<RankInput> inOrder = {job(3300ms), job(5s), job(6s), job(2200ms), job(3s)};
+    const DeadlineAwareOrder order;
+    for (std::size_t n = 1; n < inOrder.size(); ++n) {
+        EXPECT_LT(order.rank(inOrder[n - 1], Now), order.rank(inOrder[n], Now)) << n;
+        EXPECT_FALSE(order.rank(inOrder[n], Now).isOverdue);
+    }
+    EXPECT_TRUE(order.rank(job(1900ms), Now).isOverdue);
+}
+
+TEST(OverdueShare, ATenthOfTheStarts)
+{
+    OverdueShare share;
+    EXPECT_EQ(share.available(), 0);
+    int overdue = 0;
+    constexpr int plans = 1000;
+    for (int n = 0; n < plans; ++n) {
+        const int starts = 1 + n % 7;
+        const int given = std::min(share.available(), starts);
+        overdue += given;
+        share.noteStarts(starts, given);
+    }
+    EXPECT_NEAR(overdue, 0.1 * 4 * plans, 0.01 * 4 * plans);
+    share.noteStarts(100, 100); // a gang
+    EXPECT_EQ(share.available(), 0) << "the share of later plans is used up";
+    share.noteStarts(100000, 0);
+    EXPECT_LE(share.available(), 100) << "nothing was overdue for long, and no large batch may follow";
+}
+
+TEST(StartPace, CountsOnlyWhileStartsAreLimited)
+{
+    StartPace pace;
+    auto now = Now;
+    const auto plan = [&](int plans, bool isLimited) {
+        for (int n = 0; n < plans; ++n) {
+            now += Duration(50ms);
+            pace.notePlan(10, isLimited, now);
+        }
+    };
+    plan(40, false);
+    EXPECT_EQ(pace.timeFor(100), Duration(0));
+    plan(100, true);
+    EXPECT_NEAR(static_cast<double>(toMilliseconds(pace.timeFor(100))), 500, 50); // 200 a second
+    plan(40, false);
+    EXPECT_EQ(pace.timeFor(100), Duration(0));
+}
+
 namespace {
 
 // Counts the evaluations of another policy.
