A pause without starts says nothing about the pace of starts

The pace measured over such a pause is near zero, and for a second or two each job that had not begun would have counted as one that can't be on time.

The expected largest of n normal values comes from a table, since each plan asks for many of them.

--- a/src/jobs/runtimeestimator.cpp
+++ b/src/jobs/runtimeestimator.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <vector>
 
 namespace monsoonspool::jobs {
 
@@ -22,12 +23,23 @@
 // one: its objective would be too late for all practical purposes.
 constexpr double MaxLongestFactor = 4;
 
-// Returns the expected largest of `count` standard normal values (Blom, 1958).
-double expectedLargest(int count)
+// Returns the expected largest of `count` standard normal values (Blom, 1958), for each count from 0.
+std::vector<double> makeExpectedLargest()
 {
     constexpr double alpha = 0.375;
-    const double rank = (count - alpha) / (count + 1 - 2 * alpha);
-    return quantile(boost::math::normal_distribution<>(), rank);
+    const boost::math::normal_distribution<> normal;
+    std::vector<double> values(MaxTasksPerStep + 1);
+    for (std::size_t n = 1; n < values.size(); ++n) {
+        values[n] = quantile(normal, (static_cast<double>(n) - alpha) / (static_cast<double>(n) + 1 - 2 * alpha));
+    }
+    return values;
+}
+
+// Each plan asks for many of them.
+double expectedLargest(int count)
+{
+    static const auto values = makeExpectedLargest();
+    return values[static_cast<std::size_t>(std::clamp(count, 0, MaxTasksPerStep))];
 }
 
 std::string classKey(std::string_view queue, const StepSpec &step)
--- a/src/scheduling/waitingorder.cpp
+++ b/src/scheduling/waitingorder.cpp
@@ -70,15 +70,18 @@
 
 void StartPace::notePlan(int starts, bool isLimited, TimePoint now)
 {
-    if (!m_since) {
-        m_since = now;
+    if (!m_lastPlanAt || now - *m_lastPlanAt > PaceInterval) {
+        m_since = now; // nothing could be started for a while, which says nothing about the pace
+        m_starts = 0;
+        m_wasLimited = false;
     }
+    m_lastPlanAt = now;
     m_starts += starts;
     m_wasLimited = m_wasLimited || isLimited;
-    if (now - *m_since < PaceInterval) {
+    if (now - m_since < PaceInterval) {
         return;
     }
-    const double perSecond = m_starts / seconds(now - *m_since);
+    const double perSecond = m_starts / seconds(now - m_since);
     if (!m_wasLimited || perSecond <= 0) {
         m_perSecond = 0;
     } else {
--- a/src/scheduling/waitingorder.h
+++ b/src/scheduling/waitingorder.h
@@ -93,7 +93,8 @@
     double m_perSecond = 0; // moving average, 0 if they suffice
     int m_starts = 0; // since m_since
     bool m_wasLimited = false; // since m_since
-    std::optional<TimePoint> m_since;
+    TimePoint m_since;
+    std::optional<TimePoint> m_lastPlanAt;
 };
 
 // First come, first served. Baseline for comparisons.
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -492,6 +492,9 @@
     EXPECT_EQ(pace.timeFor(100), Duration(0));
     plan(100, true);
     EXPECT_NEAR(static_cast<double>(toMilliseconds(pace.timeFor(100))), 500, 50); // 200 a second
+    now += Duration(10s); // in which nothing may be started
+    plan(20, true);
+    EXPECT_NEAR(static_cast<double>(toMilliseconds(pace.timeFor(100))), 500, 50);
     plan(40, false);
     EXPECT_EQ(pace.timeFor(100), Duration(0));
 }
