--- a/src/execution/fleetqueue.cpp
+++ b/src/execution/fleetqueue.cpp
@@ -70,6 +70,7 @@
     outlook.isLasting = spec.isLasting();
     outlook.hasStarted = job.job.state() == jobs::JobState::Running;
     outlook.wasStartedOverdue = job.wasStartedOverdue;
+    outlook.areStartsShort = startPace.isShort();
     outlook.acceptedAt = job.job.acceptedAt();
     if (spec.isTimed()) {
         outlook.acceptedAt
--- a/src/scheduling/waitingorder.cpp
+++ b/src/scheduling/waitingorder.cpp
@@ -44,7 +44,8 @@
     }
     const auto slack = seconds(job.softDeadline - now - job.remaining);
     const bool isUseful = now + job.remaining <= job.hardDeadline;
-    if (job.hasStarted && !job.wasStartedOverdue && isUseful) {
+    const bool keepsPlace = job.areStartsShort && !job.wasStartedOverdue && isUseful;
+    if (job.hasStarted && (slack >= 0 || keepsPlace)) {
         return {firstBand, slack, job.acceptedAt};
     }
     const double withoutReserve = slack - ReservePart * std::max(seconds(job.allowedWait), 0.0);
--- a/src/scheduling/waitingorder.h
+++ b/src/scheduling/waitingorder.h
@@ -14,6 +14,7 @@
     bool isLasting = false;
     bool hasStarted = false; // some task has run
     bool wasStartedOverdue = false; // the first one did when the job could not be on time any more
+    bool areStartsShort = false; // fewer start orders may be sent than are due
     TimePoint acceptedAt;
     TimePoint softDeadline; // soft deadline: a job that completes by then is on time
     TimePoint hardDeadline; // hard deadline: by then the result is late but still useful
@@ -41,8 +42,9 @@
 
 // Deadline-aware order for overload. Jobs that can be on time come first, by priority, and among those of
 // one priority
-//  - jobs that have begun, by least slack, also if they become late afterwards and as long as the result is of
-//    use: what was spent on them would be lost, and large jobs are those that become late,
+//  - jobs that have begun, by least slack; while start orders are short, also those that were begun in time
+//    and became late, as long as the result is of use: what was spent on them would be lost, and large jobs
+//    are those that become late,
 //  - jobs that have a reserve of their allowed wait left, by least time until they use it: while there is more
 //    work than can be on time, those that are begun should be on time with certainty, and a job begun at
 //    the last moment is late as often as not,
@@ -88,6 +90,11 @@
     void notePlan(int starts, bool isLimited, TimePoint now);
     // Returns the time that as many starts take; 0 while the permitted ones suffice.
     Duration timeFor(int starts) const;
+    // Returns whether fewer were permitted than were due.
+    bool isShort() const
+    {
+        return m_perSecond > 0;
+    }
 
 private:
     double m_perSecond = 0; // moving average, 0 if they suffice
