Jobs that ended under a former leader don't count as open

A new leader reads all stored jobs, the ended ones too, and counted each as accepted: jobs{outcome="open"} and jobs-by-size would have shown them as open for the whole tenure. Found by reading. JobsThatEndedUnderAFormerLeaderAreNotCountedAsOpen has four accepted where two are expected without the change.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -263,7 +263,11 @@
     if (job == nullptr) {
         return;
     }
+    const bool wasOpen = job->job.isOpen();
     job->job.restore(progress);
+    if (wasOpen && !job->job.isOpen() && isCountedByOutcome(job->job.spec())) {
+        d->counts.outcomes.forgetAccepted(job->job.queue(), ordersNeeded(job->job.spec()));
+    }
     d->jobsToPlace.insert(key);
     d->visitWorkersOf(*job);
     if (job->job.state() == progress.state && jobs::isFinal(progress.state)) {
--- a/src/jobs/outcomecounts.cpp
+++ b/src/jobs/outcomecounts.cpp
@@ -60,6 +60,12 @@
     ++rowOf(queue, orders).accepted;
 }
 
+void OutcomeCounts::forgetAccepted(std::string_view queue, int orders)
+{
+    auto &accepted = rowOf(queue, orders).accepted;
+    accepted -= std::min<std::uint64_t>(accepted, 1);
+}
+
 void OutcomeCounts::noteEnded(std::string_view queue, int orders, JobOutcome outcome)
 {
     ++rowOf(queue, orders).ended[static_cast<std::size_t>(outcome)];
--- a/src/jobs/outcomecounts.h
+++ b/src/jobs/outcomecounts.h
@@ -52,6 +52,8 @@
     static constexpr std::string_view OtherQueues = "(other)";
 
     void noteAccepted(std::string_view queue, int orders);
+    // Takes noteAccepted() back for a job that turns out to have ended before it was counted.
+    void forgetAccepted(std::string_view queue, int orders);
     void noteEnded(std::string_view queue, int orders, JobOutcome outcome);
     void clear();
     // Returns the rows with accepted jobs, by queue and size.
--- a/tests/execution/sharesbysizetest.cpp
+++ b/tests/execution/sharesbysizetest.cpp
@@ -84,4 +84,31 @@
     }
 }
 
+// Guards against a count of open jobs that contains those which had ended before a new leader read them.
+TEST(SharesBySize, JobsThatEndedUnderAFormerLeaderAreNotCountedAsOpen)
+{
+    SilentLog log;
+    Fleet fleet(log);
+    fleet.beginTerm({2}, 0, {}, Start, Start);
+    constexpr std::uint64_t jobCount = 4;
+    for (std::uint64_t key = 1; key <= jobCount; ++key) {
+        AcceptedJob job;
+        job.key = {key};
+        job.policy.queue = "wide";
+        job.policy.service = Service;
+        job.spec.steps.resize(1);
+        job.spec.steps.front().count = 10;
+        fleet.addJob(std::move(job), Start, Wall);
+    }
+    jobs::JobProgress done;
+    done.state = jobs::JobState::Completed;
+    fleet.restoreProgress({1}, done);
+    fleet.restoreProgress({2}, done);
+    fleet.cancel({3});
+    const auto rows = fleet.counts().outcomes.rows();
+    ASSERT_EQ(rows.size(), 1U);
+    EXPECT_EQ(rows.front().accepted, 2U);
+    EXPECT_EQ(rows.front().open(), 1U);
+}
+
 } // namespace monsoonspool::execution::orderbudget
--- a/tests/jobs/outcomecountstest.cpp
+++ b/tests/jobs/outcomecountstest.cpp
@@ -34,6 +34,8 @@
     EXPECT_EQ(rows[0].open(), 1U);
     EXPECT_EQ(rows[1].open(), 0U);
     EXPECT_EQ(rows[2].open(), 1U);
+    counts.forgetAccepted("proofs", 200);
+    EXPECT_EQ(counts.rows().size(), 2U);
     counts.clear();
     EXPECT_TRUE(counts.rows().empty());
 }
