A lasting task that was lost is placed before all other work

Change: a lasting task that this leader has ordered before is placed before all other work; how many there are is bounded by what was lost. One that was never ordered waits for its turn as before, since lasting tasks may ask for all cores.

--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -225,7 +225,7 @@
 }
 
 void Fleet::Private::placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, jobs::WallTime wall,
-                               Orders &orders)
+                               Orders &orders, const std::function<bool(const jobs::Task &)> &isMeant)
 {
     auto &job = *waiting.job;
     const auto &spec = job.job.stepSpec(waiting.step);
@@ -235,7 +235,7 @@
     for (int n = 0; n < spec.count && starts < maxStarts; ++n) {
         const jobs::TaskId id{job.job.key(), waiting.occurrence, waiting.step, n};
         const auto &task = job.job.task(id);
-        if (!task.isWaiting() || now < task.retryAt) {
+        if (!task.isWaiting() || now < task.retryAt || (isMeant && !isMeant(task))) {
             continue;
         }
         if (rack && keepsWaitingForRack(job, id, *rack, now)) {
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -61,8 +61,11 @@
         const auto &step = it.job->job.step(it.occurrence, it.step);
         d->counts.dueTasks += step.tasks.size() - static_cast<std::size_t>(step.doneCount + step.activeCount);
     }
+    d->replaceLostLastingTasks(waiting, maxStarts, now, wall, orders);
+    const auto lostLasting = orders.starts.size();
     d->placeOverdue(waiting, maxStarts, now, wall, orders);
-    const auto overdueStarts = orders.starts.size();
+    d->racks.room.beginQueue(); // what is left of these steps is looked at again in its turn
+    const auto startsAhead = orders.starts.size();
     for (const auto &it : waiting) {
         const int startsLeft = maxStarts - static_cast<int>(orders.starts.size());
         if (startsLeft <= 0) {
@@ -71,7 +74,7 @@
         const auto &spec = it.job->job.stepSpec(it.step);
         if (!spec.isGang) {
             d->placeStep(it, startsLeft, now, wall, orders);
-        } else if (spec.count <= startsLeft || orders.starts.size() == overdueStarts) {
+        } else if (spec.count <= startsLeft || orders.starts.size() == startsAhead) {
             d->placeGang(it, now, wall, orders);
         } else {
             orders.areStartsLimited = true;
@@ -80,7 +83,7 @@
     }
     orders.areStartsLimited = orders.areStartsLimited || static_cast<int>(orders.starts.size()) >= maxStarts;
     d->startPace.notePlan(static_cast<int>(orders.starts.size()), orders.areStartsLimited, now);
-    d->overdueShare.noteStarts(static_cast<int>(orders.starts.size()), static_cast<int>(overdueStarts));
+    d->overdueShare.noteStarts(static_cast<int>(orders.starts.size()), static_cast<int>(startsAhead - lostLasting));
     d->moveThrottledRuns(now);
     d->reportLastingTasks(now);
     d->reportStandstills(now);
@@ -91,10 +94,28 @@
     return orders;
 }
 
+// Such a task waits behind all short work of its priority otherwise, whose stream may have no end. Their number
+// is bounded by what was lost; a lasting task that was never ordered waits for its turn.
+void Fleet::Private::replaceLostLastingTasks(std::span<const WaitingStep> waiting, int maxStarts, TimePoint now,
+                                             jobs::WallTime wall, Orders &orders)
+{
+    for (const auto &it : waiting) {
+        const int startsLeft = maxStarts - static_cast<int>(orders.starts.size());
+        if (startsLeft <= 0) {
+            return;
+        }
+        const auto &spec = it.job->job.stepSpec(it.step);
+        if (spec.isLasting && !spec.isGang) {
+            placeStep(it, startsLeft, now, wall, orders, [](const jobs::Task &task) { return task.lastRun > 0; });
+        }
+    }
+}
+
 void Fleet::Private::placeOverdue(std::span<const WaitingStep> waiting, int maxStarts, TimePoint now,
                                   jobs::WallTime wall, Orders &orders)
 {
-    const int share = std::min(overdueShare.available(), maxStarts);
+    const int startsBefore = static_cast<int>(orders.starts.size());
+    const int share = std::min(overdueShare.available(), maxStarts - startsBefore);
     if (share <= 0) {
         return;
     }
@@ -108,7 +129,7 @@
         return std::tuple(it->rank.acceptedAt, it->job->job.key(), it->occurrence, it->step);
     });
     for (const auto *it : overdue) {
-        const int startsLeft = share - static_cast<int>(orders.starts.size());
+        const int startsLeft = share + startsBefore - static_cast<int>(orders.starts.size());
         if (startsLeft <= 0) {
             return;
         }
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -12,6 +12,7 @@
 #include "workers/lostruns.h"
 #include "workers/worker.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -252,7 +253,12 @@
     // Adds the steps of a job that wait to be started. Returns false if there are none, and none
     // becomes due by the passing of time.
     bool addWaitingSteps(TrackedJob &job, TimePoint now, jobs::WallTime wall, std::vector<WaitingStep> &waiting);
-    void placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, jobs::WallTime wall, Orders &orders);
+    // Starts tasks of a step, those for which `isMeant` returns true if it is given.
+    void placeStep(const WaitingStep &waiting, int maxStarts, TimePoint now, jobs::WallTime wall, Orders &orders,
+                   const std::function<bool(const jobs::Task &)> &isMeant = {});
+    // Starts lasting tasks again whose runs have ended, before all other work.
+    void replaceLostLastingTasks(std::span<const WaitingStep> waiting, int maxStarts, TimePoint now,
+                                 jobs::WallTime wall, Orders &orders);
     // Gives a share of the starts to the oldest jobs that wait behind all that can be on time.
     void placeOverdue(std::span<const WaitingStep> waiting, int maxStarts, TimePoint now, jobs::WallTime wall,
                       Orders &orders);
