--- a/src/jobs/outcomecounts.cpp
+++ b/src/jobs/outcomecounts.cpp
@@ -36,7 +36,7 @@
 
 std::uint64_t OutcomeRow::open() const
 {
-    const auto over = std::accumulate(std::begin(ended), std::end(ended), std::uint64_t{0});
+    const auto over = std::accumulate(ended.begin(), ended.end(), std::uint64_t{0});
     return accepted - std::min(over, accepted);
 }
 
--- a/src/jobs/outcomecounts.h
+++ b/src/jobs/outcomecounts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -36,7 +37,7 @@
     std::string queue;
     std::size_t sizeClass = 0;
     std::uint64_t accepted = 0;
-    std::uint64_t ended[JobOutcomeCount] = {};
+    std::array<std::uint64_t, JobOutcomeCount> ended{};
 
     std::uint64_t open() const;
 };
--- a/src/scheduling/waitingorder.cpp
+++ b/src/scheduling/waitingorder.cpp
@@ -20,15 +20,6 @@
 // Part of its allowed wait that a job keeps in reserve: expected run times are uncertain by about as much.
 constexpr double ReservePart = 0.3;
 
-// Part of all start orders that goes to the oldest overdue jobs.
-constexpr double OverduePart = 0.1;
-// Orders that may gather for overdue jobs while there are none.
-constexpr double MaxOverdueCredit = 16;
-
-// The pace of starts is measured over about this time.
-constexpr Duration PaceInterval = 500ms;
-constexpr double PaceWeight = 0.5; // of the newest measurement
-
 double seconds(Duration d)
 {
     return std::chrono::duration<double>(d).count();
@@ -59,47 +50,6 @@
     return {lateBand, seconds(job.acceptedAt.time_since_epoch()), job.acceptedAt, true};
 }
 
-int OverdueShare::available() const
-{
-    return std::max(static_cast<int>(m_credit), 0);
-}
-
-void OverdueShare::noteStarts(int starts, int overdue)
-{
-    m_credit = std::min(m_credit + OverduePart * starts - overdue, MaxOverdueCredit);
-}
-
-void StartPace::notePlan(int starts, bool isLimited, TimePoint now)
-{
-    if (!m_lastPlanAt || now - *m_lastPlanAt > PaceInterval) {
-        m_since = now; // nothing could be started for a while, which says nothing about the pace
-        m_starts = 0;
-        m_wasLimited = false;
-    }
-    m_lastPlanAt = now;
-    m_starts += starts;
-    m_wasLimited = m_wasLimited || isLimited;
-    if (now - m_since < PaceInterval) {
-        return;
-    }
-    const double perSecond = m_starts / seconds(now - m_since);
-    if (!m_wasLimited || perSecond <= 0) {
-        m_perSecond = 0;
-    } else {
-        m_perSecond = m_perSecond <= 0 ? perSecond : m_perSecond + PaceWeight * (perSecond - m_perSecond);
-    }
-    m_since = now;
-    m_starts = 0;
-    m_wasLimited = false;
-}
-
-Duration StartPace::timeFor(int starts) const
-{
-    return m_perSecond <= 0 || starts <= 0
-        ? Duration(0)
-        : std::chrono::duration_cast<Duration>(std::chrono::duration<double>(starts / m_perSecond));
-}
-
 Rank FirstComeFirstServedOrder::rank(const RankInput &job, TimePoint) const
 {
     return {0, seconds(job.acceptedAt.time_since_epoch()), job.acceptedAt};
--- a/src/scheduling/waitingorder.h
+++ b/src/scheduling/waitingorder.h
@@ -3,7 +3,6 @@
 #include "common/time.h"
 
 #include <compare>
-#include <optional>
 
 namespace monsoonspool::scheduling {
 
@@ -63,47 +62,6 @@
     Rank rank(const RankInput &job, TimePoint now) const override;
 };
 
-// Divides start orders between overdue jobs and all others. While there is more work than can be on time, new jobs
-// come before overdue ones for ever; a share of the orders goes to the oldest of these, so that the wait of each
-// is bounded by the work that came before it.
-//
-// Not thread-safe: owned by the control thread.
-class OverdueShare
-{
-public:
-    // Returns how many orders the next plan gives to overdue jobs first.
-    int available() const;
-    // Records that a plan ordered `starts` in all, `overdue` of them for overdue jobs.
-    void noteStarts(int starts, int overdue);
-
-private:
-    double m_credit = 0; // in orders; negative after a gang that is larger than the share
-};
-
-// Measures how long it takes to order a number of starts while fewer are permitted than are due.
-//
-// Not thread-safe: owned by the control thread.
-class StartPace
-{
-public:
-    // Records a plan that ordered `starts`; more were due if `isLimited`.
-    void notePlan(int starts, bool isLimited, TimePoint now);
-    // Returns the time that as many starts take; 0 while the permitted ones suffice.
-    Duration timeFor(int starts) const;
-    // Returns whether fewer were permitted than were due.
-    bool isShort() const
-    {
-        return m_perSecond > 0;
-    }
-
-private:
-    double m_perSecond = 0; // moving average, 0 if they suffice
-    int m_starts = 0; // since m_since
-    bool m_wasLimited = false; // since m_since
-    TimePoint m_since;
-    std::optional<TimePoint> m_lastPlanAt;
-};
-
 // First come, first served. Baseline for comparisons.
 class FirstComeFirstServedOrder : public WaitingOrder
 {
