An overdue gang that does not fit keeps no room from work that can be on time

Starts for overdue jobs are placed first; a gang that doesn't fit then held back all work of its size behind it, by the rule that lets a gang get its turn, and where more than half of the cores is reserved that has no bound. One gang that can't fit beside long work stopped all other work of its size: 17.2 s in AnOverdueGangHoldsBackNoWorkThatCanBeOnTime, with two free workers of six. The test passes without the pass for overdue jobs, and with this change.

Change: what gangs ask for is forgotten after that pass; the gang asks again in its own place.

--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -64,7 +64,10 @@
     d->replaceLostLastingTasks(waiting, maxStarts, now, wall, orders);
     const auto lostLasting = orders.starts.size();
     d->placeOverdue(waiting, maxStarts, now, wall, orders);
-    d->racks.room.beginQueue(); // what is left of these steps is looked at again in its turn
+    // What is left of these steps is looked at again in its turn. Until then a gang that does not fit keeps no
+    // room from the work before it.
+    d->racks.room.beginQueue();
+    d->gangDemands.clear();
     const auto startsAhead = orders.starts.size();
     for (const auto &it : waiting) {
         const int startsLeft = maxStarts - static_cast<int>(orders.starts.size());
--- a/tests/execution/gangqueuetest.cpp
+++ b/tests/execution/gangqueuetest.cpp
@@ -106,6 +106,39 @@
     }
 }
 
+// Guards against an overdue gang that cannot fit for long and keeps room from work that can be on time.
+TEST(GangQueue, AnOverdueGangHoldsBackNoWorkThatCanBeOnTime)
+{
+    GangQueue queue;
+    constexpr int longJobs = 4; // more than half of the workers
+    for (std::uint64_t key = LongJob; key < LongJob + longJobs; ++key) {
+        queue.submit(key, 1, 16000, 60s, 60s);
+    }
+    queue.cluster.scheduler.runFor(1s);
+    queue.submit(FirstGang, WorkerCount, 16000, 200ms, 200ms);
+    queue.cluster.scheduler.runFor(4s); // it is overdue now
+    std::uint64_t small = FirstSmall;
+    std::map<std::uint64_t, TimePoint> waitingSince;
+    Duration longest{0};
+    const auto begin = queue.cluster.scheduler.now();
+    auto nextSmall = begin;
+    while (queue.cluster.scheduler.now() < begin + 20s) {
+        const auto now = queue.cluster.scheduler.now();
+        if (now >= nextSmall) {
+            nextSmall += 400ms;
+            waitingSince[small] = now;
+            queue.submit(small++, 1, 16000, 400ms, 400ms);
+        }
+        queue.cluster.scheduler.runFor(10ms);
+        std::erase_if(waitingSince, [&](const auto &job) { return queue.hasBegun(job.first); });
+        for (const auto &[key, since] : waitingSince) {
+            longest = std::max(longest, queue.cluster.scheduler.now() - since);
+        }
+    }
+    EXPECT_LT(toMilliseconds(longest), toMilliseconds(PlatformBound));
+    EXPECT_EQ(violationsOf(queue.cluster), "");
+}
+
 // Guards against a gang that never gets its turn, since other work takes each worker that becomes free.
 TEST(GangQueue, AGangGetsItsTurnBesideAStreamOfSmallWork)
 {
