After a hand-over, lasting tasks that may have run are placed first too

Cause: a new leader doesn't know which lasting tasks its predecessors have ordered, so that those it lost waited for their turn behind short work. Change: of a lasting job that was begun under a former leader, all waiting tasks count as lost.

--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -98,7 +98,8 @@
 }
 
 // Such a task waits behind all short work of its priority otherwise, whose stream may have no end. Their number
-// is bounded by what was lost; a lasting task that was never ordered waits for its turn.
+// is bounded by what was lost; a lasting task that was never ordered waits for its turn. Which tasks a former
+// leader has ordered is not known, so that all of a job that was begun under it count.
 void Fleet::Private::replaceLostLastingTasks(std::span<const WaitingStep> waiting, int maxStarts, TimePoint now,
                                              jobs::WallTime wall, Orders &orders)
 {
@@ -109,7 +110,9 @@
         }
         const auto &spec = it.job->job.stepSpec(it.step);
         if (spec.isLasting && !spec.isGang) {
-            placeStep(it, startsLeft, now, wall, orders, [](const jobs::Task &task) { return task.lastRun > 0; });
+            const bool mayHaveRun = it.job->knownFence < fence && it.job->job.state() == jobs::JobState::Running;
+            placeStep(it, startsLeft, now, wall, orders,
+                      [mayHaveRun](const jobs::Task &task) { return mayHaveRun || task.lastRun > 0; });
         }
     }
 }
--- a/tests/execution/sharesbysizetest.cpp
+++ b/tests/execution/sharesbysizetest.cpp
@@ -133,6 +133,51 @@
     EXPECT_EQ(orders.starts.front().task.job.value, lasting);
 }
 
+// Guards against the same after a hand-over: the new leader does not know which tasks have run.
+TEST(SharesBySize, ALastingTaskThatAFormerLeaderMayHaveOrderedComesBeforeNewShortWork)
+{
+    SilentLog log;
+    Fleet fleet(log);
+    fleet.beginTerm({2}, 0, {}, Start, Start);
+    ports::WorkerEntry entry;
+    entry.id = WorkerId("w");
+    entry.service = Service;
+    entry.capacity = {1000, 1000, 0}; // one task
+    entry.startTimeMs = 1;
+    fleet.updateWorker(entry, Start);
+    ports::WorkerListing listing;
+    listing.startTimeMs = 1;
+    listing.clock = 1000;
+    fleet.applyListing(entry.id, listing, Start, Start);
+    fleet.markRosterStored(fleet.takeRoster());
+    const auto addJob = [&](std::uint64_t key, bool isLasting, TimePoint now) {
+        AcceptedJob job;
+        job.key = {key};
+        job.policy.queue = isLasting ? "serving" : "short";
+        job.policy.service = Service;
+        job.policy.maxAttempts = 3;
+        job.policy.targetLatency = 10s;
+        job.spec.steps.resize(1);
+        job.spec.steps.front().count = 1;
+        job.spec.steps.front().needs = {1000, 1000, 0};
+        job.spec.steps.front().isLasting = isLasting;
+        job.acceptedAt = Wall;
+        fleet.addJob(std::move(job), now, Wall);
+    };
+    constexpr std::uint64_t lasting = 1;
+    addJob(lasting, true, Start);
+    jobs::JobProgress begun;
+    begun.state = jobs::JobState::Running;
+    fleet.restoreProgress({lasting}, begun);
+    auto now = Start + 1s;
+    addJob(2, false, now);
+    addJob(3, true, now); // never ordered, so that it waits for its turn
+    now += 5s;
+    const auto orders = fleet.plan(now, Wall);
+    ASSERT_EQ(orders.starts.size(), 1U);
+    EXPECT_EQ(orders.starts.front().task.job.value, lasting);
+}
+
 // Guards against a count of open jobs that contains those which had ended before a new leader read them.
 TEST(SharesBySize, JobsThatEndedUnderAFormerLeaderAreNotCountedAsOpen)
 {
