Review case 9: hosts crash at each planned stop; cases numbered by gravity

Cause: the io_context of the clients' connections is destroyed before that of the control thread, whose waiting timers still own such connections.

--- a/review/standins2/deployment.h
+++ b/review/standins2/deployment.h
@@ -79,5 +79,6 @@
 
 // The cases. Each returns the exit status: 0 if the rule held, 1 if it was broken, 2 if it could not run.
 asio::awaitable<int> playRebornRunners(Deployment &deployment);
+asio::awaitable<int> playRollingStops(Deployment &deployment);
 
 } // namespace review
--- a/review/standins2/host.cpp
+++ b/review/standins2/host.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <stdexcept>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -57,6 +58,8 @@
     }
     if (m_pid == 0) {
         prctl(PR_SET_PDEATHSIG, SIGKILL);
+        const rlimit noCores{0, 0};
+        setrlimit(RLIMIT_CORE, &noCores);
         const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(out, STDOUT_FILENO);
         dup2(out, STDERR_FILENO);
@@ -84,4 +87,14 @@
     }
 }
 
+std::optional<int> Host::poll()
+{
+    int status = 0;
+    if (m_pid <= 0 || waitpid(m_pid, &status, WNOHANG) != m_pid) {
+        return std::nullopt;
+    }
+    m_pid = -1;
+    return status;
+}
+
 } // namespace review
--- a/review/standins2/host.h
+++ b/review/standins2/host.h
@@ -2,6 +2,7 @@
 
 #include "http.h"
 
+#include <optional>
 #include <string>
 
 #include <sys/types.h>
@@ -31,6 +32,8 @@
     void signal(int number) const;
     // Waits for the end of the process.
     void wait();
+    // Returns the status of the process as waitpid() gives it, once it has ended.
+    std::optional<int> poll();
     unsigned short clients() const
     {
         return m_clients;
--- a/review/standins2/main.cpp
+++ b/review/standins2/main.cpp
@@ -18,6 +18,7 @@
 
 constexpr Case cases[] = {
     {"reborn-runners", playRebornRunners},
+    {"rolling-stops", playRollingStops},
 };
 
 constexpr milliseconds MaxTime{110'000};
