Logs and metrics tell for which workers a takeover waits, until when, and which jobs wait

leadership-won now names the leader that may still act and for how long. takeover-waits counts the lasting jobs that are held back and says when the wait ends. Beside it, every 2 s, takeover-waits-for-worker names up to 8 workers with the bound that applies, and takeover-holds-job up to 4 jobs, lasting ones first. The volume does not grow with what waits.

No decision changes.

--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -408,9 +408,14 @@
         LeaderTermStart start{termFence,        leadership.claimVersion(),       claimedRoster,
                               queues(),         leadership.formersDecideUntil(), leadership.silentWorkers(termBeganAt),
                               options.moveCost, evacuationReader.evacuations(),  options.remoteRunTimeFactor};
+        const auto &former = leadership.row()->former;
         ports.log.record(
             "leadership-won",
-            {{"fence", termFence.value}, {"claimVersion", start.claimVersion}, {"rosterRows", start.roster.size()}});
+            {{"fence", termFence.value},
+             {"claimVersion", start.claimVersion},
+             {"rosterRows", start.roster.size()},
+             {"former", former ? former->host.view() : "has stopped"},
+             {"formersDecideForMs", toMilliseconds(std::max(start.formersDecideUntil - termBeganAt, Duration(0)))}});
         term.emplace(
             ports, std::move(start),
             LeaderTerm::Hooks{[this] { onFenced(); }, [this] { return leadership.mayDecide(ports.scheduler.now()); }});
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -575,7 +575,10 @@
         counts.tasksWaitingForRack += it->job.isOpen() ? it->rackWaits.size() : 0;
     }
     counts.unreportedWorkers = d->unreportedWorkers.size();
-    counts.heldBackJobs = d->heldBackJobs();
+    const auto heldBack = d->heldBackJobs();
+    counts.heldBackJobs = heldBack.size();
+    counts.heldBackLastingJobs = static_cast<std::size_t>(
+        std::ranges::count_if(heldBack, [](const TrackedJob *it) { return it->job.spec().isLasting(); }));
     counts.evacuatedDomains = d->evacuatedDomains();
     return counts;
 }
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -88,6 +88,8 @@
     std::size_t silentWorkers = 0;
     std::size_t unreportedWorkers = 0; // of the former leader's roster
     std::size_t heldBackJobs = 0; // whose tasks may still be active on one of these
+    std::size_t heldBackLastingJobs = 0; // those of them whose tasks run until they are cancelled
+    Duration takeoverWait{0}; // until the last lease of a former leader has ended on one of these workers
     std::vector<EvacuatedDomain> evacuatedDomains; // by name
     StandingJobs standingJobs; // at the last report, at most StandstillReportInterval ago
     std::uint64_t remoteStarts = 0; // off the rack of the task's data, or of gangs' members on several racks
@@ -255,8 +257,10 @@
 
     // Returns event counters and the numbers of jobs and workers in constant time.
     const FleetCounts &counts() const;
-    // Returns all counts, for the state dump and metrics; visits every job and worker.
+    // Returns all counts but takeoverWait, for the state dump and metrics; visits every job and worker.
     FleetCounts fullCounts() const;
+    // Returns how long the takeover still waits for workers that do not answer, at the latest.
+    Duration takeoverWait(TimePoint now) const;
 
 private:
     struct Private;
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -220,6 +220,11 @@
     void setNamedSilent(std::set<WorkerId> named);
     // Logs what a takeover waits for, at intervals until it is complete.
     void reportTakeover(TimePoint now);
+    // Log a bounded number of the workers that a takeover waits for longest, and of the jobs that wait longest.
+    void reportUnreportedWorkers(TimePoint now) const;
+    void reportHeldBackJobs(TimePoint now) const;
+    // Returns until when the takeover waits at the latest; `now` if it waits for no worker.
+    TimePoint takeoverEnd(TimePoint now) const;
     // Logs at intervals why lasting tasks do not run.
     void reportLastingTasks(TimePoint now);
     // Logs and counts at intervals which jobs have nothing at work although a task's turn has come.
@@ -242,8 +247,8 @@
     std::optional<jobs::TaskId> firstWaitingTask(const TrackedJob &job) const;
     StandstillCause causeOfWaiting(const TrackedJob &job, const jobs::TaskId &task, TimePoint now);
     void logStandstill(const Standstill &standstill, TimePoint now);
-    // Returns the number of open jobs that wait for the workers that have not reported.
-    std::size_t heldBackJobs() const;
+    // Returns the open jobs that wait for the workers that have not reported.
+    std::vector<const TrackedJob *> heldBackJobs() const;
     // Returns the workers that are still known.
     std::vector<workers::Worker *> expireLeases(std::vector<workers::Worker *> visited, TimePoint now);
     scheduling::Rank rankOf(TrackedJob &job, int occurrence, TimePoint now, jobs::WallTime wall);
--- a/src/execution/fleettakeover.cpp
+++ b/src/execution/fleettakeover.cpp
@@ -3,6 +3,7 @@
 #include "jobs/names.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace monsoonspool::execution {
 
@@ -10,6 +11,9 @@
 
 // Every host reads the row.
 constexpr std::size_t MaxSilentWorkers = 64;
+// Of one report, so that the volume does not grow with what waits.
+constexpr std::size_t MaxReportedWorkers = 8;
+constexpr std::size_t MaxReportedJobs = 4;
 
 } // namespace
 
@@ -46,6 +50,20 @@
     return it == formerLeaseEnds.end() ? formerLeasesEnd : std::min(formerLeasesEnd, it->second);
 }
 
+TimePoint Fleet::Private::takeoverEnd(TimePoint now) const
+{
+    auto end = now;
+    for (const auto &it : unreportedWorkers) {
+        end = std::max(end, formerLeasesEndOn(it));
+    }
+    return end;
+}
+
+Duration Fleet::takeoverWait(TimePoint now) const
+{
+    return d->takeoverEnd(now) - now;
+}
+
 void Fleet::Private::reportTakeover(TimePoint now)
 {
     if (unreportedWorkers.empty() || now < takeoverReportDueAt) {
@@ -53,23 +71,75 @@
     }
     takeoverReportDueAt = now + TakeoverReportInterval;
     const auto isListed = [&](const WorkerId &id) { return workersById.at(id)->isListed(); };
+    const auto heldBack = heldBackJobs();
     log.record("takeover-waits",
                {{"fence", fence.value},
                 {"afterMs", toMilliseconds(now - termBeganAt)},
                 {"unreported", unreportedWorkers.size()},
                 {"unlisted", unreportedWorkers.size() - std::ranges::count_if(unreportedWorkers, isListed)},
                 {"firstWorker", unreportedWorkers.begin()->view()},
-                {"heldBackJobs", heldBackJobs()},
-                {"formerLeasesEndInMs", toMilliseconds(formerLeasesEnd - now)}});
+                {"heldBackJobs", heldBack.size()},
+                {"heldBackLastingJobs",
+                 std::ranges::count_if(heldBack, [](const auto *it) { return it->job.spec().isLasting(); })},
+                {"formerLeasesEndInMs", toMilliseconds(formerLeasesEnd - now)},
+                {"endsInMs", toMilliseconds(takeoverEnd(now) - now)}});
+    reportUnreportedWorkers(now);
+    reportHeldBackJobs(now);
 }
 
-std::size_t Fleet::Private::heldBackJobs() const
+void Fleet::Private::reportUnreportedWorkers(TimePoint now) const
 {
+    std::vector<std::pair<TimePoint, WorkerId>> waits;
+    for (const auto &it : unreportedWorkers) {
+        waits.emplace_back(formerLeasesEndOn(it), it);
+    }
+    std::ranges::sort(
+        waits, [](const auto &a, const auto &b) { return std::tie(b.first, a.second) < std::tie(a.first, b.second); });
+    waits.resize(std::min(waits.size(), MaxReportedWorkers));
+    for (const auto &[end, id] : waits) {
+        const auto &worker = *workersById.at(id);
+        const bool isNamed = formerLeaseEnds.contains(id) && end < formerLeasesEnd;
+        log.record("takeover-waits-for-worker",
+                   {{"worker", id.view()},
+                    {"isListed", worker.isListed() ? 1 : 0},
+                    {"isSilent", worker.isSilent() ? 1 : 0},
+                    {"holdsBack", worker.remainingJobs() ? "its jobs" : "all jobs"},
+                    {"bound", isNamed ? "named silent by the former leader" : "all former leases"},
+                    {"endsInMs", toMilliseconds(end - now)}});
+    }
+}
+
+void Fleet::Private::reportHeldBackJobs(TimePoint now) const
+{
+    auto jobs = heldBackJobs();
+    std::ranges::sort(jobs, [](const TrackedJob *a, const TrackedJob *b) {
+        const auto rank = [](const TrackedJob *it) {
+            return std::tuple(!it->job.spec().isLasting(), it->job.acceptedAt(), it->job.key());
+        };
+        return rank(a) < rank(b);
+    });
+    jobs.resize(std::min(jobs.size(), MaxReportedJobs));
+    for (const auto *it : jobs) {
+        log.record("takeover-holds-job",
+                   {{"job", it->job.key()},
+                    {"isLasting", it->job.spec().isLasting() ? 1 : 0},
+                    {"runs", it->activeRuns},
+                    {"ageMs", toMilliseconds(now - it->job.acceptedAt())}});
+    }
+}
+
+std::vector<const TrackedJob *> Fleet::Private::heldBackJobs() const
+{
+    std::vector<const TrackedJob *> heldBack;
     if (unreportedWorkers.empty()) {
-        return 0;
+        return heldBack;
+    }
+    for (const auto &[key, it] : jobsByKey) {
+        if (it->job.isOpen() && isBlockedByTakeover(*it)) {
+            heldBack.push_back(it.get());
+        }
     }
-    return static_cast<std::size_t>(std::ranges::count_if(
-        jobsByKey, [&](const auto &it) { return it.second->job.isOpen() && isBlockedByTakeover(*it.second); }));
+    return heldBack;
 }
 
 // Tasks that a former leader may have started wait until every worker on its roster where they
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -409,7 +409,9 @@
 
 FleetCounts LeaderTerm::counts() const
 {
-    return d->fleet.fullCounts();
+    auto counts = d->fleet.fullCounts();
+    counts.takeoverWait = d->fleet.takeoverWait(d->ports.scheduler.now());
+    return counts;
 }
 
 LeaderLoad LeaderTerm::load() const
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -747,8 +747,12 @@
     EXPECT_FALSE(takeover.log.contains("takeover-waits"));
     takeover.fleet.plan(Start + 2s, Wall);
     EXPECT_TRUE(takeover.log.contains("takeover-waits"));
+    EXPECT_TRUE(takeover.log.contains("takeover-waits-for-worker"));
+    EXPECT_TRUE(takeover.log.contains("takeover-holds-job"));
     EXPECT_EQ(takeover.fleet.fullCounts().unreportedWorkers, 1U);
     EXPECT_EQ(takeover.fleet.fullCounts().heldBackJobs, 1U);
+    EXPECT_EQ(takeover.fleet.fullCounts().heldBackLastingJobs, 0U);
+    EXPECT_GT(takeover.fleet.takeoverWait(Start + 2s), Duration(0));
     ports::WorkerListing listing;
     listing.startTimeMs = 1;
     listing.clock = 1000;
@@ -758,6 +762,7 @@
     EXPECT_FALSE(takeover.log.contains("takeover-waits"));
     EXPECT_EQ(takeover.fleet.fullCounts().unreportedWorkers, 0U);
     EXPECT_EQ(takeover.fleet.fullCounts().heldBackJobs, 0U);
+    EXPECT_EQ(takeover.fleet.takeoverWait(Start + 4s), Duration(0));
 }
 
 // Guards against idle workers: a gang that no longer fits kept all work of its members' size from
