--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -323,6 +323,9 @@
         json["silent"].push_back(
             Json::array({it.worker.text(), std::chrono::ceil<std::chrono::milliseconds>(it.leasesEndIn).count()}));
     }
+    for (const auto &it : row.witnesses) {
+        json["witnesses"].push_back(Json::array({it.worker.text(), it.startTimeMs}));
+    }
     return writeCbor(json);
 }
 
@@ -349,6 +352,9 @@
             row.silentWorkers.push_back(
                 {WorkerId(it.at(0).get<std::string>()), std::chrono::milliseconds(it.at(1).get<std::int64_t>())});
         }
+        for (const auto &it : json.value("witnesses", Json::array())) {
+            row.witnesses.push_back({WorkerId(it.at(0).get<std::string>()), it.at(1).get<std::int64_t>()});
+        }
         return row;
     });
 }
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -237,6 +237,10 @@
         if (term) {
             const bool isReleased = row.host.isEmpty();
             row.silentWorkers = term->takeSilentWorkers(ports.scheduler.now(), isReleased ? Duration(0) : MinSilence);
+            if (leadership.mayChangeWitnesses(ports.scheduler.now())) {
+                row.witnesses = membership::chooseWitnesses(row.witnesses, term->witnessCandidates());
+            }
+            leadership.noteWitnessesOffered(row.witnesses);
         }
     }
 
@@ -271,9 +275,15 @@
         if (leadership.isLeader() && !term) {
             beginTerm();
         }
+        if (term) {
+            noteWitnessAnswers(now);
+        }
         if (term && leadership.formersEndAt()) {
             term->noteFormersEnd(*leadership.formersEndAt());
         }
+        if (term && leadership.unsupportedFormersEndAt()) {
+            term->noteFormersUnsupported(*leadership.unsupportedFormersEndAt());
+        }
         reportEndIfDue();
         if (term) {
             term->noteRenewed(leadership.renewedAt(), leadership.decidesUntil());
@@ -281,13 +291,25 @@
         if (isStopping || !configuration) {
             return; // without a configuration this host could not place any task
         }
-        if (auto write = leadership.dueWrite(claimDelay(), now, term && term->awaitsRowRenewal())) {
+        if (auto write = leadership.dueWrite(claimDelay(), now, term && term->awaitsRowRenewal(now))) {
             fillRow(write->row);
             write->row.bestShare = std::max(write->row.bestShare, options.processorShare);
             writeLeader(*write);
         }
     }
 
+    void noteWitnessAnswers(TimePoint now)
+    {
+        const auto witnesses = leadership.witnesses();
+        term->setWitnesses(witnesses);
+        if (leadership.noteAnswers(term->witnessAnswers(witnesses), now)) {
+            ports.log.record("claim-accepted",
+                             {{"fence", termFence.value},
+                              {"afterMs", toMilliseconds(now - termBeganAt)},
+                              {"witnesses", witnesses.size()}});
+        }
+    }
+
     // Stores the end of this host's term, for which the present leader waits.
     void reportEndIfDue()
     {
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -69,6 +69,7 @@
     d->counts.standingJobs = {};
     d->counts.outcomes.clear();
     d->formerLeaseEnds.clear();
+    d->witnesses.clear();
     d->namedSilent.clear();
     d->takenSilent.clear();
     for (const auto &it : silentWorkers) {
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -152,8 +152,16 @@
     std::vector<membership::SilentWorker> takeSilentWorkers(TimePoint now, Duration minSilence);
     // Records that the row with the workers taken last was stored.
     void markSilentWorkersStored();
-    // Returns whether a worker that answers waits for a row that does not name it.
-    bool awaitsRowRenewal() const;
+    // Returns whether something waits for the leader's row to be stored once more: a worker that answers for a
+    // row that does not name it, or the jobs of former leaders for the proof that their leases, which are over,
+    // were not extended by a successor.
+    bool awaitsRowRenewal(TimePoint now) const;
+    // Returns what the workers of `witnesses` have answered to this leader.
+    membership::WitnessAnswers witnessAnswers(std::span<const membership::Witness> witnesses) const;
+    // Returns the workers that the leader's row may name as witnesses.
+    std::vector<membership::WitnessCandidate> witnessCandidates() const;
+    // Sets the witnesses, whose answers are asked for more often while the leadership cannot be renewed.
+    void setWitnesses(std::span<const membership::Witness> witnesses);
     // Returns until when a worker may keep or accept anything that this leader or a former one has
     // ordered, if this leader orders nothing any more.
     TimePoint leasesEnd(TimePoint now) const;
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -24,6 +24,8 @@
 // Near the end of the term, a renewal waits for this part of the remaining time at most: the
 // next one must reach the worker before its lease ends if the term is extended.
 constexpr int RenewalsPerTermEnd = 4;
+// A part of membership::SupportValidity, so that the support of the witnesses does not lapse between two answers.
+constexpr Duration WitnessWait = 250ms;
 constexpr int FullPercent = 100;
 // A worker's measurements cover its last 500 ms.
 constexpr Duration ObserveInterval = 500ms;
@@ -72,8 +74,11 @@
         order.acknowledgedEnd = worker->acknowledgedEnd();
     }
     if (worker->isConfirmed() && !worker->isSilent()) {
-        const auto wait = worker->isNamedSilent() ? NamedSilentWait : listingWait(*worker);
-        order.wait = std::min(wait, (d->termEnd - now) / RenewalsPerTermEnd);
+        auto wait = worker->isNamedSilent() ? NamedSilentWait : listingWait(*worker);
+        if (now - d->termRenewedAt > membership::SupportNeededAfter && d->witnesses.contains(id)) {
+            wait = std::min(wait, WitnessWait);
+        }
+        order.wait = std::max(std::min(wait, (d->termEnd - now) / RenewalsPerTermEnd), Duration(0));
     }
     return order;
 }
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -378,6 +378,7 @@
     std::unordered_map<jobs::JobKey, TimePoint> jobsStandingSince; // at the last report
     std::set<WorkerId> unreportedWorkers; // on the former leader's roster; have not reported their runs
     std::map<WorkerId, TimePoint> formerLeaseEnds; // on workers that the claimed row names as silent
+    std::set<WorkerId> witnesses; // see setWitnesses()
     std::set<WorkerId> namedSilent; // workers that the stored row may name as silent
     std::set<WorkerId> takenSilent; // those of the row that was taken last
     std::map<std::string, jobs::QueuePolicy, std::less<>> queues;
--- a/src/execution/fleettakeover.cpp
+++ b/src/execution/fleettakeover.cpp
@@ -218,12 +218,16 @@
     d->setNamedSilent(d->takenSilent);
 }
 
-bool Fleet::awaitsRowRenewal() const
+bool Fleet::awaitsRowRenewal(TimePoint now) const
 {
-    return std::ranges::any_of(d->namedSilent, [&](const WorkerId &id) {
-        const auto *worker = d->findWorker(id);
-        return worker != nullptr && worker->isConfirmed() && !worker->isSilent();
+    const bool isTakeoverOver = std::ranges::any_of(d->unreportedWorkers, [&](const WorkerId &id) {
+        const auto end = d->formerLeasesEndOn(id);
+        return end <= now && d->termRenewedAt < end;
     });
+    return isTakeoverOver || std::ranges::any_of(d->namedSilent, [&](const WorkerId &id) {
+               const auto *worker = d->findWorker(id);
+               return worker != nullptr && worker->isConfirmed() && !worker->isSilent();
+           });
 }
 
 void Fleet::Private::setNamedSilent(std::set<WorkerId> named)
@@ -238,6 +242,38 @@
     }
 }
 
+membership::WitnessAnswers Fleet::witnessAnswers(std::span<const membership::Witness> witnesses) const
+{
+    membership::WitnessAnswers answers;
+    for (const auto &it : witnesses) {
+        const auto *worker = d->findWorker(it.worker);
+        if (worker != nullptr && worker->isConfirmed()) {
+            answers[it.worker] = {worker->startTimeMs(), worker->contactSentAt()};
+        }
+    }
+    return answers;
+}
+
+std::vector<membership::WitnessCandidate> Fleet::witnessCandidates() const
+{
+    std::vector<membership::WitnessCandidate> candidates;
+    for (const auto *it : d->workers) {
+        const bool isStaying = it->isListed() && !it->entry().isDraining && !it->isRestartAnnounced();
+        if (isStaying && it->isConfirmed() && !it->isSilent() && it->startTimeMs() != 0) {
+            candidates.push_back({{it->entry().id, it->startTimeMs()}, it->entry().domain});
+        }
+    }
+    return candidates;
+}
+
+void Fleet::setWitnesses(std::span<const membership::Witness> witnesses)
+{
+    d->witnesses.clear();
+    for (const auto &it : witnesses) {
+        d->witnesses.insert(it.worker);
+    }
+}
+
 TimePoint Fleet::formerLeasesEnd() const
 {
     return d->formerLeasesEnd;
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -35,6 +35,8 @@
 constexpr Duration MaxTickDelay = 300ms;
 // A former leader's last lease renewal may arrive shortly after the claim.
 constexpr Duration FormerLeaseSlack = 1s;
+// Until a worker has ended the runs of a lease that has expired.
+constexpr Duration LeaseEndSlack = 500ms;
 
 } // namespace
 
@@ -79,6 +81,22 @@
                                                }});
     }
 
+    void shortenFormerLeases(TimePoint time, Duration slack, std::string_view event)
+    {
+        const auto now = ports.scheduler.now();
+        const auto formerEnd = fleet.formerLeasesEnd();
+        fleet.shortenFormerLeases(time + slack);
+        const auto end = fleet.formerLeasesEnd();
+        if (end < formerEnd) {
+            ports.log.record(event,
+                             {{"fence", fleet.fence().value},
+                              {"leasesEndInMs", toMilliseconds(time - now)},
+                              {"waitBeforeMs", toMilliseconds(formerEnd - now)},
+                              {"waitMs", toMilliseconds(end - now)}});
+            requestPlan();
+        }
+    }
+
     void onJobSnapshot(std::span<const ports::StoredRow> rows)
     {
         onJobRows(rows);
@@ -362,18 +380,12 @@
 
 void LeaderTerm::noteFormersEnd(TimePoint time)
 {
-    const auto now = d->ports.scheduler.now();
-    const auto formerEnd = d->fleet.formerLeasesEnd();
-    d->fleet.shortenFormerLeases(time + FormerLeaseSlack);
-    const auto end = d->fleet.formerLeasesEnd();
-    if (end < formerEnd) {
-        d->ports.log.record("former-leader-ended",
-                            {{"fence", d->fleet.fence().value},
-                             {"leasesEndInMs", toMilliseconds(time - now)},
-                             {"waitBeforeMs", toMilliseconds(formerEnd - now)},
-                             {"waitMs", toMilliseconds(end - now)}});
-        d->requestPlan();
-    }
+    d->shortenFormerLeases(time, FormerLeaseSlack, "former-leader-ended");
+}
+
+void LeaderTerm::noteFormersUnsupported(TimePoint time)
+{
+    d->shortenFormerLeases(time, LeaseEndSlack, "former-leaders-unsupported");
 }
 
 std::vector<membership::SilentWorker> LeaderTerm::takeSilentWorkers(TimePoint now, Duration minSilence)
@@ -387,9 +399,24 @@
     d->requestPlan();
 }
 
-bool LeaderTerm::awaitsRowRenewal() const
+bool LeaderTerm::awaitsRowRenewal(TimePoint now) const
+{
+    return d->fleet.awaitsRowRenewal(now);
+}
+
+membership::WitnessAnswers LeaderTerm::witnessAnswers(std::span<const membership::Witness> witnesses) const
+{
+    return d->fleet.witnessAnswers(witnesses);
+}
+
+std::vector<membership::WitnessCandidate> LeaderTerm::witnessCandidates() const
+{
+    return d->fleet.witnessCandidates();
+}
+
+void LeaderTerm::setWitnesses(std::span<const membership::Witness> witnesses)
 {
-    return d->fleet.awaitsRowRenewal();
+    d->fleet.setWitnesses(witnesses);
 }
 
 TimePoint LeaderTerm::leasesEnd() const
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -76,10 +76,15 @@
     // Records that the former leader has reported its end and that the leases of all leaders before
     // this one end at `time`.
     void noteFormersEnd(TimePoint time);
+    // The same after the witnesses have shown that these leaders are not supported any more.
+    void noteFormersUnsupported(TimePoint time);
     // See Fleet.
     std::vector<membership::SilentWorker> takeSilentWorkers(TimePoint now, Duration minSilence);
     void markSilentWorkersStored();
-    bool awaitsRowRenewal() const;
+    bool awaitsRowRenewal(TimePoint now) const;
+    membership::WitnessAnswers witnessAnswers(std::span<const membership::Witness> witnesses) const;
+    std::vector<membership::WitnessCandidate> witnessCandidates() const;
+    void setWitnesses(std::span<const membership::Witness> witnesses);
     // Returns when all leases of this and former leaders have ended if the term ends now.
     TimePoint leasesEnd() const;
     // Returns the number of jobs per queue that have not started; complete only once
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -52,6 +52,7 @@
     m_row = row;
     m_version = version;
     m_changedAt = now;
+    resetWitnesses();
     const bool isOwn = row && row->host == m_self && row->incarnation == m_incarnation;
     if (row && !isOwn) {
         // The row was written before `now`, and a renewal counts from when it was sent.
@@ -77,6 +78,9 @@
     m_fence = row.fence;
     m_claimVersion = version;
     m_renewedAt = renewedAt;
+    m_supportedSince.reset();
+    m_unsupportedFormersEndAt.reset();
+    m_formerWitnesses = row.witnesses; // the claim keeps them
     if (!m_former || !row.former || row.former->fence != m_former->fence) {
         // The claim has replaced a term of this host, whose leases no report covers.
         m_former.reset();
@@ -132,6 +136,10 @@
     write.row.waiting = waitingCounts(now);
     write.row.formersDecideFor = formersDecideFor(now);
     write.row.silentWorkers = silentWorkers(now);
+    if (m_row) {
+        write.row.witnesses = m_row->witnesses;
+    }
+    m_replacedRowReadAt = m_changedAt;
     if (!isFree && !isOwnEarlierRun) {
         write.row.former = m_former;
     }
@@ -170,6 +178,7 @@
     m_row = write.row;
     m_version = version;
     m_changedAt = now;
+    resetWitnesses();
     m_renewedAt = sentAt;
     if (write.isClaim) {
         beginLeadership(write.row, version, sentAt);
@@ -220,6 +229,56 @@
     m_formersEndAt = formersDecideUntil();
 }
 
+// A former leader was supported only by requests that it sent before the witnesses accepted this leader's
+// fence, and none of them was renewed after the row that the claim has replaced.
+bool Leadership::noteAnswers(const WitnessAnswers &answers, TimePoint now)
+{
+    if (!m_isLeader) {
+        return false;
+    }
+    m_supportedSince = supportedSince(m_witnesses, answers);
+    if (m_unsupportedFormersEndAt || !isAcceptedByMajority(m_formerWitnesses, answers)) {
+        return false;
+    }
+    const auto end
+        = std::max(m_replacedRowReadAt + stretched(UnsupportedGracePeriod), now + stretched(SupportValidity));
+    m_formerDecidesUntil = std::min(m_formerDecidesUntil, end);
+    m_earlierDecideUntil = std::min(m_earlierDecideUntil, end);
+    m_unsupportedFormersEndAt = end;
+    return true;
+}
+
+void Leadership::noteWitnessesOffered(std::span<const Witness> witnesses)
+{
+    if (m_row && std::ranges::equal(m_row->witnesses, witnesses)) {
+        return;
+    }
+    m_witnesses.add(witnesses);
+    m_supportedSince.reset(); // until the answers of the new ones are noted
+}
+
+void Leadership::resetWitnesses()
+{
+    // A write that was sent before expects an earlier version of the row, so that it has no effect any more.
+    m_witnesses.reset(m_row ? std::span<const Witness>(m_row->witnesses) : std::span<const Witness>());
+}
+
+bool Leadership::mayChangeWitnesses(TimePoint now) const
+{
+    // Without contact to the store, each list that cannot be stored would have to support this leader as well.
+    return m_isLeader && formersDecideUntil() <= now && now - m_renewedAt < SupportNeededAfter;
+}
+
+TimePoint Leadership::decidesUntil() const
+{
+    if (m_witnesses.areNone()) {
+        return m_renewedAt + StoreOutageGracePeriod;
+    }
+    const auto supportedUntil = m_supportedSince ? *m_supportedSince + SupportValidity : m_renewedAt;
+    const auto until = std::max(m_renewedAt + UnsupportedGracePeriod, supportedUntil);
+    return std::min(until, m_renewedAt + StoreOutageGracePeriod);
+}
+
 bool Leadership::mayDecide(TimePoint now) const
 {
     return m_isLeader && now < decidesUntil();
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -2,6 +2,7 @@
 
 #include "common/identifiers.h"
 #include "common/time.h"
+#include "membership/witnesses.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -49,6 +50,7 @@
     Duration formersDecideFor{0}; // from the writing of this row: how long earlier leaders may still decide
     std::optional<FormerLeader> former; // replaced by this row's claim; none if it had stopped
     std::vector<SilentWorker> silentWorkers;
+    std::vector<Witness> witnesses; // empty in rows of earlier releases
     std::size_t tombstones = 0; // of jobs that were cancelled before they were accepted, in the store
 };
 
@@ -65,9 +67,17 @@
 constexpr Duration RenewInterval = 800ms;
 // The same while a worker waits for the row to be renewed.
 constexpr Duration UrgentRenewInterval = 200ms;
-// How long a leader that cannot reach the store keeps deciding from its state in
-// memory. A successor waits as long for workers that it cannot reach.
+// How long a leader that cannot reach the store keeps deciding from its state in memory, if its witnesses
+// support it or its row names none. A successor that cannot exclude that waits as long for workers that it
+// cannot reach.
 constexpr Duration StoreOutageGracePeriod = 12s;
+// The same without support. Leases end with it. While the row is renewed in time, they are nearly as long as
+// without it, so that a successor can renew them.
+constexpr Duration UnsupportedGracePeriod = 6400ms;
+// For how long a leader may decide after the support of its witnesses, beyond UnsupportedGracePeriod.
+constexpr Duration SupportValidity = 3500ms;
+// A leader whose row was not renewed for this time asks its witnesses at shorter intervals.
+constexpr Duration SupportNeededAfter = 2s;
 // Maximum relative rate error between the clocks of two hosts.
 constexpr double HostClockDrift = 0.02;
 // After a longer gap in its own contact with the store, a host restarts the
@@ -85,6 +95,10 @@
 //
 // Hosts claim one after another: their claim delays put weak and distant hosts last.
 //
+// A leader decides beyond UnsupportedGracePeriod, and grants leases beyond it, only while a majority of the
+// witnesses in its row obeys it. Once they obey a successor, it therefore knows that its predecessors soon stop,
+// although it cannot hear them: they may be cut off from the store and still reach some workers.
+//
 // Not thread-safe: owned by the control thread.
 class Leadership
 {
@@ -129,6 +143,20 @@
     // replaced that term.
     void noteEndedTerm(const EndedTerm &ended, TimePoint now);
 
+    // Records the answers that the witnesses have given in this leader's term. Returns whether they show for
+    // the first time that no former leader is supported any more.
+    bool noteAnswers(const WitnessAnswers &answers, TimePoint now);
+    // Returns the processes on whose answers the term depends.
+    std::vector<Witness> witnesses() const
+    {
+        return m_witnesses.all();
+    }
+    // Returns whether the next row may name other witnesses. While former leaders may decide, it keeps theirs,
+    // so that all leaders that may decide ask the same ones.
+    bool mayChangeWitnesses(TimePoint now) const;
+    // Records that a row that names these witnesses is about to be written.
+    void noteWitnessesOffered(std::span<const Witness> witnesses);
+
     bool isLeader() const
     {
         return m_isLeader;
@@ -140,10 +168,7 @@
         return m_renewedAt;
     }
     // Returns until when this host may decide if it is the leader.
-    TimePoint decidesUntil() const
-    {
-        return m_renewedAt + StoreOutageGracePeriod;
-    }
+    TimePoint decidesUntil() const;
     // Returns whether this host is the leader and may still decide.
     bool mayDecide(TimePoint now) const;
     // Returns until when leaders before this host may decide at the latest. A leader that has
@@ -158,6 +183,11 @@
     {
         return m_formersEndAt;
     }
+    // Returns the same if the witnesses have shown that none of these leaders is supported any more.
+    std::optional<TimePoint> unsupportedFormersEndAt() const
+    {
+        return m_unsupportedFormersEndAt;
+    }
     const std::optional<LeaderRow> &row() const
     {
         return m_row;
@@ -178,6 +208,7 @@
 
 private:
     Duration formersDecideFor(TimePoint now) const;
+    void resetWitnesses();
     void beginLeadership(const LeaderRow &row, std::uint64_t version, TimePoint renewedAt);
 
     EntryHostId m_self;
@@ -200,6 +231,11 @@
     TimePoint m_formerDecidesUntil;
     TimePoint m_earlierDecideUntil; // leaders before m_former
     std::optional<TimePoint> m_formersEndAt;
+    Witnesses m_witnesses; // of the row
+    std::optional<TimePoint> m_supportedSince; // by all lists of m_witnesses
+    std::vector<Witness> m_formerWitnesses; // of the row that the claim has replaced
+    TimePoint m_replacedRowReadAt;
+    std::optional<TimePoint> m_unsupportedFormersEndAt;
     std::optional<Epoch> m_endedFence; // of the last term of this process
     TimePoint m_endedLeasesEnd; // of the same term
     std::optional<Epoch> m_reportedFence;
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -301,6 +301,7 @@
     }
     m_clock.note(clock, sentAt, now);
     m_isConfirmed = true;
+    m_contactSentAt = sentAt;
     m_isSilent = false;
     m_hasNewListing = true;
 }
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -341,6 +341,11 @@
     // Called for each listing received from the worker.
     void noteContact(ports::WorkerMillis clock, TimePoint sentAt, TimePoint now);
     void noteSilence(TimePoint now);
+    // Returns when the last answered renewal was sent.
+    TimePoint contactSentAt() const
+    {
+        return m_contactSentAt;
+    }
     bool isSilent() const
     {
         return m_isSilent;
@@ -461,6 +466,7 @@
     std::int64_t m_processedEnd = 0;
     std::int64_t m_acknowledgedEnd = 0;
     std::set<std::int64_t> m_heldEnds;
+    TimePoint m_contactSentAt;
     TimePoint m_silentSince;
     bool m_isNamedSilent = false;
     TimePoint m_observedAt;
--- a/tests/execution/fleettest.cpp
+++ b/tests/execution/fleettest.cpp
@@ -765,6 +765,38 @@
     EXPECT_EQ(takeover.fleet.takeoverWait(Start + 4s), Duration(0));
 }
 
+// What the support of a leader rests on: an answer counts from when the request was sent, as the worker may have
+// accepted a successor's fence right after it has answered.
+TEST(Fleet, TellsWhatItsWitnessesHaveAnswered)
+{
+    TakeoverFleet takeover;
+    auto &fleet = takeover.fleet;
+    const membership::Witness witness{takeover.entry.id, 1};
+    EXPECT_TRUE(fleet.witnessAnswers(std::span(&witness, 1)).empty());
+    EXPECT_TRUE(fleet.witnessCandidates().empty()) << "it has not answered this leader";
+    fleet.updateWorker(takeover.entry, Start);
+    ports::WorkerListing listing;
+    listing.startTimeMs = 1;
+    listing.clock = 1000;
+    fleet.applyListing(takeover.entry.id, listing, Start + 1s, Start + 2s);
+    const auto answers = fleet.witnessAnswers(std::span(&witness, 1));
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.begin()->second.startTimeMs, 1);
+    EXPECT_EQ(answers.begin()->second.requestSentAt, Start + 1s);
+    ASSERT_EQ(fleet.witnessCandidates().size(), 1U);
+    EXPECT_EQ(fleet.witnessCandidates().front().process, witness);
+
+    fleet.setWitnesses(std::span(&witness, 1));
+    fleet.noteTermRenewed(Start, Start + 6s);
+    const auto wait = fleet.leaseOrder(witness.worker, Start + membership::SupportNeededAfter).wait;
+    EXPECT_LT(fleet.leaseOrder(witness.worker, Start + membership::SupportNeededAfter + 1ms).wait, wait)
+        << "while the leadership cannot be renewed, the support must be known at short intervals";
+
+    fleet.markSilent(witness.worker, Start + 3s);
+    EXPECT_TRUE(fleet.witnessCandidates().empty());
+    EXPECT_EQ(fleet.witnessAnswers(std::span(&witness, 1)).size(), 1U) << "it has accepted the fence";
+}
+
 // Guards against idle workers: a gang that no longer fits kept all work of its members' size from
 // being placed.
 TEST(Fleet, AGangThatDoesNotFitDoesNotBlockOtherWork)
--- a/tests/membership/leadershiptest.cpp
+++ b/tests/membership/leadershiptest.cpp
@@ -3,6 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <optional>
+#include <span>
+#include <vector>
 
 namespace monsoonspool::membership {
 
@@ -341,6 +344,142 @@
     }
 }
 
+namespace {
+
+// The witnesses w0 to w2, and their answers to requests that were sent at `sentAt`.
+const std::vector<Witness> Three{{WorkerId("w0"), 1}, {WorkerId("w1"), 1}, {WorkerId("w2"), 1}};
+
+WitnessAnswers answersOf(std::span<const Witness> witnesses, TimePoint sentAt)
+{
+    WitnessAnswers answers;
+    for (const auto &it : witnesses) {
+        answers[it.worker] = {it.startTimeMs, sentAt};
+    }
+    return answers;
+}
+
+// Returns host A as leader, with a claim that was sent at `Start` and has the witnesses of a released row.
+Leadership leaderWith(std::span<const Witness> witnesses)
+{
+    auto row = rowOf(EntryHostId(), 1, 4);
+    row.witnesses.assign(witnesses.begin(), witnesses.end());
+    Leadership a(A, 2, Start - 1s);
+    a.noteRow(row, 9, Start - 1s);
+    const auto claim = a.dueWrite(0ms, Start);
+    a.noteWritten(*claim, 10, Start, Start);
+    return a;
+}
+
+} // namespace
+
+// What a successor relies on: a leader whose witnesses obey another one stops before it could be known to have
+// stopped otherwise.
+TEST(Leadership, DecidesForLongOnlyWithTheSupportOfItsWitnesses)
+{
+    struct Case
+    {
+        const char *name;
+        std::vector<Witness> witnesses;
+        std::vector<Witness> answering;
+        Duration sentAt;
+        Duration until; // from the last renewal
+    };
+    const std::vector<Witness> two{Three[0], Three[2]};
+    const std::vector<Witness> restarted{{WorkerId("w0"), 2}, {WorkerId("w1"), 2}, Three[2]};
+    for (const auto &it : {Case{"no witnesses", {}, {}, 0s, StoreOutageGracePeriod},
+                           Case{"no answer", Three, {}, 0s, UnsupportedGracePeriod},
+                           Case{"answers before the outage", Three, Three, 1s, UnsupportedGracePeriod},
+                           Case{"answers of a majority", Three, two, 5s, 5s + SupportValidity},
+                           Case{"an answer of a minority", Three, {Three[0]}, 5s, UnsupportedGracePeriod},
+                           Case{"answers of other processes", Three, restarted, 5s, UnsupportedGracePeriod},
+                           Case{"answers for long", Three, Three, 11s, StoreOutageGracePeriod}}) {
+        SCOPED_TRACE(it.name);
+        auto a = leaderWith(it.witnesses);
+        a.noteAnswers(answersOf(it.answering, Start + it.sentAt), Start + it.sentAt);
+        EXPECT_EQ(a.decidesUntil(), Start + it.until);
+        EXPECT_TRUE(a.mayDecide(Start + it.until - 1ms));
+        EXPECT_FALSE(a.mayDecide(Start + it.until));
+    }
+}
+
+// A row that was sent without a reply may be what a successor reads.
+TEST(Leadership, NeedsTheSupportOfWitnessesThatMayBeStored)
+{
+    const std::vector<Witness> others{{WorkerId("x"), 1}, {WorkerId("y"), 1}, {WorkerId("z"), 1}};
+    auto a = leaderWith(Three);
+    ASSERT_TRUE(a.mayChangeWitnesses(Start + 1s));
+    auto renewal = a.dueWrite(0ms, Start + 1s);
+    ASSERT_TRUE(renewal);
+    renewal->row.witnesses = others;
+    a.noteWitnessesOffered(renewal->row.witnesses);
+    a.noteFailed(Start + 2s);
+    EXPECT_FALSE(a.mayChangeWitnesses(Start + 2s)) << "each list that may be stored would be one more";
+    EXPECT_EQ(a.witnesses().size(), 6U);
+    auto answers = answersOf(Three, Start + 5s);
+    a.noteAnswers(answers, Start + 5s);
+    EXPECT_EQ(a.decidesUntil(), Start + UnsupportedGracePeriod);
+    answers.merge(answersOf(others, Start + 4500ms));
+    a.noteAnswers(answers, Start + 5s);
+    EXPECT_EQ(a.decidesUntil(), Start + 4500ms + SupportValidity);
+    a.noteRow(renewal->row, 11, Start + 6s);
+    EXPECT_EQ(a.witnesses(), others) << "it was stored";
+}
+
+// A successor waits for a leader that it cannot hear as long as that leader may decide, whatever it knows of
+// leaders before it.
+TEST(Leadership, WaitsForFormerLeadersUntilTheirWitnessesDoNotSupportThem)
+{
+    const auto full = StoreOutageGracePeriod + StoreOutageGracePeriod / 50; // by a clock that is 2% slow
+    const auto unsupported = UnsupportedGracePeriod + UnsupportedGracePeriod / 50;
+    const auto validity = SupportValidity + SupportValidity / 50;
+    constexpr Duration claimedAt = LeaderStaleAfter + 100ms;
+    ASSERT_LT(claimedAt + validity, unsupported);
+    struct Case
+    {
+        const char *name;
+        std::vector<Witness> witnesses; // of the former leader's row
+        std::vector<Witness> answering;
+        Duration answeredAt; // after the reading of the row
+        Duration earlierDecideFor;
+        Duration wait;
+    };
+    const std::vector<Witness> restarted{{WorkerId("w0"), 2}, {WorkerId("w1"), 2}};
+    for (const auto &it :
+         {Case{"a row of an earlier release", {}, {}, 4s, 0s, full}, Case{"no answer", Three, {}, 4s, 0s, full},
+          Case{"a minority", Three, {Three[1]}, 4s, 0s, full},
+          Case{"all soon", Three, Three, 3100ms, 0s, 3100ms + validity},
+          Case{"a majority", Three, {Three[0], Three[1]}, 4s, 0s, 4s + validity},
+          Case{"later processes of a majority", Three, restarted, 4s, 0s, 4s + validity},
+          Case{"as long as no support is needed", Three, Three, claimedAt, 0s, unsupported},
+          Case{"so late that it ends no wait", Three, Three, 10s, 0s, full},
+          Case{"leaders before it", Three, Three, 4s, 10s, 4s + validity}}) {
+        SCOPED_TRACE(it.name);
+        auto row = rowOf(A, 1, 4);
+        row.witnesses = it.witnesses;
+        row.formersDecideFor = it.earlierDecideFor;
+        Leadership b(B, 1, Start);
+        const auto claim = claimAfterSilence(b, row, Start + claimedAt);
+        ASSERT_TRUE(claim);
+        EXPECT_EQ(claim->row.witnesses, it.witnesses) << "leaders that may decide at the same time have the same";
+        b.noteWritten(*claim, 10, Start + claimedAt, Start + claimedAt);
+        EXPECT_FALSE(b.mayChangeWitnesses(Start + 4s));
+        const auto answers = answersOf(it.answering, Start + it.answeredAt);
+        const bool isBounded = it.answering.size() > 1;
+        EXPECT_EQ(b.noteAnswers(answers, Start + it.answeredAt), isBounded);
+        EXPECT_FALSE(b.noteAnswers(answers, Start + it.answeredAt + 1s)) << "once in a term";
+        EXPECT_EQ(b.formersDecideUntil(), Start + it.wait);
+        EXPECT_EQ(b.unsupportedFormersEndAt().has_value(), isBounded);
+        for (auto t = Start + 3s; t < Start + it.wait; t += 500ms) {
+            const auto renewal = b.dueWrite(0ms, t);
+            if (renewal) {
+                EXPECT_EQ(renewal->row.witnesses, it.witnesses);
+                b.noteWritten(*renewal, 10 + static_cast<std::uint64_t>(toMilliseconds(t - Start)), t, t);
+            }
+        }
+        EXPECT_EQ(b.mayChangeWitnesses(b.renewedAt() + 1s), b.renewedAt() + 1s >= Start + it.wait);
+    }
+}
+
 // With a few strong hosts among many weak ones, a strong host becomes leader even if it
 // starts last. Hosts with equal shares do not wait for each other.
 TEST(Leadership, IsClaimedByStrongHostsFirst)
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -335,6 +335,8 @@
     ASSERT_EQ(silent.size(), 1U);
     EXPECT_EQ(silent.front().worker, WorkerId("w"));
     EXPECT_EQ(silent.front().leasesEndIn, 2ms) << "rounded up";
+    row.witnesses = {{WorkerId("w"), 1765000000123}, {WorkerId("v"), 7}};
+    EXPECT_EQ(valueOf([&] { return rows.decodeLeader(rows.encode(row)); }).witnesses, row.witnesses);
     const auto older = codec::writeCbor({{"host", "h"},
                                          {"incarnation", 1},
                                          {"fence", 3},
@@ -346,6 +348,7 @@
     EXPECT_EQ(decoded.formersDecideFor, Duration(0));
     EXPECT_FALSE(decoded.former);
     EXPECT_TRUE(decoded.silentWorkers.empty());
+    EXPECT_TRUE(decoded.witnesses.empty());
 }
 
 TEST(CborJobs, RoundsTheEndOfLeasesUp)
