A soak gives no two hosts the same address, and tells how a host ended at its start

Cause, as far as it can be told without that log: EntryHost draws three addresses for each host, and checks that each is free when it is drawn; the hosts listen only later. Two of the nine addresses of a play are equal in one play of 300 (9 * 8 / 2 of 12,001 ports). The second process then ends at once with address-in-use, and the soak waits for it for its whole 30 s. Ruled out: a store that listens late (it does before the hosts start), and other tests (the test runs alone). A fault of the program itself is not ruled out.

Change: an address is drawn once in a process. A host that ends before it is ready fails the soak at once, with its exit status and the last lines of its log, so that another cause would show.

--- a/soak/entryhost.cpp
+++ b/soak/entryhost.cpp
@@ -5,9 +5,11 @@
 #include "http/listen.h"
 
 #include <csignal>
+#include <deque>
 #include <fcntl.h>
 #include <fstream>
 #include <random>
+#include <set>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <system_error>
@@ -23,18 +25,24 @@
 constexpr mode_t LogMode = 0600;
 constexpr std::chrono::milliseconds ReadyTimeout{500};
 constexpr int Ok = 200;
+constexpr std::size_t MaxLogLines = 8; // in the description of an end
 
 // Below the ports of outgoing connections, which would take a free port before a host listens on it.
 constexpr int FirstPort = 20'000;
 constexpr int LastPort = 32'000;
 
-// Returns an address of 127.0.0.1 that is free at present.
+// Returns an address of 127.0.0.1 that is free at present, and that no earlier call has returned: a host
+// listens on it only some time later.
 ports::Address freeAddress()
 {
     static std::mt19937 random{std::random_device{}()};
+    static std::set<std::uint16_t> returned;
     boost::asio::io_context io;
     while (true) {
         const auto port = static_cast<std::uint16_t>(std::uniform_int_distribution<int>(FirstPort, LastPort)(random));
+        if (returned.contains(port)) {
+            continue;
+        }
         boost::asio::ip::tcp::acceptor acceptor(io);
         const bool isFree = handleFailure(
             [&]() -> Result<bool> {
@@ -43,6 +51,7 @@
             },
             [](const Failure &) { return false; });
         if (isFree) {
+            returned.insert(port);
             return {"127.0.0.1", port};
         }
     }
@@ -69,7 +78,8 @@
 
 EntryHost::EntryHost(EntryHost &&other) noexcept
     : m_options(std::move(other.m_options)), m_clients(std::move(other.m_clients)), m_ready(std::move(other.m_ready)),
-      m_settingsFile(std::move(other.m_settingsFile)), m_pid(std::exchange(other.m_pid, -1))
+      m_settingsFile(std::move(other.m_settingsFile)), m_pid(std::exchange(other.m_pid, -1)),
+      m_waitStatus(other.m_waitStatus)
 {
 }
 
@@ -83,7 +93,7 @@
 
 Result<void> EntryHost::start()
 {
-    const auto log = m_options.folder + "/" + m_options.name + ".log";
+    const auto log = logFile();
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, LogMode);
@@ -109,12 +119,40 @@
 
 bool EntryHost::reap()
 {
-    if (m_pid > 0 && waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
+    int status = 0;
+    if (m_pid > 0 && waitpid(m_pid, &status, WNOHANG) == m_pid) {
         m_pid = -1;
+        m_waitStatus = status;
     }
     return m_pid <= 0;
 }
 
+std::string EntryHost::describeEnd() const
+{
+    if (!m_waitStatus) {
+        return {};
+    }
+    std::string end = WIFSIGNALED(*m_waitStatus) ? "signal " + std::to_string(WTERMSIG(*m_waitStatus))
+                                                 : "exit status " + std::to_string(WEXITSTATUS(*m_waitStatus));
+    std::deque<std::string> lines;
+    std::ifstream log(logFile());
+    for (std::string line; std::getline(log, line);) {
+        lines.push_back(std::move(line));
+        if (lines.size() > MaxLogLines) {
+            lines.pop_front();
+        }
+    }
+    for (const auto &it : lines) {
+        end += "\n" + it;
+    }
+    return end;
+}
+
+std::string EntryHost::logFile() const
+{
+    return m_options.folder + "/" + m_options.name + ".log";
+}
+
 bool EntryHost::isReady() const
 {
     return handleFailure(
--- a/soak/entryhost.h
+++ b/soak/entryhost.h
@@ -3,6 +3,7 @@
 #include "common/error.h"
 #include "ports/hostlist.h"
 
+#include <optional>
 #include <string>
 #include <sys/types.h>
 
@@ -38,6 +39,10 @@
     // Returns whether the process has ended, and then releases its process number.
     bool reap();
 
+    // Returns how the last process that reap() has noticed ended, such as "exit status 3", and the last
+    // lines of its log. Empty if none has ended.
+    std::string describeEnd() const;
+
     // Returns whether it answers the readiness check. Blocks for at most half a second.
     bool isReady() const;
 
@@ -55,11 +60,14 @@
     }
 
 private:
+    std::string logFile() const;
+
     EntryHostOptions m_options;
     ports::Address m_clients;
     ports::Address m_ready;
     std::string m_settingsFile;
     pid_t m_pid = -1;
+    std::optional<int> m_waitStatus; // of the last process that has ended
 };
 
 } // namespace monsoonspool::soak
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -64,6 +64,11 @@
         }
         const auto until = monotonicNow() + ReadyTimeout;
         while (!std::ranges::all_of(m_hosts, &EntryHost::isReady)) {
+            for (auto &it : m_hosts) {
+                if (it.reap()) {
+                    return fail(ErrorKind::Internal, it.name() + " ended before it was ready: " + it.describeEnd());
+                }
+            }
             if (monotonicNow() > until) {
                 return fail(ErrorKind::Internal, "a host is not ready; its log is in " + m_options.folder);
             }
