A response's announced length is asked for only once its header was read

Cause: ApiClient asks the parser for content_length() before the parser has read the header, against which Beast asserts. Builds without assertions got no value and went on, so that nothing changes for them.

Change: until the header is read, the length counts as not known.

--- a/src/http/apiclient.cpp
+++ b/src/http/apiclient.cpp
@@ -44,6 +44,15 @@
 using Clock = std::chrono::steady_clock;
 using Socket = asio::basic_stream_socket<tcp, asio::io_context::executor_type>;
 
+using ResponseParser = bhttp::response_parser<bhttp::string_body>;
+
+// Returns the length that a response announces for its body; 0 if it is not known yet. The parser may
+// be asked only once it has read the header.
+std::uint64_t announcedLength(const ResponseParser &parser)
+{
+    return parser.is_header_done() ? parser.content_length().value_or(0) : 0;
+}
+
 struct PendingCall
 {
     ApiCall call;
@@ -79,7 +88,7 @@
     beast::flat_buffer buffer;
     bhttp::request<bhttp::string_body> request;
     std::optional<bhttp::request_serializer<bhttp::string_body>> serializer;
-    std::optional<bhttp::response_parser<bhttp::string_body>> parser;
+    std::optional<ResponseParser> parser;
     ports::Handler<ApiAnswer> handler;
     Clock::time_point lastUsed;
     std::chrono::milliseconds timeout{0}; // of the current call
@@ -410,7 +419,7 @@
 // connection, which did not fill its buffer, has emptied the socket.
 void ApiClient::Private::readResponse(const ConnectionPointer &connection)
 {
-    const bool isLarge = connection->parser->content_length().value_or(0) > LargeResponseBytes;
+    const bool isLarge = announcedLength(*connection->parser) > LargeResponseBytes;
     connection->socket.async_read_some(connection->buffer.prepare(isLarge ? LargeResponseBytes : ReadBytes),
                                        [self = shared_from_this(), connection](beast::error_code ec, std::size_t n) {
                                            self->onRead(connection, ec, n);
@@ -452,7 +461,7 @@
         onResponse(connection, asio::error::operation_aborted);
         return;
     }
-    if (parser.content_length().value_or(0) > LargeResponseBytes) {
+    if (announcedLength(parser) > LargeResponseBytes) {
         const auto now = Clock::now();
         const auto since = connection->largeSince.value_or(now);
         connection->largeSince = since;
