--- a/soak/entryhost.h
+++ b/soak/entryhost.h
@@ -39,6 +39,12 @@
     // Returns whether the process has ended, and then releases its process number.
     bool reap();
 
+    // Returns whether the last process that reap() has noticed ended in order, with status 0.
+    bool hasEndedInOrder() const
+    {
+        return m_waitStatus == 0;
+    }
+
     // Returns how the last process that reap() has noticed ended, such as "exit status 3", and the last
     // lines of its log. Empty if none has ended.
     std::string describeEnd() const;
--- a/soak/history.cpp
+++ b/soak/history.cpp
@@ -32,6 +32,8 @@
         return "disturbance-ended";
     case EventKind::HostEnded:
         return "host-ended";
+    case EventKind::HostEndedBadly:
+        return "host-ended-badly";
     }
     return "unknown";
 }
--- a/soak/history.h
+++ b/soak/history.h
@@ -37,6 +37,7 @@
     DisturbanceBegan, // the soak disturbed a host; it is calm while no disturbance is under way
     DisturbanceEnded,
     HostEnded, // a process of a host ended without a signal
+    HostEndedBadly, // a process of a host was asked to stop, and crashed or had to be killed
 };
 
 enum class RunEndKind {
@@ -52,7 +53,7 @@
     TimePoint at;
     jobs::JobKey job;
     JobShape shape; // of Submitted
-    std::string host; // of the disturbances and HostEnded
+    std::string host; // of the disturbances, HostEnded and HostEndedBadly
     std::string worker; // of WorkerRegistered, RunStarted and RunEnded
     std::int64_t milliCores = 0; // of WorkerRegistered
     bool takesOrders = true; // of WorkerRegistered: whether it answers orders to start a task
--- a/soak/historychecker.cpp
+++ b/soak/historychecker.cpp
@@ -123,6 +123,9 @@
         case EventKind::HostEnded:
             violate(Promise::HostsStayUp, event.host + " ended without a signal");
             break;
+        case EventKind::HostEndedBadly:
+            violate(Promise::HostsStayUp, event.host + " did not end in order when it was asked to stop");
+            break;
         }
         followStandstills(event.at);
     }
--- a/soak/historychecker.h
+++ b/soak/historychecker.h
@@ -15,7 +15,7 @@
     RejectedNeverRuns, // no task of a rejected job starts
     WithinCapacity, // the active runs of a worker need no more than its capacity
     NoStandstill, // see HistoryRules::standstillBound
-    HostsStayUp, // no process of a host ends without a signal
+    HostsStayUp, // no process of a host ends without a signal, and each that is asked to stop ends in order
 };
 inline constexpr std::size_t PromiseCount = 7;
 
--- a/soak/hostfaultinjector.cpp
+++ b/soak/hostfaultinjector.cpp
@@ -115,6 +115,9 @@
         }
         return false;
     }
+    if (active.fault == HostFault::Stop && !active.endedAt && !host.hasEndedInOrder()) {
+        record(EventKind::HostEndedBadly, host, now);
+    }
     active.endedAt = active.endedAt.value_or(now);
     if (now < *active.endedAt + active.length) {
         return false;
--- a/soak/hostfaultinjector.h
+++ b/soak/hostfaultinjector.h
@@ -11,7 +11,7 @@
 namespace monsoonspool::soak {
 
 // Plays planned faults on the hosts of a soak, and restarts those that it ends. Records the
-// disturbances, and the hosts that end without a signal. Not thread-safe.
+// disturbances, and the hosts that end without a signal or not in order. Not thread-safe.
 class HostFaultInjector
 {
 public:
--- a/soak/platformstandin.cpp
+++ b/soak/platformstandin.cpp
@@ -9,6 +9,7 @@
 #include "soak/workerserver.h"
 #include "soak/workerstandin.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <string>
@@ -95,6 +96,11 @@
     return {};
 }
 
+void PlatformStandIn::silenceStore()
+{
+    boost::asio::post(d->io, [this] { d->store.silence(); });
+}
+
 ports::Address PlatformStandIn::storeAddress() const
 {
     return d->storeServer.address();
--- a/soak/platformstandin.h
+++ b/soak/platformstandin.h
@@ -31,6 +31,9 @@
     // Listens, registers the workers and starts the thread. Fails with AddressInUse.
     Result<void> start();
 
+    // Makes the store answer no call any more. Thread-safe, after start().
+    void silenceStore();
+
     // Returns the address of the store, after start().
     ports::Address storeAddress() const;
 
--- a/soak/storestandin.cpp
+++ b/soak/storestandin.cpp
@@ -108,6 +108,8 @@
     Duration delay;
     ports::memory::SharedRows rows;
     std::vector<WaitingFeed> feeds;
+    bool isSilent = false;
+    std::vector<http::ApiReply> unanswered; // kept, since a connection closes with its reply
 };
 
 StoreStandIn::StoreStandIn(boost::asio::io_context &io, Duration delay) : d(std::make_unique<Private>(io, delay))
@@ -118,7 +120,9 @@
 
 void StoreStandIn::handle(const http::ApiRequest &request, http::ApiReply reply)
 {
-    if (request.path == "/rows-tx") {
+    if (d->isSilent) {
+        d->unanswered.push_back(std::move(reply));
+    } else if (request.path == "/rows-tx") {
         d->scheduler.runAfter(TransactionTime + d->delay, [this, body = request.body, reply = std::move(reply)] {
             reply(d->transact(body));
             advance(monotonicNow());
@@ -144,8 +148,16 @@
     advance(monotonicNow());
 }
 
+void StoreStandIn::silence()
+{
+    d->isSilent = true;
+}
+
 void StoreStandIn::advance(TimePoint now)
 {
+    if (d->isSilent) {
+        return;
+    }
     std::vector<std::pair<http::ApiReply, http::ApiResponse>> answered;
     std::erase_if(d->feeds, [&](WaitingFeed &it) {
         auto response = d->changes(it, now);
--- a/soak/storestandin.h
+++ b/soak/storestandin.h
@@ -26,6 +26,9 @@
     // Writes a row with an empty part as the operator or a worker does.
     void write(std::string_view table, std::string_view key, std::string_view value);
 
+    // Answers no call any more, nor those that wait.
+    void silence();
+
     // Answers the feeds that have waited long enough. Call every few milliseconds.
     void advance(TimePoint now);
 
--- a/tests/soak/historycheckertest.cpp
+++ b/tests/soak/historycheckertest.cpp
@@ -251,4 +251,12 @@
     expectOnly(Promise::HostsStayUp, builder.job(EventKind::HostEnded, 3s).check());
 }
 
+// Guards against a soak that takes a crash at a planned stop for the end that was asked for.
+TEST(HistoryCheckerTest, RejectsAHostThatCrashesWhenItIsAskedToStop)
+{
+    auto builder = goodHistory();
+    builder.job(EventKind::DisturbanceBegan, 3s).job(EventKind::HostEndedBadly, 4s);
+    expectOnly(Promise::HostsStayUp, builder.job(EventKind::DisturbanceEnded, 5s).check());
+}
+
 } // namespace monsoonspool::soak
--- a/tests/soak/systemsoaktest.cpp
+++ b/tests/soak/systemsoaktest.cpp
@@ -1,5 +1,6 @@
 #include "soak/soak.h"
 #include "soak/soakreport.h"
+#include "soak/testprogram.h"
 
 #include <gtest/gtest.h>
 
@@ -17,7 +18,7 @@
         / ("monsoonspool-soaktest-" + std::to_string(getpid()) + "-" + std::to_string(options.seed));
     std::filesystem::create_directories(folder);
     options.folder = folder.string();
-    options.program = (std::filesystem::canonical("/proc/self/exe").parent_path() / "monsoonspool-execution").string();
+    options.program = testProgram();
     options.drainSeconds = 20;
     SoakResult result;
     const auto problem = handleFailure(
@@ -55,4 +56,14 @@
     expectKept(options);
 }
 
+// Guards against hosts that crash at a planned stop, after they have answered all requests (review/9).
+TEST(SystemSoakTest, HostsThatAreStoppedEndInOrder)
+{
+    SoakOptions options;
+    options.seconds = 12;
+    options.hostFaults = HostFaultSet::Stops;
+    options.seed = 37; // stops each host once
+    expectKept(options);
+}
+
 } // namespace monsoonspool::soak
