--- a/src/traffic/pendingreplies.h
+++ b/src/traffic/pendingreplies.h
@@ -35,6 +35,14 @@
         }
     }
 
+    // Passes `result` to all replies and forgets them.
+    void answerAll(const T &result)
+    {
+        for (const auto &[number, reply] : std::exchange(m_replies, {})) {
+            reply(result);
+        }
+    }
+
     std::size_t count() const
     {
         return m_replies.size();
--- a/tests/soak/systemstoptest.cpp
+++ b/tests/soak/systemstoptest.cpp
@@ -188,6 +188,23 @@
     host.expectEndInOrder(askedAt);
 }
 
+// Guards against the same for requests that arrive while the host drains, some of which are pending at its end: their
+// connections were cut without an answer.
+TEST_P(StopWithPendingWork, EndsInOrderWithWorkThatArrivesWhileItDrains)
+{
+    StoppedHost host(std::string("draining-") + GetParam().name);
+    host.start();
+    host.awaitReady();
+    if (GetParam().isStoreSilent) {
+        host.silenceStore();
+    }
+    const auto askedAt = monotonicNow();
+    host.signal(SIGTERM);
+    std::this_thread::sleep_for(1s);
+    GetParam().send(host);
+    host.expectEndInOrder(askedAt);
+}
+
 INSTANTIATE_TEST_SUITE_P(System, StopWithPendingWork, ::testing::ValuesIn(pendingWork()),
                          [](const auto &param) { return std::string(param.param.name); });
 
--- a/tests/traffic/pendingrepliestest.cpp
+++ b/tests/traffic/pendingrepliestest.cpp
@@ -29,9 +29,23 @@
     const auto number = replies.add([&](int result) { answers.push_back(result); });
     replies.answer(number, 1);
     replies.answer(number, 2);
+    replies.answerAll(3);
     EXPECT_EQ(answers, std::vector{1});
 }
 
+// Guards against connections that are cut without an answer when the host stops.
+TEST(PendingReplies, AllRepliesAreAnsweredTogether)
+{
+    PendingReplies<int> replies;
+    int sum = 0;
+    for (int n = 0; n < 3; ++n) {
+        replies.add([&](int result) { sum += result; });
+    }
+    replies.answerAll(5);
+    EXPECT_EQ(sum, 15);
+    EXPECT_EQ(replies.count(), 0U);
+}
+
 // Guards against a reply that changes the replies while it is called: it may take the next request of its
 // connection.
 TEST(PendingReplies, AReplyMayAddAnother)
