A worker takes tasks only by the entry of the process that answers

Cause: a listing tells the start of its process, and nothing of its kind, labels, service or capacity; these are in the worker's entry. The leader held back a worker whose entry is newer than its process, but not one whose entry is older. A new leader did the same with the entries of the stored roster.

Change: Worker::isDescribed() compares the two, and a worker that is not described takes nothing (obstacle Undescribed, log worker-awaits-entry). An entry is used as a whole: the capacity of a former process's later entry is not mixed in any more. An entry that tells an earlier start than the process that answers was dropped; if it was of a process whose time of day is behind, the worker got nothing until its entry changed. It is kept until its process answers.

Why it works: what is known of a worker counts for one process, and another process begins without it, so that no path can choose a worker by facts of a former one.

WorkerRestart.AProcessMayTellAnEarlierStartThanTheFormerOne demanded a start on a process without its entry, which is the fault: it demands none before the entry and one after it. A simulated process that starts again now writes its entry 20 ms later, as the platform's workers do; without that, clusters of tests would stop using restarted workers. The tests that want the entry late switch this off.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -342,12 +342,7 @@
     worker->setListed(true);
     d->changedWorkers.insert(worker);
     if (entry.startTimeMs < worker->startTimeMs() && !worker->isSilent()) {
-        // The row describes an earlier incarnation of the worker. Until the present one has
-        // written its own, this is the last known capacity of their machine.
-        if (entry.startTimeMs >= worker->entry().startTimeMs) {
-            worker->setCapacity(entry.capacity);
-            d->racks.areWorkersOutdated = true;
-        }
+        worker->keepEntry(entry, now);
         return;
     }
     const bool isRestartAnnounced = worker->startTimeMs() != 0 && entry.startTimeMs > worker->startTimeMs();
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -94,10 +94,18 @@
     d->chargeCrash(id, d->lostRuns.take({id, worker->entry().address, startTimeMs}), now);
     // Renewals of a worker are sent one after another, so that another start time is that of a
     // later process, also if its time of day is behind.
-    if (worker->startTimeMs() != 0 && startTimeMs != worker->startTimeMs()) {
+    const bool isOtherProcess = startTimeMs != worker->startTimeMs();
+    if (worker->startTimeMs() != 0 && isOtherProcess) {
         d->handleRestart(*worker, startTimeMs, listing.clock, now);
     }
     worker->setStartTimeMs(startTimeMs);
+    if (isOtherProcess && !worker->isDescribed()) {
+        d->log.record("worker-awaits-entry",
+                      {{"worker", id.view()},
+                       {"entryStartMs", worker->entry().startTimeMs},
+                       {"startMs", startTimeMs},
+                       {"runs", worker->runCount()}});
+    }
     worker->noteContact(listing.clock, sentAt, now);
     d->applyEnds(*worker, listing, now);
     d->applyRunning(*worker, listing, sentAt, now);
@@ -347,8 +355,8 @@
 
 void Fleet::Private::observeInterference(workers::Worker &worker, TimePoint now)
 {
-    if (now - worker.observedAt() < ObserveInterval) {
-        return;
+    if (now - worker.observedAt() < ObserveInterval || !worker.isDescribed()) {
+        return; // the measurements are in cores of a machine whose size is not known
     }
     worker.setObservedAt(now);
     std::vector<scheduling::Neighbour> neighbours;
@@ -537,6 +545,8 @@
     // carry out an order without an answer. Its listing tells, and a stop that it confirms.
     std::vector<workers::Run> runs(worker.runs().begin(), worker.runs().end());
     worker.restart(startTimeMs, clock);
+    isRosterChanged = true; // the entry may have changed
+    racks.areWorkersOutdated = true;
     if (soleLeaderTime(now) < now) {
         // The new process has seen no fence, and would obey this leader also if it has a successor.
         worker.awaitTermRenewal(now);
--- a/src/execution/fleetstandstill.cpp
+++ b/src/execution/fleetstandstill.cpp
@@ -120,6 +120,7 @@
                 {"unhealthy", count(workers::PlacementObstacle::Unhealthy)},
                 {"onTrial", count(workers::PlacementObstacle::OnTrial)},
                 {"unconfirmed", count(workers::PlacementObstacle::Unconfirmed)},
+                {"undescribed", count(workers::PlacementObstacle::Undescribed)},
                 {"leaving", count(workers::PlacementObstacle::Leaving)}});
 }
 
--- a/src/ports/memory/simulatedworkers.cpp
+++ b/src/ports/memory/simulatedworkers.cpp
@@ -65,6 +65,9 @@
     m_workers[id].isDisconnected = isDisconnected;
     m_workers[id].process = process + 1;
     observe("process-started", m_workers[id], {}, 0, std::to_string(startTimeMs));
+    if (m_registration) {
+        m_registration(m_workers[id].entry);
+    }
 }
 
 void SimulatedWorkers::setCapacity(const WorkerId &id, const Resources &capacity)
--- a/src/ports/memory/simulatedworkers.h
+++ b/src/ports/memory/simulatedworkers.h
@@ -54,6 +54,11 @@
     {
         m_crashDowntime = downtime;
     }
+    // `registration` is called with the entry of each process that starts again, as it writes that entry.
+    void setRegistration(std::function<void(const WorkerEntry &)> registration)
+    {
+        m_registration = std::move(registration);
+    }
     // Lets a start end what is due on its own worker only. For many workers without silent ones:
     // the checker then learns late that leases elsewhere have expired.
     void setAdvancesOneWorker()
@@ -175,6 +180,7 @@
     Duration m_stopGrace{0};
     Duration m_capacityNotice{0};
     Duration m_crashDowntime{2s};
+    std::function<void(const WorkerEntry &)> m_registration;
     std::uint64_t m_nextWaiter = 1;
     int m_starts = 0;
 };
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -45,6 +45,7 @@
         m_departure = departure;
     }
     m_entry = std::move(entry);
+    m_keptEntry.reset();
     if (m_entry.isDraining) {
         m_leavingStartTimeMs = m_entry.startTimeMs;
     }
@@ -69,6 +70,9 @@
     fresh.m_isOnTakenRoster = m_isOnTakenRoster;
     fresh.m_remainingJobs = std::move(m_remainingJobs);
     fresh.m_visitAt = m_visitAt;
+    if (m_keptEntry && m_keptEntry->entry.startTimeMs == startTimeMs) {
+        fresh.setEntry(std::move(m_keptEntry->entry), m_keptEntry->receivedAt);
+    }
     *this = std::move(fresh);
 }
 
@@ -96,9 +100,12 @@
     if (m_isSilent || m_isNamedSilent) {
         return PlacementObstacle::Silent;
     }
-    if (!m_isRostered || !m_isConfirmed || isRestartAnnounced() || m_awaitsTermRenewalSince) {
+    if (!m_isRostered || !m_isConfirmed || m_awaitsTermRenewalSince) {
         return PlacementObstacle::Unconfirmed;
     }
+    if (!isDescribed()) {
+        return PlacementObstacle::Undescribed;
+    }
     if (now < std::max(m_unschedulableUntil, m_unansweredUntil)) {
         return PlacementObstacle::Unhealthy;
     }
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -41,11 +41,12 @@
     None,
     Leaving, // not listed, draining, or its failure domain is evacuated
     Unconfirmed, // it has not answered this leader, or the stored roster does not list it yet
+    Undescribed, // its entry is of another process than the one that answers
     Silent,
     Unhealthy, // it rejected an order, did not answer one, or failed tasks a short time ago
     OnTrial, // one task shows whether it still fails tasks, or leaves orders without an answer
 };
-inline constexpr std::size_t PlacementObstacleCount = 6;
+inline constexpr std::size_t PlacementObstacleCount = 7;
 
 // A run that may be active on a worker.
 struct Run
@@ -119,7 +120,9 @@
 //  - a run is counted until the worker lists its end or its lease has certainly expired,
 //  - nothing is started there before the worker has confirmed this scheduler's fence and
 //    the stored roster, from which a new leader recovers, lists the worker,
-//  - only the worker's own listing shows that it has restarted.
+//  - only the worker's own listing shows that it has restarted,
+//  - what its entry tells belongs to one process: nothing is started on another one, which may be of
+//    another kind, service or size.
 //
 // Not thread-safe: owned by the control thread.
 class Worker
@@ -134,10 +137,16 @@
     }
     // Replaces the entry by a newer one, received at `now`.
     void setEntry(ports::WorkerEntry entry, TimePoint now);
-    // Replaces only the capacity in the entry.
-    void setCapacity(const Resources &capacity)
+    // Keeps an entry of another process than the one that answers, received at `now`, until that process
+    // answers: its time of day may be behind that of the former one. Otherwise the entry is outdated.
+    void keepEntry(ports::WorkerEntry entry, TimePoint now)
     {
-        m_entry.capacity = capacity;
+        m_keptEntry = {std::move(entry), now};
+    }
+    // Returns whether the entry is of the process whose listing was received last.
+    bool isDescribed() const
+    {
+        return m_entry.startTimeMs == m_startTimeMs;
     }
     // Returns when the process that answers leaves at the earliest, or nothing unless it has
     // announced that it drains.
@@ -157,8 +166,9 @@
     {
         m_startTimeMs = startTimeMs;
     }
-    // Resets runs and ends: a restarted worker runs nothing of before. Of the orders sent to the
-    // former process it may have carried out some, and `clock` is a reading of its own: their
+    // Begins a new process: all that was learned of the former one is dropped, but for what the platform, the
+    // stored rows and the leader's own row say of the identifier. A restarted worker runs nothing of before. Of the
+    // orders sent to the former process it may have carried out some, and `clock` is a reading of its own: their
     // deadlines, which lie far ahead on it, may have given it the longest lease.
     void restart(std::int64_t startTimeMs, ports::WorkerMillis clock);
 
@@ -450,7 +460,14 @@
 
     static constexpr int SuspectFailureCount = 2; // consecutive failures, of any tasks
 
+    struct KeptEntry
+    {
+        ports::WorkerEntry entry;
+        TimePoint receivedAt;
+    };
+
     ports::WorkerEntry m_entry;
+    std::optional<KeptEntry> m_keptEntry;
     std::int64_t m_startTimeMs = 0;
     std::optional<TimePoint> m_departure; // announced by m_entry
     std::int64_t m_leavingStartTimeMs = 0; // of the last process that announced that it leaves
--- a/tests/execution/takeoverknowledgetest.cpp
+++ b/tests/execution/takeoverknowledgetest.cpp
@@ -199,7 +199,7 @@
         m_leader->markSilent(m_workers[static_cast<std::size_t>(worker)].entry.id, m_now);
     }
 
-    // Starts another process of the worker, which runs nothing.
+    // Starts another process of the worker, which runs nothing and describes itself.
     void restart(int worker)
     {
         auto &state = m_workers[static_cast<std::size_t>(worker)];
@@ -207,6 +207,7 @@
         state.running.clear();
         state.ended.clear();
         report(worker);
+        m_leader->updateWorker(state.entry, m_now);
     }
 
     void setDraining(int worker, Duration remaining)
--- a/tests/execution/testcluster.h
+++ b/tests/execution/testcluster.h
@@ -160,6 +160,9 @@
 };
 
 // Hosts, a store and workers in virtual time.
+// In which a process of a worker that has started again writes its entry.
+constexpr Duration RegistrationTime = 20ms;
+
 class Cluster
 {
 public:
@@ -167,6 +170,13 @@
         : connectionsPerWorker(connections), workers(scheduler, taskModel), registry(workers)
     {
         put(registry.configurationRow(), "1");
+        workers.setRegistration([this](const WorkerEntry &entry) {
+            if (registersRestarts) {
+                scheduler.runAfter(RegistrationTime, [this, id = entry.id] {
+                    put({"workers", "", id.text()}, "ready");
+                });
+            }
+        });
         for (int n = 0; n < WorkerCount; ++n) {
             WorkerEntry entry;
             entry.id = WorkerId("w" + std::to_string(n));
@@ -293,6 +303,7 @@
     VirtualScheduler scheduler;
     TestTaskModel taskModel;
     SharedRows rows;
+    bool registersRestarts = true; // whether a process of a worker that starts again writes its entry
     SimulatedWorkers workers;
     TestRegistry registry;
     NullLog log;
--- a/tests/execution/workerrestarttest.cpp
+++ b/tests/execution/workerrestarttest.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -194,13 +195,127 @@
 {
     FleetOfWorkers workers({First});
     workers.list(First, {9, 1000, {}, {}}, Start);
+    workers.fleet.updateWorker(entryOf(First, 9), Start);
     const auto order = workers.start(Start + 1ms);
     workers.fleet.markSilent(First, Start + 700ms);
     workers.list(First, {5, 100, {}, {}}, Start + 1s);
+    EXPECT_EQ(workers.startsAt(Start + 1s), 0U) << "the entry is of the former process";
+    workers.fleet.updateWorker(entryOf(First, 5), Start + 1s);
     EXPECT_EQ(workers.startsAt(Start + 1s), 1U);
     EXPECT_NE(workers.fleet.find(Key)->task(order.task).lastRun, order.run);
 }
 
+namespace {
+
+// An entry of a process, and whether a task that needs the label "a" of a worker of Service, and TaskSize, may start on
+// that process.
+struct DescribedProcess
+{
+    const char *name;
+    std::function<void(WorkerEntry &)> change;
+    bool mayRunTask;
+};
+
+const std::vector<DescribedProcess> &describedProcesses()
+{
+    static const std::vector<DescribedProcess> processes = {
+        {"of the same kind", [](WorkerEntry &) {}, true},
+        {"of another kind", [](WorkerEntry &it) { it.kind = "b"; }, false},
+        {"of another kind on a rack of the label's name",
+         [](WorkerEntry &it) {
+             it.kind = "b";
+             it.rack = "a";
+         },
+         true},
+        {"of another service", [](WorkerEntry &it) { it.service = ServiceName("other"); }, false},
+        {"too small", [](WorkerEntry &it) { it.capacity.milliCores = TaskSize.milliCores - 1; }, false},
+        {"leaving", [](WorkerEntry &it) { it.isDraining = true; }, false},
+    };
+    return processes;
+}
+
+WorkerEntry entryOfKindA(std::int64_t startTimeMs)
+{
+    auto entry = entryOf(First, startTimeMs);
+    entry.kind = "a";
+    return entry;
+}
+
+AcceptedJob jobForKindA()
+{
+    auto job = oneTaskJob(1);
+    job.spec.steps.front().requiredLabel = "a";
+    return job;
+}
+
+} // namespace
+
+// Guards against starts by what is known of a former process: a worker that had started again as another kind got tasks
+// that need the former kind, until its entry was replaced (review/8).
+TEST(WorkerRestart, ANewProcessTakesNoTaskByTheEntryOfTheFormerOne)
+{
+    for (const auto &it : describedProcesses()) {
+        SCOPED_TRACE(it.name);
+        NullLog log;
+        Fleet fleet{log};
+        fleet.beginTerm({1}, 0, {}, Start, Start);
+        fleet.updateWorker(entryOfKindA(1), Start);
+        fleet.applyListing(First, {1000, 1, {}, {}}, Start, Start);
+        fleet.markRosterStored(fleet.takeRoster());
+        fleet.applyListing(First, {10, 2, {}, {}}, Start + 10ms, Start + 10ms);
+        fleet.addJob(jobForKindA(), Start + 10ms, Wall);
+        EXPECT_TRUE(fleet.plan(Start + 10ms, Wall).starts.empty()) << "the new process is not described";
+        fleet.updateWorker(entryOfKindA(1), Start + 20ms); // the row of the former process, with news of its own
+        EXPECT_TRUE(fleet.plan(Start + 20ms, Wall).starts.empty());
+        auto entry = entryOfKindA(2);
+        it.change(entry);
+        fleet.updateWorker(entry, Start + 30ms);
+        EXPECT_EQ(fleet.plan(Start + 30ms, Wall).starts.size(), it.mayRunTask ? 1U : 0U);
+    }
+}
+
+// Guards against the same by the entries in the stored roster, with which a new leader begins.
+TEST(WorkerRestart, ANewLeaderStartsNothingByTheRostersEntryOfAFormerProcess)
+{
+    for (const auto &it : describedProcesses()) {
+        SCOPED_TRACE(it.name);
+        NullLog log;
+        Fleet fleet{log};
+        const std::vector<RosterEntry> roster = {{entryOfKindA(1), {}}};
+        fleet.beginTerm({2}, 10, roster, Start + 7s, Start);
+        fleet.addJob(jobForKindA(), Start, Wall);
+        fleet.updateWorker(entryOfKindA(1), Start); // the row of the former process is still there
+        fleet.applyListing(First, {10, 2, {}, {}}, Start, Start);
+        EXPECT_TRUE(fleet.plan(Start, Wall).starts.empty()) << "the process that answers is not described";
+        auto entry = entryOfKindA(2);
+        it.change(entry);
+        fleet.updateWorker(entry, Start + 10ms);
+        fleet.markRosterStored(fleet.takeRoster());
+        EXPECT_EQ(fleet.plan(Start + 10ms, Wall).starts.size(), it.mayRunTask ? 1U : 0U);
+    }
+}
+
+// Guards against dropping the entry of a process whose time of day is behind that of the former one, if the entry
+// arrives before the process answers: the worker got no task until its entry changed.
+TEST(WorkerRestart, AnEntryMayArriveBeforeItsProcessAnswersAndTellAnEarlierStart)
+{
+    for (const auto &it : describedProcesses()) {
+        SCOPED_TRACE(it.name);
+        NullLog log;
+        Fleet fleet{log};
+        fleet.beginTerm({1}, 0, {}, Start, Start);
+        fleet.updateWorker(entryOfKindA(9), Start);
+        fleet.applyListing(First, {1000, 9, {}, {}}, Start, Start);
+        fleet.markRosterStored(fleet.takeRoster());
+        auto entry = entryOfKindA(5);
+        it.change(entry);
+        fleet.updateWorker(entry, Start + 10ms);
+        fleet.applyListing(First, {10, 5, {}, {}}, Start + 20ms, Start + 20ms);
+        fleet.addJob(jobForKindA(), Start + 20ms, Wall);
+        EXPECT_EQ(fleet.plan(Start + 20ms, Wall).starts.size(), it.mayRunTask ? 1U : 0U);
+    }
+}
+
 // Guards against never reaching such a process at another address.
 TEST(WorkerRestart, ASilentWorkerIsReachedAtTheAddressOfAnEarlierStart)
 {
@@ -229,6 +344,7 @@
         };
     }
     cluster.scheduler.runFor(60ms); // until the last answer of the former process has arrived
+    cluster.registersRestarts = false;
     cluster.workers.restart(id, 2);
 }
 
@@ -448,6 +564,7 @@
         for (const auto away : {Duration(100ms), Duration(600ms), Duration(2s)}) {
             SCOPED_TRACE(std::to_string(toMilliseconds(away)) + (isRestarted ? " ms, restarted" : " ms"));
             Cluster cluster;
+            cluster.registersRestarts = false;
             cluster.scheduler.runFor(2s);
             submitJobs(cluster, 1);
             cluster.scheduler.runFor(200ms);
--- a/tests/workers/workertest.cpp
+++ b/tests/workers/workertest.cpp
@@ -16,6 +16,7 @@
     entry.startTimeMs = 1;
     Worker worker(entry, Now);
     worker.setRostered();
+    worker.setStartTimeMs(entry.startTimeMs);
     return worker;
 }
 
