--- a/review/standins3/cases.h
+++ b/review/standins3/cases.h
@@ -9,5 +9,6 @@
 bool hasTrouble();
 
 int runHistoryCase(Record &record);
+int runRepeatsCase(Record &record);
 
 } // namespace review
--- a/review/standins3/main.cpp
+++ b/review/standins3/main.cpp
@@ -29,6 +29,8 @@
         record.note("case", name + (review::hasTrouble() ? " with" : " without") + " the disruption");
         if (name == "history") {
             result = review::runHistoryCase(record);
+        } else if (name == "repeats") {
+            result = review::runRepeatsCase(record);
         }
         record.note("result", std::to_string(result));
     } catch (const std::exception &e) {
