Hosts of the review's scripts end with the script

Cause: a script that is ended by its time limit would leave its hosts running.

Change: the hosts ask to be killed when the program that started them ends.

--- a/review/standins3/host.cpp
+++ b/review/standins3/host.cpp
@@ -6,6 +6,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -60,6 +61,7 @@
     const auto log = m_options.folder + "/" + m_options.name + ".log";
     const pid_t child = fork();
     if (child == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with this program, also if that is killed
         const int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(file, STDOUT_FILENO);
         dup2(file, STDERR_FILENO);
