--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -9,6 +9,13 @@
 
 namespace monsoonspool::execution {
 
+namespace {
+
+// A job with fewer tasks that are due is not logged as large.
+constexpr std::int64_t LargeJobTasks = 1000;
+
+} // namespace
+
 TrackedJob::TrackedJob(AcceptedJob accepted, TimePoint acceptedAt)
     : job(accepted.key, std::move(accepted.spec), accepted.policy.queue, acceptedAt),
       acceptedPolicy(std::move(accepted.policy)), knownFence(accepted.knownFence), version(accepted.version)
@@ -203,6 +210,22 @@
     isRosterChanged = true;
 }
 
+// Written before anything is built for the job, so that it is the last line of a leader that the job ends.
+void Fleet::Private::reportIfLarge(const AcceptedJob &job, jobs::WallTime wall) const
+{
+    const auto tasks = ordersNeeded(job.spec);
+    const auto due = job.spec.dueCount(wall);
+    if (static_cast<std::int64_t>(tasks) * due >= LargeJobTasks) {
+        log.record("large-job",
+                   {{"job", job.key},
+                    {"queue", job.policy.queue},
+                    {"steps", job.spec.steps.size()},
+                    {"tasks", tasks},
+                    {"times", job.spec.occurrenceCount()},
+                    {"dueTimes", due}});
+    }
+}
+
 void Fleet::addJob(AcceptedJob job, TimePoint now, jobs::WallTime wall)
 {
     if (!d->readJobs.insert(job.key).second) {
@@ -211,6 +234,7 @@
     const auto key = job.key;
     const auto unreadFor = d->jobsReadAt ? std::optional(now - *d->jobsReadAt) : std::nullopt;
     const auto acceptedAt = now - ageAtReading(job.acceptedAt, wall, unreadFor);
+    d->reportIfLarge(job, wall);
     auto &tracked = d->jobsByKey[key];
     tracked = std::make_unique<TrackedJob>(std::move(job), acceptedAt);
     d->jobsToPlace.insert(key);
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -155,6 +155,8 @@
     void keepLostRuns(const workers::Worker &worker, TimePoint now);
     // Records which runs have been at work for long since the last crashes under their tasks.
     void noteHealthyRuns(workers::Worker &worker, TimePoint now);
+    // Logs the size of a job with many tasks that are due.
+    void reportIfLarge(const AcceptedJob &job, jobs::WallTime wall) const;
     void recordIfOver(TrackedJob &job, bool wasOpen, std::string_view cause, TimePoint now);
     // Marks the stored progress that a run of the task has changed as outdated.
     void markChanged(const TrackedJob &job, const jobs::TaskId &task);
--- a/src/jobs/jobspec.cpp
+++ b/src/jobs/jobspec.cpp
@@ -4,6 +4,18 @@
 
 namespace monsoonspool::jobs {
 
+int JobSpec::dueCount(WallTime now) const
+{
+    if (!isTimed()) {
+        return 1;
+    }
+    if (firstDue > now) {
+        return 0;
+    }
+    return interval.count() == 0 ? occurrences
+                                 : static_cast<int>(std::min<std::int64_t>((now - firstDue) / interval + 1, occurrences));
+}
+
 bool JobSpec::isLasting() const
 {
     return std::ranges::any_of(steps, [](const StepSpec &it) { return it.isLasting; });
--- a/src/jobs/jobspec.h
+++ b/src/jobs/jobspec.h
@@ -50,6 +50,8 @@
     {
         return occurrences > 0 ? occurrences : 1;
     }
+    // Returns how many of these times have come.
+    int dueCount(WallTime now) const;
     // Returns whether the job runs on a schedule.
     bool isTimed() const
     {
