A message that nests without end is rejected before the parser sees it

What callers would see: a row of the store or a message of a peer of some KB of nested arrays ends each process that reads it, and so each leader, one after the other.

Cause: the CBOR parser calls itself for each level, and the limit on levels was checked on what it had built.

Change: levels are counted by a handler that stops the parser, before anything is built. A message with no more bytes than levels that could begin one, as most rows have, needs no such pass.

Evidence: Cbor.RejectsMessagesThatNestWithoutEnd, which ends with a segmentation fault before the change.

--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -1,6 +1,7 @@
 #include "codec/json.h"
 
-#include <vector>
+#include <algorithm>
+#include <string>
 
 namespace monsoonspool::codec {
 
@@ -39,15 +40,85 @@
     return false;
 }
 
-int depthOf(const Json &json)
+// Stops a parser at a value that nests deeper than MaxJsonDepth.
+class DepthLimit : public nlohmann::json_sax<Json>
 {
-    int deepest = 0;
-    if (json.is_structured()) {
-        for (const auto &it : json) {
-            deepest = std::max(deepest, depthOf(it));
-        }
+public:
+    bool isExceeded() const
+    {
+        return m_depth > MaxJsonDepth;
+    }
+    bool null() override
+    {
+        return true;
+    }
+    bool boolean(bool) override
+    {
+        return true;
+    }
+    bool number_integer(number_integer_t) override
+    {
+        return true;
+    }
+    bool number_unsigned(number_unsigned_t) override
+    {
+        return true;
+    }
+    bool number_float(number_float_t, const string_t &) override
+    {
+        return true;
+    }
+    bool string(string_t &) override
+    {
+        return true;
+    }
+    bool binary(binary_t &) override
+    {
+        return true;
+    }
+    bool key(string_t &) override
+    {
+        return true;
+    }
+    bool start_object(std::size_t) override
+    {
+        return ++m_depth <= MaxJsonDepth;
     }
-    return deepest + 1;
+    bool end_object() override
+    {
+        --m_depth;
+        return true;
+    }
+    bool start_array(std::size_t) override
+    {
+        return ++m_depth <= MaxJsonDepth;
+    }
+    bool end_array() override
+    {
+        --m_depth;
+        return true;
+    }
+    bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override
+    {
+        return false; // reported by the parsing that follows
+    }
+
+private:
+    int m_depth = 0;
+};
+
+// Returns whether the CBOR message nests deeper than MaxJsonDepth. The parser calls itself for each level, so
+// that it must not see such a message.
+bool exceedsMaxCborDepth(std::string_view bytes)
+{
+    // Each level begins with such a byte, which also occurs in other places.
+    const auto isNesting = [](char it) { return (static_cast<unsigned char>(it) & 0xc0U) == 0x80U; };
+    if (std::ranges::count_if(bytes, isNesting) <= MaxJsonDepth) {
+        return false;
+    }
+    DepthLimit limit;
+    Json::sax_parse(bytes.begin(), bytes.end(), &limit, Json::input_format_t::cbor);
+    return limit.isExceeded();
 }
 
 Result<Json> parseBounded(std::string_view text, ErrorKind kind)
@@ -109,12 +180,11 @@
 
 Result<Json> parseLargeCbor(std::string_view bytes)
 {
+    if (exceedsMaxCborDepth(bytes)) {
+        return fail(ErrorKind::MalformedMessage, "the CBOR message exceeds the nesting limit");
+    }
     try {
-        Json json = Json::from_cbor(bytes.begin(), bytes.end());
-        if (depthOf(json) > MaxJsonDepth) {
-            return fail(ErrorKind::MalformedMessage, "the CBOR message exceeds the nesting limit");
-        }
-        return json;
+        return Json::from_cbor(bytes.begin(), bytes.end());
     } catch (const Json::exception &e) {
         return fail(ErrorKind::MalformedMessage, describe(e));
     }
--- a/tests/codec/codectest.cpp
+++ b/tests/codec/codectest.cpp
@@ -9,6 +9,8 @@
 #include <boost/random/uniform_int_distribution.hpp>
 #include <gtest/gtest.h>
 
+#include <optional>
+
 namespace monsoonspool::codec {
 
 namespace {
@@ -178,6 +180,31 @@
     EXPECT_FALSE(isDecoded(writeCbor(Json::array({1, 0, deep}))));
 }
 
+// Guards against a row or message of some KB that ends the process: the parser calls itself for each level.
+TEST(Cbor, RejectsMessagesThatNestWithoutEnd)
+{
+    constexpr std::size_t bytes = 1024 * 1024;
+    const std::string arrays(bytes, '\x81');
+    std::string objects;
+    while (objects.size() < bytes) {
+        objects += "\xa1\x61k";
+    }
+    for (const auto &it : {arrays, objects, std::string(bytes, '\x9f')}) {
+        const auto kind = handleFailure(
+            [&]() -> Result<std::optional<ErrorKind>> {
+                BOOST_LEAF_CHECK(parseLargeCbor(it));
+                return std::optional<ErrorKind>();
+            },
+            [](const Failure &failure) { return std::optional(failure.kind); });
+        EXPECT_EQ(kind, ErrorKind::MalformedMessage);
+    }
+    Json wide = Json::array();
+    for (int n = 0; n < 1000; ++n) {
+        wide.push_back(Json::array({Json::object()}));
+    }
+    EXPECT_EQ(parseLargeCbor(writeCbor(wide)).value(), wide);
+}
+
 // Mutates and truncates valid encodings at random. Each decoder must accept or reject the
 // input; a crash or an uncaught exception fails the test.
 TEST(CodecFuzz, DecodesOrRejectsMutatedInput)
