The leader learns of a bounded number of images

What callers would see: clients that name ever new images make a leader slower and larger until it ends.

Cause: run times are learned for each queue and image, and interference for each pair of images, with the square of the neighbours of each serving image; clients choose the names, and nothing is forgotten in a term.

Change: of 2,048 classes of run times the one that was observed longest ago is forgotten. Images beyond 1,024 share a number of which nothing is learned, and there are at most 128 regressions of 128 features: by arithmetic 17 MB.

Evidence: RunTimeEstimator.ForgetsTheClassThatWasObservedLongestAgo, InterferenceModel.LearnsOfABoundedNumberOfImages. Both need the new bound to pass; how much the former code would take was not measured.

--- a/src/jobs/runtimeestimator.cpp
+++ b/src/jobs/runtimeestimator.cpp
@@ -80,8 +80,13 @@
 
 void RunTimeEstimator::learn(std::string_view queue, const StepSpec &step, Duration runTime)
 {
-    auto &taskClass = m_classes[classKey(queue, step)];
+    const auto key = classKey(queue, step);
+    if (m_classes.size() >= MaxClasses && !m_classes.contains(key)) {
+        m_classes.erase(std::ranges::min_element(m_classes, {}, [](const auto &it) { return it.second.learnedAt; }));
+    }
+    auto &taskClass = m_classes[key];
     ++taskClass.count;
+    taskClass.learnedAt = ++m_observations;
     const double weight = std::max(1.0 / taskClass.count, SmoothingFactor);
     taskClass.ratio.add(logarithm(runTime) - logarithm(declaredEstimate(step)), weight);
     taskClass.runTime.add(logarithm(runTime), weight);
--- a/src/jobs/runtimeestimator.h
+++ b/src/jobs/runtimeestimator.h
@@ -3,6 +3,8 @@
 #include "common/time.h"
 #include "jobs/jobspec.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -21,7 +23,8 @@
 
 // Predicts task run times from observed ones, since declared estimates are inaccurate.
 //
-// Tasks are grouped into classes by queue and image. For each class there are two
+// Tasks are grouped into classes by queue and image. Clients name the images: of more classes than MaxClasses,
+// the one that was observed longest ago is forgotten. For each class there are two
 // predictors, both on a logarithmic scale: the declared estimate corrected by the mean
 // observed ratio of run time to estimate, and the mean observed run time. The prediction
 // is their average, weighted by inverse variance.
@@ -35,6 +38,8 @@
 
     RunTimeForecast forecast(std::string_view queue, const StepSpec &step) const;
 
+    static constexpr std::size_t MaxClasses = 2048;
+
 private:
     // Exponentially weighted moving mean and variance.
     struct MovingStats
@@ -47,11 +52,13 @@
     struct TaskClass
     {
         int count = 0;
+        std::uint64_t learnedAt = 0; // position of the last observation among all
         MovingStats ratio; // log(run time / estimate)
         MovingStats runTime; // log(run time)
     };
 
     std::map<std::string, TaskClass, std::less<>> m_classes;
+    std::uint64_t m_observations = 0;
 };
 
 } // namespace monsoonspool::jobs
--- a/src/scheduling/interferencemodel.cpp
+++ b/src/scheduling/interferencemodel.cpp
@@ -23,15 +23,23 @@
 // Coefficients below this multiple of the intercept are treated as noise: for pairs that
 // do not interfere, most fits stay below half of it.
 constexpr double MinSensitivity = 1.0;
+// Images beyond these share one number, of which nothing is learned.
+constexpr ImageNumber MaxImages = 1024;
+// Of the serving images, and of the features of each; a regression takes the square of them.
+constexpr std::size_t MaxRegressions = 128;
+constexpr std::size_t MaxFeatures = 128;
 
 } // namespace
 
-std::size_t InterferenceModel::Regression::indexOf(ImageNumber image)
+std::optional<std::size_t> InterferenceModel::Regression::indexOf(ImageNumber image)
 {
     const auto it = std::ranges::find(images, image);
     if (it != images.end()) {
         return static_cast<std::size_t>(it - images.begin()) + 1;
     }
+    if (image >= MaxImages || size() >= MaxFeatures) {
+        return std::nullopt;
+    }
     const std::size_t old = size();
     images.push_back(image);
     std::vector<double> resized(size() * size(), 0.0);
@@ -82,26 +90,35 @@
     if (tailMs <= 0) {
         return;
     }
-    auto &model = regressionOf(serving);
+    auto *model = regressionOf(serving);
+    if (model == nullptr) {
+        return;
+    }
     std::vector<std::pair<std::size_t, double>> features = {{0, 1.0}};
     for (const auto &neighbour : neighbours) {
-        if (neighbour.coreShare > MinShare) {
-            features.emplace_back(model.indexOf(neighbour.image), neighbour.coreShare);
+        if (neighbour.coreShare <= MinShare) {
+            continue;
+        }
+        if (const auto index = model->indexOf(neighbour.image)) {
+            features.emplace_back(*index, neighbour.coreShare);
         }
     }
-    model.add(features, 1 / tailMs, 1);
+    model->add(features, 1 / tailMs, 1);
 }
 
-InterferenceModel::Regression &InterferenceModel::regressionOf(ImageNumber image)
+InterferenceModel::Regression *InterferenceModel::regressionOf(ImageNumber image)
 {
     auto it = m_regressions.find(image);
     if (it == m_regressions.end()) {
+        if (image >= MaxImages || m_regressions.size() >= MaxRegressions) {
+            return nullptr;
+        }
         it = m_regressions.emplace(image, Regression()).first;
         it->second.gramMatrix.assign(1, 0.0);
         it->second.crossProducts.assign(1, 0.0);
         it->second.weights.assign(1, 0.0);
     }
-    return it->second;
+    return &it->second;
 }
 
 // Adds an observation of 1/tail = `y` for the given feature values, with weight `weight`.
@@ -145,13 +162,17 @@
 void InterferenceModel::restore(std::span<const LearnedInterference> learned)
 {
     for (const auto &one : learned) {
-        auto &model = regressionOf(numberOf(one.image));
+        auto *model = regressionOf(numberOf(one.image));
+        if (model == nullptr) {
+            continue;
+        }
         const std::pair<std::size_t, double> alone[] = {{0, 1.0}};
-        model.add(alone, one.baseRate, RestoredCount);
+        model->add(alone, one.baseRate, RestoredCount);
         for (const auto &it : one.sensitivities) {
-            const std::pair<std::size_t, double> beside[]
-                = {{0, 1.0}, {model.indexOf(numberOf(it.image)), RestoredShare}};
-            model.add(beside, one.baseRate - it.value * RestoredShare, RestoredCount);
+            if (const auto index = model->indexOf(numberOf(it.image))) {
+                const std::pair<std::size_t, double> beside[] = {{0, 1.0}, {*index, RestoredShare}};
+                model->add(beside, one.baseRate - it.value * RestoredShare, RestoredCount);
+            }
         }
     }
     m_fittedAt = TimePoint(); // makes the next fit() due immediately
@@ -187,7 +208,11 @@
 ImageNumber InterferenceModel::numberOf(std::string_view image)
 {
     const auto it = m_numbers.find(image);
-    return it != m_numbers.end() ? it->second : m_numbers.emplace(std::string(image), m_numbers.size()).first->second;
+    if (it != m_numbers.end()) {
+        return it->second;
+    }
+    return m_numbers.size() < MaxImages ? m_numbers.emplace(std::string(image), m_numbers.size()).first->second
+                                        : MaxImages;
 }
 
 double InterferenceModel::sensitivity(ImageNumber serving, ImageNumber image) const
--- a/src/scheduling/interferencemodel.h
+++ b/src/scheduling/interferencemodel.h
@@ -3,6 +3,7 @@
 #include "common/time.h"
 
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -43,6 +44,9 @@
 // neighbours leave free. Observations decay exponentially, since interference changes
 // over time.
 //
+// Clients name the images, so that their number is bounded, and so is that of the pairs: a further image is
+// taken as one that neither serves nor interferes.
+//
 // Not thread-safe: owned by the control thread.
 class InterferenceModel
 {
@@ -82,12 +86,14 @@
         {
             return images.size() + 1;
         }
-        std::size_t indexOf(ImageNumber image);
+        // Returns nullopt if there are too many features.
+        std::optional<std::size_t> indexOf(ImageNumber image);
         void add(std::span<const std::pair<std::size_t, double>> features, double y, double weight);
         void fit();
         void decay(double factor);
     };
-    Regression &regressionOf(ImageNumber image);
+    // Returns nullptr if there are too many.
+    Regression *regressionOf(ImageNumber image);
 
     // The result of a fit for one serving image.
     struct FitResult
--- a/tests/jobs/jobtest.cpp
+++ b/tests/jobs/jobtest.cpp
@@ -303,6 +303,35 @@
     EXPECT_NEAR(static_cast<double>(estimator.forecast("proofs", step).typical.count()), 8e5, 2e5);
 }
 
+// Guards against memory that grows with the number of images that clients name.
+TEST(RunTimeEstimator, ForgetsTheClassThatWasObservedLongestAgo)
+{
+    RunTimeEstimator estimator;
+    StepSpec step;
+    step.estimate = 1s;
+    const auto learn = [&](const std::string &image) {
+        step.image = image;
+        for (int n = 0; n < 10; ++n) {
+            estimator.learn("plans", step, Duration(3s));
+        }
+    };
+    const auto isKnown = [&](const std::string &image) {
+        step.image = image;
+        return estimator.forecast("plans", step).typical > Duration(2s);
+    };
+    learn("first");
+    learn("second");
+    for (std::size_t n = 0; n < RunTimeEstimator::MaxClasses - 2; ++n) {
+        learn("other" + std::to_string(n));
+    }
+    learn("first");
+    EXPECT_TRUE(isKnown("second"));
+    learn("one too many");
+    EXPECT_TRUE(isKnown("first"));
+    EXPECT_FALSE(isKnown("second"));
+    EXPECT_TRUE(isKnown("one too many"));
+}
+
 // Guards against objectives of wide jobs that are estimated too early.
 TEST(RunTimeEstimator, TheLongestOfManyTasksTakesLongerThanATypicalOne)
 {
--- a/tests/scheduling/schedulingtest.cpp
+++ b/tests/scheduling/schedulingtest.cpp
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -83,6 +84,31 @@
 
 } // namespace
 
+// Guards against memory that grows with the square of the number of images that clients name.
+TEST(InterferenceModel, LearnsOfABoundedNumberOfImages)
+{
+    InterferenceModel model;
+    std::set<ImageNumber> numbers;
+    for (int n = 0; n < 3000; ++n) {
+        numbers.insert(model.numberOf("image" + std::to_string(n)));
+    }
+    EXPECT_LT(numbers.size(), 1100U);
+    for (const auto it : numbers) {
+        for (const auto other : {it, ImageNumber(0), *numbers.rbegin()}) {
+            const Neighbour neighbour{other, 0.5};
+            model.observe(it, {&neighbour, 1}, 10);
+        }
+    }
+    for (const auto it : numbers) {
+        const Neighbour neighbour{it, 0.5};
+        model.observe(0, {&neighbour, 1}, 10);
+    }
+    model.fit(Now);
+    EXPECT_EQ(model.sensitivity(*numbers.rbegin(), *numbers.rbegin()), 0);
+    EXPECT_FALSE(model.interferesWithAny(*numbers.rbegin()));
+    EXPECT_LE(model.learned().size(), 128U);
+}
+
 TEST(InterferenceModel, TellsThePairsThatDisturbFromThoseThatDoNot)
 {
     const auto model = learnedModel();
