A step names each earlier step once

What callers would see: a job of some 60 KB whose steps name earlier steps thousands of times costs each plan of the leader as many looks, and as often as it is submitted.

Cause: the list was bounded by the size of a row alone.

Change: duplicates are removed when a job is submitted, and when a row of an earlier release is read.

Evidence: WireCodec.KeepsEachEarlierStepOnce; before, the step has 20,001 entries.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -68,6 +68,7 @@
     step.estimate = Duration(json.at("estimate").get<Duration::rep>());
     step.count = json.value("count", step.count);
     step.after = json.value("after", step.after);
+    jobs::normalizeAfter(step.after);
     step.hasCheckpoints = json.value("checkpoints", false);
     step.isGang = json.value("gang", false);
     step.isColocated = json.value("colocated", false);
--- a/src/jobs/jobspec.cpp
+++ b/src/jobs/jobspec.cpp
@@ -21,6 +21,14 @@
     return std::ranges::any_of(steps, [](const StepSpec &it) { return it.isLasting; });
 }
 
+void normalizeAfter(std::vector<int> &after)
+{
+    std::ranges::sort(after);
+    const auto repeated = std::ranges::unique(after);
+    after.erase(repeated.begin(), repeated.end());
+    after.shrink_to_fit();
+}
+
 namespace {
 
 Result<void> validateStep(const StepSpec &step, int position)
--- a/src/jobs/jobspec.h
+++ b/src/jobs/jobspec.h
@@ -61,6 +61,9 @@
     bool isLasting() const;
 };
 
+// Sorts the positions of earlier steps and removes duplicates, of which a client may send thousands.
+void normalizeAfter(std::vector<int> &after);
+
 // Limits that prevent a single job from exhausting a host's memory.
 constexpr int MaxSteps = 64;
 constexpr int MaxTasksPerStep = 5000;
--- a/tests/platform/wirecodectest.cpp
+++ b/tests/platform/wirecodectest.cpp
@@ -70,6 +70,25 @@
     }
 }
 
+// Guards against a job whose steps name an earlier one thousands of times, which each plan would look at.
+TEST(WireCodec, KeepsEachEarlierStepOnce)
+{
+    std::string after = "0";
+    for (int n = 0; n < 20'000; ++n) {
+        after += n % 2 == 0 ? ",1" : ",0";
+    }
+    const auto spec = valueOf([&] {
+        return decodeJobSpec(R"({"spec":"x","steps":[{"count":1},{"count":1},{"count":1,"after":[)" + after + "]}]}");
+    });
+    EXPECT_EQ(spec.steps[2].after, (std::vector<int>{0, 1}));
+    execution::AcceptedJob job;
+    job.spec = spec;
+    job.spec.steps[2].after = {1, 0, 1};
+    const codec::CborJobs codec;
+    const auto stored = codec.encode(job);
+    EXPECT_EQ(valueOf([&] { return codec.decodeJob(stored); }).spec.steps[2].after, (std::vector<int>{0, 1}));
+}
+
 TEST(WireCodec, DecodesWorkerListings)
 {
     const auto listing = valueOf([] {
