--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -246,6 +246,7 @@
     if (progress.cancelledAt) {
         json["cancelledAt"] = progress.cancelledAt->time_since_epoch().count();
     }
+    Json occurrences = Json::array();
     for (const auto &steps : progress.occurrences) {
         Json encoded = Json::array();
         for (const auto &it : steps) {
@@ -264,7 +265,12 @@
             }
             encoded.push_back(std::move(step));
         }
-        json["occurrences"].push_back(std::move(encoded));
+        occurrences.push_back(std::move(encoded));
+    }
+    if (progress.firstOccurrence > 0) {
+        json["later"] = Json::array({progress.firstOccurrence, std::move(occurrences)});
+    } else if (!occurrences.empty()) {
+        json["occurrences"] = std::move(occurrences);
     }
     return writeCbor(json);
 }
@@ -279,7 +285,12 @@
             progress.cancelledAt
                 = jobs::WallTime(std::chrono::milliseconds(json.at("cancelledAt").get<std::int64_t>()));
         }
-        for (const auto &steps : json.value("occurrences", Json::array())) {
+        // Occurrences from a number on, which earlier releases do not read.
+        const auto later = json.value("later", Json::array());
+        if (!later.empty()) {
+            progress.firstOccurrence = later.at(0).get<int>();
+        }
+        for (const auto &steps : later.empty() ? json.value("occurrences", Json::array()) : later.at(1)) {
             auto &decoded = progress.occurrences.emplace_back();
             for (const auto &it : steps) {
                 auto &step = decoded.emplace_back();
@@ -315,6 +326,7 @@
               {"waitingAgeMs", toMilliseconds(row.waiting.age)},
               {"formersDecideMs", toMilliseconds(row.formersDecideFor)}};
     putUnlessDefault(json, "tombstones", row.tombstones, std::size_t(0));
+    putUnlessDefault(json, "full", row.fullQueues, {});
     if (row.former) {
         json["former"] = {{"host", row.former->host.text()},
                           {"incarnation", row.former->incarnation},
@@ -344,6 +356,7 @@
         row.waiting.age = std::chrono::milliseconds(json.value("waitingAgeMs", std::int64_t(0)));
         row.formersDecideFor = std::chrono::milliseconds(json.value("formersDecideMs", std::int64_t(0)));
         row.tombstones = json.value("tombstones", std::size_t(0));
+        row.fullQueues = json.value("full", row.fullQueues);
         if (const auto former = json.find("former"); former != json.end()) {
             row.former = {EntryHostId(former->at("host").get<std::string>()),
                           former->at("incarnation").get<std::uint64_t>(),
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -39,6 +39,16 @@
 constexpr Duration FirstReportRetry = 150ms;
 constexpr Duration MaxReportRetry = 1s;
 
+// Every host reads the leader's row.
+constexpr std::size_t MaxFullQueues = 64;
+// Jobs may take this part of the host's memory. The rest is for workers, connections and the allocator.
+constexpr std::size_t JobMemoryPart = 4;
+
+std::size_t jobMemoryLimit(std::size_t memoryBytes)
+{
+    return memoryBytes / JobMemoryPart;
+}
+
 // Staggers the claims of otherwise equal hosts.
 constexpr std::size_t JitterSteps = 16;
 constexpr Duration JitterStep = 12ms;
@@ -231,8 +241,10 @@
         row.waiting = waitingCounts();
         if (term && term->isLoaded()) {
             row.tombstones = term->tombstones().stored;
+            row.fullQueues = term->fullQueues(MaxFullQueues);
         } else if (leadership.row()) {
             row.tombstones = leadership.row()->tombstones;
+            row.fullQueues = leadership.row()->fullQueues;
         }
         if (term) {
             const bool isReleased = row.host.isEmpty();
@@ -266,6 +278,7 @@
         if (leadership.row()) {
             requestHandler.recordFence(leadership.row()->fence);
             requestHandler.recordTombstones(leadership.row()->tombstones);
+            requestHandler.recordFullQueues(leadership.row()->fullQueues);
         }
         if (term && (!leadership.isLeader() || leadership.fence() != termFence)) {
             ports.log.record("leadership-lost", {{"fence", termFence.value}});
@@ -427,9 +440,16 @@
     {
         termFence = leadership.fence();
         termBeganAt = ports.scheduler.now();
-        LeaderTermStart start{termFence,        leadership.claimVersion(),       claimedRoster,
-                              queues(),         leadership.formersDecideUntil(), leadership.silentWorkers(termBeganAt),
-                              options.moveCost, evacuationReader.evacuations(),  options.remoteRunTimeFactor};
+        LeaderTermStart start{termFence,
+                              leadership.claimVersion(),
+                              claimedRoster,
+                              queues(),
+                              leadership.formersDecideUntil(),
+                              leadership.silentWorkers(termBeganAt),
+                              options.moveCost,
+                              evacuationReader.evacuations(),
+                              options.remoteRunTimeFactor,
+                              jobMemoryLimit(options.memoryBytes)};
         const auto &former = leadership.row()->former;
         ports.log.record(
             "leadership-won",
@@ -563,6 +583,7 @@
         summary.tombstones = d->term->tombstones();
     }
     summary.tombstoneRequests = d->requestHandler.tombstoneCounts();
+    summary.refusedByFullQueue = d->requestHandler.refusedByFullQueue();
     return summary;
 }
 
--- a/src/execution/executionloop.h
+++ b/src/execution/executionloop.h
@@ -20,6 +20,7 @@
     // No task starts in a failure domain later than this after its evacuation was stored.
     Duration evacuationBound = membership::DefaultEvacuationBound;
     std::optional<double> remoteRunTimeFactor = {}; // see Fleet
+    std::size_t memoryBytes = 256UL * 1024 * 1024; // that the process may use
 };
 
 // Values shown in the state dump and metrics.
@@ -37,6 +38,7 @@
     LeaderLoad load; // while this host leads
     TombstoneCounts tombstones; // while this host leads
     TombstoneRequestCounts tombstoneRequests; // of this host
+    std::uint64_t refusedByFullQueue = 0; // submissions, of this host
 };
 
 // Control state of job execution on one host: the configuration, client requests, and
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -9,13 +9,6 @@
 
 namespace monsoonspool::execution {
 
-namespace {
-
-// A job with fewer tasks that are due is not logged as large.
-constexpr std::int64_t LargeJobTasks = 1000;
-
-} // namespace
-
 TrackedJob::TrackedJob(AcceptedJob accepted, TimePoint acceptedAt)
     : job(accepted.key, std::move(accepted.spec), accepted.policy.queue, acceptedAt),
       acceptedPolicy(std::move(accepted.policy)), knownFence(accepted.knownFence), version(accepted.version)
@@ -44,6 +37,11 @@
     d->claimVersion = claimVersion;
     d->formerLeasesEnd = formerLeasesEnd;
     d->jobsByKey.clear();
+    d->openTimedSteps = 0;
+    d->memory.clear();
+    d->deferredJobs.clear();
+    d->memoryReportDueAt = now + MemoryReportInterval;
+    d->counts.overdueOccurrences = 0;
     d->readJobs.clear();
     d->unreadJobs.clear();
     d->jobsToPlace.clear();
@@ -210,51 +208,15 @@
     isRosterChanged = true;
 }
 
-// Written before anything is built for the job, so that it is the last line of a leader that the job ends.
-void Fleet::Private::reportIfLarge(const AcceptedJob &job, jobs::WallTime wall) const
-{
-    const auto tasks = ordersNeeded(job.spec);
-    const auto due = job.spec.dueCount(wall);
-    if (static_cast<std::int64_t>(tasks) * due >= LargeJobTasks) {
-        log.record("large-job",
-                   {{"job", job.key},
-                    {"queue", job.policy.queue},
-                    {"steps", job.spec.steps.size()},
-                    {"tasks", tasks},
-                    {"times", job.spec.occurrenceCount()},
-                    {"dueTimes", due}});
-    }
-}
-
-void Fleet::addJob(AcceptedJob job, TimePoint now, jobs::WallTime wall)
-{
-    if (!d->readJobs.insert(job.key).second) {
-        return;
-    }
-    const auto key = job.key;
-    const auto unreadFor = d->jobsReadAt ? std::optional(now - *d->jobsReadAt) : std::nullopt;
-    const auto acceptedAt = now - ageAtReading(job.acceptedAt, wall, unreadFor);
-    d->reportIfLarge(job, wall);
-    auto &tracked = d->jobsByKey[key];
-    tracked = std::make_unique<TrackedJob>(std::move(job), acceptedAt);
-    d->jobsToPlace.insert(key);
-    if (isCountedByOutcome(tracked->job.spec())) {
-        d->counts.outcomes.noteAccepted(tracked->job.queue(), ordersNeeded(tracked->job.spec()));
-    }
-    if (d->unreadJobs.erase(key) > 0) {
-        d->takeOverRunsOf(*tracked);
-    }
-    d->applyHeldEnds(key, now);
-}
-
 void Fleet::addUnreadableJob(jobs::JobKey key)
 {
+    d->deferredJobs.remove(key);
     d->readJobs.insert(key);
 }
 
 bool Fleet::hasRead(jobs::JobKey key) const
 {
-    return d->readJobs.contains(key);
+    return d->readJobs.contains(key) || d->deferredJobs.contains(key);
 }
 
 void Fleet::noteWorkersRead(TimePoint time)
@@ -272,7 +234,7 @@
     d->jobsReadAt = time;
     for (auto &[key, ends] : d->heldEnds) {
         std::erase_if(ends, [&](const HeldEnd &it) {
-            if (it.listedAt > time) {
+            if (it.listedAt > time || d->deferredJobs.contains(it.end.task.job)) {
                 return false;
             }
             d->release(it);
@@ -286,10 +248,12 @@
 {
     auto *job = d->findJob(key);
     if (job == nullptr) {
+        d->noteDeferredProgress(key, progress);
         return;
     }
     const bool wasOpen = job->job.isOpen();
     job->job.restore(progress);
+    d->recountMemory(*job);
     if (wasOpen && !job->job.isOpen() && isCountedByOutcome(job->job.spec())) {
         d->counts.outcomes.forgetAccepted(job->job.queue(), ordersNeeded(job->job.spec()));
     }
@@ -306,10 +270,10 @@
 void Fleet::applyForeignProgress(jobs::JobKey key, const jobs::JobProgress &progress, std::uint64_t version)
 {
     const auto *job = d->findJob(key);
-    const auto before = job == nullptr ? 0 : job->job.doneCount();
+    const auto before = job == nullptr ? std::int64_t(0) : job->job.doneCount();
     restoreProgress(key, progress);
     job = d->findJob(key);
-    const auto learned = job == nullptr ? 0 : job->job.doneCount() - before;
+    const auto learned = job == nullptr ? std::int64_t(0) : job->job.doneCount() - before;
     ++d->counts.progressConflicts;
     d->counts.foreignDoneTasks += static_cast<std::uint64_t>(learned);
     d->log.record("progress-conflict",
@@ -323,7 +287,11 @@
 void Fleet::cancel(jobs::JobKey key)
 {
     auto *job = d->findJob(key);
-    if (job == nullptr || !job->job.isOpen()) {
+    if (job == nullptr) {
+        d->forgetDeferred(key);
+        return;
+    }
+    if (!job->job.isOpen()) {
         return;
     }
     job->job.cancel();
@@ -349,6 +317,7 @@
             ++counts[it->job.queue()];
         }
     }
+    d->deferredJobs.addWaitingCounts(counts);
     return counts;
 }
 
@@ -538,7 +507,7 @@
     if (job != nullptr && job->isFinalStateStored && job->activeRuns == 0 && unreportedWorkers.empty()) {
         changedSections.erase(changedSections.lower_bound({key, 0}),
                               changedSections.upper_bound({key, std::numeric_limits<int>::max()}));
-        jobsByKey.erase(key);
+        eraseJob(key);
     }
 }
 
@@ -580,6 +549,9 @@
     auto &counts = d->counts;
     counts.openJobs = d->jobsByKey.size();
     counts.workers = d->workers.size();
+    counts.jobBytes = d->memory.used();
+    counts.jobBytesLimit = d->memory.limit();
+    counts.deferredJobs = d->deferredJobs.size();
     return counts;
 }
 
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -99,11 +99,18 @@
     std::uint64_t workerSearches = 0; // looks at all workers, or at those of a rack, for a place
     std::size_t tasksWaitingForRack = 0; // now; a gang counts once
     metrics::LatencyHistogram rackWait; // of rackWaitsMet and rackWaitsGivenUp
+    std::size_t jobBytes = 0; // taken by the open jobs, approximately
+    std::size_t jobBytesLimit = 0;
+    std::size_t deferredJobs = 0; // accepted jobs that wait in the store for room
+    std::size_t overdueOccurrences = 0; // due at the last plan, and not open since others of their job are
     std::size_t dueTasks = 0; // whose turn had come at the last plan that could start tasks
     jobs::OutcomeCounts outcomes; // of this term; of jobs that are neither lasting nor timed
     metrics::LatencyHistogram firstStart; // from acceptance to the first start order
 };
 
+// Bytes that the jobs of a leader may take unless setJobMemoryLimit() says otherwise.
+inline constexpr std::size_t DefaultJobMemoryLimit = 64UL * 1024 * 1024;
+
 // All jobs and workers known to the leader. Applies events and plans which tasks to
 // start, stop and pace. Performs no I/O.
 //
@@ -118,7 +125,9 @@
 //  - no task is started on a worker of an evacuated failure domain,
 //  - no lease is extended and nothing is started on a worker that the stored row of the leader may
 //    name as silent: a successor waits there only as long as the row says,
-//  - the end of a run is acknowledged only after its job was read and its effects were stored.
+//  - the end of a run is acknowledged only after its job was read and its effects were stored,
+//  - jobs take a bounded part of the host's memory, whatever clients submit and the store holds: those that
+//    find no room wait in the store, and each is added in the end.
 //
 // Not thread-safe: owned by the control thread.
 class Fleet
@@ -175,11 +184,23 @@
     // Replaces the policy that decides on the waits. Baselines for comparisons are set here.
     void setLocalityPolicy(std::unique_ptr<scheduling::LocalityPolicy> policy);
 
+    // Sets how much memory the jobs may take.
+    void setJobMemoryLimit(std::size_t bytes);
+
     // Jobs. A job is added once in a term, even if it was dropped after its end.
-    void addJob(AcceptedJob job, TimePoint now, jobs::WallTime wall);
+    // Returns false if there is no room for the job, which is deferred then: its row is to be read again once
+    // takeDeferredJob() returns it.
+    bool addJob(AcceptedJob job, TimePoint now, jobs::WallTime wall);
+    // Returns a deferred job that is to be read now, if there is one.
+    std::optional<jobs::JobKey> takeDeferredJob();
+    bool isDeferred(jobs::JobKey key) const;
+    // Adds a job that was deferred, whether there is room or not.
+    void addDeferredJob(AcceptedJob job, TimePoint now, jobs::WallTime wall);
+    // Returns the queues of which no more jobs should be accepted, at most `most`.
+    std::vector<std::string> fullQueues(std::size_t most) const;
     // Records that a job's row was read and cannot be decoded.
     void addUnreadableJob(jobs::JobKey key);
-    // Returns whether the job's row was read in this term.
+    // Returns whether the job's row was read in this term. A deferred job counts as read.
     bool hasRead(jobs::JobKey key) const;
     // Records that all jobs and cancellations stored before `time` have been read: what workers
     // listed until then and that belongs to another job is not this system's. While the store
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -152,6 +152,7 @@
         if (!readJobs.contains(it.task.job)) {
             worker.holdEnd(it.number);
             heldEnds[it.task.job].push_back({worker.entry().id, worker.startTimeMs(), now, it});
+            deferredJobs.request(it.task.job);
         }
         const auto *run = worker.find(it.task);
         if (run != nullptr && run->number == it.run) {
@@ -241,8 +242,7 @@
 // Returns whether a run of the task may be active although another one has ended.
 bool isActive(const TrackedJob &job, const jobs::TaskId &task)
 {
-    const bool isOpened = task.occurrence < static_cast<int>(job.job.occurrences().size());
-    return isOpened && job.job.task(task).activeRuns > 0;
+    return job.job.task(task).activeRuns > 0;
 }
 
 } // namespace
@@ -411,6 +411,7 @@
     run.level = listed.level;
     if (job == nullptr) {
         unreadJobs.insert(listed.task.job);
+        deferredJobs.request(listed.task.job);
     }
     takeOverRun(worker, run, job);
     if (job != nullptr && !listed.checkpoint.empty()) {
@@ -436,12 +437,9 @@
         }
         // A former leader may have paced it, and its successor is the only one that will raise the pace.
         run.pace = run.usesLeftover ? workers::UnknownPace : workers::FullPace;
-        const bool isOpenOccurrence = run.task.occurrence < static_cast<int>(job->job.occurrences().size());
-        bool isNeeded = job->job.isOpen();
-        if (isOpenOccurrence) {
-            const auto &task = job->job.task(run.task);
-            isNeeded = isNeeded && !task.isDone && (task.activeRuns == 0 || spec.maySpeculate || spec.isGang);
-        }
+        const auto &task = job->job.task(run.task);
+        const bool isNeeded
+            = job->job.isOpen() && !task.isDone && (task.activeRuns == 0 || spec.maySpeculate || spec.isGang);
         run.crashCount = job->job.crashSuspicion(run.task);
         job->job.noteRunOrdered(run.task, run.number);
         job->job.noteRunStarted();
--- a/src/execution/fleetlocality.cpp
+++ b/src/execution/fleetlocality.cpp
@@ -31,10 +31,7 @@
 bool becameReadyInTerm(const jobs::Job &job, int occurrence, int step)
 {
     const auto &before = job.stepSpec(step).after;
-    return std::ranges::any_of(before, [&](int it) {
-        const auto &tasks = job.step(occurrence, it).tasks;
-        return std::ranges::any_of(tasks, [](const jobs::Task &task) { return task.doneRun.has_value(); });
-    });
+    return std::ranges::any_of(before, [&](int it) { return job.step(occurrence, it).hasDoneRun(); });
 }
 
 } // namespace
@@ -201,7 +198,7 @@
         return;
     }
     const auto &step = waiting.job->job.step(waiting.occurrence, waiting.step);
-    const int rest = spec.count - step.doneCount - step.activeCount - alreadyQueued;
+    const int rest = step.waitingCount() - alreadyQueued;
     racks.room.enqueue(rackKey(policyOf(*waiting.job).service.view(), rack), times(spec.needs, rest),
                        spec.usesLeftover);
 }
--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -232,7 +232,8 @@
     auto rack = rackQuestion(waiting, wall);
     std::optional<scheduling::RankedWorkers> ranked;
     int starts = 0;
-    for (int n = 0; n < spec.count && starts < maxStarts; ++n) {
+    const int firstOpen = job.job.step(waiting.occurrence, waiting.step).firstOpen();
+    for (int n = firstOpen; n < spec.count && starts < maxStarts; ++n) {
         const jobs::TaskId id{job.job.key(), waiting.occurrence, waiting.step, n};
         const auto &task = job.job.task(id);
         if (!task.isWaiting() || now < task.retryAt || (isMeant && !isMeant(task))) {
@@ -334,11 +335,12 @@
     const auto &spec = job.job.stepSpec(waiting.step);
     const auto &step = job.job.step(waiting.occurrence, waiting.step);
     jobs::RunNumber number = 0;
-    for (const auto &it : step.tasks) {
-        if (!it.isWaiting() || now < it.retryAt) {
+    for (int n = 0; n < spec.count; ++n) {
+        const auto &task = step.task(n);
+        if (!task.isWaiting() || now < task.retryAt) {
             return;
         }
-        number = std::max(number, nextRun(it));
+        number = std::max(number, nextRun(task));
     }
     const jobs::TaskId first{job.job.key(), waiting.occurrence, waiting.step, 0};
     auto rack = rackQuestion(waiting, wall);
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -45,6 +45,7 @@
         d->reportLastingTasks(now);
         d->reportStandstills(now);
         d->reportOutcomes(now);
+        d->reportMemory(now);
         orders.areStartsLimited = maxStarts <= 0;
         return orders;
     }
@@ -59,7 +60,7 @@
     d->counts.dueTasks = 0;
     for (const auto &it : waiting) {
         const auto &step = it.job->job.step(it.occurrence, it.step);
-        d->counts.dueTasks += step.tasks.size() - static_cast<std::size_t>(step.doneCount + step.activeCount);
+        d->counts.dueTasks += static_cast<std::size_t>(step.waitingCount());
     }
     d->replaceLostLastingTasks(waiting, maxStarts, now, wall, orders);
     const auto lostLasting = orders.starts.size();
@@ -91,6 +92,7 @@
     d->reportLastingTasks(now);
     d->reportStandstills(now);
     d->reportOutcomes(now);
+    d->reportMemory(now);
     d->counts.starts += orders.starts.size();
     d->counts.startsDuringTakeover += d->unreportedWorkers.empty() ? 0 : orders.starts.size();
     d->counts.paces += orders.paces.size();
@@ -203,8 +205,7 @@
         const auto &spec = it.job->job.stepSpec(it.step);
         if (spec.usesLeftover) {
             const auto &step = it.job->job.step(it.occurrence, it.step);
-            add(interference.numberOf(spec.image),
-                spec.needs.milliCores * (spec.count - step.doneCount - step.activeCount));
+            add(interference.numberOf(spec.image), spec.needs.milliCores * step.waitingCount());
         }
     }
     interferenceFreeCapacity.update(workers, interference, demands, now);
@@ -238,12 +239,11 @@
         }
         std::size_t waiting = 0;
         std::size_t delayed = 0; // after a failure
-        for (const auto &occurrence : job->job.occurrences()) {
+        for (const auto &[number, occurrence] : job->job.occurrences()) {
             for (const auto &step : occurrence.steps) {
-                const auto isWaiting = [](const jobs::Task &it) { return it.isWaiting(); };
                 const auto isDelayed = [&](const jobs::Task &it) { return it.isWaiting() && now < it.retryAt; };
-                waiting += static_cast<std::size_t>(std::ranges::count_if(step.tasks, isWaiting));
-                delayed += static_cast<std::size_t>(std::ranges::count_if(step.tasks, isDelayed));
+                waiting += static_cast<std::size_t>(step.waitingCount());
+                delayed += step.countKnown(isDelayed);
             }
         }
         if (waiting > 0) {
@@ -263,9 +263,13 @@
     }
 }
 
-// A former leader may have started a job that was stored after this leader read the jobs.
+// A former leader may have started a job that was stored after this leader read the jobs, or one that this
+// leader has deferred.
 bool Fleet::Private::mayBelongToUnreadJob(const workers::Run &run) const
 {
+    if (deferredJobs.contains(run.task.job)) {
+        return true;
+    }
     const bool areAllJobsRead = jobsReadAt && *jobsReadAt > run.orderedAt;
     return !run.areNeedsKnown && !areAllJobsRead && !readJobs.contains(run.task.job);
 }
--- a/src/execution/fleetqueue.cpp
+++ b/src/execution/fleetqueue.cpp
@@ -13,6 +13,11 @@
 constexpr int LateFactor = 3;
 // Expected run times are recomputed after this time.
 constexpr Duration ExpectedRunTimeValidity = 2s;
+// Occurrences of a timed job open ahead of what can start as long as fewer of its tasks than this wait: more
+// than are started between two plans.
+constexpr std::int64_t MaxReadyTasks = 1000;
+// Of all timed jobs together. A plan looks at each one.
+constexpr std::int64_t MaxOpenTimedSteps = 4000;
 // A waiting job's rank is recomputed after this time.
 constexpr Duration RankValidity = 250ms;
 
@@ -88,7 +93,7 @@
         }
         if (!step.isDone()) {
             // Those at work have a part of their time behind them.
-            const int waiting = spec.steps[n].count - step.doneCount - step.activeCount;
+            const int waiting = step.waitingCount();
             pathTimes[n] += job.runTimes[n].longestOf(waiting) + startPace.timeFor(waiting);
         }
         outlook.remaining = std::max(outlook.remaining, pathTimes[n]);
@@ -133,17 +138,26 @@
 {
     const auto &spec = job.job.spec();
     if (spec.isTimed()) {
-        job.job.openDueOccurrences(wall);
+        const auto openBefore = job.openTimedSteps;
+        job.job.openDueOccurrences(wall, {MaxReadyTasks, MaxOpenTimedSteps - (openTimedSteps - openBefore)});
+        job.openTimedSteps = job.job.openSteps();
+        openTimedSteps += job.openTimedSteps - openBefore;
+        const int overdue = job.job.overdueCount(wall);
+        counts.overdueOccurrences += static_cast<std::size_t>(overdue - job.overdueOccurrences);
+        job.overdueOccurrences = overdue;
+    } else {
+        job.job.releaseDone();
     }
+    recountMemory(job);
     const auto countBefore = waiting.size();
-    for (int k = 0; k < static_cast<int>(job.job.occurrences().size()); ++k) {
-        if (job.job.occurrences()[static_cast<std::size_t>(k)].openSteps == 0) {
+    for (const auto &[k, occurrence] : job.job.occurrences()) {
+        if (occurrence.isDone()) {
             continue;
         }
         scheduling::Rank rank;
         bool isRanked = false;
         for (int s = 0; s < static_cast<int>(spec.steps.size()); ++s) {
-            if (!job.job.step(k, s).hasWaiting() || !job.job.isReady(k, s)) {
+            if (!occurrence.steps[static_cast<std::size_t>(s)].hasWaiting() || !job.job.isReady(k, s)) {
                 continue;
             }
             if (!isRanked) {
@@ -153,8 +167,7 @@
             waiting.push_back({&job, k, s, rank});
         }
     }
-    const bool hasLaterOccurrence = static_cast<int>(job.job.occurrences().size()) < spec.occurrenceCount();
-    return waiting.size() > countBefore || hasLaterOccurrence;
+    return waiting.size() > countBefore || job.job.hasLaterOccurrence();
 }
 
 } // namespace monsoonspool::execution
--- a/src/execution/fleetstandstill.cpp
+++ b/src/execution/fleetstandstill.cpp
@@ -58,16 +58,13 @@
 std::optional<jobs::TaskId> Fleet::Private::firstWaitingTask(const TrackedJob &job) const
 {
     const auto &spec = job.job.spec();
-    for (int k = 0; k < static_cast<int>(job.job.occurrences().size()); ++k) {
+    for (const auto &[k, occurrence] : job.job.occurrences()) {
         for (int s = 0; s < static_cast<int>(spec.steps.size()); ++s) {
-            const auto &step = job.job.step(k, s);
+            const auto &step = occurrence.steps[static_cast<std::size_t>(s)];
             if (!step.hasWaiting() || !job.job.isReady(k, s)) {
                 continue;
             }
-            const auto task = std::ranges::find_if(step.tasks, &jobs::Task::isWaiting);
-            if (task != step.tasks.end()) {
-                return jobs::TaskId{job.job.key(), k, s, static_cast<int>(task - step.tasks.begin())};
-            }
+            return jobs::TaskId{job.job.key(), k, s, step.firstWaiting()};
         }
     }
     return std::nullopt;
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "execution/deferredjobs.h"
 #include "execution/fleet.h"
+#include "jobs/memorybudget.h"
 #include "jobs/runtimeestimator.h"
 #include "scheduling/interferencefreecapacity.h"
 #include "scheduling/interferencemodel.h"
@@ -54,6 +56,9 @@
     int activeRuns = 0; // on all workers
     bool wasStartedOverdue = false; // see scheduling::RankInput; not known of jobs begun by a former leader
     bool isFinalStateStored = false;
+    std::int64_t openTimedSteps = 0; // at the last plan; see Job::openSteps()
+    int overdueOccurrences = 0; // at the last plan; see Job::overdueCount()
+    std::size_t countedBytes = 0; // in the memory budget
 
     // Forecasts for each step's tasks, and values derived from them: a step takes as long as its longest
     // task. Cached for a short time because every plan needs them.
@@ -110,6 +115,9 @@
 // Time between two reports of how many jobs were done in time.
 inline constexpr Duration OutcomeReportInterval = 5s;
 
+// Time between two reports of what jobs take of the memory.
+inline constexpr Duration MemoryReportInterval = 5s;
+
 // Returns whether a job is counted by its outcome: it runs once, and ends.
 bool isCountedByOutcome(const jobs::JobSpec &spec);
 // Returns the number of start orders that a job needs if none of its runs fails.
@@ -118,7 +126,7 @@
 // State of Fleet. Its event handling is in fleet.cpp, fleetlistings.cpp, fleetcrashes.cpp,
 // fleetevacuation.cpp and fleettakeover.cpp; fleetplan.cpp makes a plan by the steps in
 // fleetdraining.cpp, fleetpacing.cpp, fleetqueue.cpp, fleetplacement.cpp, fleetlocality.cpp,
-// fleetmoves.cpp, fleetindoubt.cpp, fleetstandstill.cpp and fleetoutcomes.cpp.
+// fleetmoves.cpp, fleetindoubt.cpp, fleetstandstill.cpp, fleetoutcomes.cpp and fleetmemory.cpp.
 struct Fleet::Private
 {
     explicit Private(DecisionLog &decisionLog);
@@ -157,6 +165,18 @@
     void noteHealthyRuns(workers::Worker &worker, TimePoint now);
     // Logs the size of a job with many tasks that are due.
     void reportIfLarge(const AcceptedJob &job, jobs::WallTime wall) const;
+    std::unique_ptr<TrackedJob> track(AcceptedJob job, TimePoint now, jobs::WallTime wall) const;
+    void addJob(std::unique_ptr<TrackedJob> tracked, TimePoint now);
+    // Returns the approximate number of bytes that a job takes.
+    static std::size_t memoryUse(const TrackedJob &job);
+    // Brings the memory budget up to date with a job.
+    void recountMemory(TrackedJob &job);
+    void eraseJob(jobs::JobKey key);
+    void noteDeferredProgress(jobs::JobKey key, const jobs::JobProgress &progress);
+    // Forgets a deferred job that is over.
+    void forgetDeferred(jobs::JobKey key);
+    // Logs at intervals what the jobs take, while that is much or jobs wait for room.
+    void reportMemory(TimePoint now);
     void recordIfOver(TrackedJob &job, bool wasOpen, std::string_view cause, TimePoint now);
     // Marks the stored progress that a run of the task has changed as outdated.
     void markChanged(const TrackedJob &job, const jobs::TaskId &task);
@@ -385,6 +405,10 @@
     std::set<WorkerId> takenSilent; // those of the row that was taken last
     std::map<std::string, jobs::QueuePolicy, std::less<>> queues;
     std::unordered_map<jobs::JobKey, std::unique_ptr<TrackedJob>> jobsByKey;
+    std::int64_t openTimedSteps = 0; // of all jobs
+    jobs::MemoryBudget memory{DefaultJobMemoryLimit};
+    DeferredJobs deferredJobs;
+    TimePoint memoryReportDueAt;
     std::unordered_set<jobs::JobKey> readJobs; // in this term, including those that were dropped
     std::unordered_set<jobs::JobKey> unreadJobs; // of runs that workers listed before the job was read
     std::unordered_set<jobs::JobKey> jobsToPlace; // those that may have tasks to start
--- a/src/execution/jobrequesthandler.cpp
+++ b/src/execution/jobrequesthandler.cpp
@@ -94,6 +94,28 @@
         submission->pause = std::min(submission->pause * 2, MaxRetry);
     }
 
+    // A client that got no answer sends its job again, which may have been accepted before.
+    void refuseUnlessStored(const SubmissionPointer &submission)
+    {
+        readProgress(
+            submission->key, submission->deadline, FirstRetry,
+            [self = shared_from_this(), submission](const ports::AsyncResult<std::optional<StoredProgress>> &result) {
+                if (submission->isAnswered) {
+                    return;
+                }
+                if (!result.isOk()) {
+                    self->finish(*submission, SubmitResult::Unknown, errorInfo(result.failure().kind).name);
+                } else if (result.value()) {
+                    const bool isAccepted = result.value()->progress.isAccepted;
+                    self->finish(*submission, isAccepted ? SubmitResult::Accepted : SubmitResult::Cancelled,
+                                 isAccepted ? "already stored" : "cancelled before it was accepted");
+                } else {
+                    ++self->refusedByFullQueue;
+                    self->finish(*submission, SubmitResult::Full, "the queue is full");
+                }
+            });
+    }
+
     // Returns whether the rows that caused a conflict show an accepted job, or one that was cancelled
     // before it was accepted; nullopt if they cannot be read.
     std::optional<bool> isAcceptedBy(std::span<const ports::StoredRow> rows) const
@@ -118,7 +140,7 @@
     void finish(Submission &submission, SubmitResult answer, std::string_view why)
     {
         submission.isAnswered = true;
-        constexpr std::string_view names[] = {"accepted", "not accepted", "invalid", "cancelled", "unknown"};
+        constexpr std::string_view names[] = {"accepted", "not accepted", "full", "invalid", "cancelled", "unknown"};
         log.record("job-submitted",
                    {{"job", submission.key},
                     {"answer", names[static_cast<std::size_t>(answer)]},
@@ -307,6 +329,8 @@
     TimePoint refusalReportDueAt;
     TimePoint lastContactAt;
     Epoch fence; // of the leader row as last read
+    std::vector<std::string> fullQueues; // likewise
+    std::uint64_t refusedByFullQueue = 0;
 };
 
 JobRequestHandler::JobRequestHandler(ports::ChangeStore &store, ports::Scheduler &scheduler, const RowCodec &codec,
@@ -332,6 +356,19 @@
     d->limiter.recordStored(count);
 }
 
+void JobRequestHandler::recordFullQueues(std::span<const std::string> queues)
+{
+    if (!std::ranges::equal(queues, d->fullQueues)) {
+        d->fullQueues.assign(queues.begin(), queues.end());
+        d->log.record("full-queues", {{"queues", queues.size()}, {"firstQueue", queues.empty() ? "" : queues.front()}});
+    }
+}
+
+std::uint64_t JobRequestHandler::refusedByFullQueue() const
+{
+    return d->refusedByFullQueue;
+}
+
 const TombstoneRequestCounts &JobRequestHandler::tombstoneCounts() const
 {
     return d->limiter.counts();
@@ -341,6 +378,7 @@
 {
     auto submission = std::make_shared<Private::Submission>();
     job.knownFence = d->fence;
+    const auto queue = job.policy.queue;
     submission->key = job.key;
     submission->commit.conditions.push_back({progressRow(job.key), 0});
     auto value = d->codec.encode(job);
@@ -363,6 +401,10 @@
             self->finish(*submission, SubmitResult::Unknown, "no reply from the store before the deadline");
         }
     });
+    if (std::ranges::find(d->fullQueues, queue) != d->fullQueues.end()) {
+        d->refuseUnlessStored(submission);
+        return;
+    }
     d->trySubmit(submission);
 }
 
--- a/src/execution/jobrequesthandler.h
+++ b/src/execution/jobrequesthandler.h
@@ -6,8 +6,11 @@
 #include "ports/changestore.h"
 #include "ports/scheduler.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <span>
+#include <string>
 
 namespace monsoonspool::execution {
 
@@ -19,6 +22,7 @@
 enum class SubmitResult {
     Accepted, // stored, by this call or an earlier one
     NotAccepted, // certainly not stored, and this call will not store it later
+    Full, // the same, since the queue's jobs take all the memory that it may use
     Invalid, // not stored, and cannot be, as the job is too large
     Cancelled, // not stored, and never will be, as the job was cancelled before
     Unknown, // may have been stored; the client should retry with the same key
@@ -54,6 +58,10 @@
     void recordFence(Epoch fence);
     // Records the number of tombstones in the store, as the leader's row says.
     void recordTombstones(std::size_t count);
+    // Records the queues that accept no more jobs, as the leader's row says.
+    void recordFullQueues(std::span<const std::string> queues);
+    // Returns the number of submissions that were refused since their queue was full.
+    std::uint64_t refusedByFullQueue() const;
     const TombstoneRequestCounts &tombstoneCounts() const;
 
     // Calls `reply` by `deadline` at the latest.
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -1,6 +1,7 @@
 #include "execution/leaderterm.h"
 
 #include "execution/interferencepersister.h"
+#include "execution/jobrowreader.h"
 #include "execution/progresswriter.h"
 #include "execution/rosterwriter.h"
 #include "execution/rowlayout.h"
@@ -61,6 +62,7 @@
                         start.silentWorkers);
         fleet.setQueues(start.queues);
         fleet.setMoveCost(start.moveCost);
+        fleet.setJobMemoryLimit(start.jobMemoryLimit);
         if (start.evacuations) {
             fleet.setEvacuations(*start.evacuations);
         }
@@ -72,13 +74,14 @@
                                  WorkerController::Hooks{[this] { requestPlan(); }, [this] { onStartAnswered(); },
                                                          hooks.onFenced, hooks.mayDecide});
         jobWatcher.emplace(ports.store, ports.scheduler, ports.log, std::string(JobsTable), jobParts(), WatchTimeout,
-                           TableWatcher::Hooks{[this](auto rows) { onJobSnapshot(rows); },
-                                               [this](auto rows) { onJobRows(rows); }, [](Duration) {},
+                           TableWatcher::Hooks{[this](auto) { onJobsRead(); }, [this](auto rows) { onJobRows(rows); },
+                                               [](Duration) {},
                                                [this](TimePoint time, std::uint64_t version) {
                                                    jobsReadAt = time;
                                                    jobsReadVersion = version;
                                                    fleet.noteJobsRead(time);
-                                               }});
+                                               },
+                                               [this](auto rows) { onJobRows(rows); }});
     }
 
     void shortenFormerLeases(TimePoint time, Duration slack, std::string_view event)
@@ -97,23 +100,27 @@
         }
     }
 
-    void onJobSnapshot(std::span<const ports::StoredRow> rows)
+    void onJobsRead()
     {
-        onJobRows(rows);
-        if (isLoaded) {
+        if (isLoaded || progressReader) {
             return; // a later snapshot, after the store dropped its history
         }
         // Read after the jobs, so that it includes the progress of every job read.
-        progressReader.emplace(
-            ports.store, ports.scheduler, ports.log, std::string(ProgressTable), jobParts(), WatchTimeout,
-            TableWatcher::Hooks{[this](auto progress) { onProgressSnapshot(progress); }, [](auto) {}, [](Duration) {}});
+        progressReader.emplace(ports.store, ports.scheduler, ports.log, std::string(ProgressTable), jobParts(),
+                               WatchTimeout,
+                               TableWatcher::Hooks{[this](auto) { onProgressRead(); },
+                                                   [](auto) {},
+                                                   [](Duration) {},
+                                                   {},
+                                                   [this](auto rows) {
+                                                       for (const auto &it : rows) {
+                                                           onProgressRow(it);
+                                                       }
+                                                   }});
     }
 
-    void onProgressSnapshot(std::span<const ports::StoredRow> rows)
+    void onProgressRead()
     {
-        for (const auto &it : rows) {
-            onProgressRow(it);
-        }
         isLoaded = true;
         ports.log.record("tenure-loaded",
                          {{"fence", fleet.fence().value},
@@ -143,8 +150,10 @@
                     tombstoneRemover->noteRead(section->job, row.version); // there is no such job
                     return {};
                 }
-                progressWriter->recordVersion(*section, row.version);
                 fleet.restoreProgress(section->job, progress);
+                if (fleet.find(section->job) != nullptr) {
+                    progressWriter->recordVersion(*section, row.version);
+                }
                 return {};
             },
             [&](const Failure &failure) {
@@ -180,23 +189,72 @@
     {
         handleFailure(
             [&]() -> Result<void> {
-                BOOST_LEAF_AUTO(job, ports.codec.decodeJob(row.value));
-                job.key = key;
-                job.version = row.version;
+                BOOST_LEAF_AUTO(job, decodeJob(key, row));
                 if (job.knownFence > fleet.fence()) {
                     ports.log.record(
                         "job-of-successor",
                         {{"job", key}, {"jobFence", job.knownFence.value}, {"fence", fleet.fence().value}});
                     hooks.onFenced();
                 }
-                progressWriter->recordVersion({key, 0}, row.version);
-                fleet.addJob(std::move(job), ports.scheduler.now(), ports.wallNow());
+                if (fleet.addJob(std::move(job), ports.scheduler.now(), ports.wallNow())) {
+                    progressWriter->recordVersion({key, 0}, row.version);
+                }
                 return {};
             },
-            [&](const Failure &failure) {
-                fleet.addUnreadableJob(key);
-                ports.log.record("row-unreadable", {{"key", row.name.key}, {"detail", failure.detail}});
-            });
+            [&](const Failure &failure) { onUnreadableJob(key, row, failure); });
+    }
+
+    void onUnreadableJob(jobs::JobKey key, const ports::StoredRow &row, const Failure &failure)
+    {
+        fleet.addUnreadableJob(key);
+        ports.log.record("row-unreadable", {{"key", row.name.key}, {"detail", failure.detail}});
+    }
+
+    Result<AcceptedJob> decodeJob(jobs::JobKey key, const ports::StoredRow &row) const
+    {
+        BOOST_LEAF_AUTO(job, ports.codec.decodeJob(row.value));
+        job.key = key;
+        job.version = row.version;
+        return job;
+    }
+
+    // Reads one deferred job at a time, as soon as there is room for it.
+    void readDeferredJob()
+    {
+        if (isReadingDeferred || !isLoaded) {
+            return;
+        }
+        const auto key = fleet.takeDeferredJob();
+        if (!key) {
+            return;
+        }
+        isReadingDeferred = true;
+        deferredReader.emplace(ports.store, ports.scheduler, *key, [this, key = *key](const auto &rows) {
+            isReadingDeferred = false;
+            if (rows && fleet.isDeferred(key)) {
+                onDeferredRead(key, *rows);
+            }
+            requestPlan();
+        });
+    }
+
+    void onDeferredRead(jobs::JobKey key, const JobRows &rows)
+    {
+        if (!rows.job) {
+            onUnreadableJob(key, {jobRow(key), {}, 0}, {ErrorKind::MalformedMessage, "the row was removed"});
+            return;
+        }
+        handleFailure(
+            [&]() -> Result<void> {
+                BOOST_LEAF_AUTO(job, decodeJob(key, *rows.job));
+                progressWriter->recordVersion({key, 0}, rows.job->version);
+                fleet.addDeferredJob(std::move(job), ports.scheduler.now(), ports.wallNow());
+                return {};
+            },
+            [&](const Failure &failure) { onUnreadableJob(key, *rows.job, failure); });
+        for (const auto &it : rows.progress) {
+            onProgressRow(it);
+        }
     }
 
     void onWorkerSnapshot(std::span<const ports::StoredRow> rows)
@@ -301,6 +359,7 @@
 
     void planAt(TimePoint now)
     {
+        readDeferredJob();
         // A plan that was scheduled before the host was paused runs before the tick that is overdue.
         if (now - tickDueAt > MaxTickDelay) {
             fleet.noteDelayed(now);
@@ -332,6 +391,8 @@
     std::optional<TableWatcher> jobWatcher;
     std::optional<TableWatcher> progressReader;
     std::optional<TableWatcher> workerWatcher;
+    std::optional<JobRowReader> deferredReader;
+    bool isReadingDeferred = false;
     StartLimiter startLimiter;
     LeaderLoadReport loadReport;
     TimePoint tickDueAt;
@@ -355,6 +416,7 @@
     d->jobWatcher.reset();
     d->progressReader.reset();
     d->workerWatcher.reset();
+    d->deferredReader.reset();
     d->workerController.reset();
     d->progressWriter.reset();
     d->interferencePersister.reset();
@@ -429,6 +491,11 @@
     return {d->fleet.waitingCounts(), d->jobsReadVersion, now - d->jobsReadAt};
 }
 
+std::vector<std::string> LeaderTerm::fullQueues(std::size_t most) const
+{
+    return d->fleet.fullQueues(most);
+}
+
 bool LeaderTerm::isLoaded() const
 {
     return d->isLoaded;
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -47,6 +47,7 @@
     std::optional<scheduling::MoveCost> moveCost = {}; // see ExecutionOptions
     std::optional<membership::Evacuations> evacuations = {}; // as read so far; none are followed if it is unset
     std::optional<double> remoteRunTimeFactor = {}; // see Fleet
+    std::size_t jobMemoryLimit = DefaultJobMemoryLimit; // in bytes; see Fleet
 };
 
 // One leadership term of this host: loads the stored state, watches jobs and workers,
@@ -92,6 +93,8 @@
     membership::WaitingCounts waitingCounts(TimePoint now) const;
     // Returns whether all stored jobs and their progress have been read.
     bool isLoaded() const;
+    // See Fleet.
+    std::vector<std::string> fullQueues(std::size_t most) const;
     FleetCounts counts() const;
     LeaderLoad load() const;
     // Returns the tombstones known; complete only once isLoaded().
--- a/src/execution/tablewatcher.cpp
+++ b/src/execution/tablewatcher.cpp
@@ -49,7 +49,14 @@
     {
         retryPause = FirstRetry;
         version = version == 0 ? page.version : std::min(version, page.version);
-        rows.insert(rows.end(), page.rows.begin(), page.rows.end());
+        if (hooks.onSnapshotPage) {
+            hooks.onSnapshotPage(page.rows);
+            if (isClosed) {
+                return;
+            }
+        } else {
+            rows.insert(rows.end(), page.rows.begin(), page.rows.end());
+        }
         if (page.isTruncated && !page.rows.empty()) {
             // The smallest key after the last one read.
             scan(page.rows.back().name.key + '\0');
--- a/src/execution/tablewatcher.h
+++ b/src/execution/tablewatcher.h
@@ -21,7 +21,7 @@
 public:
     struct Hooks
     {
-        // All rows of the table, replacing earlier snapshots and changes.
+        // All rows of the table, replacing earlier snapshots and changes; none if onSnapshotPage is set.
         std::function<void(std::span<const ports::StoredRow>)> onSnapshot;
         // Changed rows in order; may repeat rows of the snapshot.
         std::function<void(std::span<const ports::StoredRow>)> onChanges;
@@ -30,6 +30,9 @@
         // All rows stored before `time`, which include those up to `version`, were passed to the
         // other hooks. Optional.
         std::function<void(TimePoint time, std::uint64_t version)> onCaughtUp = {};
+        // The rows of a snapshot, page by page as they are read, so that the watcher holds no more than one.
+        // A snapshot that fails midway is begun again with its first page. Optional.
+        std::function<void(std::span<const ports::StoredRow>)> onSnapshotPage = {};
     };
 
     TableWatcher(ports::ChangeStore &store, ports::Scheduler &scheduler, DecisionLog &log, std::string table,
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -15,6 +15,20 @@
 // Of the crashes that fail the job of a gang, this many must have met the same member.
 constexpr std::size_t MinWorkerCrashesOfMember = 2;
 
+// What an entry of a std::map takes besides its key and value.
+constexpr std::size_t MapEntryOverhead = 40;
+
+// Returns the approximate number of bytes of the job's description.
+std::size_t descriptionBytes(const JobSpec &spec)
+{
+    auto bytes = spec.payload.capacity();
+    for (const auto &it : spec.steps) {
+        bytes += sizeof(it) + it.after.capacity() * sizeof(int) + it.requiredLabel.capacity() + it.dataRack.capacity()
+            + it.image.capacity();
+    }
+    return bytes;
+}
+
 void mergeRuns(std::vector<RunNumber> &runs, std::span<const RunNumber> others)
 {
     for (const auto it : others) {
@@ -69,27 +83,111 @@
     m_stepPositions.push_back(0);
     for (const auto &it : m_spec.steps) {
         m_stepPositions.push_back(m_stepPositions.back() + it.count);
+        m_firstTasks += it.after.empty() ? it.count : 0;
     }
+    m_descriptionBytes = descriptionBytes(m_spec);
     if (!m_spec.isTimed()) {
-        openOccurrence();
+        mutableOccurrence(0);
+        m_nextOccurrence = 1;
     }
 }
 
-void Job::openOccurrence()
+bool Job::isOver(int occurrence) const
 {
-    auto &occurrence = m_occurrences.emplace_back();
-    for (const auto &it : m_spec.steps) {
-        occurrence.steps.emplace_back().tasks.resize(static_cast<std::size_t>(it.count));
+    return static_cast<std::size_t>(occurrence) < m_areOver.size() && m_areOver[static_cast<std::size_t>(occurrence)];
+}
+
+WallTime Job::dueAt(int occurrence) const
+{
+    return m_spec.firstDue + m_spec.interval * static_cast<std::int64_t>(occurrence);
+}
+
+// A worker may report a run of an occurrence that is not due by this host's clock, or that is over.
+Occurrence &Job::mutableOccurrence(int occurrence)
+{
+    const auto [it, isNew] = m_occurrences.try_emplace(occurrence);
+    if (isNew) {
+        const bool isDone = isOver(occurrence);
+        for (const auto &spec : m_spec.steps) {
+            it->second.steps.emplace_back(spec.count, isDone);
+        }
+        it->second.openSteps = isDone ? 0 : static_cast<int>(m_spec.steps.size());
+    }
+    return it->second;
+}
+
+int Job::overdueCount(WallTime now) const
+{
+    return std::max(m_spec.dueCount(now) - m_nextOccurrence, 0);
+}
+
+std::int64_t Job::openSteps() const
+{
+    const auto open = std::ranges::count_if(m_occurrences, [](const auto &it) { return !it.second.isDone(); });
+    return open * static_cast<std::int64_t>(m_spec.steps.size());
+}
+
+std::int64_t Job::readyTasks() const
+{
+    std::int64_t tasks = 0;
+    for (const auto &[number, it] : m_occurrences) {
+        for (int s = 0; !it.isDone() && s < static_cast<int>(it.steps.size()); ++s) {
+            const int waiting = it.steps[static_cast<std::size_t>(s)].waitingCount();
+            tasks += waiting > 0 && isReady(number, s) ? waiting : 0;
+        }
+    }
+    return tasks;
+}
+
+void Job::openDueOccurrences(WallTime now, const OccurrenceLimits &limits)
+{
+    releaseDone();
+    if (!isOpen() || overdueCount(now) == 0) {
+        return;
+    }
+    const auto steps = static_cast<std::int64_t>(m_spec.steps.size());
+    auto ready = readyTasks();
+    auto open = openSteps();
+    while (hasLaterOccurrence() && dueAt(m_nextOccurrence) <= now) {
+        const bool isKnown = isOver(m_nextOccurrence) || m_occurrences.contains(m_nextOccurrence);
+        if (!isKnown) {
+            ready += m_firstTasks;
+            open += steps;
+            if (open > steps && (ready > limits.readyTasks || open > limits.openSteps)) {
+                return;
+            }
+            mutableOccurrence(m_nextOccurrence);
+        }
+        ++m_nextOccurrence;
+    }
+}
+
+void Job::releaseDone()
+{
+    for (auto it = m_occurrences.begin(); it != m_occurrences.end();) {
+        if (!m_spec.isTimed() || !it->second.isDone() || it->second.activeRuns > 0) {
+            for (auto &step : it->second.steps) {
+                step.releaseDone();
+            }
+            ++it;
+            continue;
+        }
+        m_areOver.resize(static_cast<std::size_t>(m_spec.occurrenceCount()));
+        m_areOver[static_cast<std::size_t>(it->first)] = true;
+        it = m_occurrences.erase(it);
     }
-    occurrence.openSteps = static_cast<int>(m_spec.steps.size());
 }
 
-void Job::openDueOccurrences(WallTime now)
+std::size_t Job::memoryUse() const
 {
-    while (isOpen() && static_cast<int>(m_occurrences.size()) < m_spec.occurrenceCount()
-           && m_spec.firstDue + m_spec.interval * static_cast<std::int64_t>(m_occurrences.size()) <= now) {
-        openOccurrence();
+    std::size_t bytes = sizeof(*this) + m_descriptionBytes + m_areOver.size() / 8;
+    for (const auto &[number, it] : m_occurrences) {
+        bytes += sizeof(std::pair<const int, Occurrence>) + MapEntryOverhead;
+        for (const auto &step : it.steps) {
+            bytes += step.memoryUse();
+        }
     }
+    return bytes;
 }
 
 bool Job::contains(const TaskId &id) const
@@ -103,40 +201,40 @@
 
 const Step &Job::step(int occurrence, int step) const
 {
-    return m_occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)];
+    return m_occurrences.at(occurrence).steps[static_cast<std::size_t>(step)];
 }
 
 Step &Job::mutableStep(int occurrence, int step)
 {
-    // A worker may report an occurrence that is not yet due by this host's clock.
-    while (static_cast<int>(m_occurrences.size()) <= occurrence) {
-        openOccurrence();
-    }
-    return m_occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)];
+    return mutableOccurrence(occurrence).steps[static_cast<std::size_t>(step)];
 }
 
 const Task &Job::task(const TaskId &id) const
 {
-    return step(id.occurrence, id.step).tasks[static_cast<std::size_t>(id.index)];
+    if (m_occurrences.contains(id.occurrence)) {
+        return step(id.occurrence, id.step).task(id.index);
+    }
+    static const Step newStep(1);
+    static const Step doneStep(1, true);
+    return isOver(id.occurrence) ? doneStep.task(0) : newStep.task(0);
 }
 
 Task &Job::mutableTask(const TaskId &id)
 {
-    return mutableStep(id.occurrence, id.step).tasks[static_cast<std::size_t>(id.index)];
+    return mutableStep(id.occurrence, id.step).mutableTask(id.index);
 }
 
 std::optional<RunNumber> Job::doneRun(const TaskId &id) const
 {
-    const bool isOpened = id.occurrence < static_cast<int>(m_occurrences.size());
-    return isOpened ? task(id).doneRun : std::nullopt;
+    return m_occurrences.contains(id.occurrence) ? step(id.occurrence, id.step).doneRun(id.index) : std::nullopt;
 }
 
-int Job::doneCount() const
+std::int64_t Job::doneCount() const
 {
-    int count = 0;
-    for (const auto &occurrence : m_occurrences) {
+    std::int64_t count = std::ranges::count(m_areOver, true) * m_stepPositions.back();
+    for (const auto &[number, occurrence] : m_occurrences) {
         for (const auto &it : occurrence.steps) {
-            count += it.doneCount;
+            count += isOver(number) ? 0 : it.doneCount();
         }
     }
     return count;
@@ -144,42 +242,31 @@
 
 bool Job::isReady(int occurrence, int step) const
 {
-    const auto &all = m_occurrences[static_cast<std::size_t>(occurrence)].steps;
+    const auto &all = m_occurrences.at(occurrence).steps;
     return std::ranges::all_of(stepSpec(step).after,
                                [&](int it) { return all[static_cast<std::size_t>(it)].isDone(); });
 }
 
 void Job::noteRunOrdered(const TaskId &id, RunNumber run)
 {
-    auto &step = mutableStep(id.occurrence, id.step);
-    auto &task = step.tasks[static_cast<std::size_t>(id.index)];
-    if (task.activeRuns++ == 0 && !task.isDone) {
-        ++step.activeCount;
-    }
-    task.lastRun = std::max(task.lastRun, run);
+    mutableStep(id.occurrence, id.step).noteRunOrdered(id.index, run);
+    ++mutableOccurrence(id.occurrence).activeRuns;
     if (m_state == JobState::Queued) {
         m_state = JobState::Running;
     }
 }
 
-void Job::markDone(int occurrence, int step, Task &task)
+void Job::markDone(int occurrence, int step, int index, std::optional<RunNumber> run)
 {
     auto &owner = mutableStep(occurrence, step);
-    if (task.isDone) {
+    if (!owner.markDone(index, run) || !owner.isDone()) {
         return;
     }
-    task.isDone = true;
-    ++owner.doneCount;
-    if (task.activeRuns > 0) {
-        --owner.activeCount;
-    }
-    if (!owner.isDone()) {
-        return;
+    auto &all = mutableOccurrence(occurrence);
+    if (--all.openSteps == 0) {
+        ++m_doneOccurrences;
     }
-    --m_occurrences[static_cast<std::size_t>(occurrence)].openSteps;
-    const bool isComplete = static_cast<int>(m_occurrences.size()) == m_spec.occurrenceCount()
-        && std::ranges::all_of(m_occurrences, [](const Occurrence &it) { return it.openSteps == 0; });
-    if (isComplete && isOpen()) {
+    if (m_doneOccurrences == m_spec.occurrenceCount() && isOpen()) {
         m_state = JobState::Completed;
     }
 }
@@ -203,21 +290,18 @@
 
 void Job::noteRunOver(const TaskId &id)
 {
-    auto &step = mutableStep(id.occurrence, id.step);
-    auto &task = step.tasks[static_cast<std::size_t>(id.index)];
-    if (task.activeRuns > 0 && --task.activeRuns == 0 && !task.isDone) {
-        --step.activeCount;
-    }
+    mutableStep(id.occurrence, id.step).noteRunOver(id.index);
+    auto &occurrence = mutableOccurrence(id.occurrence);
+    occurrence.activeRuns = std::max(occurrence.activeRuns - 1, 0);
 }
 
 bool Job::noteRunEnd(const TaskId &id, RunNumber run, RunEnd end, std::string_view checkpoint, int maxAttempts,
                      TimePoint now)
 {
-    auto &step = mutableStep(id.occurrence, id.step);
-    auto &task = step.tasks[static_cast<std::size_t>(id.index)];
-    if (task.isDone) {
+    if (this->task(id).isDone) {
         return false;
     }
+    auto &task = mutableTask(id);
     task.lastRun = std::max(task.lastRun, run);
     const bool hasRun = end == RunEnd::Done || end == RunEnd::Failed || end == RunEnd::Broken;
     m_hasBegun = m_hasBegun || hasRun;
@@ -229,13 +313,9 @@
         if (stepSpec(id.step).isLasting) {
             return keepCheckpoint(id);
         }
-        task.doneRun = run;
+        markDone(id.occurrence, id.step, id.index, run);
         if (stepSpec(id.step).isGang) {
-            for (auto &it : step.tasks) {
-                markDone(id.occurrence, id.step, it);
-            }
-        } else {
-            markDone(id.occurrence, id.step, task);
+            markGangDone(id.occurrence, id.step);
         }
         return true;
     case RunEnd::Failed: {
@@ -269,9 +349,7 @@
         mutableTask(id).endedCheckpoint = kept;
         return true;
     }
-    for (auto &it : mutableStep(id.occurrence, id.step).tasks) {
-        it.endedCheckpoint = kept;
-    }
+    mutableStep(id.occurrence, id.step).changeKnown([&](Task &it) { it.endedCheckpoint = kept; });
     return true;
 }
 
@@ -282,7 +360,7 @@
 
 int Job::crashCount(const TaskId &id) const
 {
-    if (id.occurrence >= static_cast<int>(m_occurrences.size())) {
+    if (!m_occurrences.contains(id.occurrence)) {
         return 0;
     }
     const auto &crashed = stepSpec(id.step).isGang ? step(id.occurrence, id.step).crashedRuns : task(id).crashedRuns;
@@ -292,9 +370,9 @@
 // Crashes under a gang may each have met another member. At least one member must have met two.
 void Job::failAfterCrashes(const TaskId &id)
 {
-    const auto &tasks = step(id.occurrence, id.step).tasks;
-    const bool isMet = !stepSpec(id.step).isGang
-        || std::ranges::any_of(tasks, [](const Task &it) { return it.crashedRuns.size() >= MinWorkerCrashesOfMember; });
+    const bool isMet = !stepSpec(id.step).isGang || step(id.occurrence, id.step).isAnyKnown([](const Task &it) {
+        return it.crashedRuns.size() >= MinWorkerCrashesOfMember;
+    });
     if (crashCount(id) >= MaxWorkerCrashes && isMet && !task(id).isDone && isOpen()) {
         m_state = JobState::Failed;
     }
@@ -307,10 +385,10 @@
 
 bool Job::noteWorkerCrash(const TaskId &id, RunNumber run, Duration ranFor)
 {
-    auto &task = mutableTask(id);
     if (!countsCrash(id, ranFor)) {
         return false;
     }
+    auto &task = mutableTask(id);
     if (std::ranges::find(task.crashedRuns, run) != task.crashedRuns.end()) {
         return false;
     }
@@ -322,26 +400,27 @@
 
 bool Job::notePossibleCrash(const TaskId &id, RunNumber run, Duration ranFor)
 {
-    auto &task = mutableTask(id);
-    if (!countsCrash(id, ranFor) || task.possiblyCrashedRun) {
+    if (!countsCrash(id, ranFor) || task(id).possiblyCrashedRun) {
         return false;
     }
-    task.possiblyCrashedRun = run;
+    mutableTask(id).possiblyCrashedRun = run;
     return true;
 }
 
 void Job::noteRunLost(const TaskId &id)
 {
-    mutableTask(id).wasLost = true;
+    if (!task(id).isDone) {
+        mutableTask(id).wasLost = true;
+    }
 }
 
 template <typename F>
 bool Job::isAnyMember(const TaskId &id, F isMet) const
 {
-    if (id.occurrence >= static_cast<int>(m_occurrences.size())) {
+    if (!m_occurrences.contains(id.occurrence)) {
         return false;
     }
-    return stepSpec(id.step).isGang ? std::ranges::any_of(step(id.occurrence, id.step).tasks, isMet) : isMet(task(id));
+    return stepSpec(id.step).isGang ? step(id.occurrence, id.step).isAnyKnown(isMet) : isMet(task(id));
 }
 
 bool Job::needsVerifiedStart(const TaskId &id) const
@@ -368,7 +447,7 @@
         it.wasLost = false;
     };
     if (stepSpec(id.step).isGang) {
-        std::ranges::for_each(mutableStep(id.occurrence, id.step).tasks, clear);
+        mutableStep(id.occurrence, id.step).changeKnown(clear);
     } else {
         clear(mutableTask(id));
     }
@@ -377,13 +456,14 @@
 
 void Job::noteAvoidedWorker(const TaskId &id, const WorkerId &worker)
 {
-    mutableTask(id).avoidedWorkers.push_back(worker);
+    if (!task(id).isDone) {
+        mutableTask(id).avoidedWorkers.push_back(worker);
+    }
 }
 
 std::span<const WorkerId> Job::avoidedWorkers(const TaskId &id) const
 {
-    return id.occurrence < static_cast<int>(m_occurrences.size()) ? task(id).avoidedWorkers
-                                                                  : std::span<const WorkerId>();
+    return task(id).avoidedWorkers;
 }
 
 // The worker of an earlier run may report its end after a later run has got further.
@@ -395,12 +475,17 @@
             it.checkpointRun = run;
         }
     };
+    if (task(id).isDone) {
+        return;
+    }
     if (!stepSpec(id.step).isGang) {
         note(mutableTask(id));
         return;
     }
     // All members of a gang resume from the same checkpoint.
-    std::ranges::for_each(mutableStep(id.occurrence, id.step).tasks, note);
+    for (int n = 0; n < stepSpec(id.step).count; ++n) {
+        note(mutableStep(id.occurrence, id.step).mutableTask(n));
+    }
 }
 
 void Job::cancel()
@@ -437,7 +522,7 @@
 
 JobProgress Job::progress() const
 {
-    return progressBetween(0, positionOf(static_cast<int>(m_occurrences.size()), 0));
+    return progressBetween(0, positionOf(m_spec.occurrenceCount(), 0));
 }
 
 JobProgress Job::progress(int section) const
@@ -455,12 +540,19 @@
     progress.state = m_state;
     auto checkpointBytes = MaxOptionalBytes;
     auto workerBytes = MaxOptionalBytes;
-    const int occurrences = static_cast<int>(m_occurrences.size());
-    for (int k = 0; k < occurrences && positionOf(k, 0) < last; ++k) {
-        auto &steps = progress.occurrences.emplace_back();
-        if (positionOf(k + 1, 0) <= first) {
+    const auto tasks = m_stepPositions.back();
+    const int begin = static_cast<int>(std::min<std::int64_t>(first / tasks, m_spec.occurrenceCount()));
+    const int end = static_cast<int>(std::min<std::int64_t>((last + tasks - 1) / tasks, m_spec.occurrenceCount()));
+    progress.firstOccurrence = begin < MaxPaddedOccurrences ? 0 : begin;
+    for (int k = begin; k < end; ++k) {
+        const bool isKnown = isOver(k)
+            || (m_occurrences.contains(k)
+                && !std::ranges::all_of(m_occurrences.at(k).steps, [](const Step &it) { return it.isUntouched(); }));
+        if (!isKnown) {
             continue;
         }
+        progress.occurrences.resize(static_cast<std::size_t>(k - progress.firstOccurrence));
+        auto &steps = progress.occurrences.emplace_back();
         for (int s = 0; s < static_cast<int>(m_spec.steps.size()) && positionOf(k, s) < last; ++s) {
             auto &stored = steps.emplace_back(stepProgress(k, s, first, last));
             std::erase_if(stored.checkpoints, [&](const auto &it) {
@@ -482,12 +574,20 @@
 {
     StepProgress stored;
     const auto position = positionOf(occurrence, step);
-    const auto &own = this->step(occurrence, step);
-    const auto end = std::min<std::int64_t>(last - position, static_cast<std::int64_t>(own.tasks.size()));
+    const auto end = std::min<std::int64_t>(last - position, stepSpec(step).count);
     const auto begin = std::clamp<std::int64_t>(first - position, 0, end);
     if (begin == end) {
         return stored;
     }
+    if (isOver(occurrence)) {
+        stored.tasks.assign(static_cast<std::size_t>(begin), StepProgress::OpenMark);
+        stored.tasks.append(static_cast<std::size_t>(end - begin), StepProgress::DoneMark);
+        return stored;
+    }
+    const auto &own = this->step(occurrence, step);
+    if (own.isUntouched()) {
+        return stored;
+    }
     if (begin == 0 && !own.failedRuns.empty()) {
         stored.failedRuns[StepProgress::GangIndex] = own.failedRuns;
     }
@@ -496,7 +596,7 @@
     }
     stored.tasks.assign(static_cast<std::size_t>(begin), StepProgress::OpenMark);
     for (auto n = begin; n < end; ++n) {
-        const auto &task = own.tasks[static_cast<std::size_t>(n)];
+        const auto &task = own.task(static_cast<int>(n));
         stored.tasks += task.isDone ? StepProgress::DoneMark : StepProgress::OpenMark;
         if (!task.failedRuns.empty()) {
             stored.failedRuns[static_cast<int>(n)] = task.failedRuns;
@@ -520,73 +620,81 @@
     return stored;
 }
 
+void Job::markGangDone(int occurrence, int step)
+{
+    for (int n = 0; n < stepSpec(step).count; ++n) {
+        markDone(occurrence, step, n);
+    }
+}
+
 void Job::restoreStep(int occurrence, int step, const StepProgress &stored)
 {
-    auto &own = mutableStep(occurrence, step);
-    for (std::size_t n = 0; n < std::min(stored.tasks.size(), own.tasks.size()); ++n) {
+    const auto count = static_cast<std::size_t>(stepSpec(step).count);
+    const auto taskOf = [&](int index) { return TaskId{m_key, occurrence, step, index}; };
+    const auto isMember = [&](int index) { return index >= 0 && index < static_cast<int>(count); };
+    for (std::size_t n = 0; n < std::min(stored.tasks.size(), count); ++n) {
         if (stored.tasks[n] == StepProgress::DoneMark) {
-            markDone(occurrence, step, own.tasks[n]);
+            markDone(occurrence, step, static_cast<int>(n));
         }
     }
     // The members of a gang are done together, also if only one of their sections was stored.
-    const auto isDone = [](const Task &it) { return it.isDone; };
-    if (stepSpec(step).isGang && std::ranges::any_of(own.tasks, isDone)) {
-        for (auto &it : own.tasks) {
-            markDone(occurrence, step, it);
-        }
+    if (stepSpec(step).isGang && stored.tasks.find(StepProgress::DoneMark) < count) {
+        markGangDone(occurrence, step);
     }
     for (const auto &[index, runs] : stored.failedRuns) {
         if (index == StepProgress::GangIndex) {
-            mergeRuns(own.failedRuns, runs);
-        } else if (index >= 0 && index < static_cast<int>(own.tasks.size())) {
-            mergeRuns(own.tasks[static_cast<std::size_t>(index)].failedRuns, runs);
+            mergeRuns(mutableStep(occurrence, step).failedRuns, runs);
+        } else if (isMember(index)) {
+            mergeRuns(mutableTask(taskOf(index)).failedRuns, runs);
         }
     }
     for (const auto &[index, runs] : stored.crashedRuns) {
         if (index == StepProgress::GangIndex) {
-            mergeRuns(own.crashedRuns, runs);
-        } else if (index >= 0 && index < static_cast<int>(own.tasks.size())) {
-            mergeRuns(own.tasks[static_cast<std::size_t>(index)].crashedRuns, runs);
+            mergeRuns(mutableStep(occurrence, step).crashedRuns, runs);
+        } else if (isMember(index)) {
+            mergeRuns(mutableTask(taskOf(index)).crashedRuns, runs);
         }
     }
     for (const auto &[index, run] : stored.possiblyCrashedRuns) {
-        if (index >= 0 && index < static_cast<int>(own.tasks.size())) {
-            own.tasks[static_cast<std::size_t>(index)].possiblyCrashedRun = run;
+        if (isMember(index)) {
+            mutableTask(taskOf(index)).possiblyCrashedRun = run;
         }
     }
     for (const auto &[index, workers] : stored.avoidedWorkers) {
-        if (index < 0 || index >= static_cast<int>(own.tasks.size())) {
+        if (!isMember(index)) {
             continue;
         }
-        auto &known = own.tasks[static_cast<std::size_t>(index)].avoidedWorkers;
+        auto &known = mutableTask(taskOf(index)).avoidedWorkers;
         std::ranges::copy_if(workers, std::back_inserter(known),
                              [&](const WorkerId &it) { return std::ranges::find(known, it) == known.end(); });
     }
     for (const auto &[index, checkpoint] : stored.checkpoints) {
         const auto n = index == StepProgress::GangIndex ? 0 : index;
-        if (n < 0 || n >= static_cast<int>(own.tasks.size())) {
-            continue;
-        }
-        const TaskId id{m_key, occurrence, step, n};
-        if (own.tasks[static_cast<std::size_t>(n)].checkpointRun < checkpoint.run) {
-            noteCheckpoint(id, checkpoint.run, checkpoint.text);
-            keepCheckpoint(id);
+        if (isMember(n) && task(taskOf(n)).checkpointRun < checkpoint.run) {
+            noteCheckpoint(taskOf(n), checkpoint.run, checkpoint.text);
+            keepCheckpoint(taskOf(n));
         }
     }
-    for (int n = 0; n < static_cast<int>(own.tasks.size()); ++n) {
-        failAfterCrashes({m_key, occurrence, step, n});
+    for (const auto &[index, runs] : stored.crashedRuns) {
+        const auto n = index == StepProgress::GangIndex ? 0 : index;
+        if (isMember(n)) {
+            failAfterCrashes(taskOf(n));
+        }
     }
 }
 
 void Job::restore(const JobProgress &progress)
 {
-    const auto occurrences = std::min(progress.occurrences.size(), static_cast<std::size_t>(m_spec.occurrenceCount()));
-    for (std::size_t k = 0; k < occurrences; ++k) {
-        const auto &steps = progress.occurrences[k];
+    const auto first = static_cast<std::size_t>(std::max(progress.firstOccurrence, 0));
+    const auto count = static_cast<std::size_t>(m_spec.occurrenceCount());
+    const auto occurrences = std::min(progress.occurrences.size(), count - std::min(first, count));
+    for (std::size_t n = 0; n < occurrences; ++n) {
+        const auto &steps = progress.occurrences[n];
         for (std::size_t s = 0; s < std::min(steps.size(), m_spec.steps.size()); ++s) {
-            restoreStep(static_cast<int>(k), static_cast<int>(s), steps[s]);
+            restoreStep(static_cast<int>(first + n), static_cast<int>(s), steps[s]);
         }
     }
+    releaseDone();
     const bool isMoreAdvanced = isFinal(progress.state) || m_state == JobState::Queued;
     if (isMoreAdvanced && m_state != JobState::Completed) {
         m_state = progress.state;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "jobs/jobspec.h"
+#include "jobs/step.h"
 #include "jobs/taskid.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <span>
@@ -45,59 +47,23 @@
 // meets many crashes of other causes in its life. A longer run clears the earlier crashes.
 constexpr Duration LastingTrialTime = 10s;
 
-// The state from which a task resumes.
-struct Checkpoint
-{
-    RunNumber run = 0; // that made it
-    std::string text; // opaque; empty to start from the beginning
-
-    bool operator==(const Checkpoint &) const = default;
-};
-
-struct Task
+struct Occurrence
 {
-    bool isDone = false;
-    std::optional<RunNumber> doneRun; // the run that was done, if this scheduler has seen its end
-    std::vector<RunNumber> failedRuns; // without duplicates, since an end may be listed repeatedly
-    std::vector<RunNumber> crashedRuns; // under which a worker crashed, without duplicates
-    std::optional<RunNumber> possiblyCrashedRun; // the first one whose worker crashed and that may not have begun
-    std::uint8_t activeRuns = 0; // runs that may be active on a worker
-    bool wasLost = false; // a run was lost with a silent worker, which may have crashed
-    RunNumber lastRun = 0;
-    std::string checkpoint; // to resume from; empty to start from the beginning
-    RunNumber checkpointRun = 0; // that made it
-    std::vector<WorkerId> avoidedWorkers; // on which a run failed or stalled
-    Checkpoint endedCheckpoint; // when a run ended last; stored, since no worker lists it any more
-    TimePoint retryAt; // earliest time of the next run
-    Duration retryDelay{0}; // after the last failure
-
-    bool isWaiting() const
-    {
-        return !isDone && activeRuns == 0;
-    }
-};
+    std::vector<Step> steps;
+    int openSteps = 0; // steps that are not done
+    int activeRuns = 0; // of all tasks
 
-struct Step
-{
-    std::vector<Task> tasks;
-    int doneCount = 0;
-    int activeCount = 0; // tasks that are not done and have an active run
-    std::vector<RunNumber> failedRuns; // of a gang, whose members fail together
-    std::vector<RunNumber> crashedRuns; // of a gang, under any of its members
     bool isDone() const
     {
-        return doneCount == static_cast<int>(tasks.size());
-    }
-    bool hasWaiting() const
-    {
-        return doneCount + activeCount < static_cast<int>(tasks.size());
+        return openSteps == 0;
     }
 };
 
-struct Occurrence
+// Bounds on what a job keeps open at a time of its occurrences that are due. One is opened whatever it takes.
+struct OccurrenceLimits
 {
-    std::vector<Step> steps;
-    int openSteps = 0; // steps that are not done
+    std::int64_t readyTasks = std::numeric_limits<std::int64_t>::max(); // that could start now
+    std::int64_t openSteps = std::numeric_limits<std::int64_t>::max(); // of occurrences that are not done
 };
 
 // The persistent state of a step.
@@ -122,7 +88,8 @@
 struct JobProgress
 {
     JobState state = JobState::Queued;
-    std::vector<std::vector<StepProgress>> occurrences; // empty until an occurrence is due or reported
+    std::vector<std::vector<StepProgress>> occurrences; // those of which nothing is known are empty
+    int firstOccurrence = 0; // the number of the first one of `occurrences`
     // False for a job that was cancelled before it was accepted. It is not known to its clients, and
     // is never accepted.
     bool isAccepted = true;
@@ -140,6 +107,9 @@
 // steps and occurrences, so that each fits into a row of the store: a task takes a byte, and some
 // bytes for each run that failed or crashed.
 constexpr int TasksPerSection = 1000;
+// The progress of occurrences below this number is stored with an empty entry for each one before it, which
+// earlier releases read as well.
+constexpr int MaxPaddedOccurrences = 256;
 // Checkpoints in a section take at most this many bytes, each counted with what encodes its task and
 // run, and so do avoided workers. A successor starts the tasks of other checkpoints from the beginning.
 constexpr std::size_t MaxOptionalBytes = 16384;
@@ -160,7 +130,9 @@
 //  - a task or gang under which MaxWorkerCrashes workers crashed fails the job, of a gang if two
 //    of them crashed under the same member; these runs are no failed attempts, and each is known to
 //    have begun, or to have been ordered from a process that was alive,
-//  - nothing starts after the job's state is final.
+//  - nothing starts after the job's state is final,
+//  - of a job whose times are due long before its work can be done, only the occurrences that may start soon
+//    take memory, and those that are over only mark that they are.
 //
 // Not thread-safe: owned by the control thread.
 class Job
@@ -195,11 +167,20 @@
     // Returns the run whose end as done was passed to noteRunEnd(), or nullopt if there was none.
     std::optional<RunNumber> doneRun(const TaskId &id) const;
     // Returns the number of tasks that are done, in all occurrences.
-    int doneCount() const;
-    std::span<const Occurrence> occurrences() const
+    std::int64_t doneCount() const;
+    // Returns the occurrences that have been due or reported, by number, but for those that were released
+    // since they are over.
+    const std::map<int, Occurrence> &occurrences() const
     {
         return m_occurrences;
     }
+    // Returns whether an occurrence is still to be opened by openDueOccurrences(), now or later.
+    bool hasLaterOccurrence() const
+    {
+        return m_nextOccurrence < m_spec.occurrenceCount();
+    }
+    // Returns the number of occurrences that are due and not opened yet.
+    int overdueCount(WallTime now) const;
     const StepSpec &stepSpec(int step) const
     {
         return m_spec.steps[static_cast<std::size_t>(step)];
@@ -208,8 +189,15 @@
     const Task &task(const TaskId &id) const;
     const Step &step(int occurrence, int step) const;
 
-    // Creates the occurrences that are due at `now`.
-    void openDueOccurrences(WallTime now);
+    // Creates the occurrences that are due at `now`, in their order, as far as the limits permit; the others
+    // are created once earlier ones have been started or are done. Releases those that are over.
+    void openDueOccurrences(WallTime now, const OccurrenceLimits &limits = {});
+    // Returns the number of steps in the occurrences that are not done.
+    std::int64_t openSteps() const;
+    // Releases the occurrences that are over and have no active run, and what is known of such tasks.
+    void releaseDone();
+    // Returns the approximate number of bytes in use.
+    std::size_t memoryUse() const;
     // Returns whether the step may start tasks.
     bool isReady(int occurrence, int step) const;
 
@@ -275,7 +263,10 @@
 private:
     Task &mutableTask(const TaskId &id);
     Step &mutableStep(int occurrence, int step);
-    void openOccurrence();
+    Occurrence &mutableOccurrence(int occurrence);
+    bool isOver(int occurrence) const;
+    std::int64_t readyTasks() const;
+    WallTime dueAt(int occurrence) const;
     // Returns the position of a step's first task among the tasks of all steps and occurrences.
     std::int64_t positionOf(int occurrence, int step) const;
     // Returns the progress of the tasks whose position is in the range.
@@ -284,7 +275,8 @@
     // Records that the task resumes from its present checkpoint. Returns whether the persistent state
     // changed.
     bool keepCheckpoint(const TaskId &id);
-    void markDone(int occurrence, int step, Task &task);
+    void markDone(int occurrence, int step, int index, std::optional<RunNumber> run = std::nullopt);
+    void markGangDone(int occurrence, int step);
     void restoreStep(int occurrence, int step, const StepProgress &stored);
     bool markFailed(const TaskId &id, RunNumber run, int maxAttempts);
     bool countsCrash(const TaskId &id, Duration ranFor) const;
@@ -300,8 +292,13 @@
     TimePoint m_acceptedAt;
     JobState m_state = JobState::Queued;
     bool m_hasBegun = false;
+    std::size_t m_descriptionBytes = 0;
+    std::int64_t m_firstTasks = 0; // of the steps of an occurrence that follow no other step
     std::vector<std::int64_t> m_stepPositions; // in an occurrence; the last entry is the number of its tasks
-    std::vector<Occurrence> m_occurrences; // those that have been due or reported
+    std::map<int, Occurrence> m_occurrences; // see occurrences()
+    int m_nextOccurrence = 0; // the first one that was not opened by its time
+    int m_doneOccurrences = 0;
+    std::vector<bool> m_areOver; // by occurrence, once one was released
 };
 
 } // namespace monsoonspool::jobs
--- a/src/jobs/jobspec.cpp
+++ b/src/jobs/jobspec.cpp
@@ -12,8 +12,9 @@
     if (firstDue > now) {
         return 0;
     }
-    return interval.count() == 0 ? occurrences
-                                 : static_cast<int>(std::min<std::int64_t>((now - firstDue) / interval + 1, occurrences));
+    return interval.count() == 0
+        ? occurrences
+        : static_cast<int>(std::min<std::int64_t>((now - firstDue) / interval + 1, occurrences));
 }
 
 bool JobSpec::isLasting() const
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -51,6 +51,7 @@
     std::optional<FormerLeader> former; // replaced by this row's claim; none if it had stopped
     std::vector<SilentWorker> silentWorkers;
     std::vector<Witness> witnesses; // empty in rows of earlier releases
+    std::vector<std::string> fullQueues; // of which no more jobs should be accepted
     std::size_t tombstones = 0; // of jobs that were cancelled before they were accepted, in the store
 };
 
--- a/tests/execution/testcluster.h
+++ b/tests/execution/testcluster.h
@@ -220,8 +220,13 @@
                                const auto error = clockErrors[static_cast<std::size_t>(n)];
                                return wallNow() + std::chrono::duration_cast<std::chrono::milliseconds>(error);
                            }},
-            ExecutionOptions{
-                host.name, ++host.incarnation, 1.0, {}, membership::DefaultEvacuationBound, remoteRunTimeFactor},
+            ExecutionOptions{host.name,
+                             ++host.incarnation,
+                             1.0,
+                             {},
+                             membership::DefaultEvacuationBound,
+                             remoteRunTimeFactor,
+                             memoryBytes},
             [](const ExecutionLoop::ConfigurationPointer &) {});
         host.loop->start();
     }
@@ -300,6 +305,7 @@
     std::array<Duration, HostCount> clockErrors{}; // of the hosts' wall clocks
     const std::size_t connectionsPerWorker;
     std::optional<double> remoteRunTimeFactor; // of hosts that are started from now on
+    std::size_t memoryBytes = ExecutionOptions().memoryBytes; // of hosts that are started from now on
     VirtualScheduler scheduler;
     TestTaskModel taskModel;
     SharedRows rows;
--- a/tests/jobs/jobtest.cpp
+++ b/tests/jobs/jobtest.cpp
@@ -254,6 +254,49 @@
     EXPECT_EQ(job.occurrences().size(), 2U);
 }
 
+// Guards against a job whose due times exceed what a leader can hold, and against times that never open: each
+// opens once the earlier ones leave room, and is over once.
+TEST(Job, OverdueOccurrencesOpenAsEarlierOnesAreDone)
+{
+    constexpr int times = 100;
+    auto spec = twoSteps();
+    spec.occurrences = times;
+    spec.interval = std::chrono::seconds(1);
+    const WallTime now(std::chrono::hours(1));
+    Job job({7}, spec, "plans", Now);
+    const OccurrenceLimits limits{4, 6}; // two occurrences
+    job.openDueOccurrences(now, limits);
+    EXPECT_EQ(job.occurrences().size(), 2U);
+    EXPECT_EQ(job.overdueCount(now), times - 2);
+    const auto bytes = job.memoryUse();
+    for (int k = 0; k < times; ++k) {
+        EXPECT_TRUE(job.isOpen());
+        for (const auto &[step, index] : {std::pair(0, 0), std::pair(0, 1), std::pair(1, 0)}) {
+            ASSERT_TRUE(job.occurrences().contains(k)) << k;
+            job.noteRunOrdered({{7}, k, step, index}, 1);
+            EXPECT_TRUE(job.noteRunEnd({{7}, k, step, index}, 1, RunEnd::Done, {}, MaxAttempts, Now));
+            job.noteRunOver({{7}, k, step, index});
+        }
+        job.openDueOccurrences(now, limits);
+        EXPECT_LE(job.memoryUse(), bytes + times);
+    }
+    EXPECT_EQ(job.state(), JobState::Completed);
+    EXPECT_EQ(job.doneCount(), times * 3);
+    EXPECT_FALSE(job.noteRunEnd({{7}, 3, 0, 0}, 2, RunEnd::Done, {}, MaxAttempts, Now)) << "listed again";
+    EXPECT_EQ(job.progress().occurrences.size(), std::size_t(times));
+
+    Job successor({7}, spec, "plans", Now);
+    auto progress = job.progress();
+    progress.state = JobState::Running;
+    progress.occurrences[50][1].tasks = ".";
+    successor.restore(progress);
+    EXPECT_TRUE(successor.isOpen());
+    successor.openDueOccurrences(now, limits);
+    EXPECT_EQ(successor.occurrences().size(), 1U);
+    EXPECT_TRUE(successor.noteRunEnd({{7}, 50, 1, 0}, 9, RunEnd::Done, {}, MaxAttempts, Now));
+    EXPECT_EQ(successor.state(), JobState::Completed);
+}
+
 TEST(Job, RefusesWhatCannotRun)
 {
     struct Case
