A stored job that no host would accept is set aside

What callers would see: a row that another program or an earlier release wrote, with a count of tasks below 1 or in the billions, ends each leader.

Cause: what clients submit is checked, what is read from the store was not.

Change: the leader checks a decoded job as a host checks a submission, and sets it aside with `row-unreadable`.

--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -210,9 +210,11 @@
         ports.log.record("row-unreadable", {{"key", row.name.key}, {"detail", failure.detail}});
     }
 
+    // Fails also for a job that no host accepts, whatever has written its row.
     Result<AcceptedJob> decodeJob(jobs::JobKey key, const ports::StoredRow &row) const
     {
         BOOST_LEAF_AUTO(job, ports.codec.decodeJob(row.value));
+        BOOST_LEAF_CHECK(jobs::validate(job.spec));
         job.key = key;
         job.version = row.version;
         return job;
--- a/tests/execution/jobmemorytest.cpp
+++ b/tests/execution/jobmemorytest.cpp
@@ -237,6 +237,22 @@
     EXPECT_EQ(violationsOf(cluster), "");
 }
 
+// Guards against a row that no host accepts, but that is in the store: the leader must neither end nor stop.
+TEST(JobMemory, ARowThatCannotBeRunIsSetAside)
+{
+    Cluster cluster;
+    cluster.scheduler.runFor(2s);
+    for (const int count : {-1, 0, 2'000'000'000}) {
+        auto job = makeJob(static_cast<std::uint64_t>(count) & 0xffff'ffff, {1, 1, 0});
+        job.spec.steps[0].count = count;
+        cluster.put(jobRow(job.key), cluster.codec.encode(job));
+    }
+    cluster.scheduler.runFor(1s);
+    cluster.submit(0, 7);
+    cluster.scheduler.runFor(3s);
+    EXPECT_EQ(cluster.workers.doneCount({7}), TasksPerJob);
+}
+
 TEST(DeferredJobs, ReturnsTheOldestOfEachQueueInTurn)
 {
     DeferredJobs deferred;
