The leader's row fits into the store whatever the number of queues

What callers would see: once jobs wait in some 2,000 queues, no leader can renew its row, so that one host after the other leads for some seconds.

Cause: the row has a count for each queue with waiting jobs, and nothing bounded it.

Change: the counts in the row take at most 32 KiB; the smallest are left out, and hosts that are asked for one of them answer 503 instead of 0. The leader itself knows all.

Evidence: WaitingCount.NoNumberOfQueuesEndsATerm.

--- a/src/codec/cborjobs.cpp
+++ b/src/codec/cborjobs.cpp
@@ -327,6 +327,7 @@
               {"formersDecideMs", toMilliseconds(row.formersDecideFor)}};
     putUnlessDefault(json, "tombstones", row.tombstones, std::size_t(0));
     putUnlessDefault(json, "full", row.fullQueues, {});
+    putUnlessDefault(json, "waitingTruncated", row.waiting.isTruncated, false);
     if (row.former) {
         json["former"] = {{"host", row.former->host.text()},
                           {"incarnation", row.former->incarnation},
@@ -357,6 +358,7 @@
         row.formersDecideFor = std::chrono::milliseconds(json.value("formersDecideMs", std::int64_t(0)));
         row.tombstones = json.value("tombstones", std::size_t(0));
         row.fullQueues = json.value("full", row.fullQueues);
+        row.waiting.isTruncated = json.value("waitingTruncated", false);
         if (const auto former = json.find("former"); former != json.end()) {
             row.former = {EntryHostId(former->at("host").get<std::string>()),
                           former->at("incarnation").get<std::uint64_t>(),
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -39,8 +39,10 @@
 constexpr Duration FirstReportRetry = 150ms;
 constexpr Duration MaxReportRetry = 1s;
 
-// Every host reads the leader's row.
+// Of the leader's row, which every host reads and which has to fit into a row of the store, whatever the number
+// of queues.
 constexpr std::size_t MaxFullQueues = 64;
+constexpr std::size_t MaxWaitingCountBytes = 32 * 1024;
 // Jobs may take this part of the host's memory. The rest is for workers, connections and the allocator.
 constexpr std::size_t JobMemoryPart = 4;
 
@@ -239,6 +241,7 @@
     void fillRow(membership::LeaderRow &row)
     {
         row.waiting = waitingCounts();
+        row.waiting.limitTo(MaxWaitingCountBytes);
         if (term && term->isLoaded()) {
             row.tombstones = term->tombstones().stored;
             row.fullQueues = term->fullQueues(MaxFullQueues);
--- a/src/execution/waitingcounter.cpp
+++ b/src/execution/waitingcounter.cpp
@@ -88,7 +88,7 @@
             return false;
         }
         isReading = false;
-        answer(counts.byQueue);
+        answer(counts);
         return true;
     }
 
@@ -122,9 +122,11 @@
                    {ErrorKind::StoreUnavailable, "too many jobs since the leader's last count"});
             return;
         }
-        readCounts = counts.byQueue;
+        readCounts = counts;
         for (const auto &[key, queue] : addedJobs) {
-            ++readCounts[queue];
+            if (const auto count = counts.find(queue)) {
+                readCounts.byQueue.try_emplace(queue, *count).first->second += 1;
+            }
         }
         readAt = beganAt;
         log.record("waiting-jobs-read", {{"leaderAgeMs", toMilliseconds(counts.age)}, {"addedJobs", addedJobs.size()}});
@@ -163,7 +165,7 @@
         scheduler.runAfter(RetryInterval, [self = shared_from_this()] { self->begin(); });
     }
 
-    void answer(const std::map<std::string, int> &counts)
+    void answer(const membership::WaitingCounts &counts)
     {
         for (const auto &it : std::exchange(requests, {})) {
             it.reply(countOf(counts, it.queue));
@@ -184,10 +186,12 @@
         }
     }
 
-    static int countOf(const std::map<std::string, int> &counts, const std::string &queue)
+    static ports::AsyncResult<int> countOf(const membership::WaitingCounts &counts, const std::string &queue)
     {
-        const auto it = counts.find(queue);
-        return it == counts.end() ? 0 : it->second;
+        if (const auto count = counts.find(queue)) {
+            return *count;
+        }
+        return Failure{ErrorKind::StoreUnavailable, "jobs wait in more queues than the leader's row can name"};
     }
 
     ports::ChangeStore &store;
@@ -200,7 +204,7 @@
     bool isReading = false;
     std::map<jobs::JobKey, std::string> addedJobs; // with their queues
     int pageCount = 0;
-    std::map<std::string, int> readCounts;
+    membership::WaitingCounts readCounts;
     std::optional<TimePoint> readAt; // when the last complete reading began
 };
 
@@ -221,7 +225,7 @@
     const auto counts = d->hooks.leaderCounts();
     const auto now = d->scheduler.now();
     if (counts.age <= MaxCountAge) {
-        reply(Private::countOf(counts.byQueue, queue));
+        reply(Private::countOf(counts, queue));
     } else if (d->readAt && now - *d->readAt <= ReadingValidity) {
         reply(Private::countOf(d->readCounts, queue));
     } else {
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace monsoonspool::membership {
 
@@ -21,6 +22,9 @@
 // Age of the counts while no leader has counted.
 constexpr Duration UnlimitedAge = 24h;
 
+// Bytes of an encoded count besides the name of its queue.
+constexpr std::size_t CountOverhead = 8;
+
 // Returns an upper bound of a time that another host has measured as `d`.
 Duration stretched(Duration d)
 {
@@ -29,6 +33,36 @@
 
 } // namespace
 
+void WaitingCounts::limitTo(std::size_t bytes)
+{
+    std::size_t used = 0;
+    for (const auto &[queue, count] : byQueue) {
+        used += queue.size() + CountOverhead;
+    }
+    if (used <= bytes) {
+        return;
+    }
+    std::vector<std::pair<int, std::string>> counts;
+    for (const auto &[queue, count] : byQueue) {
+        counts.emplace_back(count, queue);
+    }
+    std::ranges::sort(counts);
+    for (auto it = counts.begin(); used > bytes; ++it) {
+        used -= it->second.size() + CountOverhead;
+        byQueue.erase(it->second);
+    }
+    isTruncated = true;
+}
+
+std::optional<int> WaitingCounts::find(const std::string &queue) const
+{
+    const auto it = byQueue.find(queue);
+    if (it != byQueue.end()) {
+        return it->second;
+    }
+    return isTruncated ? std::nullopt : std::optional(0);
+}
+
 Duration claimDelay(double share, double bestShare, Duration storeRoundTrip)
 {
     const double best = bestShare > 0 ? bestShare : 1;
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -5,6 +5,7 @@
 #include "membership/witnesses.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -19,6 +20,12 @@
     std::map<std::string, int> byQueue;
     std::uint64_t version = 0; // of the store; jobs accepted up to it are counted
     Duration age{0}; // since the store was read up to it, from the writing of the row that holds this
+    bool isTruncated = false; // the counts of some queues are left out; otherwise those of 0
+
+    // Leaves out the smallest counts, so that the names of the queues take at most `bytes`.
+    void limitTo(std::size_t bytes);
+    // Returns the count of a queue, or nullopt if it is not known.
+    std::optional<int> find(const std::string &queue) const;
 };
 
 // A leader that may still decide although another host has claimed.
--- a/tests/execution/waitingcounttest.cpp
+++ b/tests/execution/waitingcounttest.cpp
@@ -196,4 +196,50 @@
     EXPECT_GE(replies, 990);
 }
 
+// Guards against a leader whose row does not fit into the store, since jobs wait in thousands of queues: it could
+// not renew its term, and neither could any other.
+TEST(WaitingCount, NoNumberOfQueuesEndsATerm)
+{
+    constexpr std::uint64_t queues = 4000;
+    Cluster cluster;
+    cluster.scheduler.runFor(3s);
+    const int leader = cluster.leader();
+    ASSERT_GE(leader, 0);
+    const auto fence = cluster.host(leader).loop->summary().fence;
+    for (std::uint64_t key = 1; key <= queues + 1; ++key) {
+        AcceptedJob job;
+        job.key = {key};
+        job.policy.queue = "queue-of-some-service-" + std::to_string(std::min(key, queues));
+        job.policy.service = ServiceName("without workers");
+        job.spec.steps.resize(1);
+        job.acceptedAt = cluster.wallNow();
+        cluster.host(leader).loop->jobRequestHandler().submit(std::move(job), cluster.scheduler.now() + 2500ms,
+                                                              [](SubmitResult) {});
+        if (key % 100 == 0) {
+            cluster.scheduler.runFor(100ms);
+        }
+    }
+    cluster.scheduler.runFor(20s);
+    EXPECT_EQ(cluster.leader(), leader);
+    EXPECT_EQ(cluster.host(leader).loop->summary().fence, fence) << "the term was not renewed";
+    const auto ask = [&](int host, std::uint64_t queue) {
+        std::optional<int> count;
+        cluster.host(host).loop->waitingJobs("queue-of-some-service-" + std::to_string(queue),
+                                             cluster.scheduler.now() + 2500ms,
+                                             [&](const auto &result) { count = result.isOk() ? result.value() : -1; });
+        cluster.scheduler.runFor(2501ms);
+        return count.value_or(-2);
+    };
+    int unknown = 0;
+    const int other = (leader + 1) % HostCount;
+    for (std::uint64_t n = 1; n < queues; n += 400) {
+        EXPECT_EQ(ask(leader, n), 1);
+        const int told = ask(other, n);
+        EXPECT_TRUE(told == 1 || told == -1) << told;
+        unknown += told == -1 ? 1 : 0;
+    }
+    EXPECT_GT(unknown, 0);
+    EXPECT_EQ(ask(other, queues), 2) << "the largest counts are told";
+}
+
 } // namespace monsoonspool::execution
