Rows of jobs that are over are removed

Cause: rows of jobs and progress were never removed, and a new leader built every job that was ever accepted before it read that nearly all are over.

Change: a job's row goes 5 s after its last run, its progress 180 s after its end (the platform asks for the status for 120 s; the latest submission under way is 46 s old).

Not done of this point: a new leader still decodes the progress of the last three minutes, and the figures over 1, 7 and 30 days.

--- a/src/execution/deferredjobs.cpp
+++ b/src/execution/deferredjobs.cpp
@@ -25,6 +25,12 @@
     m_jobs.erase(it);
 }
 
+std::optional<std::uint64_t> DeferredJobs::versionOf(jobs::JobKey key) const
+{
+    const auto it = m_jobs.find(key);
+    return it == m_jobs.end() ? std::nullopt : std::optional(it->second.version);
+}
+
 void DeferredJobs::clear()
 {
     m_jobs.clear();
--- a/src/execution/deferredjobs.h
+++ b/src/execution/deferredjobs.h
@@ -31,6 +31,8 @@
     {
         return m_jobs.contains(key);
     }
+    // Returns the version of the job's row, or nullopt if the job is not deferred.
+    std::optional<std::uint64_t> versionOf(jobs::JobKey key) const;
     std::size_t size() const
     {
         return m_jobs.size();
--- a/src/execution/executionloop.cpp
+++ b/src/execution/executionloop.cpp
@@ -583,6 +583,7 @@
     if (d->term) {
         summary.fleet = d->term->counts();
         summary.load = d->term->load();
+        summary.endedJobs = d->term->endedJobs();
         summary.tombstones = d->term->tombstones();
     }
     summary.tombstoneRequests = d->requestHandler.tombstoneCounts();
--- a/src/execution/executionloop.h
+++ b/src/execution/executionloop.h
@@ -36,6 +36,7 @@
     Duration clockJump{0}; // how far the wall clock is ahead of the time that is used
     FleetCounts fleet;
     LeaderLoad load; // while this host leads
+    EndedJobCounts endedJobs; // while this host leads
     TombstoneCounts tombstones; // while this host leads
     TombstoneRequestCounts tombstoneRequests; // of this host
     std::uint64_t refusedByFullQueue = 0; // submissions, of this host
--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -40,6 +40,8 @@
     d->openTimedSteps = 0;
     d->memory.clear();
     d->deferredJobs.clear();
+    d->droppedJobs.clear();
+    d->overWhileDeferred.clear();
     d->memoryReportDueAt = now + MemoryReportInterval;
     d->counts.overdueOccurrences = 0;
     d->readJobs.clear();
@@ -288,7 +290,7 @@
 {
     auto *job = d->findJob(key);
     if (job == nullptr) {
-        d->forgetDeferred(key);
+        d->forgetDeferred(key, jobs::JobState::Cancelled);
         return;
     }
     if (!job->job.isOpen()) {
@@ -499,6 +501,16 @@
     }
 }
 
+std::vector<DroppedJob> Fleet::takeDroppedJobs()
+{
+    return std::exchange(d->droppedJobs, {});
+}
+
+void Fleet::forget(jobs::JobKey key)
+{
+    d->readJobs.erase(key);
+}
+
 // While some workers have not reported, a finished job may still have runs on them, and
 // the resources that these runs need must stay known.
 void Fleet::Private::dropIfFinished(jobs::JobKey key)
@@ -507,6 +519,7 @@
     if (job != nullptr && job->isFinalStateStored && job->activeRuns == 0 && unreportedWorkers.empty()) {
         changedSections.erase(changedSections.lower_bound({key, 0}),
                               changedSections.upper_bound({key, std::numeric_limits<int>::max()}));
+        droppedJobs.push_back({key, job->version, job->job.state() == jobs::JobState::Cancelled});
         eraseJob(key);
     }
 }
@@ -532,6 +545,8 @@
     for (const auto &it : keys) {
         dropIfFinished(it);
     }
+    droppedJobs.insert(droppedJobs.end(), overWhileDeferred.begin(), overWhileDeferred.end());
+    overWhileDeferred.clear();
 }
 
 std::vector<scheduling::LearnedInterference> Fleet::learnedInterference() const
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -45,6 +45,14 @@
     std::optional<std::vector<jobs::JobKey>> remainingJobs;
 };
 
+// A job that is over and of which nothing runs.
+struct DroppedJob
+{
+    jobs::JobKey key;
+    std::uint64_t version = 0; // of the job's row
+    bool isCancelled = false;
+};
+
 // Position up to which the run ends listed by one incarnation of a worker have been
 // applied.
 struct EndCursor
@@ -283,6 +291,10 @@
     void acknowledge(std::span<const EndCursor> cursors);
     // Marks a job's final state as stored; the job is dropped once it has no active runs.
     void markStored(jobs::JobKey key);
+    // Returns the jobs that were dropped since the last call: nothing of them runs, and their end is stored.
+    std::vector<DroppedJob> takeDroppedJobs();
+    // Forgets that the rows of a job were read, which do not exist any more.
+    void forget(jobs::JobKey key);
 
     // Returns event counters and the numbers of jobs and workers in constant time.
     const FleetCounts &counts() const;
--- a/src/execution/fleetmemory.cpp
+++ b/src/execution/fleetmemory.cpp
@@ -154,18 +154,20 @@
 void Fleet::Private::noteDeferredProgress(jobs::JobKey key, const jobs::JobProgress &progress)
 {
     if (jobs::isFinal(progress.state)) {
-        forgetDeferred(key);
+        forgetDeferred(key, progress.state);
     } else if (progress.state != jobs::JobState::Queued) {
         deferredJobs.markBegun(key);
     }
 }
 
 // Runs of the job that workers list are stopped now, and its ends are of no use.
-void Fleet::Private::forgetDeferred(jobs::JobKey key)
+void Fleet::Private::forgetDeferred(jobs::JobKey key, jobs::JobState state)
 {
-    if (deferredJobs.contains(key)) {
+    if (const auto version = deferredJobs.versionOf(key)) {
         deferredJobs.remove(key);
         readJobs.insert(key);
+        auto &dropped = unreportedWorkers.empty() ? droppedJobs : overWhileDeferred;
+        dropped.push_back({key, *version, state == jobs::JobState::Cancelled});
     }
 }
 
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -174,7 +174,7 @@
     void eraseJob(jobs::JobKey key);
     void noteDeferredProgress(jobs::JobKey key, const jobs::JobProgress &progress);
     // Forgets a deferred job that is over.
-    void forgetDeferred(jobs::JobKey key);
+    void forgetDeferred(jobs::JobKey key, jobs::JobState state);
     // Logs at intervals what the jobs take, while that is much or jobs wait for room.
     void reportMemory(TimePoint now);
     void recordIfOver(TrackedJob &job, bool wasOpen, std::string_view cause, TimePoint now);
@@ -408,6 +408,8 @@
     std::int64_t openTimedSteps = 0; // of all jobs
     jobs::MemoryBudget memory{DefaultJobMemoryLimit};
     DeferredJobs deferredJobs;
+    std::vector<DroppedJob> droppedJobs;
+    std::vector<DroppedJob> overWhileDeferred; // dropped once the takeover is complete
     TimePoint memoryReportDueAt;
     std::unordered_set<jobs::JobKey> readJobs; // in this term, including those that were dropped
     std::unordered_set<jobs::JobKey> unreadJobs; // of runs that workers listed before the job was read
--- a/src/execution/leaderterm.cpp
+++ b/src/execution/leaderterm.cpp
@@ -67,6 +67,8 @@
             fleet.setEvacuations(*start.evacuations);
         }
         tombstoneRemover.emplace(ports.store, ports.scheduler, ports.codec, ports.log);
+        endedJobRemover.emplace(ports.store, ports.scheduler, ports.codec, ports.log,
+                                [this](jobs::JobKey key) { fleet.forget(key); });
         interferencePersister.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log);
         progressWriter.emplace(ports.store, ports.scheduler, ports.codec, fleet, ports.log, start.claimVersion,
                                hooks.onFenced);
@@ -153,6 +155,10 @@
                 fleet.restoreProgress(section->job, progress);
                 if (fleet.find(section->job) != nullptr) {
                     progressWriter->recordVersion(*section, row.version);
+                } else if (section->number > 0) {
+                    endedJobRemover->noteSection(section->job, section->number);
+                } else if (jobs::isFinal(progress.state)) {
+                    endedJobRemover->noteProgress(section->job, row.version);
                 }
                 return {};
             },
@@ -177,6 +183,7 @@
                 continue;
             }
             if (isCancelKey(row.name.key)) {
+                noteCancelledProgress(*key, row.version);
                 fleet.cancel(*key);
             } else if (!fleet.hasRead(*key)) {
                 onJobRow(*key, row);
@@ -185,6 +192,31 @@
         requestPlan();
     }
 
+    // The same commit has written the job's progress row.
+    void noteCancelledProgress(jobs::JobKey key, std::uint64_t version)
+    {
+        if (fleet.find(key) != nullptr) {
+            progressWriter->recordVersion({key, 0}, version);
+        } else if (fleet.isDeferred(key)) {
+            endedJobRemover->noteProgress(key, version);
+        }
+    }
+
+    // Leaves the rows of jobs that are over to their removal.
+    void releaseDroppedJobs()
+    {
+        for (const auto &it : fleet.takeDroppedJobs()) {
+            endedJobRemover->noteOver(it.key, it.version, it.isCancelled);
+            for (const auto &[section, version] : progressWriter->takeVersions(it.key)) {
+                if (section == 0) {
+                    endedJobRemover->noteProgress(it.key, version);
+                } else {
+                    endedJobRemover->noteSection(it.key, section);
+                }
+            }
+        }
+    }
+
     void onJobRow(jobs::JobKey key, const ports::StoredRow &row)
     {
         handleFailure(
@@ -380,6 +412,8 @@
         rosterWriter->requestWrite();
         interferencePersister->writeIfDue(now);
         tombstoneRemover->removeIfDue(now);
+        releaseDroppedJobs();
+        endedJobRemover->removeIfDue(now);
     }
 
     ExecutionPorts ports;
@@ -387,6 +421,7 @@
     Fleet fleet;
     std::optional<RosterWriter> rosterWriter;
     std::optional<TombstoneRemover> tombstoneRemover;
+    std::optional<EndedJobRemover> endedJobRemover;
     std::optional<InterferencePersister> interferencePersister;
     std::optional<ProgressWriter> progressWriter;
     std::optional<WorkerController> workerController;
@@ -422,6 +457,7 @@
     d->workerController.reset();
     d->progressWriter.reset();
     d->interferencePersister.reset();
+    d->endedJobRemover.reset();
     d->tombstoneRemover.reset();
     d->rosterWriter.reset();
 }
@@ -521,6 +557,11 @@
             d->loadReport.planShare()};
 }
 
+EndedJobCounts LeaderTerm::endedJobs() const
+{
+    return d->endedJobRemover->counts();
+}
+
 TombstoneCounts LeaderTerm::tombstones() const
 {
     return d->tombstoneRemover->counts(d->ports.scheduler.now());
--- a/src/execution/leaderterm.h
+++ b/src/execution/leaderterm.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "execution/endedjobremover.h"
 #include "execution/fleet.h"
 #include "execution/leaderload.h"
 #include "execution/rowcodec.h"
@@ -98,6 +99,7 @@
     FleetCounts counts() const;
     LeaderLoad load() const;
     // Returns the tombstones known; complete only once isLoaded().
+    EndedJobCounts endedJobs() const;
     TombstoneCounts tombstones() const;
     // Returns whether the control thread runs late although it starts as little as possible.
     bool isOverloaded() const;
--- a/src/execution/progresswriter.cpp
+++ b/src/execution/progresswriter.cpp
@@ -172,7 +172,6 @@
         for (const auto &[key, state] : states) {
             if (jobs::isFinal(state)) {
                 fleet.markStored(key);
-                forgetIfDropped(key);
             }
         }
     }
@@ -207,14 +206,6 @@
         }
     }
 
-    void forgetIfDropped(jobs::JobKey key)
-    {
-        if (fleet.find(key) == nullptr) {
-            versions.erase(versions.lower_bound({key, 0}),
-                           versions.upper_bound({key, std::numeric_limits<int>::max()}));
-        }
-    }
-
     ports::ChangeStore &store;
     ports::Scheduler &scheduler;
     const RowCodec &codec;
@@ -251,6 +242,18 @@
     known = std::max(known, version);
 }
 
+std::vector<std::pair<int, std::uint64_t>> ProgressWriter::takeVersions(jobs::JobKey key)
+{
+    const auto first = d->versions.lower_bound({key, 0});
+    const auto last = d->versions.upper_bound({key, std::numeric_limits<int>::max()});
+    std::vector<std::pair<int, std::uint64_t>> versions;
+    for (auto it = first; it != last; ++it) {
+        versions.emplace_back(it->first.number, it->second);
+    }
+    d->versions.erase(first, last);
+    return versions;
+}
+
 void ProgressWriter::requestWrite()
 {
     if (d->pendingCommits == 0) {
--- a/src/execution/progresswriter.h
+++ b/src/execution/progresswriter.h
@@ -5,8 +5,11 @@
 #include "ports/changestore.h"
 #include "ports/scheduler.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <utility>
+#include <vector>
 
 namespace monsoonspool::execution {
 
@@ -31,6 +34,8 @@
 
     // Records the version of the row of a section.
     void recordVersion(const jobs::ProgressSection &section, std::uint64_t version);
+    // Returns the numbers and versions of the stored sections of a job that is over, and forgets them.
+    std::vector<std::pair<int, std::uint64_t>> takeVersions(jobs::JobKey key);
     // Schedules a round unless one is in progress.
     void requestWrite();
 
--- a/src/execution/tombstoneschedule.cpp
+++ b/src/execution/removalschedule.cpp
@@ -1,10 +1,10 @@
-#include "execution/tombstoneschedule.h"
+#include "execution/removalschedule.h"
 
 #include "execution/rowlayout.h"
 
 namespace monsoonspool::execution {
 
-void TombstoneSchedule::noteRead(jobs::JobKey job, std::uint64_t version, TimePoint now)
+void RemovalSchedule::noteRead(jobs::JobKey job, std::uint64_t version, TimePoint now)
 {
     auto &entry = m_entries[job];
     if (version <= entry.version) {
@@ -16,7 +16,7 @@
     part.insert({now, job});
 }
 
-void TombstoneSchedule::noteRemoved(jobs::JobKey job, std::uint64_t version)
+void RemovalSchedule::noteRemoved(jobs::JobKey job, std::uint64_t version)
 {
     const auto it = m_entries.find(job);
     if (it != m_entries.end() && it->second.version <= version) {
@@ -25,10 +25,10 @@
     }
 }
 
-std::vector<TombstoneSchedule::Tombstone> TombstoneSchedule::takeDue(TimePoint now)
+std::vector<RemovalSchedule::Due> RemovalSchedule::takeDue(TimePoint now)
 {
-    std::vector<Tombstone> due;
-    if (m_isRemoving || now - m_removedAt < TombstoneRemovalInterval) {
+    std::vector<Due> due;
+    if (m_isRemoving || now - m_removedAt < m_limits.interval) {
         return due;
     }
     const std::set<std::pair<TimePoint, jobs::JobKey>> *oldest = nullptr;
@@ -40,11 +40,15 @@
         return due;
     }
     for (const auto &[readAt, job] : *oldest) {
-        if (now - readAt < TombstoneLifetime || due.size() == TombstonesPerRemoval) {
+        if (now - readAt < m_limits.lifetime || due.size() == m_limits.mostPerRemoval) {
             break;
         }
         due.push_back({job, m_entries.at(job).version});
     }
+    const bool isFull = due.size() == m_limits.mostPerRemoval;
+    if (!isFull && now - oldest->begin()->first < m_limits.lifetime + m_limits.batchDelay) {
+        due.clear();
+    }
     if (!due.empty()) {
         m_isRemoving = true;
         m_removedAt = now;
@@ -52,12 +56,12 @@
     return due;
 }
 
-void TombstoneSchedule::noteRemovalEnded()
+void RemovalSchedule::noteRemovalEnded()
 {
     m_isRemoving = false;
 }
 
-Duration TombstoneSchedule::oldestAge(TimePoint now) const
+Duration RemovalSchedule::oldestAge(TimePoint now) const
 {
     Duration age{0};
     for (const auto &[part, entries] : m_byPart) {
--- a/src/execution/rowlayout.h
+++ b/src/execution/rowlayout.h
@@ -11,6 +11,8 @@
 
 // Store rows that hold the persistent state of job execution.
 //
+// The rows of a job are removed once it is over, see EndedJobRemover.
+//
 //   table     part   key         written                       read
 //   jobs      0..3   ID          once, when a job is accepted  by the leader, as it changes; by a
 //                                                              host that is asked how many wait
--- a/src/execution/waitingcounter.cpp
+++ b/src/execution/waitingcounter.cpp
@@ -136,11 +136,11 @@
     void onRow(const ports::StoredRow &row)
     {
         const auto key = jobOfKey(row.name.key);
-        if (!key || row.isRemoved) {
+        if (!key) {
             return;
         }
-        if (isCancelKey(row.name.key)) {
-            addedJobs.erase(*key);
+        if (row.isRemoved || isCancelKey(row.name.key)) {
+            addedJobs.erase(*key); // the job is over
             return;
         }
         handleFailure(
