Late answers of workers are applied, and slow domains have more time

Cause: an answer to a renewal was given up 0.7 s after it could be expected, and with it the ends that it lists; workers were then asked again each second, which filled the link further, and hundreds counted as silent at once.

Change: an answer is awaited 5 s, while silence is judged by a clock of its own, as soon as before. Where a twentieth of a domain's workers answer late at the same time, they have up to 3 s before they count as silent, and are not asked again each second. The loss of single workers is noticed as before.

--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -24,6 +24,7 @@
 // Near the end of the term, a renewal waits for this part of the remaining time at most: the
 // next one must reach the worker before its lease ends if the term is extended.
 constexpr int RenewalsPerTermEnd = 4;
+static_assert(ports::LateAnswerPatience < workers::RunLease);
 // A part of membership::SupportValidity, so that the support of the witnesses does not lapse between two answers.
 constexpr Duration WitnessWait = 250ms;
 constexpr int FullPercent = 100;
@@ -79,6 +80,7 @@
             wait = std::min(wait, WitnessWait);
         }
         order.wait = std::max(std::min(wait, (d->termEnd - now) / RenewalsPerTermEnd), Duration(0));
+        order.patience = ports::LateAnswerPatience;
     }
     return order;
 }
--- a/src/execution/workercontroller.cpp
+++ b/src/execution/workercontroller.cpp
@@ -1,7 +1,11 @@
 #include "execution/workercontroller.h"
 
+#include "workers/answertimes.h"
+
 #include <algorithm>
+#include <cstdint>
 #include <deque>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -40,24 +44,42 @@
     {
     }
 
+    // The renewals of one worker: each is sent after the answer to the one before it, or once that has counted as
+    // missing for FailureRetryDelay. The answer to an earlier one may still arrive.
+    struct Renewals
+    {
+        std::uint64_t chain = 0; // changes when a renewal is not followed by the next one
+        std::uint64_t sent = 0; // number of the renewal that was sent last
+        std::uint64_t applied = 0; // that of the latest one whose answer was applied
+        bool isSilent = false;
+        TimePoint expectedAt; // when the worker should answer the renewal that was sent last
+        TimePoint silentAt = TimePoint::max(); // when the worker counts as silent, if no answer comes
+    };
+
     void renewAfter(const WorkerId &id, Duration delay)
     {
         if (delay == Duration(0)) {
             renew(id);
             return;
         }
-        scheduler.runAfter(delay, [self = shared_from_this(), id] {
-            if (!self->isClosed) {
+        scheduler.runAfter(delay, [self = shared_from_this(), id, chain = renewals[id].chain] {
+            if (!self->isClosed && self->isCurrent(id, chain)) {
                 self->renew(id);
             }
         });
     }
 
+    bool isCurrent(const WorkerId &id, std::uint64_t chain) const
+    {
+        const auto it = renewals.find(id);
+        return it != renewals.end() && it->second.chain == chain;
+    }
+
     void renew(const WorkerId &id)
     {
         const auto *entry = fleet.entryOf(id);
         if (entry == nullptr) {
-            trackedWorkers.erase(id);
+            renewals.erase(id);
             repeatedRenewals.erase(id);
             link.closeConnections(id);
             noteFirstAnswer(id);
@@ -68,10 +90,23 @@
             return;
         }
         const auto sentAt = scheduler.now();
-        link.renew(*entry, fleet.leaseOrder(id, sentAt),
-                   [self = shared_from_this(), id, sentAt](const ports::AsyncResult<ports::WorkerListing> &result) {
+        auto order = fleet.leaseOrder(id, sentAt);
+        auto &known = renewals[id];
+        const auto timeout = answerTimes.timeout(entry->domain, sentAt);
+        if (timeout > workers::AnswerTimes::ShortestTimeout) {
+            order.patience = ports::LateAnswerPatience; // rather than to ask again without end on a full link
+        }
+        const auto chain = known.chain;
+        const auto number = ++known.sent;
+        const bool isAwaitedLonger = !known.isSilent && order.patience > ports::WorkerAnswerTimeout;
+        known.expectedAt = sentAt + order.wait;
+        known.silentAt = isAwaitedLonger ? known.expectedAt + timeout : TimePoint::max();
+        scheduleCheck(known.silentAt);
+        link.renew(*entry, order,
+                   [self = shared_from_this(), id, chain, number, sentAt,
+                    wait = order.wait](const ports::AsyncResult<ports::WorkerListing> &result) {
                        if (!self->isClosed) {
-                           self->onListing(id, sentAt, result);
+                           self->onListing(id, chain, number, sentAt, wait, result);
                        }
                        if (!self->isClosed) {
                            self->noteFirstAnswer(id);
@@ -79,6 +114,74 @@
                    });
     }
 
+    void countWorkers()
+    {
+        std::map<FailureDomain, std::size_t> counts;
+        for (const auto &[id, it] : renewals) {
+            if (const auto *entry = fleet.entryOf(id)) {
+                ++counts[entry->domain];
+            }
+        }
+        for (const auto &[domain, count] : counts) {
+            answerTimes.setWorkerCount(domain, count);
+        }
+    }
+
+    // One timer serves all workers: nearly all answer before it ends.
+    void scheduleCheck(TimePoint time)
+    {
+        if (time >= checkAt) {
+            return;
+        }
+        checkAt = time;
+        scheduler.runAfter(time - scheduler.now(), [self = shared_from_this(), time] {
+            if (!self->isClosed && time == self->checkAt) {
+                self->checkSilence();
+            }
+        });
+    }
+
+    // Workers whose answers are overdue count as silent, and are asked again on another connection.
+    void checkSilence()
+    {
+        const auto now = scheduler.now();
+        checkAt = TimePoint::max();
+        noteOverdueAnswers(now);
+        auto next = TimePoint::max();
+        for (auto &[id, it] : renewals) {
+            if (it.silentAt <= now) {
+                const auto *entry = fleet.entryOf(id);
+                it.silentAt = entry == nullptr ? now : it.expectedAt + answerTimes.timeout(entry->domain, now);
+            }
+            if (it.silentAt <= now) {
+                it.chain = ++lastChain;
+                it.silentAt = TimePoint::max();
+                markSilent(id);
+            }
+            next = std::min(next, it.silentAt);
+        }
+        scheduleCheck(next);
+    }
+
+    void noteOverdueAnswers(TimePoint now)
+    {
+        for (const auto &[id, it] : renewals) {
+            const auto *entry = it.silentAt < TimePoint::max() && it.expectedAt < now ? fleet.entryOf(id) : nullptr;
+            if (entry != nullptr) {
+                answerTimes.note(entry->domain, id, now - it.expectedAt, now);
+            }
+        }
+        answerTimes.refresh();
+    }
+
+    void markSilent(const WorkerId &id)
+    {
+        renewals[id].isSilent = true;
+        fleet.markSilent(id, scheduler.now());
+        hooks.onChange();
+        renewAfter(id, FailureRetryDelay);
+    }
+
     // A new leader reads the runs of thousands of workers. Their answers must not hold up the
     // renewals of its row, nor of workers that have answered.
     void trackNext()
@@ -100,25 +203,41 @@
         }
     }
 
-    void onListing(const WorkerId &id, TimePoint sentAt, const ports::AsyncResult<ports::WorkerListing> &result)
+    void onListing(const WorkerId &id, std::uint64_t chain, std::uint64_t number, TimePoint sentAt, Duration wait,
+                   const ports::AsyncResult<ports::WorkerListing> &result)
     {
+        if (!result.isOk() && result.failure().kind == ErrorKind::StaleEpoch) {
+            hooks.onFenced();
+            return;
+        }
+        const auto known = renewals.find(id);
+        if (known == renewals.end() || (!result.isOk() && known->second.chain != chain)) {
+            return;
+        }
+        const auto now = scheduler.now();
         if (!result.isOk()) {
-            if (result.failure().kind == ErrorKind::StaleEpoch) {
-                hooks.onFenced();
-                return;
-            }
-            const auto now = scheduler.now();
             if (now - sentAt < MaxTimeToRepeat && repeatedRenewals.insert(id).second) {
                 renew(id);
                 return;
             }
-            fleet.markSilent(id, now);
-            hooks.onChange();
-            renewAfter(id, FailureRetryDelay);
+            known->second.silentAt = TimePoint::max();
+            markSilent(id);
             return;
         }
+        if (number <= known->second.applied) {
+            return; // a later renewal was answered before
+        }
+        if (known->second.chain != chain) {
+            known->second.chain = ++lastChain; // the next renewal follows this one
+        }
+        if (const auto *entry = fleet.entryOf(id)) {
+            answerTimes.note(entry->domain, id, now - sentAt - wait, now);
+        }
+        known->second.applied = number;
+        known->second.silentAt = TimePoint::max();
+        known->second.isSilent = false;
         repeatedRenewals.erase(id);
-        fleet.applyListing(id, result.value(), sentAt, scheduler.now());
+        fleet.applyListing(id, result.value(), sentAt, now);
         hooks.onChange();
         if (!isClosed) {
             renewAfter(id, result.value().ended.empty() ? NoEndsPause : endsPause());
@@ -127,8 +246,7 @@
 
     Duration endsPause() const
     {
-        const auto pause
-            = std::min(EndsPause + EndsPausePerWorker * static_cast<int>(trackedWorkers.size()), MaxEndsPause);
+        const auto pause = std::min(EndsPause + EndsPausePerWorker * static_cast<int>(renewals.size()), MaxEndsPause);
         return pause + std::min(lateness * EndsPausePerLateness, MaxLateEndsPause);
     }
 
@@ -244,7 +362,10 @@
     ports::Scheduler &scheduler;
     Fleet &fleet;
     Hooks hooks;
-    std::set<WorkerId> trackedWorkers;
+    std::map<WorkerId, Renewals> renewals; // of the workers that are tracked
+    std::uint64_t lastChain = 0;
+    workers::AnswerTimes answerTimes;
+    TimePoint checkAt = TimePoint::max(); // of the next check for overdue answers
     std::set<WorkerId> repeatedRenewals; // of workers whose last renewal failed at once
     std::deque<WorkerId> newWorkers; // their first renewal was not sent yet
     std::set<WorkerId> unansweredWorkers; // their first renewal has no answer yet
@@ -267,11 +388,18 @@
 
 void WorkerController::trackWorkers()
 {
+    bool hasNew = false;
     for (const auto &it : d->fleet.workerIds()) {
-        if (d->trackedWorkers.insert(it).second) {
+        const auto [renewals, isNew] = d->renewals.try_emplace(it);
+        if (isNew) {
+            hasNew = true;
+            renewals->second.chain = ++d->lastChain;
             d->newWorkers.push_back(it);
         }
     }
+    if (hasNew) {
+        d->countWorkers();
+    }
     d->trackNext();
 }
 
--- a/src/execution/workercontroller.h
+++ b/src/execution/workercontroller.h
@@ -31,7 +31,8 @@
     WorkerController(const WorkerController &) = delete;
     WorkerController &operator=(const WorkerController &) = delete;
 
-    // Starts lease renewal for workers that are new to the fleet.
+    // Starts lease renewal for workers that are new to the fleet. A worker whose answer is overdue counts as silent;
+    // an answer that arrives later is applied all the same.
     void trackWorkers();
     void dispatch(const Orders &orders);
     // Returns the number of start orders without an answer.
--- a/src/ports/memory/simulatedworkers.cpp
+++ b/src/ports/memory/simulatedworkers.cpp
@@ -421,7 +421,7 @@
                Handler<WorkerListing> handler) override
     {
         deliver<WorkerListing>(
-            "renew ", worker.id, connection, order.wait + OrderTimeout,
+            "renew ", worker.id, connection, order.wait + order.patience,
             [&workers = m_workers, id = worker.id, order](Handler<WorkerListing> reply) {
                 workers.poll(id, order, std::move(reply));
             },
--- a/src/ports/workerlink.h
+++ b/src/ports/workerlink.h
@@ -61,6 +61,13 @@
 };
 
 // Renews the lease that covers all runs on a worker.
+// A worker answers within a round trip, and the wait that it was asked for. One that takes longer by this time
+// counts as silent.
+inline constexpr Duration WorkerAnswerTimeout = 700ms;
+// Answers to renewals are awaited longer, although the worker counts as silent before: one that is only late tells
+// which runs have ended, until the leases that the worker had are over.
+inline constexpr Duration LateAnswerPatience = 5s;
+
 struct LeaseOrder
 {
     Epoch fence;
@@ -68,6 +75,7 @@
     WorkerMillis deadline = 0; // the lease expires then and all runs are stopped; 0 keeps the current lease
     Duration wait{0}; // long poll: maximum time the worker may wait for a run to end before it answers
     std::int64_t startTimeMs = 0; // of the process that the order is meant for; 0 for any
+    Duration patience = WorkerAnswerTimeout; // beyond `wait`: how long the answer is awaited before the call fails
 };
 
 // A worker's answer to a lease renewal.
