--- a/tests/execution/jobmemorytest.cpp
+++ b/tests/execution/jobmemorytest.cpp
@@ -260,8 +260,9 @@
     deferred.add({1}, "a", 10, 1);
     deferred.add({2}, "b", 20, 1);
     const auto take = [&](std::string_view withRoom) {
-        const auto key
-            = deferred.next([&](std::string_view queue, std::size_t) { return withRoom.find(queue.front()) != std::string_view::npos; });
+        const auto key = deferred.next([&](std::string_view queue, std::size_t) {
+            return withRoom.find(queue.front()) != std::string_view::npos;
+        });
         if (key) {
             deferred.remove(*key);
         }
