--- a/src/jobs/jobspec.cpp
+++ b/src/jobs/jobspec.cpp
@@ -25,8 +25,7 @@
 void normalizeAfter(std::vector<int> &after)
 {
     std::ranges::sort(after);
-    const auto repeated = std::ranges::unique(after);
-    after.erase(repeated.begin(), repeated.end());
+    after.erase(std::unique(after.begin(), after.end()), after.end());
     after.shrink_to_fit();
 }
 
