Reports tell why work on leftover cores stands still

The cause not-placed stood for waits behind other work, and also for tasks that every worker with room refused, since serving tasks there were forecast to be disturbed. Those are reported as interference now, and tasks that lack leftover cores beside free memory and accelerators as no-leftover-cores. job-stands-still names the task's size, image and the lowest forecast; leftover-load, one line a second, and the same as metrics and in GET /state, tell what runs on leftover cores at which pace and how much room there is. No decision changes.

--- a/src/execution/fleet.cpp
+++ b/src/execution/fleet.cpp
@@ -74,6 +74,7 @@
     d->overdueShare = {};
     d->outcomeReportDueAt = now + OutcomeReportInterval;
     d->counts.standingJobs = {};
+    d->counts.leftoverLoad = {};
     d->counts.outcomes.clear();
     d->formerLeaseEnds.clear();
     d->witnesses.clear();
--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -2,6 +2,7 @@
 
 #include "common/decisionlog.h"
 #include "common/error.h"
+#include "execution/leftoverload.h"
 #include "execution/orders.h"
 #include "execution/standstill.h"
 #include "jobs/job.h"
@@ -100,6 +101,7 @@
     Duration takeoverWait{0}; // until the last lease of a former leader has ended on one of these workers
     std::vector<EvacuatedDomain> evacuatedDomains; // by name
     StandingJobs standingJobs; // at the last report, at most StandstillReportInterval ago
+    LeftoverLoad leftoverLoad; // at the same report
     std::uint64_t remoteStarts = 0; // off the rack of the task's data, or of gangs' members on several racks
     std::uint64_t rackWaits = 0; // tasks and gangs that began to wait for their rack
     std::uint64_t rackWaitsMet = 0; // those of them that started there
--- a/src/execution/fleetstandstill.cpp
+++ b/src/execution/fleetstandstill.cpp
@@ -13,8 +13,8 @@
 constexpr std::size_t MaxReportedJobs = 4;
 
 constexpr std::array<std::string_view, StandstillCauseCount> CauseNames
-    = {"takeover", "starts-suspended", "retry-pause", "order-unanswered", "order-in-doubt",
-       "stop",     "no-worker",        "no-room",     "not-placed"};
+    = {"takeover",  "starts-suspended", "retry-pause",       "order-unanswered", "order-in-doubt", "stop",
+       "no-worker", "no-room",          "no-leftover-cores", "interference",     "not-placed"};
 
 StandstillCause causeOf(workers::RunState state)
 {
@@ -70,7 +70,10 @@
     return std::nullopt;
 }
 
-StandstillCause Fleet::Private::causeOfWaiting(const TrackedJob &job, const jobs::TaskId &task, TimePoint now)
+// `refused` keeps the demands of the present report that all workers with room refuse, since many jobs may wait
+// for the same cause.
+StandstillCause Fleet::Private::causeOfWaiting(const TrackedJob &job, const jobs::TaskId &task, TimePoint now,
+                                               std::vector<UnplaceableDemand> &refused)
 {
     if (isBlockedByTakeover(job)) {
         return StandstillCause::Takeover;
@@ -82,17 +85,47 @@
         return StandstillCause::RetryPause;
     }
     const auto demand = demandOf(job, task, {}, now);
-    bool hasEligible = false;
+    if (isRuledOut(refused, demand)) {
+        return StandstillCause::Interference;
+    }
+    auto needsWithoutCores = demand.step->needs;
+    needsWithoutCores.milliCores = 0;
+    auto cause = StandstillCause::NoWorker;
     for (const auto *it : workers) {
         if (!scheduling::isEligible(*it, demand, now)) {
             continue;
         }
-        hasEligible = true;
-        if (it->fits(demand.step->needs, demand.step->usesLeftover)) {
+        if (workerChooser->cost(*it, demand, now)) {
             return StandstillCause::NotPlaced;
         }
+        // The causes are in the order of how close the worker is to taking the task.
+        auto ofWorker = StandstillCause::NoRoom;
+        if (it->fits(demand.step->needs, demand.step->usesLeftover)) {
+            ofWorker = StandstillCause::Interference;
+        } else if (demand.step->usesLeftover && it->freeResources().contains(needsWithoutCores)) {
+            ofWorker = StandstillCause::NoLeftoverCores;
+        }
+        cause = std::max(cause, ofWorker);
     }
-    return hasEligible ? StandstillCause::NoRoom : StandstillCause::NoWorker;
+    if (cause == StandstillCause::Interference) {
+        ruleOut(refused, demand);
+    }
+    return cause;
+}
+
+// Returns the lowest tail latency in percent of its target that is forecast for the serving tasks of a worker with
+// room if the task ran there; -1 if no worker has room.
+int Fleet::Private::lowestForecast(const TrackedJob &job, const jobs::TaskId &task, TimePoint now)
+{
+    const auto demand = demandOf(job, task, {}, now);
+    std::optional<double> lowest;
+    for (const auto *it : workers) {
+        if (scheduling::isEligible(*it, demand, now) && it->fits(demand.step->needs, demand.step->usesLeftover)) {
+            const double ratio = scheduling::predictedTailRatio(*it, demand);
+            lowest = std::min(lowest.value_or(ratio), ratio);
+        }
+    }
+    return lowest ? static_cast<int>(*lowest * 100) : -1;
 }
 
 void Fleet::Private::logStandstill(const Standstill &standstill, TimePoint now)
@@ -105,6 +138,7 @@
         }
     }
     const auto count = [&](workers::PlacementObstacle it) { return obstacles[static_cast<std::size_t>(it)]; };
+    const auto &spec = job->job.stepSpec(standstill.task.step);
     log.record("job-stands-still",
                {{"task", standstill.task},
                 {"cause", standstillCauseName(standstill.cause)},
@@ -112,6 +146,14 @@
                 {"worker", standstill.worker == nullptr ? std::string_view() : standstill.worker->entry().id.view()},
                 {"run", standstill.run},
                 {"runAgeMs", toMilliseconds(standstill.runAge)},
+                {"milliCores", spec.needs.milliCores},
+                {"memoryMiB", spec.needs.memoryMiB},
+                {"tasks", spec.count},
+                {"image", spec.image},
+                {"usesLeftover", spec.usesLeftover ? 1 : 0},
+                {"isOverdue", job->rank.isOverdue ? 1 : 0},
+                {"ageMs", toMilliseconds(now - job->job.acceptedAt())},
+                {"forecastPercent", lowestForecast(*job, standstill.task, now)},
                 {"usable", count(workers::PlacementObstacle::None)},
                 {"silent", count(workers::PlacementObstacle::Silent)},
                 {"unhealthy", count(workers::PlacementObstacle::Unhealthy)},
@@ -121,6 +163,44 @@
                 {"leaving", count(workers::PlacementObstacle::Leaving)}});
 }
 
+void Fleet::Private::reportLeftoverLoad(TimePoint now)
+{
+    LeftoverLoad load;
+    for (const auto *worker : workers) {
+        for (const auto &it : worker->runs()) {
+            if (it.usesLeftover) {
+                const int pace = std::max(it.pace, 0); // none is known to be in force for an unknown one
+                ++(pace == 0 ? load.pausedRuns : pace < workers::FullPace ? load.throttledRuns : load.fullPaceRuns);
+                load.usedMilliCores += it.needs.milliCores * pace / workers::FullPace;
+            }
+        }
+        if (worker->isSchedulable(now, true)) {
+            load.milliCores += worker->leftoverMilliCores();
+            load.freeMemoryMiB += worker->freeResources().memoryMiB;
+            load.memoryMiB += worker->entry().capacity.memoryMiB;
+        }
+    }
+    for (const auto &key : jobsToPlace) {
+        const auto *job = findJob(key);
+        load.overdueJobs += job != nullptr && job->job.isOpen() && job->rank.isOverdue ? 1 : 0;
+    }
+    counts.leftoverLoad = load;
+    if (load.isIdle() && load.overdueJobs == 0) {
+        return;
+    }
+    log.record("leftover-load",
+               {{"paused", load.pausedRuns},
+                {"throttled", load.throttledRuns},
+                {"fullPace", load.fullPaceRuns},
+                {"usedMilliCores", load.usedMilliCores},
+                {"milliCores", load.milliCores},
+                {"freeMemoryMiB", load.freeMemoryMiB},
+                {"memoryMiB", load.memoryMiB},
+                {"overdueJobs", load.overdueJobs},
+                {"standing", counts.standingJobs.total()},
+                {"longestStandMs", toMilliseconds(counts.standingJobs.longest)}});
+}
+
 void Fleet::Private::reportStandstills(TimePoint now)
 {
     if (now < standstillReportDueAt) {
@@ -129,6 +209,7 @@
     standstillReportDueAt = now + StandstillReportInterval;
     const auto unconfirmed = jobsWithoutConfirmedRun();
     std::vector<Standstill> standing;
+    std::vector<UnplaceableDemand> refused;
     for (const auto &[key, it] : unconfirmed) {
         const auto *job = findJob(key);
         if (job != nullptr && job->job.isOpen()) {
@@ -143,7 +224,7 @@
             continue;
         }
         if (const auto task = firstWaitingTask(*job)) {
-            standing.push_back({*task, causeOfWaiting(*job, *task, now), now, nullptr, 0, Duration(0)});
+            standing.push_back({*task, causeOfWaiting(*job, *task, now, refused), now, nullptr, 0, Duration(0)});
         }
     }
     std::unordered_map<jobs::JobKey, TimePoint> standingSince;
@@ -161,12 +242,14 @@
     std::erase_if(standing, [&](const Standstill &it) { return now - it.since < MinReportedStandstill; });
     // A lack of room is usual under load, and must not hide the others.
     std::ranges::sort(standing, {}, [](const Standstill &it) {
-        return std::tuple(it.cause == StandstillCause::NoRoom, it.since, it.task.job);
+        const bool isUsual = it.cause == StandstillCause::NoRoom || it.cause == StandstillCause::NoLeftoverCores;
+        return std::tuple(isUsual, it.since, it.task.job);
     });
     standing.resize(std::min(standing.size(), MaxReportedJobs));
     for (const auto &it : standing) {
         logStandstill(it, now);
     }
+    reportLeftoverLoad(now);
 }
 
 } // namespace monsoonspool::execution
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -251,6 +251,8 @@
     void reportLastingTasks(TimePoint now);
     // Logs and counts at intervals which jobs have nothing at work although a task's turn has come.
     void reportStandstills(TimePoint now);
+    // Logs and counts what runs on leftover cores, and the room for it.
+    void reportLeftoverLoad(TimePoint now);
     struct Standstill
     {
         jobs::TaskId task;
@@ -267,7 +269,9 @@
     };
     std::unordered_map<jobs::JobKey, UnconfirmedRun> jobsWithoutConfirmedRun() const;
     std::optional<jobs::TaskId> firstWaitingTask(const TrackedJob &job) const;
-    StandstillCause causeOfWaiting(const TrackedJob &job, const jobs::TaskId &task, TimePoint now);
+    StandstillCause causeOfWaiting(const TrackedJob &job, const jobs::TaskId &task, TimePoint now,
+                                   std::vector<UnplaceableDemand> &refused);
+    int lowestForecast(const TrackedJob &job, const jobs::TaskId &task, TimePoint now);
     void logStandstill(const Standstill &standstill, TimePoint now);
     // Returns the open jobs that wait for the workers that have not reported.
     std::vector<const TrackedJob *> heldBackJobs() const;
--- a/src/execution/standstill.h
+++ b/src/execution/standstill.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstddef>
+#include <numeric>
 #include <string_view>
 
 namespace monsoonspool::execution {
@@ -18,9 +19,11 @@
     Stop, // an earlier run of the task is being stopped
     NoWorker, // no worker may take it, see workers::PlacementObstacle
     NoRoom, // those that may have no room for it
+    NoLeftoverCores, // the same of a task on leftover cores, although some have the memory and accelerators
+    Interference, // those with room run serving tasks whose targets it is predicted to endanger
     NotPlaced, // a worker could take it; it waits behind other work or for the limit on starts
 };
-inline constexpr std::size_t StandstillCauseCount = 9;
+inline constexpr std::size_t StandstillCauseCount = 11;
 
 std::string_view standstillCauseName(StandstillCause cause);
 
@@ -29,6 +32,11 @@
 {
     std::array<std::size_t, StandstillCauseCount> byCause{};
     Duration longest{0};
+
+    std::size_t total() const
+    {
+        return std::accumulate(byCause.begin(), byCause.end(), std::size_t(0));
+    }
 };
 
 inline constexpr Duration StandstillReportInterval = 1s;
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -34,17 +34,6 @@
     return static_cast<double>(resources.milliCores) / static_cast<double>(capacity);
 }
 
-double predictedTailRatio(const workers::Worker &worker, const TaskDemand &demand)
-{
-    if (demand.interference == nullptr) {
-        return 0;
-    }
-    const auto &step = *demand.step;
-    const JoiningTask joining{demand.image, coreShare(step.needs, worker), step.usesLeftover,
-                              step.tailTarget.value_or(Duration(0))};
-    return worstTailRatio(*demand.interference, worker, joining);
-}
-
 double interferenceCost(double ratio)
 {
     return InterferenceCost * std::max(0.0, ratio - SafeMeanTailRatio);
@@ -138,6 +127,17 @@
     return step.maxPerWorker == 0 || worker.runsOfStep(demand.task) < step.maxPerWorker;
 }
 
+double predictedTailRatio(const workers::Worker &worker, const TaskDemand &demand)
+{
+    if (demand.interference == nullptr) {
+        return 0;
+    }
+    const auto &step = *demand.step;
+    const JoiningTask joining{demand.image, coreShare(step.needs, worker), step.usesLeftover,
+                              step.tailTarget.value_or(Duration(0))};
+    return worstTailRatio(*demand.interference, worker, joining);
+}
+
 bool areMostSuspect(std::span<workers::Worker *const> workers, std::string_view service, std::string_view label,
                     TimePoint now)
 {
