Failing tests: work on leftover cores that no worker takes stands still

A fleet in virtual time, each of whose workers has a serving task. A single job in an idle fleet whose tasks ask for 14 or 28 cores and would disturb the serving tasks never starts (100 s, the whole play); one of 7 cores stands for up to 9 s. Jobs beyond the leftover cores stand for 40 to 60 s beside free memory.

--- /dev/null
+++ b/tests/execution/leftoverfleet.h
@@ -0,0 +1,351 @@
+#pragma once
+
+#include "execution/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <numbers>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+// A fleet in virtual time whose workers have serving tasks each, and leftover work beside them that slows these down.
+namespace monsoonspool::execution::leftoverfleet {
+
+inline constexpr TimePoint Start{1h};
+inline const jobs::WallTime Wall{std::chrono::hours(1000)};
+inline const ServiceName Service("desk");
+inline constexpr Duration Tick = 50ms; // between plans
+inline constexpr Duration ListingInterval = 500ms; // of a worker; it also answers when a run ends
+inline constexpr Resources Capacity{64000, 250000, 0};
+inline constexpr Resources ServingNeeds{13000, 26000, 0};
+inline constexpr double ServingLoad = 0.42; // mean part of their cores that serving tasks use
+inline constexpr double LoadSwing = 0.25; // of the rate of serving tasks
+inline constexpr Duration SwingPeriod = 14s;
+inline constexpr Duration TailTarget = 20ms;
+inline constexpr std::int64_t IdleTailMs = 5; // of a serving task without leftover work beside it, at mean load
+inline constexpr int FullPace = 100;
+
+// Leftover work of one image.
+struct Image
+{
+    std::string name;
+    // By how much a task of the image on all cores of a worker lowers 1/tail of a serving task there, as a multiple
+    // of 1/tail of an idle worker. 0 if it does not disturb.
+    double disturbance = 0;
+};
+
+struct LeftoverJob
+{
+    std::string image;
+    std::int64_t milliCores = 7000;
+    std::int64_t memoryMiB = 13000;
+    int steps = 1;
+    int width = 1;
+    Duration runTime = 2700ms;
+    Duration targetLatency{0}; // the objective
+};
+
+class SilentLog : public DecisionLog
+{
+public:
+    void record(std::string_view, std::initializer_list<DecisionField>) override
+    {
+    }
+};
+
+class LeftoverFleet
+{
+public:
+    // Each of the workers has a serving task, whose interference with the images is known.
+    LeftoverFleet(int workers, const std::vector<Image> &images)
+    {
+        fleet.beginTerm({1}, 0, {}, Start, Start);
+        for (int n = 0; n < workers; ++n) {
+            ports::WorkerEntry entry;
+            entry.id = WorkerId("w" + std::to_string(n));
+            entry.service = Service;
+            entry.capacity = Capacity;
+            entry.startTimeMs = 1;
+            m_workers[entry.id].position = n;
+            fleet.updateWorker(entry, m_now);
+            list(entry.id);
+        }
+        fleet.markRosterStored(fleet.takeRoster());
+        scheduling::LearnedInterference learned{ServingImage, 1.0 / static_cast<double>(IdleTailMs), {}};
+        for (const auto &it : images) {
+            m_disturbance[it.name] = it.disturbance;
+            learned.sensitivities.push_back({it.name, it.disturbance * learned.baseRate});
+        }
+        fleet.restoreInterference({&learned, 1});
+        jobs::StepSpec serving;
+        serving.image = ServingImage;
+        serving.needs = ServingNeeds;
+        serving.count = workers;
+        serving.maxPerWorker = 1;
+        serving.isLasting = true;
+        serving.tailTarget = TailTarget;
+        add({ServingJob}, {serving}, {});
+        pass(1s);
+    }
+
+    void submit(const LeftoverJob &job)
+    {
+        std::vector<jobs::StepSpec> steps;
+        for (int s = 0; s < job.steps; ++s) {
+            auto &step = steps.emplace_back();
+            step.image = job.image;
+            step.needs = {job.milliCores, job.memoryMiB, 0};
+            step.count = job.width;
+            step.estimate = job.runTime;
+            step.usesLeftover = true;
+            if (s > 0) {
+                step.after = {s - 1};
+            }
+        }
+        const jobs::JobKey key{++m_lastKey};
+        m_standingSince[key] = m_now;
+        m_runTimes[key] = job.runTime;
+        add(key, std::move(steps), job.targetLatency);
+    }
+
+    void pass(Duration time)
+    {
+        for (const auto end = m_now + time; m_now < end;) {
+            m_now += Tick;
+            for (auto &[id, worker] : m_workers) {
+                const bool hasEnd = work(worker);
+                if (hasEnd || m_now >= worker.listingDueAt) {
+                    list(id);
+                }
+            }
+            carryOut(fleet.plan(m_now, wall()));
+            watchStandstills();
+        }
+    }
+
+    // Returns the longest time for which a job had nothing at work while under half of the workers' room was in use.
+    Duration longestStandstill() const
+    {
+        return m_longestStandstill;
+    }
+    // Returns the longest time for which a serving task was over its target beside leftover work that disturbs it.
+    Duration longestHarm() const
+    {
+        return m_longestHarm;
+    }
+    std::size_t openJobs() const
+    {
+        return m_standingSince.size();
+    }
+    // Returns the sum of the paces of the leftover runs of an image, in percent.
+    int paceOf(std::string_view image) const
+    {
+        int sum = 0;
+        for (const auto &[id, worker] : m_workers) {
+            for (const auto &it : worker.runs) {
+                sum += it.image == image ? it.pace : 0;
+            }
+        }
+        return sum;
+    }
+    int runsOf(std::string_view image) const
+    {
+        int count = 0;
+        for (const auto &[id, worker] : m_workers) {
+            count += static_cast<int>(
+                std::ranges::count_if(worker.runs, [&](const Run &it) { return it.image == image; }));
+        }
+        return count;
+    }
+
+    SilentLog log;
+    Fleet fleet{log};
+
+private:
+    static constexpr std::uint64_t ServingJob = 1;
+    static inline const std::string ServingImage = "serving";
+
+    struct Run
+    {
+        StartTask order;
+        std::string image;
+        Resources needs;
+        Duration runTime{0}; // at full pace
+        int pace = FullPace;
+        double done = 0; // part of its work
+        std::int64_t milliCores = 0; // in use
+        bool isServing = false;
+        bool isStopped = false;
+    };
+    struct Worker
+    {
+        int position = 0;
+        std::vector<Run> runs;
+        std::int64_t lastEnd = 0;
+        TimePoint listingDueAt;
+        std::int64_t tailMs = IdleTailMs;
+        std::optional<TimePoint> harmedSince;
+    };
+
+    void add(jobs::JobKey key, std::vector<jobs::StepSpec> steps, Duration targetLatency)
+    {
+        m_lastKey = std::max(m_lastKey, key.value);
+        AcceptedJob job;
+        job.key = key;
+        job.policy.queue = "queue";
+        job.policy.service = Service;
+        job.policy.maxAttempts = 3;
+        job.policy.stretch = 1;
+        job.policy.targetLatency = targetLatency;
+        job.spec.steps = std::move(steps);
+        job.acceptedAt = wall();
+        job.version = key.value;
+        fleet.addJob(std::move(job), m_now, wall());
+    }
+
+    // Returns the rate of the worker's serving task, 1/tail, as a multiple of the one without leftover work.
+    double servingRate(const Worker &worker) const
+    {
+        const double seconds = std::chrono::duration<double>(m_now - Start).count();
+        const double period = std::chrono::duration<double>(SwingPeriod).count();
+        double rate = 1 - LoadSwing * std::sin(2 * std::numbers::pi * seconds / period + worker.position);
+        for (const auto &it : worker.runs) {
+            if (!it.isServing) {
+                rate -= m_disturbance.at(it.image) * static_cast<double>(it.milliCores) / Capacity.milliCores;
+            }
+        }
+        return rate;
+    }
+
+    // Lets the runs work for a tick. Returns whether one of them has ended.
+    bool work(Worker &worker)
+    {
+        double available = Capacity.milliCores;
+        double wanted = 0;
+        bool isDisturbed = false;
+        for (const auto &it : worker.runs) {
+            available -= it.isServing ? ServingLoad * static_cast<double>(it.needs.milliCores) : 0;
+            wanted += it.isServing ? 0 : static_cast<double>(it.needs.milliCores) * it.pace / FullPace;
+            isDisturbed = isDisturbed || (!it.isServing && it.pace > 0 && m_disturbance.at(it.image) > 0);
+        }
+        const double part = wanted <= available ? 1 : available / wanted;
+        bool hasEnd = false;
+        for (auto &it : worker.runs) {
+            if (!it.isServing) {
+                const double speed = part * it.pace / FullPace;
+                it.milliCores = static_cast<std::int64_t>(speed * static_cast<double>(it.needs.milliCores));
+                it.done += speed * static_cast<double>(Tick.count()) / static_cast<double>(it.runTime.count());
+                hasEnd = hasEnd || it.done >= 1 || it.isStopped;
+            }
+        }
+        constexpr double lowestRate = 0.02;
+        worker.tailMs = static_cast<std::int64_t>(IdleTailMs / std::max(servingRate(worker), lowestRate));
+        if (worker.tailMs <= toMilliseconds(TailTarget) || !isDisturbed) {
+            worker.harmedSince.reset();
+        } else {
+            worker.harmedSince = worker.harmedSince.value_or(m_now);
+            m_longestHarm = std::max(m_longestHarm, m_now - *worker.harmedSince);
+        }
+        return hasEnd;
+    }
+
+    void list(const WorkerId &id)
+    {
+        auto &worker = m_workers[id];
+        worker.listingDueAt = m_now + ListingInterval;
+        ports::WorkerListing listing;
+        listing.startTimeMs = 1;
+        listing.clock = toMilliseconds(m_now - Start) + 1000;
+        std::erase_if(worker.runs, [&](const Run &it) {
+            const bool isDone = !it.isServing && it.done >= 1;
+            if (!isDone && !it.isStopped) {
+                const int percent = it.isServing ? 100 : static_cast<int>(100 * it.done);
+                listing.running.push_back(
+                    {it.order.task, it.order.run, {}, percent, it.isServing ? worker.tailMs : it.milliCores});
+                return false;
+            }
+            const auto outcome = isDone ? jobs::RunEnd::Done : jobs::RunEnd::Stopped;
+            listing.ended.push_back({++worker.lastEnd, it.order.task, it.order.run, outcome, {}});
+            return true;
+        });
+        fleet.leaseOrder(id, m_now);
+        fleet.applyListing(id, listing, m_now, m_now);
+        for (const auto &it : listing.ended) {
+            const auto *job = fleet.find(it.task.job);
+            if (job != nullptr && job->state() == jobs::JobState::Completed) {
+                m_standingSince.erase(it.task.job);
+                fleet.markStored(it.task.job);
+            }
+        }
+        fleet.acknowledge(fleet.endCursors());
+    }
+
+    void carryOut(const Orders &orders)
+    {
+        const auto run = [&](const auto &order) -> Run * {
+            auto &runs = m_workers[order.worker].runs;
+            const auto it = std::ranges::find_if(
+                runs, [&](const Run &other) { return other.order.task == order.task && other.order.run == order.run; });
+            return it == runs.end() ? nullptr : &*it;
+        };
+        for (const auto &it : orders.starts) {
+            fleet.applyStartReply(it, ports::StartResult::Accepted, m_now);
+            const auto &spec = fleet.find(it.task.job)->stepSpec(it.task.step);
+            m_workers[it.worker].runs.push_back(
+                {it, spec.image, spec.needs, m_runTimes[it.task.job], FullPace, 0, 0, spec.isLasting, false});
+        }
+        for (const auto &it : orders.paces) {
+            if (auto *found = run(it)) {
+                found->pace = it.percent;
+            }
+        }
+        for (const auto &it : orders.stops) {
+            if (auto *found = run(it)) {
+                found->isStopped = true;
+            }
+            fleet.confirmStop(it, m_now);
+        }
+    }
+
+    void watchStandstills()
+    {
+        std::set<jobs::JobKey> atWork;
+        Resources used;
+        for (const auto &[id, worker] : m_workers) {
+            for (const auto &it : worker.runs) {
+                atWork.insert(it.order.task.job);
+                used.memoryMiB += it.needs.memoryMiB;
+                used.milliCores += it.isServing ? it.needs.milliCores : 0;
+            }
+        }
+        const auto workers = static_cast<std::int64_t>(m_workers.size());
+        const bool isRoomFree
+            = used.memoryMiB * 2 < Capacity.memoryMiB * workers && used.milliCores * 2 < Capacity.milliCores * workers;
+        for (auto &[key, since] : m_standingSince) {
+            if (!isRoomFree || atWork.contains(key)) {
+                since = m_now;
+            }
+            m_longestStandstill = std::max(m_longestStandstill, m_now - since);
+        }
+    }
+
+    jobs::WallTime wall() const
+    {
+        return Wall + std::chrono::duration_cast<std::chrono::milliseconds>(m_now - Start);
+    }
+
+    TimePoint m_now = Start;
+    std::uint64_t m_lastKey = 0;
+    std::map<WorkerId, Worker> m_workers;
+    std::map<std::string, double, std::less<>> m_disturbance;
+    std::map<jobs::JobKey, TimePoint> m_standingSince; // of the open jobs on leftover cores
+    std::map<jobs::JobKey, Duration> m_runTimes;
+    Duration m_longestStandstill{0};
+    Duration m_longestHarm{0};
+};
+
+} // namespace monsoonspool::execution::leftoverfleet
--- /dev/null
+++ b/tests/execution/leftoverstandstilltest.cpp
@@ -0,0 +1,104 @@
+// Jobs on leftover cores that stand still although workers have room.
+#include "execution/leftoverfleet.h"
+
+#include <gtest/gtest.h>
+
+namespace monsoonspool::execution::leftoverfleet {
+
+namespace {
+
+// The platform takes work as lost that has nothing at work for longer beside room.
+constexpr Duration MaxStandstill = 3s;
+constexpr Duration HarmBound = 4s; // for which leftover work may keep a serving task over its target
+const std::vector<Image> Images = {{"harmless", 0}, {"heavy", 1.5}, {"heaviest", 4}};
+
+} // namespace
+
+// Guards against a task that waits for ever in an idle fleet, since it is forecast to disturb the serving tasks of
+// every worker: the largest one of its image, which smaller ones are not.
+TEST(LeftoverStandstill, ATaskThatWouldDisturbEveryServingTaskStarts)
+{
+    for (const std::int64_t milliCores : {7000, 14000, 28000}) {
+        for (const char *image : {"harmless", "heavy", "heaviest"}) {
+            SCOPED_TRACE(image + (" " + std::to_string(milliCores)));
+            LeftoverFleet play(8, Images);
+            play.submit({.image = image, .milliCores = milliCores, .steps = 3, .width = 10});
+            play.pass(100s);
+            EXPECT_LE(play.longestStandstill(), MaxStandstill);
+            EXPECT_LE(play.longestHarm(), HarmBound);
+            EXPECT_EQ(play.openJobs(), 0U);
+        }
+    }
+}
+
+// The same where the job could still be on time: an objective of minutes is no reason to stand in an idle fleet.
+TEST(LeftoverStandstill, ATaskWithALongObjectiveStarts)
+{
+    LeftoverFleet play(8, Images);
+    play.submit({.image = "heaviest", .milliCores = 14000, .steps = 3, .width = 10, .targetLatency = 5min});
+    play.pass(100s);
+    EXPECT_LE(play.longestStandstill(), MaxStandstill);
+    EXPECT_EQ(play.openJobs(), 0U);
+}
+
+// Guards against jobs that stand for as long as others use the leftover cores, although the platform counts only
+// memory and accelerators for such work, of which most is free.
+TEST(LeftoverStandstill, JobsBeyondTheLeftoverCoresHaveSomethingAtWork)
+{
+    for (const char *image : {"harmless", "heavy", "heaviest"}) {
+        SCOPED_TRACE(image);
+        LeftoverFleet play(8, Images);
+        for (int n = 0; n < 60; ++n) {
+            play.submit({.image = image, .milliCores = 10000, .memoryMiB = 8000, .width = 4, .runTime = 8s});
+        }
+        play.pass(60s);
+        EXPECT_LE(play.longestStandstill(), MaxStandstill);
+        EXPECT_LE(play.longestHarm(), HarmBound);
+    }
+}
+
+// Guards against a low pace for work that can be on time: it is for what waits without a bound.
+TEST(LeftoverStandstill, WorkThatCanBeOnTimeWaitsForAPlaceAtFullPace)
+{
+    LeftoverFleet play(4, Images);
+    play.submit({.image = "harmless", .milliCores = 50000, .width = 4, .runTime = 8s, .targetLatency = 1min});
+    play.pass(1s);
+    ASSERT_EQ(play.runsOf("harmless"), 4);
+    play.submit({.image = "harmless", .milliCores = 40000, .width = 4, .runTime = 1s, .targetLatency = 1min});
+    play.pass(6s);
+    EXPECT_EQ(play.runsOf("harmless"), 4);
+    play.pass(6s);
+    EXPECT_EQ(play.openJobs(), 0U);
+}
+
+// A task without a place could not be told from one behind other work.
+TEST(LeftoverStandstill, TheCauseIsReported)
+{
+    struct Case
+    {
+        const char *name;
+        LeftoverJob running; // one task on each worker
+        LeftoverJob waiting;
+        StandstillCause cause;
+    };
+    constexpr int count = 2;
+    const LeftoverJob small{.image = "harmless", .milliCores = 1000, .width = count, .runTime = 1min};
+    const LeftoverJob large{.image = "harmless", .milliCores = 50000, .width = count, .runTime = 1min};
+    for (const auto &it :
+         {Case{"serving tasks", small, {.image = "heaviest", .milliCores = 28000}, StandstillCause::Interference},
+          Case{"leftover cores", large, {.image = "harmless", .milliCores = 28000}, StandstillCause::NoLeftoverCores},
+          Case{"memory", small, {.image = "harmless", .memoryMiB = 240000}, StandstillCause::NoRoom}}) {
+        SCOPED_TRACE(it.name);
+        LeftoverFleet play(count, Images);
+        play.submit(it.running);
+        play.pass(1s);
+        auto waiting = it.waiting;
+        waiting.targetLatency = 1min; // so that it waits
+        play.submit(waiting);
+        play.pass(4s);
+        EXPECT_EQ(play.fleet.counts().standingJobs.byCause[static_cast<std::size_t>(it.cause)], 1U);
+        EXPECT_EQ(play.fleet.counts().standingJobs.total(), 1U);
+    }
+}
+
+} // namespace monsoonspool::execution::leftoverfleet
