Work on leftover cores that no worker takes starts at a low pace

Cause: a worker takes a task on leftover cores only if it has the cores by the leader's account and no serving task there is forecast to exceed 0.4 of its target, and neither refusal had an end. The forecast grows with the cores that a task asks for, so that the largest tasks of the most disturbing images were refused by every worker, in an idle fleet too.

Change: after 2 s such a task starts as a reduced run, which works at 5 percent of full pace and faster only as far as all other runs on its worker leave room. Beside other leftover work only a job gets one that can't be on time any more and of which nothing runs. Others count it at its reduced pace, so that it costs them next to nothing.

--- a/src/execution/fleet.h
+++ b/src/execution/fleet.h
@@ -85,6 +85,7 @@
     std::uint64_t unansweredStarts = 0; // starts that got no reply
     std::uint64_t paces = 0;
     std::uint64_t moves = 0; // of throttled runs to other workers
+    std::uint64_t reducedStarts = 0; // of tasks on leftover cores that all workers had refused
     std::uint64_t startsDuringTakeover = 0; // ordered while a worker of the former leader's roster had not reported
     std::uint64_t endsOfUnknownJobs = 0; // listed by workers before this leader had read the job's row
     std::uint64_t duplicateRuns = 0; // of tasks that were done or active elsewhere when a worker listed the run
--- a/src/execution/fleetlistings.cpp
+++ b/src/execution/fleetlistings.cpp
@@ -575,6 +575,9 @@
         }
         run->answeredAt = now;
         run->progressedAt = now;
+        if (run->isReduced) {
+            d->changedWorkers.insert(worker); // the next plan orders its pace
+        }
         return;
     }
     d->log.record("start-refused",
--- a/src/execution/fleetmoves.cpp
+++ b/src/execution/fleetmoves.cpp
@@ -82,7 +82,9 @@
     const auto &id = worker.entry().id;
     job->movedFrom[run.task] = id; // keeps it from being chosen again
     auto *target = chooseWorker(*job, run.task, {}, now);
-    if (target == nullptr || target == &worker || throttlingWorkers.contains(target->entry().id)) {
+    // The leftover cores beside a reduced run are not idle.
+    if (target == nullptr || target == &worker || throttlingWorkers.contains(target->entry().id)
+        || target->reducedRunCount() > 0) {
         job->movedFrom.erase(run.task);
         return nullptr;
     }
--- a/src/execution/fleetpacing.cpp
+++ b/src/execution/fleetpacing.cpp
@@ -119,17 +119,24 @@
     if (!hasLeftover) {
         return;
     }
+    endReduction(worker, now);
     const auto measured = worker.paceRegulator().update(tails, now);
     const int safe = safePace(interference, worker);
     const int room = capacityPace(worker);
     const int pace = std::min({measured.percent, safe, room});
+    const int reducedRoom = reducedCapacityPace(worker);
+    const int safeReduced = std::min(reducedRoom, safeReducedPace(interference, worker));
     for (auto &run : worker.runs()) {
         if (!run.usesLeftover || run.state != workers::RunState::Running) {
             continue;
         }
         noteThrottling(worker, run, now);
         const bool isDisturbing = maxInterference(interference, worker, run) > DisturbanceThreshold;
-        const int wanted = isDisturbing ? pace : measured.appliesToAll ? measured.percent : workers::FullPace;
+        int wanted = isDisturbing ? pace : measured.appliesToAll ? measured.percent : workers::FullPace;
+        if (run.isReduced) {
+            const int most = isDisturbing ? safeReduced : reducedRoom;
+            wanted = wanted == workers::FullPace ? most : wanted * workers::ReducedPace / workers::FullPace;
+        }
         const bool isSignificant = std::abs(run.pace - wanted) >= MinPaceChange || run.pace < 0
             || (run.pace != wanted && (wanted == workers::FullPace || wanted == 0));
         if (isSignificant) {
@@ -145,7 +152,8 @@
                         {"roomPercent", room},
                         {"tailPercentOfTarget", static_cast<int>(tails.worstRatio * FullPercent)},
                         {"overMs", toMilliseconds(tails.longestViolation)},
-                        {"isDisturbing", isDisturbing ? 1 : 0}});
+                        {"isDisturbing", isDisturbing ? 1 : 0},
+                        {"isReduced", run.isReduced ? 1 : 0}});
             orders.paces.push_back({worker.entry().id, run.task, run.number, wanted});
         }
     }
@@ -160,13 +168,66 @@
     for (const auto &run : worker.runs()) {
         if (run.usesLeftover) {
             const bool isDisturbing = maxInterference(interference, worker, run) > DisturbanceThreshold;
-            (isDisturbing ? disturbing : harmless) += run.needs.milliCores;
+            const auto part = run.isReduced ? workers::ReducedPace : workers::FullPace;
+            (isDisturbing ? disturbing : harmless) += run.needs.milliCores * part / workers::FullPace;
         }
     }
     const auto room = std::max<std::int64_t>(worker.leftoverMilliCores() - harmless, 0);
     return disturbing <= room ? workers::FullPace : static_cast<int>(room * workers::FullPace / disturbing);
 }
 
+// Returns the pace in percent at which reduced runs fit into the leftover cores that the other runs leave at their
+// present paces.
+int Fleet::Private::reducedCapacityPace(const workers::Worker &worker)
+{
+    std::int64_t needed = 0;
+    for (const auto &run : worker.runs()) {
+        needed += run.isReduced ? run.needs.milliCores : 0;
+    }
+    const auto reserved = needed * workers::ReducedPace / workers::FullPace;
+    const auto room = worker.freeLeftoverResources().milliCores + reserved;
+    return std::clamp(static_cast<int>(room * workers::FullPace / std::max<std::int64_t>(needed, 1)),
+                      workers::ReducedPace, workers::FullPace);
+}
+
+// A reduced run that the worker would take now like any other becomes one. One at a time, since the others are
+// judged beside it.
+void Fleet::Private::endReduction(workers::Worker &worker, TimePoint now)
+{
+    if (worker.reducedRunCount() == 0) {
+        return;
+    }
+    const std::vector<workers::Run> runs(worker.runs().begin(), worker.runs().end());
+    for (const auto &it : runs) {
+        const auto *job = it.isReduced ? findJob(it.task.job) : nullptr;
+        if (job == nullptr) {
+            continue;
+        }
+        worker.remove(it.task); // which would keep its own task from joining
+        const bool isTaken = workerChooser->cost(worker, demandOf(*job, it.task, {}, now), now).has_value();
+        worker.add(it);
+        if (isTaken) {
+            worker.endReduction(*worker.find(it.task));
+            return;
+        }
+    }
+}
+
+// Workers start each run at full pace.
+void Fleet::Private::slowDownReducedRuns(workers::Worker &worker, TimePoint now, Orders &orders)
+{
+    if (worker.isSilent() || !worker.hasUnpacedReducedRun()) {
+        return;
+    }
+    for (auto &run : worker.runs()) {
+        if (run.isReduced && run.state == workers::RunState::Running && run.paceChangedAt == TimePoint()) {
+            worker.setPace(run, workers::ReducedPace);
+            run.paceChangedAt = now;
+            orders.paces.push_back({worker.entry().id, run.task, run.number, workers::ReducedPace});
+        }
+    }
+}
+
 // Counts the run time that a run loses to its pace, which decides when it is moved.
 void Fleet::Private::noteThrottling(workers::Worker &worker, workers::Run &run, TimePoint now)
 {
--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -22,6 +22,10 @@
 // workers all the same, which would use up its attempts.
 constexpr Duration MaxTimeAwaitingSoundWorker = 2s;
 
+// Work on leftover cores that all workers refuse starts as a reduced run after this time. The platform takes work as
+// lost that waits for 3 s beside free memory and accelerators.
+constexpr Duration MaxTimeRefused = 2s;
+
 // The members of a gang wait together.
 jobs::TaskId waitingTask(const TrackedJob &job, jobs::TaskId task)
 {
@@ -96,7 +100,8 @@
 bool isComparable(const UnplaceableDemand &unplaceable, const scheduling::TaskDemand &demand)
 {
     return unplaceable.service == demand.service && unplaceable.usesLeftover == demand.step->usesLeftover
-        && unplaceable.image == restrictingImage(demand) && unplaceable.ignoresSuspicion == demand.ignoresSuspicion;
+        && unplaceable.reducedStart == demand.reducedStart && unplaceable.image == restrictingImage(demand)
+        && unplaceable.ignoresSuspicion == demand.ignoresSuspicion;
 }
 
 } // namespace
@@ -118,8 +123,8 @@
     std::erase_if(unplaceable, [&](const UnplaceableDemand &it) {
         return isComparable(it, demand) && it.needs.contains(spec.needs);
     });
-    unplaceable.push_back(
-        {demand.service, spec.usesLeftover, demand.ignoresSuspicion, restrictingImage(demand), spec.needs});
+    unplaceable.push_back({demand.service, spec.usesLeftover, demand.ignoresSuspicion, demand.reducedStart,
+                           restrictingImage(demand), spec.needs});
 }
 
 workers::Worker *Fleet::Private::chooseWorker(TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
@@ -152,6 +157,46 @@
     return worker;
 }
 
+Fleet::Private::Placement Fleet::Private::findPlace(const WaitingStep &waiting, const jobs::TaskId &task,
+                                                    std::string_view preferredRack, TimePoint now,
+                                                    std::optional<scheduling::RankedWorkers> *ranked)
+{
+    auto &job = *waiting.job;
+    if (auto *worker = chooseWorker(job, task, preferredRack, now, ranked)) {
+        return {worker, false};
+    }
+    if (!job.job.stepSpec(task.step).usesLeftover) {
+        return {};
+    }
+    const auto demand = demandOf(job, task, preferredRack, now);
+    return isHeldBack(job, demand, now) ? Placement() : findReducedPlace(waiting, demand, now);
+}
+
+// A reduced run takes next to nothing from others, so that a worker without leftover work is used for it at once.
+// Elsewhere only a job gets one of which nothing runs and which cannot be on time any more: it then goes on in any
+// case, and the others wait for places at full pace.
+Fleet::Private::Placement Fleet::Private::findReducedPlace(const WaitingStep &waiting, scheduling::TaskDemand demand,
+                                                           TimePoint now)
+{
+    using scheduling::ReducedStart;
+    auto &job = *waiting.job;
+    job.refusedSince = job.refusedSince.value_or(now);
+    if (now - *job.refusedSince < MaxTimeRefused) {
+        return {};
+    }
+    const bool isAnywhere = demand.step->isLasting || (waiting.rank.isOverdue && job.activeRuns == 0);
+    demand.reducedStart = isAnywhere ? ReducedStart::Anywhere : ReducedStart::BesideNoLeftoverWork;
+    if (isRuledOut(unplaceableDemands, demand)) {
+        return {};
+    }
+    ++counts.workerSearches;
+    auto *worker = workerChooser->choose(demand, workers, now);
+    if (worker == nullptr) {
+        ruleOut(unplaceableDemands, demand);
+    }
+    return {worker, true};
+}
+
 bool Fleet::Private::isHeldBack(TrackedJob &job, const scheduling::TaskDemand &demand, TimePoint now)
 {
     if (!isRuledOut(gangDemands, demand)) {
@@ -184,9 +229,10 @@
     return std::max(task.lastRun, (fence.value - 1) * RunNumbersPerTerm) + 1;
 }
 
-void Fleet::Private::orderStart(TrackedJob &job, const jobs::TaskId &task, workers::Worker &worker,
+void Fleet::Private::orderStart(TrackedJob &job, const jobs::TaskId &task, const Placement &placement,
                                 jobs::RunNumber number, bool isRemote, TimePoint now, Orders &orders)
 {
+    auto &worker = *placement.worker;
     const auto &spec = job.job.stepSpec(task.step);
     workers::Run run;
     run.task = task;
@@ -198,6 +244,11 @@
     run.crashCount = job.job.crashSuspicion(task);
     run.isVerified = worker.startTimeMs() != 0 && job.job.needsVerifiedStart(task);
     run.isRemote = isRemote;
+    run.isReduced = placement.isReduced;
+    counts.reducedStarts += placement.isReduced ? 1 : 0;
+    if (!placement.isReduced) {
+        job.refusedSince.reset();
+    }
     endRackWait(job, task, worker, isRemote, now);
     job.keptApartSince.erase(waitingTask(job, task));
     job.heldBackSince.erase({task.job, task.occurrence, task.step, 0});
@@ -219,6 +270,7 @@
                 {"unreported", unreportedWorkers.size()},
                 {"waitedMs", toMilliseconds(now - job.job.acceptedAt())},
                 {"freeCores", worker.freeResources().milliCores},
+                {"isReduced", run.isReduced ? 1 : 0},
                 {"isVerified", run.isVerified ? 1 : 0}});
     orders.starts.push_back(
         {worker.entry().id, task, number, checkpoint, {}, run.startDeadline, worker.startTimeMs(), run.isVerified});
@@ -242,7 +294,8 @@
         if (rack && keepsWaitingForRack(job, id, *rack, now)) {
             continue;
         }
-        auto *worker = chooseWorker(job, id, {}, now, &ranked);
+        const auto placement = findPlace(waiting, id, {}, now, &ranked);
+        const auto *worker = placement.worker;
         if (worker == nullptr && (job.job.crashSuspicion(id) > 0 || awaitsSoundWorker(job, id, now))) {
             continue; // waits for a worker of its own, which the others need not
         }
@@ -254,7 +307,7 @@
         if (rack && isRemote && beginsToWaitForRack(job, id, *rack, now)) {
             continue; // takes no room from the work behind it
         }
-        orderStart(job, id, *worker, nextRun(task), isRemote, now, orders);
+        orderStart(job, id, placement, nextRun(task), isRemote, now, orders);
         ++starts;
         if (ranked && ranked->best() == worker) {
             ranked->updateBest(now);
@@ -284,48 +337,44 @@
     return members >= spec.count;
 }
 
-std::vector<workers::Worker *> Fleet::Private::chooseMembers(const WaitingStep &waiting, std::string_view rackKey,
-                                                             TimePoint now)
+std::vector<Fleet::Private::Placement> Fleet::Private::chooseMembers(const WaitingStep &waiting,
+                                                                     std::string_view rackKey, TimePoint now)
 {
     auto &job = *waiting.job;
     const auto &spec = job.job.stepSpec(waiting.step);
-    std::vector<workers::Worker *> chosen;
+    std::vector<Placement> chosen;
     std::string_view rackOfOthers;
     for (int n = 0; n < spec.count; ++n) {
         const jobs::TaskId id{job.job.key(), waiting.occurrence, waiting.step, n};
-        auto *worker = rackKey.empty()
-            ? chooseWorker(job, id, spec.isColocated ? rackOfOthers : std::string_view(), now)
-            : workerChooser->choose(demandOf(job, id, rackOfOthers, now), workersOnRack(rackKey), now);
-        if (worker == nullptr) {
+        const auto placement = rackKey.empty()
+            ? findPlace(waiting, id, spec.isColocated ? rackOfOthers : std::string_view(), now)
+            : Placement{workerChooser->choose(demandOf(job, id, rackOfOthers, now), workersOnRack(rackKey), now)};
+        if (placement.worker == nullptr) {
             break;
         }
-        rackOfOthers = worker->entry().rack;
+        rackOfOthers = placement.worker->entry().rack;
         workers::Run placeholder;
         placeholder.task = id;
         placeholder.needs = spec.needs;
         placeholder.usesLeftover = spec.usesLeftover;
-        worker->add(placeholder);
-        chosen.push_back(worker);
+        placeholder.isReduced = placement.isReduced;
+        placement.worker->add(placeholder);
+        chosen.push_back(placement);
     }
     for (std::size_t n = 0; n < chosen.size(); ++n) {
-        chosen[n]->remove({job.job.key(), waiting.occurrence, waiting.step, static_cast<int>(n)});
+        chosen[n].worker->remove({job.job.key(), waiting.occurrence, waiting.step, static_cast<int>(n)});
     }
     return chosen;
 }
 
-namespace {
-
-// Returns whether the gang takes longer on these workers than on others.
-bool isOffRack(const jobs::StepSpec &spec, std::span<workers::Worker *const> members)
+bool Fleet::Private::isOffRack(const jobs::StepSpec &spec, std::span<const Placement> members)
 {
-    const auto &rack = spec.dataRack.empty() ? members.front()->entry().rack : spec.dataRack;
+    const auto &rack = spec.dataRack.empty() ? members.front().worker->entry().rack : spec.dataRack;
     const bool isAffected = spec.isColocated || !spec.dataRack.empty();
     return isAffected
-        && std::ranges::any_of(members, [&](const workers::Worker *it) { return it->entry().rack != rack; });
+        && std::ranges::any_of(members, [&](const Placement &it) { return it.worker->entry().rack != rack; });
 }
 
-} // namespace
-
 // Starts all members of a gang or none, so that no member occupies a worker while it
 // waits for the others. Work of the same size that ranks below it waits as well for a time, unless the
 // gang is too large for the workers that there are.
@@ -375,7 +424,7 @@
         }
     }
     for (int n = 0; n < spec.count; ++n) {
-        orderStart(job, {job.job.key(), waiting.occurrence, waiting.step, n}, *chosen[static_cast<std::size_t>(n)],
+        orderStart(job, {job.job.key(), waiting.occurrence, waiting.step, n}, chosen[static_cast<std::size_t>(n)],
                    number, isRemote, now, orders);
     }
 }
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -38,6 +38,7 @@
         d->stopStuckRuns(*it, now);
         d->stopUnwantedRuns(*it, now, orders);
         d->settleRunsInDoubt(*it, now, orders);
+        d->slowDownReducedRuns(*it, now, orders);
         d->adjustPaces(*it, now, orders);
         d->scheduleNextVisit(*it, now);
     }
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -69,6 +69,7 @@
     scheduling::Rank rank;
     std::map<jobs::TaskId, WorkerId> movedFrom; // workers that throttled the task
     std::map<jobs::TaskId, TimePoint> keptApartSince; // tasks that wait for a worker without a crash suspect
+    std::optional<TimePoint> refusedSince; // no worker takes its work on leftover cores like other work
     std::map<jobs::TaskId, TimePoint> heldBackSince; // steps, by their first task, that wait behind a gang
     std::map<jobs::TaskId, RackWait> rackWaits; // tasks that wait for their rack; of a gang the first one
     int rankedOccurrence = -1;
@@ -91,6 +92,7 @@
     std::string_view service;
     bool usesLeftover = false;
     bool ignoresSuspicion = false;
+    scheduling::ReducedStart reducedStart = scheduling::ReducedStart::No;
     std::optional<scheduling::ImageNumber> image; // set if the image restricts the eligible workers
     Resources needs;
 };
@@ -302,9 +304,17 @@
     // current plan first asked.
     bool isHalfReserved(std::string_view service, TimePoint now);
     void placeGang(const WaitingStep &waiting, TimePoint now, jobs::WallTime wall, Orders &orders);
+    // The place of a task.
+    struct Placement
+    {
+        workers::Worker *worker = nullptr; // nullptr if there is none
+        bool isReduced = false; // see workers::ReducedPace
+    };
     // Returns the workers for the members of a gang, or for as many of them as fit. `rackKey`, if given, is
     // that of the only rack to use, see RackQuestion.
-    std::vector<workers::Worker *> chooseMembers(const WaitingStep &waiting, std::string_view rackKey, TimePoint now);
+    std::vector<Placement> chooseMembers(const WaitingStep &waiting, std::string_view rackKey, TimePoint now);
+    // Returns whether a gang takes longer on these workers than on others.
+    static bool isOffRack(const jobs::StepSpec &spec, std::span<const Placement> members);
     scheduling::TaskDemand demandOf(const TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
                                     TimePoint now);
     // Returns whether the current plan uses suspect workers for the step like others.
@@ -314,10 +324,15 @@
     // Returns whether workers had no room for a smaller demand.
     static bool isRuledOut(std::span<const UnplaceableDemand> unplaceable, const scheduling::TaskDemand &demand);
     static void ruleOut(std::vector<UnplaceableDemand> &unplaceable, const scheduling::TaskDemand &demand);
-    // `ranked`, if given, is kept between calls for tasks of one step.
+    // Returns the worker for a task that runs like any other, or nullptr if none takes it. `ranked`, if given, is
+    // kept between calls for tasks of one step.
     workers::Worker *chooseWorker(TrackedJob &job, const jobs::TaskId &task, std::string_view preferredRack,
                                   TimePoint now, std::optional<scheduling::RankedWorkers> *ranked = nullptr);
-    void orderStart(TrackedJob &job, const jobs::TaskId &task, workers::Worker &worker, jobs::RunNumber run,
+    // Returns the place of a waiting task: as above, or for a reduced run if no worker has taken it for some time.
+    Placement findPlace(const WaitingStep &waiting, const jobs::TaskId &task, std::string_view preferredRack,
+                        TimePoint now, std::optional<scheduling::RankedWorkers> *ranked = nullptr);
+    Placement findReducedPlace(const WaitingStep &waiting, scheduling::TaskDemand demand, TimePoint now);
+    void orderStart(TrackedJob &job, const jobs::TaskId &task, const Placement &placement, jobs::RunNumber run,
                     bool isRemote, TimePoint now, Orders &orders);
 
     // Waiting for the rack of a task's data, or of a gang for a rack with room for all members.
@@ -372,6 +387,9 @@
     void stopStuckRuns(workers::Worker &worker, TimePoint now);
     void adjustPaces(workers::Worker &worker, TimePoint now, Orders &orders);
     int capacityPace(const workers::Worker &worker) const;
+    static int reducedCapacityPace(const workers::Worker &worker);
+    void endReduction(workers::Worker &worker, TimePoint now);
+    void slowDownReducedRuns(workers::Worker &worker, TimePoint now, Orders &orders);
     void noteThrottling(workers::Worker &worker, workers::Run &run, TimePoint now);
     // Stops throttled runs that another worker can take at full pace.
     void moveThrottledRuns(TimePoint now);
--- a/src/scheduling/tailforecast.cpp
+++ b/src/scheduling/tailforecast.cpp
@@ -24,12 +24,25 @@
 }
 
 // Returns the predicted decrease of 1/tail, in 1/ms, of tasks of the image `serving` on
-// `worker` with all tasks on leftover cores at full pace.
+// `worker` with all tasks on leftover cores at full pace, but for reduced runs at theirs.
 double fullPaceInterference(const InterferenceModel &model, const workers::Worker &worker, ImageNumber serving)
 {
     double sum = 0;
     for (const auto &it : worker.runs()) {
         if (it.usesLeftover) {
+            const double pace = it.isReduced ? static_cast<double>(workers::ReducedPace) / FullPace : 1;
+            sum += model.sensitivity(serving, it.image) * requestedShare(worker, it) * pace;
+        }
+    }
+    return sum;
+}
+
+// Returns the same of the reduced runs alone, at full pace.
+double reducedRunInterference(const InterferenceModel &model, const workers::Worker &worker, ImageNumber serving)
+{
+    double sum = 0;
+    for (const auto &it : worker.runs()) {
+        if (it.isReduced) {
             sum += model.sensitivity(serving, it.image) * requestedShare(worker, it);
         }
     }
@@ -59,6 +72,17 @@
     return std::min(MaxRatio, 1 / (targetMs * std::max(base - interference, 1e-6)));
 }
 
+// Returns by how much 1/tail of `serving` on `worker` may decrease in all, in 1/ms, while its tail stays at or below
+// `ratio` of its target. The measured tail already includes the interference of the measured half second.
+double allowedInterference(const InterferenceModel &model, const workers::Worker &worker, const workers::Run &serving,
+                           double ratio)
+{
+    const auto targetMs = static_cast<double>(toMilliseconds(serving.tailTarget));
+    const double allowed = 1 / static_cast<double>(serving.level) + measuredInterference(model, worker, serving.image)
+        - 1 / (ratio * targetMs);
+    return std::max(allowed, 0.0);
+}
+
 } // namespace
 
 double usedShare(const workers::Worker &worker, const workers::Run &run)
@@ -104,14 +128,31 @@
         if (full * targetMs < MinInterference) {
             continue;
         }
-        // The measured tail already includes the interference of the measured half second.
-        const double allowed = 1 / static_cast<double>(it.level) + measuredInterference(model, worker, it.image)
-            - 1 / (SafeTailRatio * targetMs);
-        pace = std::min(pace, std::max(allowed, 0.0) / full);
+        pace = std::min(pace, allowedInterference(model, worker, it, SafeTailRatio) / full);
     }
     return static_cast<int>(pace * FullPace);
 }
 
+int safeReducedPace(const InterferenceModel &model, const workers::Worker &worker)
+{
+    double pace = 1;
+    for (const auto &it : worker.runs()) {
+        const auto targetMs = static_cast<double>(toMilliseconds(it.tailTarget));
+        if (!it.isLasting || targetMs <= 0 || it.level <= 0) {
+            continue;
+        }
+        const double reduced = reducedRunInterference(model, worker, it.image);
+        if (reduced * targetMs < MinInterference) {
+            continue;
+        }
+        constexpr double reducedPart = static_cast<double>(workers::ReducedPace) / FullPace;
+        const double others = fullPaceInterference(model, worker, it.image) - reduced * reducedPart;
+        const double left = allowedInterference(model, worker, it, SafeMeanTailRatio) - others;
+        pace = std::min(pace, std::max(left, 0.0) / reduced);
+    }
+    return std::max(static_cast<int>(pace * FullPace), workers::ReducedPace);
+}
+
 double maxInterference(const InterferenceModel &model, const workers::Worker &worker, const workers::Run &run)
 {
     double worst = 0;
--- a/src/scheduling/tailforecast.h
+++ b/src/scheduling/tailforecast.h
@@ -34,8 +34,13 @@
 
 // Returns the pace in percent at which the interfering runs on leftover cores keep all
 // serving tasks on `worker` at or below SafeTailRatio, given the last measurements.
+// Reduced runs count at their pace.
 int safePace(const InterferenceModel &model, const workers::Worker &worker);
 
+// Returns the pace in percent at which the reduced runs keep all serving tasks on `worker` at or below
+// SafeMeanTailRatio while the other runs work at full pace; ReducedPace at least.
+int safeReducedPace(const InterferenceModel &model, const workers::Worker &worker);
+
 // Returns the largest decrease of 1/tail that `run` at full pace causes to a serving task
 // on `worker`, as a fraction of 1/target of that task.
 double maxInterference(const InterferenceModel &model, const workers::Worker &worker, const workers::Run &run);
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -19,6 +19,7 @@
 constexpr double MixedImageCost = 1; // for a lasting task on a worker with lasting tasks of other images only
 constexpr double FewImagesCost = 1; // added if those are of one image; half of it for two images
 constexpr double ContentionCost = 2; // multiplied by the contention of other images for the worker's leftover cores
+constexpr double ReducedRunCost = 1; // per reduced run on the worker, for a task that may start as one
 constexpr double InterferenceCost = 8; // per unit of predicted tail-to-target ratio above SafeMeanTailRatio
 // Stands for all tasks of a step, of which no worker runs one with this index.
 constexpr int AnyTask = -1;
@@ -34,6 +35,16 @@
     return static_cast<double>(resources.milliCores) / static_cast<double>(capacity);
 }
 
+// Returns predictedTailRatio() of the task as a reduced run.
+double reducedTailRatio(const workers::Worker &worker, const TaskDemand &demand)
+{
+    auto reduced = *demand.step;
+    reduced.needs.milliCores = reduced.needs.milliCores * workers::ReducedPace / workers::FullPace;
+    auto reducedDemand = demand;
+    reducedDemand.step = &reduced;
+    return predictedTailRatio(worker, reducedDemand);
+}
+
 double interferenceCost(double ratio)
 {
     return InterferenceCost * std::max(0.0, ratio - SafeMeanTailRatio);
@@ -168,8 +179,31 @@
     return best;
 }
 
+std::optional<double> BestFit::reducedCost(const workers::Worker &worker, const TaskDemand &demand, TimePoint now) const
+{
+    const auto &step = *demand.step;
+    // Workers with a label may be few, and half of their room then says nothing of the fleet's.
+    const bool keepsHalf = step.requiredLabel.empty();
+    if (!worker.fitsReduced(step.needs, keepsHalf) || !isEligible(worker, demand, now)) {
+        return std::nullopt;
+    }
+    const bool isAlone = std::ranges::none_of(worker.runs(), &workers::Run::usesLeftover);
+    if (demand.reducedStart == ReducedStart::BesideNoLeftoverWork && !isAlone) {
+        return std::nullopt;
+    }
+    // One after the other, since each disturbs at full pace for a moment. The members of a gang start together.
+    if (worker.hasUnpacedReducedRun() && !step.isGang) {
+        return std::nullopt;
+    }
+    return ReducedRunCost * worker.reducedRunCount()
+        + placementCost(worker, demand, reducedTailRatio(worker, demand), now);
+}
+
 std::optional<double> BestFit::cost(const workers::Worker &worker, const TaskDemand &demand, TimePoint now) const
 {
+    if (demand.reducedStart != ReducedStart::No) {
+        return reducedCost(worker, demand, now);
+    }
     if (!worker.fits(demand.step->needs, demand.step->usesLeftover) || !isEligible(worker, demand, now)) {
         return std::nullopt;
     }
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -15,6 +15,13 @@
 
 namespace monsoonspool::scheduling {
 
+// Whether a task on leftover cores may start as a reduced run, see workers::ReducedPace.
+enum class ReducedStart {
+    No,
+    BesideNoLeftoverWork, // only where it slows down no other work
+    Anywhere,
+};
+
 // The requirements of a task to be placed.
 struct TaskDemand
 {
@@ -31,6 +38,7 @@
     bool isKeptApart = true; // from other suspects, if workers have crashed under the task
     bool ignoresSuspicion = false; // see areMostSuspect()
     const WorkerId *movedFrom = nullptr; // the worker that the task was moved away from; nullptr if it was not moved
+    ReducedStart reducedStart = ReducedStart::No;
 };
 
 // Returns whether `worker` may run the task, regardless of free capacity. Tasks under which
@@ -102,6 +110,9 @@
 //    with many images, most workers are usable by a few of them only.
 //  - Lasting tasks of the same image are packed together. Each image is affected by
 //    different work, so most work then finds workers where it interferes with nothing.
+//  - A task that may start as a reduced run goes to the worker with fewest of these, whatever its
+//    serving tasks and leftover cores. Such a run works at a low pace, so that it costs others
+//    little, and no task waits for ever where all workers have sensitive serving tasks.
 //  - A task that failed on a worker goes to another one, since some workers fail every
 //    task that they start and would use up all attempts.
 //  - Where suspect workers are used, the others are preferred.
@@ -111,6 +122,9 @@
 {
 public:
     std::optional<double> cost(const workers::Worker &worker, const TaskDemand &demand, TimePoint now) const override;
+
+private:
+    std::optional<double> reducedCost(const workers::Worker &worker, const TaskDemand &demand, TimePoint now) const;
 };
 
 // Chooses the first eligible worker with enough capacity. Baseline for comparisons.
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -163,6 +163,25 @@
     return (usesLeftover ? freeLeftoverResources() : freeResources()).contains(needs);
 }
 
+bool Worker::fitsReduced(const Resources &needs, bool keepsHalf) const
+{
+    const auto free = freeResources();
+    const auto &capacity = m_entry.capacity;
+    const bool isHalfFree = free.memoryMiB * 2 >= capacity.memoryMiB && free.accelerators * 2 >= capacity.accelerators;
+    return (isHalfFree || !keepsHalf) && free.memoryMiB >= needs.memoryMiB && free.accelerators >= needs.accelerators
+        && leftoverMilliCores() >= needs.milliCores * ReducedPace / FullPace;
+}
+
+int Worker::reducedRunCount() const
+{
+    return static_cast<int>(std::ranges::count_if(m_runs, &Run::isReduced));
+}
+
+bool Worker::hasUnpacedReducedRun() const
+{
+    return std::ranges::any_of(m_runs, [](const Run &it) { return it.isReduced && it.paceChangedAt == TimePoint(); });
+}
+
 namespace {
 
 bool isSameStep(const jobs::TaskId &a, const jobs::TaskId &b)
@@ -203,8 +222,10 @@
 Resources reservedBy(const Run &run)
 {
     auto reserved = run.needs;
-    if (run.usesLeftover && run.pace != UnknownPace) {
-        reserved.milliCores = reserved.milliCores * run.pace / FullPace;
+    if (run.usesLeftover) {
+        // What a reduced run works beyond its pace it yields to others.
+        const int pace = run.isReduced ? ReducedPace : run.pace == UnknownPace ? FullPace : run.pace;
+        reserved.milliCores = reserved.milliCores * pace / FullPace;
     }
     return reserved;
 }
@@ -218,6 +239,13 @@
     m_leftoverReserved += reservedBy(run);
 }
 
+void Worker::endReduction(Run &run)
+{
+    m_leftoverReserved -= reservedBy(run);
+    run.isReduced = false;
+    m_leftoverReserved += reservedBy(run);
+}
+
 void Worker::add(const Run &run)
 {
     m_runs.push_back(run);
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -35,6 +35,9 @@
 constexpr int FullPace = 100;
 // Differs from every valid pace, so that the next plan orders one.
 constexpr int UnknownPace = -1;
+// The pace of a reduced run: one that a worker takes although it has too few leftover cores for it, or a serving
+// task is forecast to be disturbed. It works faster only as far as all other runs on the worker leave room.
+constexpr int ReducedPace = 5;
 
 // Why nothing new may be placed on a worker.
 enum class PlacementObstacle {
@@ -69,6 +72,7 @@
     TimePoint progressedAt; // last increase of percent
     TimePoint listedAt; // last listing that contains the run
     int pace = FullPace; // UnknownPace if the worker may apply another one than the last ordered
+    bool isReduced = false; // see ReducedPace
     TimePoint paceChangedAt; // last change of pace
     Duration lostToPace{0}; // run time lost to paces below full speed, since the last run at full speed
     TimePoint lostToPaceUntil; // up to which it is counted
@@ -312,6 +316,14 @@
     }
     // Returns whether a task with `needs` fits into the available resources.
     bool fits(const Resources &needs, bool usesLeftover) const;
+    // Returns whether a task on leftover cores has room as a reduced run. If `keepsHalf`, only while half of the
+    // memory and of the accelerators is free, so that such runs leave room for others.
+    bool fitsReduced(const Resources &needs, bool keepsHalf) const;
+    int reducedRunCount() const;
+    // Returns whether a reduced run still works at full pace, as each does at its start.
+    bool hasUnpacedReducedRun() const;
+    // Makes a reduced run one like the others.
+    void endReduction(Run &run);
 
     int runsOfStep(const jobs::TaskId &task) const;
     // Returns whether a run of another step is suspect since at least `minCrashes` workers have
--- a/tests/execution/leftoverstandstilltest.cpp
+++ b/tests/execution/leftoverstandstilltest.cpp
@@ -1,5 +1,6 @@
 // Jobs on leftover cores that stand still although workers have room.
 #include "execution/leftoverfleet.h"
+#include "workers/worker.h"
 
 #include <gtest/gtest.h>
 
@@ -57,7 +58,28 @@
     }
 }
 
-// Guards against a low pace for work that can be on time: it is for what waits without a bound.
+// Guards against work that is let in beyond the limits and then slows down what was let in within them.
+TEST(LeftoverStandstill, AReducedRunYieldsToOtherWork)
+{
+    LeftoverFleet play(1, Images);
+    play.submit({.image = "heaviest", .milliCores = 28000, .runTime = 100s});
+    play.pass(10s);
+    EXPECT_GT(play.paceOf("heaviest"), workers::ReducedPace) << "faster while it has the worker for itself";
+    play.submit({.image = "harmless", .milliCores = 45000, .runTime = 10s, .targetLatency = 1min});
+    play.pass(2s);
+    ASSERT_EQ(play.runsOf("harmless"), 1);
+    EXPECT_EQ(play.paceOf("harmless"), FullPace);
+    constexpr double leftCores = 64000 - ServingLoad * 13000 - 45000;
+    EXPECT_LE(play.paceOf("heaviest"), FullPace * leftCores / 28000);
+    play.pass(9s);
+    ASSERT_EQ(play.openJobs(), 1U);
+    play.submit({.image = "heavy", .milliCores = 7000, .runTime = 10s, .targetLatency = 1min});
+    play.pass(2s);
+    EXPECT_EQ(play.runsOf("heavy"), 1) << "the run does not keep others from the worker";
+    EXPECT_LE(play.longestHarm(), HarmBound);
+}
+
+// Guards against reduced runs beside work that can be on time: they are for what waits without a bound.
 TEST(LeftoverStandstill, WorkThatCanBeOnTimeWaitsForAPlaceAtFullPace)
 {
     LeftoverFleet play(4, Images);
