--- a/src/execution/fleetstandstill.cpp
+++ b/src/execution/fleetstandstill.cpp
@@ -213,9 +213,10 @@
     for (const auto &[key, it] : unconfirmed) {
         const auto *job = findJob(key);
         if (job != nullptr && job->job.isOpen()) {
-            const auto runAge = now - it.run->orderedAt;
-            standing.push_back(
-                {it.run->task, causeOf(it.run->state), it.run->orderedAt, it.worker, it.run->number, runAge});
+            const auto cause = causeOf(it.run->state);
+            // A run that is being stopped was at work before.
+            const auto since = cause == StandstillCause::Stop ? now : it.run->orderedAt;
+            standing.push_back({it.run->task, cause, since, it.worker, it.run->number, now - it.run->orderedAt});
         }
     }
     for (const auto &key : jobsToPlace) {
