--- a/src/execution/fleetpacing.cpp
+++ b/src/execution/fleetpacing.cpp
@@ -131,6 +131,9 @@
             continue;
         }
         noteThrottling(worker, run, now);
+        if (run.isReduced && run.paceChangedAt == now) {
+            continue; // two orders of one plan could overtake each other
+        }
         const bool isDisturbing = maxInterference(interference, worker, run) > DisturbanceThreshold;
         int wanted = isDisturbing ? pace : measured.appliesToAll ? measured.percent : workers::FullPace;
         if (run.isReduced) {
@@ -138,7 +141,7 @@
             wanted = wanted == workers::FullPace ? most : wanted * workers::ReducedPace / workers::FullPace;
         }
         const bool isSignificant = std::abs(run.pace - wanted) >= MinPaceChange || run.pace < 0
-            || (run.pace != wanted && (wanted == workers::FullPace || wanted == 0));
+            || (run.pace != wanted && (wanted == workers::FullPace || wanted == 0 || (run.isReduced && run.pace == 0)));
         if (isSignificant) {
             worker.setPace(run, wanted);
             run.paceChangedAt = now;
--- a/src/workers/worker.cpp
+++ b/src/workers/worker.cpp
@@ -179,7 +179,9 @@
 
 bool Worker::hasUnpacedReducedRun() const
 {
-    return std::ranges::any_of(m_runs, [](const Run &it) { return it.isReduced && it.paceChangedAt == TimePoint(); });
+    return std::ranges::any_of(m_runs, [](const Run &it) {
+        return it.isReduced && (it.paceChangedAt == TimePoint() || it.pace == UnknownPace);
+    });
 }
 
 namespace {
@@ -224,7 +226,7 @@
     auto reserved = run.needs;
     if (run.usesLeftover) {
         // What a reduced run works beyond its pace it yields to others.
-        const int pace = run.isReduced ? ReducedPace : run.pace == UnknownPace ? FullPace : run.pace;
+        const int pace = run.pace == UnknownPace ? FullPace : run.isReduced ? ReducedPace : run.pace;
         reserved.milliCores = reserved.milliCores * pace / FullPace;
     }
     return reserved;
--- a/src/workers/worker.h
+++ b/src/workers/worker.h
@@ -320,7 +320,7 @@
     // memory and of the accelerators is free, so that such runs leave room for others.
     bool fitsReduced(const Resources &needs, bool keepsHalf) const;
     int reducedRunCount() const;
-    // Returns whether a reduced run still works at full pace, as each does at its start.
+    // Returns whether a reduced run may work at full pace, as each does at its start.
     bool hasUnpacedReducedRun() const;
     // Makes a reduced run one like the others.
     void endReduction(Run &run);
