Work on leftover cores that can be on time, gangs and crash suspects start after 2 s as well

Any job of which nothing runs gets a reduced run now, and only one beside other leftover work. Members of a gang needed half of a worker's memory each; crash suspects waited for 10 s; the wait behind a gang came before the 2 s instead of counting towards them; and a start of another step of the job began them anew.

--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -26,6 +26,12 @@
 // lost that waits for 3 s beside free memory and accelerators.
 constexpr Duration MaxTimeRefused = 2s;
 
+jobs::TaskId firstOfStep(jobs::TaskId task)
+{
+    task.index = 0;
+    return task;
+}
+
 // The members of a gang wait together.
 jobs::TaskId waitingTask(const TrackedJob &job, jobs::TaskId task)
 {
@@ -169,22 +175,25 @@
         return {};
     }
     const auto demand = demandOf(job, task, preferredRack, now);
-    return isHeldBack(job, demand, now) ? Placement() : findReducedPlace(waiting, demand, now);
+    const auto since = job.refusedSince.try_emplace(firstOfStep(task), now).first->second;
+    if (now - since < MaxTimeRefused || isHeldBack(job, demand, now)) {
+        return {};
+    }
+    return findReducedPlace(job, demand, now);
 }
 
 // A reduced run takes next to nothing from others, so that a worker without leftover work is used for it at once.
-// Elsewhere only a job gets one of which nothing runs and which cannot be on time any more: it then goes on in any
-// case, and the others wait for places at full pace.
-Fleet::Private::Placement Fleet::Private::findReducedPlace(const WaitingStep &waiting, scheduling::TaskDemand demand,
+// Elsewhere only a job gets one of which nothing runs: it then goes on in any case, and its other tasks wait for places
+// at full pace.
+Fleet::Private::Placement Fleet::Private::findReducedPlace(TrackedJob &job, scheduling::TaskDemand demand,
                                                            TimePoint now)
 {
     using scheduling::ReducedStart;
-    auto &job = *waiting.job;
-    job.refusedSince = job.refusedSince.value_or(now);
-    if (now - *job.refusedSince < MaxTimeRefused) {
-        return {};
+    if (demand.crashCount > 0) {
+        const auto since = job.keptApartSince.try_emplace(waitingTask(job, demand.task), now).first->second;
+        demand.isKeptApart = now - since < MaxTimeKeptApart;
     }
-    const bool isAnywhere = demand.step->isLasting || (waiting.rank.isOverdue && job.activeRuns == 0);
+    const bool isAnywhere = demand.step->isLasting || job.activeRuns == 0;
     demand.reducedStart = isAnywhere ? ReducedStart::Anywhere : ReducedStart::BesideNoLeftoverWork;
     if (isRuledOut(unplaceableDemands, demand)) {
         return {};
@@ -202,9 +211,7 @@
     if (!isRuledOut(gangDemands, demand)) {
         return false;
     }
-    auto step = demand.task;
-    step.index = 0;
-    const auto since = job.heldBackSince.try_emplace(step, now).first->second;
+    const auto since = job.heldBackSince.try_emplace(firstOfStep(demand.task), now).first->second;
     return now - since < MaxTimeHeldBack || isHalfReserved(demand.service, now);
 }
 
@@ -246,12 +253,9 @@
     run.isRemote = isRemote;
     run.isReduced = placement.isReduced;
     counts.reducedStarts += placement.isReduced ? 1 : 0;
-    if (!placement.isReduced) {
-        job.refusedSince.reset();
-    }
     endRackWait(job, task, worker, isRemote, now);
     job.keptApartSince.erase(waitingTask(job, task));
-    job.heldBackSince.erase({task.job, task.occurrence, task.step, 0});
+    job.heldBackSince.erase(firstOfStep(task));
     worker.add(run);
     ++job.activeRuns;
     const auto checkpoint = job.job.task(task).checkpoint;
@@ -260,6 +264,10 @@
         job.wasStartedOverdue = job.rank.isOverdue;
     }
     job.job.noteRunOrdered(task, number);
+    // While a step gets reduced runs only, the next ones follow without a wait.
+    if (!placement.isReduced || !job.job.step(task.occurrence, task.step).hasWaiting()) {
+        job.refusedSince.erase(firstOfStep(task));
+    }
     log.record("start",
                {{"task", task},
                 {"run", number},
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -69,7 +69,7 @@
     scheduling::Rank rank;
     std::map<jobs::TaskId, WorkerId> movedFrom; // workers that throttled the task
     std::map<jobs::TaskId, TimePoint> keptApartSince; // tasks that wait for a worker without a crash suspect
-    std::optional<TimePoint> refusedSince; // no worker takes its work on leftover cores like other work
+    std::map<jobs::TaskId, TimePoint> refusedSince; // steps, by their first task, that no worker takes at full pace
     std::map<jobs::TaskId, TimePoint> heldBackSince; // steps, by their first task, that wait behind a gang
     std::map<jobs::TaskId, RackWait> rackWaits; // tasks that wait for their rack; of a gang the first one
     int rankedOccurrence = -1;
@@ -331,7 +331,7 @@
     // Returns the place of a waiting task: as above, or for a reduced run if no worker has taken it for some time.
     Placement findPlace(const WaitingStep &waiting, const jobs::TaskId &task, std::string_view preferredRack,
                         TimePoint now, std::optional<scheduling::RankedWorkers> *ranked = nullptr);
-    Placement findReducedPlace(const WaitingStep &waiting, scheduling::TaskDemand demand, TimePoint now);
+    Placement findReducedPlace(TrackedJob &job, scheduling::TaskDemand demand, TimePoint now);
     void orderStart(TrackedJob &job, const jobs::TaskId &task, const Placement &placement, jobs::RunNumber run,
                     bool isRemote, TimePoint now, Orders &orders);
 
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -182,8 +182,9 @@
 std::optional<double> BestFit::reducedCost(const workers::Worker &worker, const TaskDemand &demand, TimePoint now) const
 {
     const auto &step = *demand.step;
-    // Workers with a label may be few, and half of their room then says nothing of the fleet's.
-    const bool keepsHalf = step.requiredLabel.empty();
+    // Workers with a label may be few, and half of their room then says nothing of the fleet's. The members of a gang
+    // need their places at the same time.
+    const bool keepsHalf = step.requiredLabel.empty() && !step.isGang;
     if (!worker.fitsReduced(step.needs, keepsHalf) || !isEligible(worker, demand, now)) {
         return std::nullopt;
     }
