Test of random loads in which no job stands beside free room

Guards against waits without a bound, or whose bounds add up to more than the platform's 3 s: a job of which nothing runs while under half of the workers' room is in use, and twice the room that it needs is free by the platform's count. The loads mix leftover work of random disturbance with tasks on cores of their own, gangs, labels, limits per worker and runs that fail. The fleet in virtual time of the leftover tests learns these; what it checked before it checks as before.

--- a/tests/execution/leftoverfleet.h
+++ b/tests/execution/leftoverfleet.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 // A fleet in virtual time whose workers have serving tasks each, and leftover work beside them that slows these down.
@@ -28,8 +29,11 @@
 inline constexpr Duration TailTarget = 20ms;
 inline constexpr std::int64_t IdleTailMs = 5; // of a serving task without leftover work beside it, at mean load
 inline constexpr int FullPace = 100;
+inline const std::string LabelledKind("large"); // of every LabelInterval-th worker
+inline constexpr int LabelInterval = 4;
+inline constexpr Duration LongestAllowedStandstill = 3s; // by the platform
 
-// Leftover work of one image.
+// Leftover work of one image. Tasks with cores of their own have images that are not listed, and disturb nothing.
 struct Image
 {
     std::string name;
@@ -38,6 +42,7 @@
     double disturbance = 0;
 };
 
+// A job whose tasks are alike. They use leftover cores unless it says otherwise.
 struct LeftoverJob
 {
     std::string image;
@@ -47,6 +52,20 @@
     int width = 1;
     Duration runTime = 2700ms;
     Duration targetLatency{0}; // the objective
+    bool usesLeftover = true;
+    bool isGang = false;
+    std::string label = {}; // required of the workers
+    int maxPerWorker = 0;
+    int failures = 0; // runs of the first task of each step that fail
+};
+
+// The longest time for which a job had nothing at work beside free room.
+struct LongestStandstill
+{
+    Duration time{0};
+    jobs::JobKey job;
+    TimePoint at;
+    std::string causes; // that the fleet reports for the jobs that stand, once it is over LongestAllowedStandstill
 };
 
 class SilentLog : public DecisionLog
@@ -69,6 +88,7 @@
             entry.id = WorkerId("w" + std::to_string(n));
             entry.service = Service;
             entry.capacity = Capacity;
+            entry.kind = n % LabelInterval == 0 ? LabelledKind : std::string();
             entry.startTimeMs = 1;
             m_workers[entry.id].position = n;
             fleet.updateWorker(entry, m_now);
@@ -101,14 +121,18 @@
             step.needs = {job.milliCores, job.memoryMiB, 0};
             step.count = job.width;
             step.estimate = job.runTime;
-            step.usesLeftover = true;
+            step.usesLeftover = job.usesLeftover;
+            step.isGang = job.isGang;
+            step.requiredLabel = job.label;
+            step.maxPerWorker = job.maxPerWorker;
             if (s > 0) {
                 step.after = {s - 1};
             }
         }
         const jobs::JobKey key{++m_lastKey};
         m_standingSince[key] = m_now;
-        m_runTimes[key] = job.runTime;
+        m_specs[key] = job;
+        m_dueAt[key] = m_now + job.targetLatency + job.runTime * job.steps;
         add(key, std::move(steps), job.targetLatency);
     }
 
@@ -116,6 +140,7 @@
     {
         for (const auto end = m_now + time; m_now < end;) {
             m_now += Tick;
+            updateGangs();
             for (auto &[id, worker] : m_workers) {
                 const bool hasEnd = work(worker);
                 if (hasEnd || m_now >= worker.listingDueAt) {
@@ -129,9 +154,22 @@
 
     // Returns the longest time for which a job had nothing at work while under half of the workers' room was in use.
     Duration longestStandstill() const
+    {
+        return m_longestStandstill.time;
+    }
+    const LongestStandstill &longestStandstillDetails() const
     {
         return m_longestStandstill;
     }
+    // Returns the same of the time after the jobs' objectives.
+    const LongestStandstill &longestOverdueStandstill() const
+    {
+        return m_longestOverdueStandstill;
+    }
+    const LeftoverJob &specOf(jobs::JobKey key) const
+    {
+        return m_specs.at(key);
+    }
     // Returns the longest time for which a serving task was over its target beside leftover work that disturbs it.
     Duration longestHarm() const
     {
@@ -168,6 +206,7 @@
 private:
     static constexpr std::uint64_t ServingJob = 1;
     static inline const std::string ServingImage = "serving";
+    static constexpr double FailurePoint = 0.5; // part of the work of a run that fails
 
     struct Run
     {
@@ -180,6 +219,24 @@
         std::int64_t milliCores = 0; // in use
         bool isServing = false;
         bool isStopped = false;
+        bool usesLeftover = true;
+        double failsAt = 0; // part of its work after which it fails; 0 if it does not
+        bool isGangMember = false;
+        bool isGangDone = false;
+        bool isBroken = false; // another member of its gang has ended
+
+        bool isDone() const
+        {
+            return !isServing && done >= 1 && (!isGangMember || isGangDone);
+        }
+        bool isFailed() const
+        {
+            return failsAt > 0 && done >= failsAt;
+        }
+        bool isOver() const
+        {
+            return isDone() || isFailed() || isStopped || isBroken;
+        }
     };
     struct Worker
     {
@@ -207,6 +264,41 @@
         fleet.addJob(std::move(job), m_now, wall());
     }
 
+    double disturbanceOf(const Run &run) const
+    {
+        const auto it = run.usesLeftover ? m_disturbance.find(run.image) : m_disturbance.end();
+        return it == m_disturbance.end() ? 0 : it->second;
+    }
+
+    // The members of a gang end together, and none goes on without another.
+    void updateGangs()
+    {
+        struct Gang
+        {
+            double done = 1;
+            bool isBroken = false;
+        };
+        using Key = std::pair<jobs::JobKey, int>;
+        std::map<Key, Gang> gangs;
+        const auto forEachMember = [&](auto function) {
+            for (auto &[id, worker] : m_workers) {
+                for (auto &it : worker.runs) {
+                    if (it.isGangMember) {
+                        function(it, gangs[{it.order.task.job, it.order.task.step}]);
+                    }
+                }
+            }
+        };
+        forEachMember([](Run &run, Gang &gang) {
+            gang.done = std::min(gang.done, run.done);
+            gang.isBroken = gang.isBroken || run.isStopped || run.isFailed();
+        });
+        forEachMember([](Run &run, const Gang &gang) {
+            run.isGangDone = run.isGangDone || gang.done >= 1;
+            run.isBroken = run.isBroken || (gang.isBroken && !run.isGangDone);
+        });
+    }
+
     // Returns the rate of the worker's serving task, 1/tail, as a multiple of the one without leftover work.
     double servingRate(const Worker &worker) const
     {
@@ -215,7 +307,7 @@
         double rate = 1 - LoadSwing * std::sin(2 * std::numbers::pi * seconds / period + worker.position);
         for (const auto &it : worker.runs) {
             if (!it.isServing) {
-                rate -= m_disturbance.at(it.image) * static_cast<double>(it.milliCores) / Capacity.milliCores;
+                rate -= disturbanceOf(it) * static_cast<double>(it.milliCores) / Capacity.milliCores;
             }
         }
         return rate;
@@ -229,17 +321,18 @@
         bool isDisturbed = false;
         for (const auto &it : worker.runs) {
             available -= it.isServing ? ServingLoad * static_cast<double>(it.needs.milliCores) : 0;
-            wanted += it.isServing ? 0 : static_cast<double>(it.needs.milliCores) * it.pace / FullPace;
-            isDisturbed = isDisturbed || (!it.isServing && it.pace > 0 && m_disturbance.at(it.image) > 0);
+            available -= it.isServing || it.usesLeftover ? 0 : static_cast<double>(it.needs.milliCores);
+            wanted += it.usesLeftover ? static_cast<double>(it.needs.milliCores) * it.pace / FullPace : 0;
+            isDisturbed = isDisturbed || (it.pace > 0 && disturbanceOf(it) > 0);
         }
         const double part = wanted <= available ? 1 : available / wanted;
         bool hasEnd = false;
         for (auto &it : worker.runs) {
             if (!it.isServing) {
-                const double speed = part * it.pace / FullPace;
+                const double speed = it.usesLeftover ? part * it.pace / FullPace : 1;
                 it.milliCores = static_cast<std::int64_t>(speed * static_cast<double>(it.needs.milliCores));
                 it.done += speed * static_cast<double>(Tick.count()) / static_cast<double>(it.runTime.count());
-                hasEnd = hasEnd || it.done >= 1 || it.isStopped;
+                hasEnd = hasEnd || it.isOver();
             }
         }
         constexpr double lowestRate = 0.02;
@@ -261,14 +354,17 @@
         listing.startTimeMs = 1;
         listing.clock = toMilliseconds(m_now - Start) + 1000;
         std::erase_if(worker.runs, [&](const Run &it) {
-            const bool isDone = !it.isServing && it.done >= 1;
-            if (!isDone && !it.isStopped) {
-                const int percent = it.isServing ? 100 : static_cast<int>(100 * it.done);
+            if (!it.isOver()) {
+                const int percent = it.isServing ? 100 : static_cast<int>(100 * std::min(it.done, 1.0));
                 listing.running.push_back(
                     {it.order.task, it.order.run, {}, percent, it.isServing ? worker.tailMs : it.milliCores});
                 return false;
             }
-            const auto outcome = isDone ? jobs::RunEnd::Done : jobs::RunEnd::Stopped;
+            const auto outcome = it.isFailed() ? jobs::RunEnd::Failed
+                : it.isDone()                  ? jobs::RunEnd::Done
+                : it.isStopped                 ? jobs::RunEnd::Stopped
+                                               : jobs::RunEnd::Broken;
+            m_failedRuns[it.order.task] += it.isFailed() ? 1 : 0;
             listing.ended.push_back({++worker.lastEnd, it.order.task, it.order.run, outcome, {}});
             return true;
         });
@@ -276,7 +372,7 @@
         fleet.applyListing(id, listing, m_now, m_now);
         for (const auto &it : listing.ended) {
             const auto *job = fleet.find(it.task.job);
-            if (job != nullptr && job->state() == jobs::JobState::Completed) {
+            if (job != nullptr && jobs::isFinal(job->state())) {
                 m_standingSince.erase(it.task.job);
                 fleet.markStored(it.task.job);
             }
@@ -295,8 +391,17 @@
         for (const auto &it : orders.starts) {
             fleet.applyStartReply(it, ports::StartResult::Accepted, m_now);
             const auto &spec = fleet.find(it.task.job)->stepSpec(it.task.step);
-            m_workers[it.worker].runs.push_back(
-                {it, spec.image, spec.needs, m_runTimes[it.task.job], FullPace, 0, 0, spec.isLasting, false});
+            const auto &job = m_specs[it.task.job];
+            auto &started = m_workers[it.worker].runs.emplace_back();
+            started.order = it;
+            started.image = spec.image;
+            started.needs = spec.needs;
+            started.runTime = job.runTime;
+            started.isServing = spec.isLasting;
+            started.usesLeftover = spec.usesLeftover;
+            started.isGangMember = spec.isGang;
+            const bool isFailing = it.task.index == 0 && m_failedRuns[it.task] < job.failures;
+            started.failsAt = isFailing ? FailurePoint : 0;
         }
         for (const auto &it : orders.paces) {
             if (auto *found = run(it)) {
@@ -319,18 +424,65 @@
             for (const auto &it : worker.runs) {
                 atWork.insert(it.order.task.job);
                 used.memoryMiB += it.needs.memoryMiB;
-                used.milliCores += it.isServing ? it.needs.milliCores : 0;
+                used.milliCores += it.usesLeftover ? 0 : it.needs.milliCores;
             }
         }
         const auto workers = static_cast<std::int64_t>(m_workers.size());
         const bool isRoomFree
             = used.memoryMiB * 2 < Capacity.memoryMiB * workers && used.milliCores * 2 < Capacity.milliCores * workers;
         for (auto &[key, since] : m_standingSince) {
-            if (!isRoomFree || atWork.contains(key)) {
+            if (!isRoomFree || atWork.contains(key) || !hasRoomTwice(m_specs.at(key))) {
                 since = m_now;
             }
-            m_longestStandstill = std::max(m_longestStandstill, m_now - since);
+            noteStandstill(m_longestStandstill, key, since);
+            noteStandstill(m_longestOverdueStandstill, key, std::max(since, m_dueAt.at(key)));
+        }
+    }
+
+    void noteStandstill(LongestStandstill &longest, jobs::JobKey key, TimePoint since) const
+    {
+        const auto time = m_now - since;
+        if (time > longest.time) {
+            longest = {time, key, m_now, time > LongestAllowedStandstill ? standstillCauses() : std::string()};
+        }
+    }
+
+    // Returns whether the workers with the job's label have room for two of its tasks, or for its gang twice. Half of
+    // all room tells nothing of it where only some workers qualify, cores are needed too, or tasks start together;
+    // for other jobs that half is all that counts.
+    bool hasRoomTwice(const LeftoverJob &job) const
+    {
+        if (job.usesLeftover && !job.isGang && job.label.empty() && job.maxPerWorker == 0) {
+            return true;
+        }
+        std::int64_t places = 0;
+        for (const auto &[id, worker] : m_workers) {
+            if (!job.label.empty() && worker.position % LabelInterval != 0) {
+                continue;
+            }
+            auto free = Capacity;
+            for (const auto &it : worker.runs) {
+                free.memoryMiB -= it.needs.memoryMiB;
+                free.milliCores -= it.usesLeftover ? 0 : it.needs.milliCores;
+            }
+            auto most = free.memoryMiB / job.memoryMiB;
+            most = job.usesLeftover ? most : std::min(most, free.milliCores / job.milliCores);
+            places += job.maxPerWorker == 0 ? most : std::min<std::int64_t>(most, job.maxPerWorker);
+        }
+        return places >= 2 * (job.isGang ? job.width : 1);
+    }
+
+    std::string standstillCauses() const
+    {
+        std::string causes;
+        const auto standing = fleet.counts().standingJobs;
+        for (std::size_t n = 0; n < standing.byCause.size(); ++n) {
+            if (standing.byCause[n] > 0) {
+                causes += std::string(standstillCauseName(static_cast<StandstillCause>(n))) + " "
+                    + std::to_string(standing.byCause[n]) + " ";
+            }
         }
+        return causes;
     }
 
     jobs::WallTime wall() const
@@ -342,9 +494,12 @@
     std::uint64_t m_lastKey = 0;
     std::map<WorkerId, Worker> m_workers;
     std::map<std::string, double, std::less<>> m_disturbance;
-    std::map<jobs::JobKey, TimePoint> m_standingSince; // of the open jobs on leftover cores
-    std::map<jobs::JobKey, Duration> m_runTimes;
-    Duration m_longestStandstill{0};
+    std::map<jobs::JobKey, TimePoint> m_standingSince; // of the open jobs but the serving one
+    std::map<jobs::JobKey, LeftoverJob> m_specs;
+    std::map<jobs::TaskId, int> m_failedRuns;
+    std::map<jobs::JobKey, TimePoint> m_dueAt; // by their objectives
+    LongestStandstill m_longestStandstill;
+    LongestStandstill m_longestOverdueStandstill;
     Duration m_longestHarm{0};
 };
 
