--- a/tests/execution/leftoverfleet.h
+++ b/tests/execution/leftoverfleet.h
@@ -84,15 +84,9 @@
     {
         fleet.beginTerm({1}, 0, {}, Start, Start);
         for (int n = 0; n < workers; ++n) {
-            ports::WorkerEntry entry;
-            entry.id = WorkerId("w" + std::to_string(n));
-            entry.service = Service;
-            entry.capacity = Capacity;
-            entry.kind = n % LabelInterval == 0 ? LabelledKind : std::string();
-            entry.startTimeMs = 1;
-            m_workers[entry.id].position = n;
-            fleet.updateWorker(entry, m_now);
-            list(entry.id);
+            const WorkerId id("w" + std::to_string(n));
+            m_workers[id].position = n;
+            announce(id);
         }
         fleet.markRosterStored(fleet.takeRoster());
         scheduling::LearnedInterference learned{ServingImage, 1.0 / static_cast<double>(IdleTailMs), {}};
@@ -112,6 +106,25 @@
         pass(1s);
     }
 
+    // Submits a job whose occurrences have a step of each of the two jobs, which need not wait for each other.
+    void submitTimed(const LeftoverJob &a, const LeftoverJob &b, int occurrences, std::chrono::milliseconds interval)
+    {
+        std::vector<jobs::StepSpec> steps;
+        for (const auto &it : {a, b}) {
+            auto &step = steps.emplace_back();
+            step.image = it.image;
+            step.needs = {it.milliCores, it.memoryMiB, 0};
+            step.count = it.width;
+            step.estimate = it.runTime;
+            step.usesLeftover = true;
+        }
+        const jobs::JobKey key{++m_lastKey};
+        m_standingSince[key] = m_now;
+        m_specs[key] = a;
+        m_dueAt[key] = m_now + a.targetLatency + a.runTime;
+        add(key, std::move(steps), a.targetLatency, occurrences, interval);
+    }
+
     void submit(const LeftoverJob &job)
     {
         std::vector<jobs::StepSpec> steps;
@@ -142,6 +155,9 @@
             m_now += Tick;
             updateGangs();
             for (auto &[id, worker] : m_workers) {
+                if (worker.isDead) {
+                    continue;
+                }
                 const bool hasEnd = work(worker);
                 if (hasEnd || m_now >= worker.listingDueAt) {
                     list(id);
@@ -190,6 +206,33 @@
         }
         return sum;
     }
+    // Lets the workers that run the image die without a notice, and the fleet notice it.
+    void killWorkersOf(std::string_view image)
+    {
+        for (auto &[id, worker] : m_workers) {
+            if (std::ranges::any_of(worker.runs, [&](const Run &it) { return it.image == image; })) {
+                worker.runs.clear();
+                worker.isDead = true;
+                fleet.markSilent(id, m_now);
+            }
+        }
+    }
+    // Lets all workers crash and start again at once.
+    void restartWorkers()
+    {
+        ++m_startTimeMs;
+        for (auto &[id, worker] : m_workers) {
+            worker.runs.clear();
+            worker.lastEnd = 0;
+            announce(id);
+        }
+        fleet.markRosterStored(fleet.takeRoster());
+    }
+    // Returns how many plans had two orders of pace for one run, which may overtake each other on their way.
+    int plansWithTwoPacesOfARun() const
+    {
+        return m_plansWithTwoPaces;
+    }
     int runsOf(std::string_view image) const
     {
         int count = 0;
@@ -202,6 +245,9 @@
 
     SilentLog log;
     Fleet fleet{log};
+    bool losesPaces = false; // no order of pace reaches a worker
+    double loadSwing = LoadSwing;
+    double servingFactor = 1; // of the rate of serving tasks
 
 private:
     static constexpr std::uint64_t ServingJob = 1;
@@ -246,9 +292,11 @@
         TimePoint listingDueAt;
         std::int64_t tailMs = IdleTailMs;
         std::optional<TimePoint> harmedSince;
+        bool isDead = false;
     };
 
-    void add(jobs::JobKey key, std::vector<jobs::StepSpec> steps, Duration targetLatency)
+    void add(jobs::JobKey key, std::vector<jobs::StepSpec> steps, Duration targetLatency, int occurrences = 0,
+             std::chrono::milliseconds interval = {})
     {
         m_lastKey = std::max(m_lastKey, key.value);
         AcceptedJob job;
@@ -259,6 +307,9 @@
         job.policy.stretch = 1;
         job.policy.targetLatency = targetLatency;
         job.spec.steps = std::move(steps);
+        job.spec.occurrences = occurrences;
+        job.spec.firstDue = wall();
+        job.spec.interval = interval;
         job.acceptedAt = wall();
         job.version = key.value;
         fleet.addJob(std::move(job), m_now, wall());
@@ -304,7 +355,7 @@
     {
         const double seconds = std::chrono::duration<double>(m_now - Start).count();
         const double period = std::chrono::duration<double>(SwingPeriod).count();
-        double rate = 1 - LoadSwing * std::sin(2 * std::numbers::pi * seconds / period + worker.position);
+        double rate = servingFactor - loadSwing * std::sin(2 * std::numbers::pi * seconds / period + worker.position);
         for (const auto &it : worker.runs) {
             if (!it.isServing) {
                 rate -= disturbanceOf(it) * static_cast<double>(it.milliCores) / Capacity.milliCores;
@@ -346,12 +397,24 @@
         return hasEnd;
     }
 
+    void announce(const WorkerId &id)
+    {
+        ports::WorkerEntry entry;
+        entry.id = id;
+        entry.service = Service;
+        entry.capacity = Capacity;
+        entry.kind = m_workers[id].position % LabelInterval == 0 ? LabelledKind : std::string();
+        entry.startTimeMs = m_startTimeMs;
+        fleet.updateWorker(entry, m_now);
+        list(id);
+    }
+
     void list(const WorkerId &id)
     {
         auto &worker = m_workers[id];
         worker.listingDueAt = m_now + ListingInterval;
         ports::WorkerListing listing;
-        listing.startTimeMs = 1;
+        listing.startTimeMs = m_startTimeMs;
         listing.clock = toMilliseconds(m_now - Start) + 1000;
         std::erase_if(worker.runs, [&](const Run &it) {
             if (!it.isOver()) {
@@ -403,7 +466,13 @@
             const bool isFailing = it.task.index == 0 && m_failedRuns[it.task] < job.failures;
             started.failsAt = isFailing ? FailurePoint : 0;
         }
+        std::set<std::pair<jobs::TaskId, jobs::RunNumber>> paced;
         for (const auto &it : orders.paces) {
+            if (losesPaces) {
+                fleet.applyPaceFailure(it);
+                continue;
+            }
+            m_plansWithTwoPaces += paced.insert({it.task, it.run}).second ? 0 : 1;
             if (auto *found = run(it)) {
                 found->pace = it.percent;
             }
@@ -492,6 +561,7 @@
 
     TimePoint m_now = Start;
     std::uint64_t m_lastKey = 0;
+    std::int64_t m_startTimeMs = 1; // of all workers
     std::map<WorkerId, Worker> m_workers;
     std::map<std::string, double, std::less<>> m_disturbance;
     std::map<jobs::JobKey, TimePoint> m_standingSince; // of the open jobs but the serving one
@@ -501,6 +571,7 @@
     LongestStandstill m_longestStandstill;
     LongestStandstill m_longestOverdueStandstill;
     Duration m_longestHarm{0};
+    int m_plansWithTwoPaces = 0;
 };
 
 } // namespace monsoonspool::execution::leftoverfleet
