--- a/src/execution/fleetplacement.cpp
+++ b/src/execution/fleetplacement.cpp
@@ -26,6 +26,10 @@
 // lost that waits for 3 s beside free memory and accelerators.
 constexpr Duration MaxTimeRefused = 2s;
 
+// Workers that a plan looks at for reduced runs, each of which costs a look at all of them: at size, many looks make
+// the plans too long for the work that can be on time.
+constexpr std::size_t MaxReducedLooks = 2000;
+
 jobs::TaskId firstOfStep(jobs::TaskId task)
 {
     task.index = 0;
@@ -195,9 +199,11 @@
     }
     const bool isAnywhere = demand.step->isLasting || job.activeRuns == 0;
     demand.reducedStart = isAnywhere ? ReducedStart::Anywhere : ReducedStart::BesideNoLeftoverWork;
-    if (isRuledOut(unplaceableDemands, demand)) {
+    const bool mayLook = reducedLooks == 0 || reducedLooks + workers.size() <= MaxReducedLooks;
+    if (!mayLook || isRuledOut(unplaceableDemands, demand)) {
         return {};
     }
+    reducedLooks += workers.size();
     ++counts.workerSearches;
     auto *worker = workerChooser->choose(demand, workers, now);
     if (worker == nullptr) {
--- a/src/execution/fleetplan.cpp
+++ b/src/execution/fleetplan.cpp
@@ -54,6 +54,7 @@
     d->gangDemands.clear();
     d->suspicionIgnored.clear();
     d->halfReserved.clear();
+    d->reducedLooks = 0;
     d->racks.unplaceable.clear();
     d->racks.room.beginQueue();
     const auto waiting = d->waitingSteps(now, wall);
--- a/src/execution/fleetstate.h
+++ b/src/execution/fleetstate.h
@@ -465,6 +465,7 @@
     std::vector<UnplaceableDemand> gangDemands; // of gangs that wait for more workers, in the current plan
     std::map<std::string, bool, std::less<>> suspicionIgnored; // by service and label, in the current plan
     std::map<std::string, bool, std::less<>> halfReserved; // by service, in the current plan
+    std::size_t reducedLooks = 0; // at workers, for reduced runs, in the current plan
     RackState racks;
     FleetCounts counts;
 };
--- a/src/scheduling/workerchooser.cpp
+++ b/src/scheduling/workerchooser.cpp
@@ -35,16 +35,6 @@
     return static_cast<double>(resources.milliCores) / static_cast<double>(capacity);
 }
 
-// Returns predictedTailRatio() of the task as a reduced run.
-double reducedTailRatio(const workers::Worker &worker, const TaskDemand &demand)
-{
-    auto reduced = *demand.step;
-    reduced.needs.milliCores = reduced.needs.milliCores * workers::ReducedPace / workers::FullPace;
-    auto reducedDemand = demand;
-    reducedDemand.step = &reduced;
-    return predictedTailRatio(worker, reducedDemand);
-}
-
 double interferenceCost(double ratio)
 {
     return InterferenceCost * std::max(0.0, ratio - SafeMeanTailRatio);
@@ -138,13 +128,13 @@
     return step.maxPerWorker == 0 || worker.runsOfStep(demand.task) < step.maxPerWorker;
 }
 
-double predictedTailRatio(const workers::Worker &worker, const TaskDemand &demand)
+double predictedTailRatio(const workers::Worker &worker, const TaskDemand &demand, int pace)
 {
     if (demand.interference == nullptr) {
         return 0;
     }
     const auto &step = *demand.step;
-    const JoiningTask joining{demand.image, coreShare(step.needs, worker), step.usesLeftover,
+    const JoiningTask joining{demand.image, coreShare(step.needs, worker) * pace / workers::FullPace, step.usesLeftover,
                               step.tailTarget.value_or(Duration(0))};
     return worstTailRatio(*demand.interference, worker, joining);
 }
@@ -197,7 +187,7 @@
         return std::nullopt;
     }
     return ReducedRunCost * worker.reducedRunCount()
-        + placementCost(worker, demand, reducedTailRatio(worker, demand), now);
+        + placementCost(worker, demand, predictedTailRatio(worker, demand, workers::ReducedPace), now);
 }
 
 std::optional<double> BestFit::cost(const workers::Worker &worker, const TaskDemand &demand, TimePoint now) const
--- a/src/scheduling/workerchooser.h
+++ b/src/scheduling/workerchooser.h
@@ -47,8 +47,8 @@
 bool isEligible(const workers::Worker &worker, const TaskDemand &demand, TimePoint now);
 
 // Returns the highest tail latency, in relation to its target, that is forecast for the serving tasks on `worker`
-// if the task ran there at full pace; 0 if there are none that it disturbs.
-double predictedTailRatio(const workers::Worker &worker, const TaskDemand &demand);
+// if the task ran there at `pace` percent; 0 if there are none that it disturbs.
+double predictedTailRatio(const workers::Worker &worker, const TaskDemand &demand, int pace = workers::FullPace);
 
 // Returns whether more than half of the usable workers of a service, of those with `label` if it is not
 // empty, are suspect. The cause is then rather the tasks that failed there, and the other workers may be
